Serve the whole path, thin, over separate processes

Cause: there was nothing yet; the spine comes first, so that every later part has a place to stand.

Change: platform, worker and balancer stand-ins; instances with a session lease, ownership of workers by compare-and-set, settings read from the table, quotes with one forward to a peer, claims before a start, watches and jobs; behave features and a demo over real processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Everything runs in .venv, which the first target makes from the lock file.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install test check demo binary soak format
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+check: install
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+test: install check
+	$(BIN)/python -m tests.run
+
+demo: install
+	$(BIN)/python -m tests.demo
+
+format: install
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
--- /dev/null
+++ b/src/mangosail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/mangosail/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch: what is said to the targets, over which connections."""
--- /dev/null
+++ b/src/mangosail/dispatch/monitor.py
@@ -0,0 +1,59 @@
+"""One task for each owned worker that follows what the worker says of itself."""
+
+import collections.abc as cabc
+import typing as t
+
+import result
+
+from mangosail import clock as clocks
+from mangosail.dispatch import messages, target
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds that one long poll waits for news.
+POLL_WAIT = 1.0
+#: Seconds between attempts while the worker does not answer.
+RETRY_INTERVAL = 0.5
+
+
+class Listener(t.Protocol):
+    """Takes in what a worker said."""
+
+    def on_snapshot(self, worker: str, snapshot: messages.Snapshot) -> None:
+        """Handle all of the worker's tasks as they are now."""
+
+
+class Monitor:
+    """Follows one worker by long polls until it is stopped."""
+
+    def __init__(
+        self,
+        worker: str,
+        connection: target.Target,
+        listeners: cabc.Sequence[Listener],
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.worker = worker
+        self.connection = connection
+        self.listeners = listeners
+        self.clock = clock
+        self.counters = counters
+        self.stopped = False
+        self.version = -1
+
+    def follow(self) -> None:
+        """Poll until `stopped` is set."""
+        while not self.stopped:
+            self.poll()
+
+    def poll(self) -> None:
+        """Fetch one snapshot and hand it to the listeners."""
+        wait = POLL_WAIT if self.version >= 0 else 0.0
+        answer = self.connection.snapshot(self.version, wait)
+        if isinstance(answer, result.Err):
+            self.counters.count("dispatch.snapshot_failed")
+            self.clock.sleep(RETRY_INTERVAL)
+            return
+        self.version = answer.ok_value.version
+        for listener in self.listeners:
+            listener.on_snapshot(self.worker, answer.ok_value)
--- /dev/null
+++ b/src/mangosail/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front door: HTTP for callers and operators."""
--- /dev/null
+++ b/src/mangosail/front/messages.py
@@ -0,0 +1,42 @@
+"""A caller's request inside the program, and what it is answered."""
+
+import dataclasses
+import typing as t
+
+from mangosail.settings import schema
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A request for a service's operation; `deadline` is monotonic seconds."""
+
+    request_id: str
+    team: str
+    service: str
+    operation: str
+    declared: schema.Operation
+    body: t.Any
+    deadline: float
+
+    @property
+    def kind(self) -> str:
+        """Return the kind under which latency is learned."""
+        return f"{self.service}.{self.operation}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """A whole answer and where it came from."""
+
+    answer: t.Any
+    worker: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final refusal: HTTP status, reason, and when to come back if ever."""
+
+    status: int
+    reason: str
+    retry_after: float | None = None
--- /dev/null
+++ b/src/mangosail/front/quotes.py
@@ -0,0 +1,139 @@
+"""Quotes: latency-critical, idempotent, answered in the same exchange."""
+
+import result
+
+from mangosail import clock as clocks
+from mangosail import codec
+from mangosail.dispatch import errors as dispatch_errors
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.front import messages
+from mangosail.membership import messages as peer_messages
+from mangosail.membership import peers as membership
+from mangosail.ownership import session
+from mangosail.placement import choice, workers
+from mangosail.telemetry import counters as telemetry
+
+#: Attempts that one quote may cost, the first included.
+ATTEMPTS = 2
+#: Seconds after which a caller that found no room should come back.
+COME_BACK = 1.0
+#: Seconds of a caller's time kept back for the way home from a peer.
+FORWARD_MARGIN = 0.02
+
+UNAVAILABLE = 503
+TIMED_OUT = 504
+
+
+class Quotes:
+    """Serves quotes from own workers, else from a peer's."""
+
+    def __init__(
+        self,
+        owned: workers.Workers,
+        chooser: choice.Chooser,
+        peers: membership.Peers,
+        lease: session.Session,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.owned = owned
+        self.chooser = chooser
+        self.peers = peers
+        self.lease = lease
+        self.clock = clock
+        self.counters = counters
+
+    def serve(
+        self, request: messages.ServiceRequest, forward: bool = True
+    ) -> result.Result[messages.Served, messages.Refusal]:
+        """Answer `request` from here, or from a peer if `forward` allows."""
+        for _ in range(ATTEMPTS):
+            if self.clock.monotonic() >= request.deadline:
+                return self._refuse(TIMED_OUT, "deadline")
+            candidates = self._candidates(request)
+            if not candidates:
+                break
+            owned = self.chooser.choose(candidates, request.kind)
+            answer = self._run(request, owned)
+            if isinstance(answer, result.Ok):
+                served = messages.Served(
+                    answer.ok_value.answer, owned.name, owned.worker.data_centre
+                )
+                return result.Ok(served)
+            if isinstance(answer.err_value, dispatch_errors.Failed):
+                return self._refuse(UNAVAILABLE, "task_failed")
+            self.counters.count("front.retry.target")
+        if forward:
+            return self._forward(request)
+        return self._refuse(UNAVAILABLE, "no_capacity")
+
+    def _candidates(
+        self, request: messages.ServiceRequest
+    ) -> list[workers.OwnedWorker]:
+        if not self.lease.valid():
+            return []
+        return self.owned.fitting(request.declared.needs.as_resources())
+
+    def _run(
+        self, request: messages.ServiceRequest, owned: workers.OwnedWorker
+    ) -> result.Result[dispatch_messages.Report, dispatch_errors.DispatchError]:
+        task_id = f"{request.team}/{request.request_id}"
+        needs = request.declared.needs.as_resources()
+        if not owned.ledger.reserve(task_id, needs):
+            return result.Err(dispatch_errors.NotSent("reserved"))
+        left = request.deadline - self.clock.monotonic()
+        start = dispatch_messages.Start(
+            task_id=task_id,
+            generation=1,
+            owner_generation=owned.generation,
+            lease_deadline=self.clock.wall() + left,
+            team=request.team,
+            kind=request.kind,
+            needs=needs,
+            body=request.body,
+        )
+        try:
+            return owned.target.run(start, request.deadline)
+        finally:
+            owned.ledger.release(task_id)
+
+    def _forward(
+        self, request: messages.ServiceRequest
+    ) -> result.Result[messages.Served, messages.Refusal]:
+        needs = request.declared.needs.as_resources()
+        for peer in self.peers.with_room(needs, self.lease.row.data_centre)[:1]:
+            left = request.deadline - self.clock.monotonic() - FORWARD_MARGIN
+            if left <= 0:
+                return self._refuse(TIMED_OUT, "deadline")
+            message = peer_messages.Forwarded(
+                request.request_id,
+                request.team,
+                request.service,
+                request.operation,
+                request.body,
+                left,
+            )
+            self.counters.count("front.forwarded")
+            answer = peer.channel.forward(message, left)
+            if isinstance(answer, result.Err):
+                return self._refuse(UNAVAILABLE, "peer_lost")
+            return unpack(answer.ok_value)
+        return self._refuse(UNAVAILABLE, "no_capacity")
+
+    def _refuse(
+        self, status: int, reason: str
+    ) -> result.Result[messages.Served, messages.Refusal]:
+        self.counters.count(f"front.refused.{reason}")
+        return result.Err(messages.Refusal(status, reason, COME_BACK))
+
+
+def unpack(
+    answer: peer_messages.ForwardedAnswer,
+) -> result.Result[messages.Served, messages.Refusal]:
+    """Return what a peer answered as if it had been answered here."""
+    if answer.status == 200:
+        served = messages.Served(
+            codec.from_json(answer.body, object), answer.worker, answer.data_centre
+        )
+        return result.Ok(served)
+    return result.Err(messages.Refusal(answer.status, answer.body, answer.retry_after))
--- /dev/null
+++ b/src/mangosail/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: many tasks declared at once, run as capacity allows."""
--- /dev/null
+++ b/src/mangosail/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: which other instances there are, and what they say of themselves."""
--- /dev/null
+++ b/src/mangosail/membership/messages.py
@@ -0,0 +1,47 @@
+"""What instances tell each other."""
+
+import dataclasses
+import typing as t
+
+from mangosail import resources
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """An instance's state, sent to each peer once a second."""
+
+    instance: str
+    incarnation: str
+    data_centre: str
+    free: resources.Resources
+    #: True while the instance stops: it takes no new work.
+    draining: bool = False
+    #: Version in force of each team's settings.
+    settings: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A request passed on, once, to a peer that has room.
+
+    `timeout` is what was left of the caller's time when it was sent.
+    """
+
+    request_id: str
+    team: str
+    service: str
+    operation: str
+    body: t.Any
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedAnswer:
+    """What the peer answered: an HTTP status, and the answer as JSON text."""
+
+    request_id: str
+    status: int
+    body: str
+    retry_after: float | None = None
+    worker: str = ""
+    data_centre: str = ""
--- /dev/null
+++ b/src/mangosail/membership/rpc.py
@@ -0,0 +1,106 @@
+"""gRPC between instances, with MessagePack messages and no generated code."""
+
+import collections.abc as cabc
+import concurrent.futures
+import typing as t
+
+import grpc
+import result
+
+from mangosail import codec
+from mangosail.membership import messages
+
+SERVICE = "mangosail.Peer"
+#: Requests from peers that are served at a time.
+SERVER_TASKS = 64
+#: Seconds until a peer that was lost is tried again.
+RECONNECT_MAX_MS = 1000
+
+CHANNEL_OPTIONS = (
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.enable_http_proxy", 0),
+)
+
+
+class Handler(t.Protocol):
+    """What an instance does when a peer calls."""
+
+    def heartbeat(self, message: messages.Heartbeat) -> messages.Heartbeat:
+        """Take in a peer's state and return our own."""
+
+    def forward(self, message: messages.Forwarded) -> messages.ForwardedAnswer:
+        """Serve a request from our own workers only."""
+
+
+#: Each method's name, request type and answer type.
+METHODS: dict[str, tuple[type, type]] = {
+    "heartbeat": (messages.Heartbeat, messages.Heartbeat),
+    "forward": (messages.Forwarded, messages.ForwardedAnswer),
+}
+
+
+def serve(handler: Handler, address: str) -> grpc.Server:
+    """Start a server for peers on `address` and return it."""
+    pool = concurrent.futures.ThreadPoolExecutor(max_workers=SERVER_TASKS)
+    server = grpc.server(pool, options=(("grpc.so_reuseport", 0),))
+    methods = {
+        name: grpc.unary_unary_rpc_method_handler(
+            _unary(getattr(handler, name)),
+            request_deserializer=_decoder(asked),
+            response_serializer=codec.to_msgpack,
+        )
+        for name, (asked, _) in METHODS.items()
+    }
+    generic = grpc.method_handlers_generic_handler(SERVICE, methods)
+    server.add_generic_rpc_handlers((generic,))
+    server.add_insecure_port(address)
+    server.start()
+    return server
+
+
+def _unary(method: cabc.Callable[[t.Any], t.Any]) -> cabc.Callable[..., t.Any]:
+    return lambda message, context: method(message)
+
+
+def _decoder(kind: type) -> cabc.Callable[[bytes], t.Any]:
+    return lambda data: codec.from_msgpack(data, kind)
+
+
+class Channel:
+    """Calls to one peer."""
+
+    def __init__(self, address: str) -> None:
+        self.channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+        self.calls = {
+            name: self.channel.unary_unary(
+                f"/{SERVICE}/{name}",
+                request_serializer=codec.to_msgpack,
+                response_deserializer=_decoder(answered),
+            )
+            for name, (_, answered) in METHODS.items()
+        }
+
+    def heartbeat(
+        self, message: messages.Heartbeat, timeout: float
+    ) -> result.Result[messages.Heartbeat, str]:
+        """Send our state and return the peer's; an Err names the status."""
+        return self._call("heartbeat", message, timeout)
+
+    def forward(
+        self, message: messages.Forwarded, timeout: float
+    ) -> result.Result[messages.ForwardedAnswer, str]:
+        """Pass a request on; an Err names the status."""
+        return self._call("forward", message, timeout)
+
+    def close(self) -> None:
+        """Give the channel up."""
+        self.channel.close()
+
+    def _call(
+        self, name: str, message: t.Any, timeout: float
+    ) -> result.Result[t.Any, str]:
+        try:
+            return result.Ok(self.calls[name](message, timeout=timeout))
+        except grpc.RpcError as exc:
+            return result.Err(exc.code().name.lower())
--- /dev/null
+++ b/src/mangosail/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership: which instance may give which worker work, by leases in the table."""
--- /dev/null
+++ b/src/mangosail/ownership/messages.py
@@ -0,0 +1,41 @@
+"""Rows of the table that ownership keeps."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionRow:
+    """The lease of one run of an instance; everything it holds hangs on it.
+
+    `lease_deadline` is wall time and for people: others judge by how long the
+    row's version has not changed, which needs no common clock.
+    """
+
+    instance: str
+    #: Drawn anew at each start, so that two runs are never taken for one.
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    lease_deadline: float
+    #: True once somebody found the lease lapsed, or the instance left.
+    ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerRow:
+    """Who owns a worker: an empty `instance` means nobody."""
+
+    worker: str
+    instance: str
+    incarnation: str
+    generation: int
+
+
+def session_key(data_centre: str, instance: str) -> str:
+    """Return the key of an instance's session."""
+    return f"session/{data_centre}/{instance}"
+
+
+def owner_key(data_centre: str, worker: str) -> str:
+    """Return the key of a worker's owner."""
+    return f"owner/{data_centre}/{worker}"
--- /dev/null
+++ b/src/mangosail/ownership/sightings.py
@@ -0,0 +1,63 @@
+"""How long other instances' session rows have gone unchanged, by our own clock."""
+
+import collections.abc as cabc
+import dataclasses
+
+from mangosail import clock as clocks
+from mangosail import codec
+from mangosail.ownership import messages
+from mangosail.platform import table
+
+#: Seconds past the term before a session is found lapsed: clocks' rates differ.
+RATE_MARGIN = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sighting:
+    """A session row, and the monotonic time past which it has lapsed."""
+
+    row: messages.SessionRow
+    version: int
+    lapse_deadline: float
+
+
+class Sightings:
+    """The sessions of a data centre as this instance has seen them."""
+
+    def __init__(self, clock: clocks.Clock, term: float) -> None:
+        self.clock = clock
+        self.term = term
+        self.by_instance: dict[str, Sighting] = {}
+
+    def see(self, rows: cabc.Iterable[table.Row]) -> None:
+        """Take in what a scan of the sessions returned."""
+        seen: dict[str, Sighting] = {}
+        for row in rows:
+            session = codec.from_json(row.value, messages.SessionRow)
+            known = self.by_instance.get(session.instance)
+            if known is not None and known.version == row.version:
+                seen[session.instance] = known
+                continue
+            lapse = self.clock.monotonic() + self.term + RATE_MARGIN
+            seen[session.instance] = Sighting(session, row.version, lapse)
+        self.by_instance = seen
+
+    def live(self) -> list[messages.SessionRow]:
+        """Return the sessions that have not lapsed."""
+        return [s.row for s in self.by_instance.values() if not self._over(s)]
+
+    def lapsed(self) -> list[Sighting]:
+        """Return the sessions that have lapsed and are not marked ended."""
+        return [
+            s for s in self.by_instance.values() if self._over(s) and not s.row.ended
+        ]
+
+    def holds(self, instance: str, incarnation: str) -> bool:
+        """Tell whether this run of `instance` may still hold leases."""
+        sighting = self.by_instance.get(instance)
+        if sighting is None or sighting.row.incarnation != incarnation:
+            return False
+        return not sighting.row.ended
+
+    def _over(self, sighting: Sighting) -> bool:
+        return sighting.row.ended or self.clock.monotonic() >= sighting.lapse_deadline
--- /dev/null
+++ b/src/mangosail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services as this project sees them, and their HTTP adapter."""
--- /dev/null
+++ b/src/mangosail/platform/http.py
@@ -0,0 +1,153 @@
+"""The platform over HTTP: the one module that knows how the platform speaks.
+
+Another platform needs another adapter with these three classes and no change
+elsewhere.
+"""
+
+import dataclasses
+import typing as t
+
+import geventhttpclient
+import result
+from geventhttpclient import response as http_response
+
+from mangosail import codec
+from mangosail.platform import errors, inventory, table
+
+#: Seconds after which a call to the platform is given up.
+CALL_TIMEOUT = 1.0
+
+OK = 200
+CONFLICT = 409
+NOT_FOUND = 404
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and body of an answer that came whole."""
+
+    status: int
+    body: bytes
+
+
+class Caller:
+    """Sends requests to the platform on pooled connections."""
+
+    def __init__(self, address: str, instance: str, concurrency: int = 8) -> None:
+        host, _, port = address.rpartition(":")
+        self.client = geventhttpclient.HTTPClient(
+            host,
+            port=int(port),
+            concurrency=concurrency,
+            connection_timeout=CALL_TIMEOUT,
+            network_timeout=CALL_TIMEOUT,
+            headers={"X-Instance": instance},
+        )
+
+    def call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> result.Result[Reply, errors.Uncertain]:
+        """Send one request; an Err means that no whole answer came."""
+        try:
+            response = self.client.request(method, path, body=body)
+            return result.Ok(Reply(response.status_code, bytes(response.read())))
+        except (OSError, http_response.HTTPParseError) as exc:
+            # One answer that never came says that the pool's other
+            # connections may have lost their peer too; new ones are cheap.
+            self.client.close()
+            return result.Err(errors.Uncertain(str(exc)))
+
+
+def unavailable(
+    answer: result.Result[Reply, errors.Uncertain],
+) -> errors.Unavailable:
+    """Return why a read was not answered."""
+    if isinstance(answer, result.Err):
+        return errors.Unavailable(answer.err_value.reason)
+    return errors.Unavailable(f"status {answer.ok_value.status}")
+
+
+class HttpTable:
+    """The table service over HTTP."""
+
+    def __init__(self, caller: Caller) -> None:
+        self.caller = caller
+
+    def read(
+        self, keys: t.Sequence[str]
+    ) -> result.Result[dict[str, table.Row], errors.Unavailable]:
+        """Return the rows of `keys` that exist."""
+        rows = self._rows("/table/read", {"keys": list(keys)})
+        return rows.map(lambda found: {row.key: row for row in found})
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> result.Result[list[table.Row], errors.Unavailable]:
+        """Return at most `limit` rows under `prefix`, by key, past key `after`."""
+        query = {"prefix": prefix, "after": after, "limit": limit}
+        return self._rows("/table/scan", query)
+
+    def commit(
+        self, transaction: table.Transaction
+    ) -> result.Result[int, errors.CommitError]:
+        """Apply `transaction` and return the version that its writes got."""
+        body = codec.to_json(transaction).encode()
+        answer = self.caller.call("POST", "/table/commit", body)
+        if isinstance(answer, result.Err):
+            return answer
+        reply = answer.ok_value
+        if reply.status == OK:
+            return result.Ok(codec.from_json(reply.body, dict)["version"])
+        if reply.status == CONFLICT:
+            key = codec.from_json(reply.body, dict)["key"]
+            return result.Err(errors.Conflict(key))
+        return result.Err(errors.Unavailable(f"status {reply.status}"))
+
+    def _rows(
+        self, path: str, query: dict[str, t.Any]
+    ) -> result.Result[list[table.Row], errors.Unavailable]:
+        answer = self.caller.call("POST", path, codec.to_json(query).encode())
+        if isinstance(answer, result.Ok) and answer.ok_value.status == OK:
+            return result.Ok(codec.from_json(answer.ok_value.body, list[table.Row]))
+        return result.Err(unavailable(answer))
+
+
+class HttpObjects:
+    """The object store over HTTP."""
+
+    def __init__(self, caller: Caller) -> None:
+        self.caller = caller
+
+    def put(self, name: str, data: bytes) -> result.Result[None, errors.Uncertain]:
+        """Store `data` under `name`, replacing what was there."""
+        answer = self.caller.call("PUT", f"/objects/{name}", data)
+        if isinstance(answer, result.Err):
+            return answer
+        if answer.ok_value.status == OK:
+            return result.Ok(None)
+        return result.Err(errors.Uncertain(f"status {answer.ok_value.status}"))
+
+    def get(self, name: str) -> result.Result[bytes | None, errors.Unavailable]:
+        """Return the object `name`, or None if there is none."""
+        answer = self.caller.call("GET", f"/objects/{name}")
+        if isinstance(answer, result.Ok):
+            if answer.ok_value.status == OK:
+                return result.Ok(answer.ok_value.body)
+            if answer.ok_value.status == NOT_FOUND:
+                return result.Ok(None)
+        return result.Err(unavailable(answer))
+
+
+class HttpInventory:
+    """The list of instances and workers over HTTP."""
+
+    def __init__(self, caller: Caller) -> None:
+        self.caller = caller
+
+    def fetch(self) -> result.Result[inventory.Listing, errors.Unavailable]:
+        """Return the present list."""
+        answer = self.caller.call("GET", "/inventory")
+        if isinstance(answer, result.Ok) and answer.ok_value.status == OK:
+            listing = codec.from_json(answer.ok_value.body, inventory.Listing)
+            return result.Ok(listing)
+        return result.Err(unavailable(answer))
--- /dev/null
+++ b/src/mangosail/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' settings: one subtree for each team, checked, versioned, in force."""
--- /dev/null
+++ b/src/mangosail/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, timers and logs: how the program tells what it does."""
--- /dev/null
+++ b/src/mangosail/work/messages.py
@@ -0,0 +1,84 @@
+"""Rows, requests and outcomes of durable work."""
+
+import dataclasses
+import enum
+import typing as t
+
+from mangosail import resources
+
+
+class State(enum.StrEnum):
+    """Where a piece of durable work stands."""
+
+    #: Claimed by an instance for a worker; it may or may not have started.
+    CLAIMED = "claimed"
+    #: Taken off its worker with a checkpoint; waits to be resumed.
+    EVICTED = "evicted"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    CANCELLED = "cancelled"
+
+
+#: States that never change again.
+FINAL = frozenset({State.COMPLETED, State.FAILED, State.NOT_RUN, State.CANCELLED})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A piece of durable work as a caller asks for it."""
+
+    team: str
+    request_id: str
+    kind: str
+    needs: resources.Resources
+    body: t.Any
+    #: Whether it may be started again after it may have run.
+    restartable: bool = False
+    #: The job that the work is a task of, or empty.
+    job: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkRow:
+    """The one record of a piece of work, in the table."""
+
+    request: Request
+    digest: str
+    state: State
+    #: Instance and run that hold the claim.
+    holder: str
+    incarnation: str
+    #: Drawn anew at each attempt to write a claim, to recognise our own.
+    attempt: str
+    #: Moves on by one with each start; a worker runs each at most once.
+    generation: int
+    worker: str
+    #: Wall time at which the holder's claim ends.
+    lease_deadline: float
+    answer: t.Any = None
+    reason: str = ""
+    checkpoint: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a caller is told: one of completed, not_run, unknown, or running."""
+
+    request_id: str
+    outcome: str
+    answer: t.Any = None
+    reason: str = ""
+    #: Seconds after which it is worth asking again; None if this is final.
+    retry_after: float | None = None
+
+
+def work_key(team: str, request_id: str) -> str:
+    """Return the key of a piece of work."""
+    return f"work/{team}/{request_id}"
+
+
+def placed_key(worker: str, team: str, request_id: str) -> str:
+    """Return the key that lists a piece of work under its worker."""
+    return f"placed/{worker}/{team}/{request_id}"
--- /dev/null
+++ b/tests/support/stage.py
@@ -0,0 +1,215 @@
+"""Starts the stand-ins and instances as processes on loopback, and ends them.
+
+A `Stage` belongs to one test or measurement; `close` ends what it started, by
+process id, and nothing else.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+#: Seconds that a process may take until it serves.
+START_TIMEOUT = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    seconds: float
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def free_address():
+    return f"127.0.0.1:{free_port()}"
+
+
+def call(address, method, path, body=None, headers=None, timeout=10.0):
+    """Send one HTTP request and return its `Answer`, whatever its status."""
+    data = body if isinstance(body, bytes) else None
+    if data is None and body is not None:
+        data = json.dumps(body).encode()
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data=data,
+        method=method,
+        headers={"Content-Type": "application/json", **(headers or {})},
+    )
+    started = time.monotonic()
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return answer_of(response, started)
+    except urllib.error.HTTPError as error:
+        return answer_of(error, started)
+
+
+def answer_of(response, started):
+    body = response.read()
+    headers = {k.lower(): v for k, v in response.headers.items()}
+    return Answer(response.status, headers, body, time.monotonic() - started)
+
+
+def wait_until(condition, timeout=START_TIMEOUT, what="condition"):
+    """Poll `condition` until it returns something true, and return that."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        try:
+            value = condition()
+        except (OSError, ValueError):
+            value = None
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"{what} not reached in {timeout} s")
+
+
+class Stage:
+    """Processes of one test: a platform, workers, instances, a balancer."""
+
+    def __init__(self, keep_logs=None):
+        self.processes = {}
+        self.instances = {}  # name -> http address
+        self.peer_addresses = {}
+        self.workers = {}  # name -> address
+        self.worker_hosts = {}  # worker name -> process name
+        self.platform = None
+        self.balancer = None
+        self.logs = pathlib.Path(keep_logs or tempfile.mkdtemp(prefix="mangosail-"))
+        self.logs.mkdir(parents=True, exist_ok=True)
+
+    def start(self, name, *command, env=None):
+        log = open(self.logs / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *command],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": f"{ROOT}/src:{ROOT}", **(env or {})},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        return self.processes[name]
+
+    def start_platform(self, lag=0.5, seed=1):
+        self.platform = free_address()
+        self.start(
+            "platform", "-m", "tests.standins.platform", "--address", self.platform,
+            "--lag", str(lag), "--seed", str(seed),
+        )  # fmt: skip
+        wait_until(
+            lambda: call(self.platform, "GET", "/calls").status == 200, what="platform"
+        )
+
+    def start_workers(self, data_centre, count, **options):
+        """Start one process with `count` workers of a data centre."""
+        offset = len(self.workers)
+        entries = {f"{data_centre}-w{offset + i}": free_address() for i in range(count)}
+        self.workers.update(entries)
+        process = f"workers-{data_centre}-{offset}"
+        self.worker_hosts.update(dict.fromkeys(entries, process))
+        flags = []
+        for option, value in options.items():
+            flags += [f"--{option.replace('_', '-')}", str(value)]
+        self.start(
+            process, "-m", "tests.standins.worker", "--platform", self.platform,
+            "--data-centre", data_centre, *flags,
+            "--workers", *[f"{n}={a}" for n, a in entries.items()],
+        )  # fmt: skip
+        for address in entries.values():
+            wait_until(
+                lambda a=address: call(a, "GET", "/log").status == 200, what="worker"
+            )
+        return list(entries)
+
+    def start_instance(self, name, data_centre, env=None):
+        http, peer = free_address(), free_address()
+        self.instances[name], self.peer_addresses[name] = http, peer
+        entry = {
+            "name": name,
+            "data_centre": data_centre,
+            "peer_address": peer,
+            "standing": "live",
+        }
+        call(self.platform, "PUT", f"/inventory/instances/{name}", entry)
+        return self.start(
+            name, "-m", "mangosail", "serve", "--instance", name,
+            "--data-centre", data_centre, "--http-address", http,
+            "--peer-address", peer, "--platform-address", self.platform,
+            env={"MANGOSAIL_ABORT_ON_BROKEN_INVARIANT": "true", **(env or {})},
+        )  # fmt: skip
+
+    def start_balancer(self):
+        self.balancer = free_address()
+        self.start(
+            "balancer", "-m", "tests.standins.balancer", "--address", self.balancer,
+            "--backends", *self.instances.values(),
+        )  # fmt: skip
+
+    def write_settings(self, team, settings):
+        """Write a team's settings straight into the table, before any instance."""
+        rows = {f"settings/team/{team}": json.dumps(settings)}
+        call(self.platform, "POST", "/rows", rows)
+
+    def wait_ready(self, *names, timeout=START_TIMEOUT):
+        for name in names or self.instances:
+            wait_until(
+                lambda n=name: self.call(n, "GET", "/readyz").status == 200,
+                timeout,
+                f"{name} ready",
+            )
+
+    def call(self, instance, method, path, body=None, headers=None, timeout=10.0):
+        address = self.instances.get(instance, instance)
+        return call(address, method, path, body, headers, timeout)
+
+    def faults(self, **faults):
+        return call(self.platform, "POST", "/faults", faults)
+
+    def worker_faults(self, worker, **faults):
+        return call(self.workers[worker], "POST", "/faults", faults)
+
+    def execution_log(self):
+        """Return what all workers did, ordered by time."""
+        entries = []
+        for address in self.workers.values():
+            entries += call(address, "GET", "/log").json()["log"]
+        return sorted(entries, key=lambda entry: entry["at"])
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def freeze(self, name):
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.signal(name, signal.SIGCONT)
+
+    def close(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
