Split the front door into one module for each resource

Cause: all resources stood in one file that every slice would have to change.

Change: context, replies, services, outcomes, watches, batch and status stand alone; no behaviour changed.

--- /dev/null
+++ b/src/mangosail/front/outcomes.py
@@ -0,0 +1,27 @@
+"""``GET /v1/work/{request_id}``: what became of durable work."""
+
+import falcon
+import result
+
+from mangosail import codec
+from mangosail.front import context, replies
+
+
+class WorkResource:
+    """``GET /v1/work/{request_id}``: the outcome of durable work."""
+
+    def __init__(self, front: context.Front) -> None:
+        self.front = front
+
+    def on_get(
+        self, req: falcon.Request, resp: falcon.Response, request_id: str
+    ) -> None:
+        """Return what is known of a piece of work."""
+        identity = self.front.identify(req)
+        found = self.front.runner.look_up(identity.team, request_id)
+        if isinstance(found, result.Err):
+            replies.refuse_work(resp, found.err_value)
+            return
+        if found.ok_value is None:
+            raise falcon.HTTPNotFound(title="unknown_request")
+        resp.text = codec.to_json(found.ok_value)
--- /dev/null
+++ b/src/mangosail/front/replies.py
@@ -0,0 +1,49 @@
+"""Refusals and outcomes as HTTP answers."""
+
+import falcon
+import result
+
+from mangosail import codec
+from mangosail.front import messages
+from mangosail.placement import errors as placement_errors
+from mangosail.work import errors as work_errors
+from mangosail.work import messages as work_messages
+from mangosail.work import runner
+
+
+def refuse(resp: falcon.Response, refusal: messages.Refusal) -> None:
+    """Write a refusal."""
+    resp.status = refusal.status
+    resp.text = codec.to_json({"title": refusal.reason, "outcome": "not_run"})
+    if refusal.retry_after is not None:
+        resp.set_header("Retry-After", f"{refusal.retry_after:g}")
+
+
+def answer_work(
+    resp: falcon.Response,
+    answer: result.Result[work_messages.Outcome, runner.SubmitError],
+) -> None:
+    """Write what became of a piece of durable work."""
+    if isinstance(answer, result.Err):
+        refuse_work(resp, answer.err_value)
+        return
+    outcome = answer.ok_value
+    resp.text = codec.to_json(outcome)
+    if outcome.retry_after is not None:
+        resp.status = falcon.HTTP_ACCEPTED
+        resp.set_header("Retry-After", f"{outcome.retry_after:g}")
+
+
+def refuse_work(resp: falcon.Response, error: runner.SubmitError) -> None:
+    """Write why a piece of durable work was not taken on."""
+    if isinstance(error, work_errors.BodyConflict):
+        resp.status = falcon.HTTP_CONFLICT
+        resp.text = codec.to_json({"title": "body_conflict"})
+    elif isinstance(error, work_errors.Undecided):
+        resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
+        resp.set_header("Retry-After", f"{error.retry_after:g}")
+        resp.text = codec.to_json({"title": "undecided", "outcome": "unknown"})
+    elif isinstance(error, work_errors.StoreUnavailable):
+        refuse(resp, messages.Refusal(503, "store_unavailable", error.retry_after))
+    elif isinstance(error, placement_errors.NotPlaced):
+        refuse(resp, messages.Refusal(503, error.reason.value, error.retry_after))
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -13,7 +13,7 @@
 from mangosail.dispatch import http as dispatch_http
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.dispatch import monitor
-from mangosail.front import app, quotes, server
+from mangosail.front import app, context, quotes, server
 from mangosail.front import messages as front_messages
 from mangosail.jobs import queue
 from mangosail.membership import messages as peer_messages
@@ -82,7 +82,7 @@
             self.clock,
             self.counters,
         )
-        self.front = app.Front(
+        self.front = context.Front(
             self.settings,
             self.quotes,
             self.runner,
