Run everything together under random faults, judged by the stand-ins' logs

Ruled out: a simulator. Real processes, callers as threads, a schedule drawn from the seed alone, an oracle over the workers' log files (which outlive killed workers) and the commit log. Change: tests/soak, `make soak MINUTES= SEED=`; the worker stand-in appends its log to a file and can move the epoch of watches; Stage.restart.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,9 @@
 format: install
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
+
+MINUTES ?= 5
+SEED ?= 0
+
+soak: install
+	$(BIN)/python -m tests.soak.run --minutes $(MINUTES) --seed $(SEED)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs of real processes, judged by what the stand-ins logged."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,256 @@
+"""The callers of a soak run: each is a thread with its own random choices.
+
+What they send is drawn from the seed; what they see goes into the history.
+"""
+
+import hashlib
+import http.client
+import json
+import random
+import threading
+import time
+
+from tests.soak import history as histories
+from tests.support import stage as stages
+from tests.support import teams
+
+QUOTES = [("fuel-desk", "fuel", "quote"), ("plegadora", "tooling", "quotation")]
+ORDERS = [
+    ("fuel-desk", "fuel", "release"),
+    ("plegadora", "tooling", "verification"),
+    ("plegadora", "tooling", "production-order"),
+]
+WATCHES = [("fuel-desk", "fuel", "tail-watch"), ("plegadora", "tooling", "order-watch")]
+#: The team whose only token names the change of settings that is in force.
+MARKER_TEAM = "marker"
+#: Seconds without an event after which a reader takes its watch for silent.
+WATCH_SILENCE = 4.0
+#: Seconds that a caller waits for one answer.
+PATIENCE = 12.0
+
+
+class Callers:
+    def __init__(self, stage, history, seed):
+        self.stage = stage
+        self.history = history
+        self.seed = seed
+        self.over = threading.Event()
+        self.threads = []
+        self.proposed = 0
+        #: Orders and jobs that some caller sent, by task id.
+        self.orders = {}
+        self.jobs = {}
+
+    def start(self, seconds):
+        roles = [(self.quotes, 4), (self.order, 5), (self.batch, 1), (self.operate, 2)]
+        for role, count in roles:
+            for number in range(count):
+                self.spawn(role, random.Random(f"{self.seed}/{role.__name__}/{number}"))
+        for number in range(4):
+            self.spawn(self.watch, random.Random(f"{self.seed}/watch/{number}"),
+                       number, seconds)  # fmt: skip
+        for name in self.stage.instances:
+            self.spawn(self.probe, name)
+
+    def spawn(self, role, *args):
+        thread = threading.Thread(target=role, args=args, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def stop(self):
+        self.over.set()
+        for thread in self.threads:
+            thread.join(timeout=2 * PATIENCE)
+
+    def pause(self, chance, mean):
+        self.over.wait(chance.expovariate(1 / mean))
+
+    def somewhere(self, chance):
+        """Return an instance's name, or now and then the balancer's."""
+        return chance.choice([*self.stage.instances, "balancer"])
+
+    def call(self, role, team, task_id, where, method, path, body=None, **headers):
+        """Send one request and record what came of it."""
+        address = self.stage.balancer if where == "balancer" else where
+        sent_at = time.time()
+        try:
+            answer = self.stage.call(
+                address, method, path, body,
+                teams.bearer(f"{team}-token", **headers), timeout=PATIENCE,
+            )  # fmt: skip
+            status, text, got = answer.status, answer.json(), answer.headers
+        except (OSError, ValueError, http.client.HTTPException):
+            status, text, got = None, None, {}
+        call = histories.Call(
+            role, task_id, where, body, sent_at, time.time(), status, text, got
+        )
+        self.history.calls.append(call)
+        return call
+
+    def quotes(self, chance):
+        number = 0
+        mine = chance.getrandbits(32)
+        while not self.over.is_set():
+            number += 1
+            team, service, operation = chance.choice(QUOTES)
+            request_id = f"q-{mine}-{number}"
+            body = {"part": request_id, "work_seconds": chance.choice([0.005, 0.02])}
+            self.call(
+                "quote", team, f"{team}/{request_id}", self.somewhere(chance), "POST",
+                f"/v1/services/{service}/{operation}", body, Request_Id=request_id,
+            )  # fmt: skip
+            self.pause(chance, 0.1)
+
+    def order(self, chance):
+        """Order, order again under the same id, ask, and now and then cancel."""
+        number = 0
+        mine = chance.getrandbits(32)
+        while not self.over.is_set():
+            number += 1
+            order = (*chance.choice(ORDERS), f"o-{mine}-{number}",
+                     chance.choice([0.1, 0.5, 2.0]))  # fmt: skip
+            repeats = chance.choice([0, 0, 1, 2])
+            cancelled = chance.random() < 0.15
+            for _ in range(repeats):
+                # At another instance, and at the same time.
+                self.spawn(self.send, order, self.somewhere(chance))
+            if cancelled:
+                self.spawn(self.cancel, order, self.somewhere(chance))
+            self.send(order, self.somewhere(chance))
+            self.ask(f"{order[0]}/{order[3]}", self.somewhere(chance))
+            self.pause(chance, 0.5)
+
+    def send(self, order, where):
+        team, service, operation, request_id, seconds = order
+        body = {"order": request_id, "work_seconds": seconds}
+        self.orders[f"{team}/{request_id}"] = body
+        self.call(
+            "order", team, f"{team}/{request_id}", where, "POST",
+            f"/v1/services/{service}/{operation}", body,
+            Request_Id=request_id, Request_Timeout=8,
+        )  # fmt: skip
+
+    def ask(self, task_id, where):
+        team, _, request_id = task_id.partition("/")
+        path = f"/v1/work/{request_id}"
+        return self.call("ask", team, task_id, where, "GET", path)
+
+    def cancel(self, order, where):
+        team, _, _, request_id, _ = order
+        self.over.wait(0.05)
+        path = f"/v1/work/{request_id}"
+        self.call("cancel", team, f"{team}/{request_id}", where, "DELETE", path)
+
+    def batch(self, chance):
+        number = 0
+        mine = chance.getrandbits(32)
+        while not self.over.is_set():
+            number += 1
+            team = chance.choice(["fuel-desk", "plegadora"])
+            job = {
+                "job_id": f"j-{mine}-{number}",
+                "kind": "batch.tabulate",
+                "tasks": chance.randint(1, 6),
+                "needs": {"cpus": chance.choice([1, 4, 8]), "memory_gb": 4, "slots": 1},
+                "body": {"work_seconds": chance.choice([0.5, 2.0]), "noise": 0.3},
+            }
+            task_id = f"{team}/{job['job_id']}"
+            call = self.call(
+                "job", team, task_id, self.somewhere(chance), "POST", "/v1/jobs", job
+            )
+            if call.status == 201:
+                self.jobs[task_id] = job["tasks"]
+            self.pause(chance, 4.0)
+
+    def ask_job(self, task_id, where):
+        team, _, job_id = task_id.partition("/")
+        return self.call("ask_job", team, task_id, where, "GET", f"/v1/jobs/{job_id}")
+
+    def operate(self, chance):
+        """Race the other operator for the marker team's subtree."""
+        while not self.over.is_set():
+            with self.history.lock:
+                self.proposed += 1
+                number = self.proposed
+            if self.change(number):
+                self.history.changes.append(histories.Change(number, time.time()))
+            self.pause(chance, 3.0)
+
+    def change(self, number):
+        """Write the change straight into the table, and tell whether it stands."""
+        key = f"settings/team/{MARKER_TEAM}"
+        text = json.dumps({"tokens": [teams.token(marker(number))]})
+        try:
+            found = self.table("read", {"keys": [key]})
+            version = found[0]["version"] if found else 0
+            time.sleep(0.05)
+            checks = [{"key": key, "version": version}]
+            writes = [{"key": key, "value": text}]
+            return "version" in self.table(
+                "commit", {"checks": checks, "writes": writes}
+            )
+        except (OSError, ValueError):
+            return False
+
+    def table(self, operation, body):
+        address = self.stage.platform
+        answer = stages.call(address, "POST", f"/table/{operation}", body, timeout=3)
+        if answer.status == 409:
+            self.history.lost_races += 1
+        return answer.json()
+
+    def probe(self, name):
+        """Ask an instance which change it has in force, again and again."""
+        highest = 0
+        while not self.over.wait(0.3):
+            changes = [change.number for change in self.history.changes[-6:]]
+            for number in changes:
+                if self.has(name, number):
+                    highest = max(highest, number)
+                    sighting = histories.Sighting(name, number, time.time())
+                    self.history.sightings.append(sighting)
+
+    def has(self, name, number):
+        headers = teams.bearer(marker(number))
+        try:
+            answer = self.stage.call(
+                name, "GET", "/v1/status", headers=headers, timeout=1.0
+            )
+        except (OSError, ValueError, http.client.HTTPException):
+            return False
+        return answer.status == 200
+
+    def watch(self, chance, number, seconds):
+        """Read one subject to its end, resuming after each interruption."""
+        team, service, operation = WATCHES[number % len(WATCHES)]
+        total = max(int((seconds - 3) / 0.2), 5)
+        watch = histories.Watch(f"S{self.seed}-{number}:{total}", total)
+        self.history.watches.append(watch)
+        while not watch.finished and not self.over.is_set():
+            where = self.stage.instances[chance.choice([*self.stage.instances])]
+            after = watch.events[-1] if watch.events else 0
+            path = (f"/v1/watches/{service}/{operation}"
+                    f"?subject={watch.subject}&after={after}")  # fmt: skip
+            try:
+                read_events(where, path, team, watch)
+            except (OSError, ValueError, http.client.HTTPException):
+                pass
+            watch.resumes += 1
+            self.over.wait(0.3)
+
+
+def read_events(address, path, team, watch):
+    connection = http.client.HTTPConnection(address, timeout=WATCH_SILENCE)
+    try:
+        connection.request("GET", path, headers=teams.bearer(f"{team}-token"))
+        response = connection.getresponse()
+        while response.status == 200 and (line := response.readline()):
+            event = json.loads(line)
+            watch.events.append(event["sequence"])
+            watch.finished = event["last"]
+    finally:
+        connection.close()
+
+
+def marker(number):
+    return "marker-" + hashlib.sha256(str(number).encode()).hexdigest()[:8]
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,144 @@
+"""Carries a schedule out on a stage, one thread for each fault."""
+
+import signal
+import threading
+import time
+
+from tests.support import stage as stages
+
+#: Seconds that a restarted instance may take until it counts as back.
+BACK_TIMEOUT = 15.0
+#: Seconds that a planned stop may take.
+STOP_TIMEOUT = 30.0
+#: What a worker's fault switches on and off.
+WORKER_FLAGS = {
+    "fail_all": ("fail_all", True, False),
+    "black_hole": ("black_hole", True, False),
+    "lose_starts": ("lose_starts", True, False),
+    "slow": ("slow", 4.0, 1.0),
+}
+PLATFORM_FLAGS = {
+    "platform:table_down": ("table", "down", "up"),
+    "platform:table_slow": ("table", "slow", "up"),
+    "platform:lose_answers": ("lose_answers", 0.3, 0.0),
+    "platform:objects_down": ("objects", "down", "up"),
+}
+
+
+class Faults:
+    def __init__(self, stage, history, worker_options):
+        self.stage = stage
+        self.history = history
+        self.worker_options = worker_options
+        self.lock = threading.Lock()
+        self.cut = set()
+        self.threads = []
+
+    def run(self, schedule, started):
+        for fault in schedule:
+            thread = threading.Thread(target=self.carry_out, args=(fault, started))
+            thread.start()
+            self.threads.append(thread)
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+    def carry_out(self, fault, started):
+        time.sleep(max(started + fault.at - time.time(), 0.0))
+        target = fault.target.partition(":")[0]
+        intervals = [
+            self.history.begin(fault.kind, name) for name in self.spread(fault, target)
+        ]
+        try:
+            getattr(self, fault.kind, self.switch)(fault)
+        except OSError as exc:
+            # The target may just be down by another fault.
+            print(f"fault {fault}: {exc}", flush=True)
+        for interval in intervals:
+            interval.ended = time.time()
+
+    def spread(self, fault, target):
+        if fault.kind != "cut_data_centre":
+            return [target]
+        return [n for n in self.stage.instances if n.startswith(f"{target}-")]
+
+    def switch(self, fault):
+        if fault.target in PLATFORM_FLAGS:
+            flag, on, off = PLATFORM_FLAGS[fault.target]
+            self.stage.faults(**{flag: on})
+            time.sleep(fault.seconds)
+            self.stage.faults(**{flag: off})
+            return
+        flag, on, off = WORKER_FLAGS[fault.kind]
+        self.stage.worker_faults(fault.target, **{flag: on})
+        time.sleep(fault.seconds)
+        self.stage.worker_faults(fault.target, **{flag: off})
+
+    def kill(self, fault):
+        self.check_alive(fault.target)
+        self.stage.kill(fault.target)
+        time.sleep(fault.seconds)
+        self.restart_instance(fault.target)
+
+    def stop(self, fault):
+        self.check_alive(fault.target)
+        self.stage.signal(fault.target, signal.SIGTERM)
+        try:
+            self.stage.processes[fault.target].wait(STOP_TIMEOUT)
+        except stages.subprocess.TimeoutExpired:
+            self.history.deaths.append(f"{fault.target}: did not stop")
+            self.stage.kill(fault.target)
+        self.restart_instance(fault.target)
+
+    def check_alive(self, name):
+        status = self.stage.processes[name].poll()
+        if status is not None:
+            self.history.deaths.append(f"{name}: ended with status {status}")
+
+    def restart_instance(self, name):
+        self.stage.restart(name)
+        try:
+            self.stage.wait_ready(name, timeout=BACK_TIMEOUT)
+        except AssertionError:
+            return
+
+    def freeze(self, fault):
+        self.stage.freeze(fault.target)
+        time.sleep(fault.seconds)
+        self.stage.thaw(fault.target)
+
+    def cut_data_centre(self, fault):
+        self.cut_off(fault, self.spread(fault, fault.target))
+
+    def cut(self, fault):
+        self.cut_off(fault, [fault.target])
+
+    def cut_off(self, fault, names):
+        self.set_cut(self.cut | set(names))
+        time.sleep(fault.seconds)
+        self.set_cut(self.cut - set(names))
+
+    def set_cut(self, names):
+        with self.lock:
+            self.cut = names
+            self.stage.faults(cut=sorted(names))
+
+    def kill_worker(self, fault):
+        process = self.stage.worker_hosts[fault.target]
+        self.stage.kill(process)
+        self.history.kills.append((fault.target, time.time()))
+        time.sleep(fault.seconds)
+        self.stage.restart(process)
+
+    def leaving(self, fault):
+        """The worker leaves for good, and another one takes its place."""
+        data_centre = fault.target.rpartition("-")[0]
+        with self.lock:
+            self.stage.start_workers(data_centre, 1, **self.worker_options())
+        entry = {"standing": "leaving"}
+        path = f"/inventory/workers/{fault.target}"
+        stages.call(self.stage.platform, "PUT", path, entry)
+        self.stage.worker_faults(fault.target, leaving=True)
+        left = self.history.begin("left", fault.target)
+        left.ended = float("inf")
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,445 @@
+"""Judges a soak run: one verdict per promise, from the stand-ins' own logs.
+
+The product's word counts for nothing here but as what its callers were told.
+"""
+
+import collections
+import dataclasses
+import itertools
+import json
+
+#: Seconds that may pass between a worker's leaving and its last start.
+LEAVING_TERM = 3.0 + 0.5
+#: Seconds within which an accepted change is in force, and the probes' interval.
+IN_FORCE_TERM = 5.0 + 0.7
+#: Evidence kept for each promise.
+SHOWN = 3
+NEVER = float("inf")
+
+
+@dataclasses.dataclass
+class Verdict:
+    """One promise: how often it was checked, and what broke it."""
+
+    promise: str
+    checks: int = 0
+    violations: list = dataclasses.field(default_factory=list)
+    notes: list = dataclasses.field(default_factory=list)
+
+    def check(self, holds, evidence):
+        self.checks += 1
+        if not holds:
+            self.violations.append(evidence() if callable(evidence) else evidence)
+
+    @property
+    def state(self):
+        if self.violations:
+            return "VIOLATED"
+        return "held" if self.checks else "not exercised"
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One execution of one generation of a task on a worker."""
+
+    worker: str
+    task_id: str
+    generation: int
+    kind: str
+    needs: dict
+    since: float
+    until: float
+    state: str  # done, failed, stopped, killed or running
+
+
+class Evidence:
+    """All logs of a run, read once."""
+
+    def __init__(self, entries, kills, commits, capacities, history):
+        self.history = history
+        self.capacities = capacities
+        self.entries = sorted(entries, key=lambda entry: entry["at"])
+        self.refused = [e for e in self.entries if e["event"] in ("guard", "refused")]
+        self.runs = find_runs(self.entries, kills)
+        self.by_task = collections.defaultdict(list)
+        for run in self.runs:
+            self.by_task[run.task_id].append(run)
+        self.writes = [
+            (commit["version"], write["key"], json.loads(write["value"]))
+            for commit in commits
+            for write in commit["writes"]
+            if write["value"] is not None and write["key"].startswith("work/")
+        ]
+
+    def told(self, task_id, *roles):
+        return [
+            c for c in self.history.calls if c.task_id == task_id and c.role in roles
+        ]
+
+    def durable(self):
+        """Return the runs of each piece of work that is not a quote."""
+        return {
+            task_id: runs
+            for task_id, runs in self.by_task.items()
+            if runs[0].kind.rpartition(".")[2] not in ("quote", "quotation")
+        }
+
+
+def find_runs(entries, kills):
+    """Pair starts with ends; a worker's kill ends what it ran."""
+    ends = {
+        (e["worker"], e["task_id"], e["generation"]): e
+        for e in entries
+        if e["event"] == "end"
+    }
+    runs = []
+    for start in (e for e in entries if e["event"] == "start"):
+        end = ends.get((start["worker"], start["task_id"], start["generation"]))
+        until, state = (end["at"], end["state"]) if end else (NEVER, "running")
+        killed = [at for name, at in kills if name == start["worker"]]
+        killed = [at for at in killed if start["at"] <= at < until]
+        if killed:
+            until, state = min(killed), "killed"
+        runs.append(
+            Run(start["worker"], start["task_id"], start["generation"], start["kind"],
+                start["needs"], start["at"], until, state)
+        )  # fmt: skip
+    return runs
+
+
+def outcome(call):
+    return call.answer.get("outcome") if isinstance(call.answer, dict) else None
+
+
+def carried(evidence):
+    """1: what each worker ran at a time, by its starts and ends."""
+    verdict = Verdict("1 no worker given more than it carries")
+    changes = collections.defaultdict(list)
+    for run in evidence.runs:
+        changes[run.worker].append((run.since, 1, run))
+        changes[run.worker].append((run.until, -1, run))
+    for worker, steps in changes.items():
+        used = collections.Counter()
+        for at, sign, run in sorted(steps, key=lambda step: step[:2]):
+            for part in ("cpus", "memory_gb", "accelerators", "slots"):
+                used[part] += sign * run.needs.get(part, 0)
+                most = evidence.capacities[worker][part]
+                if sign > 0:
+                    verdict.check(
+                        used[part] <= most + 1e-6,
+                        f"{worker}: {used[part]:g} of {most:g} {part} at {at:.3f}"
+                        f" with {run.task_id}",
+                    )
+    return verdict
+
+
+def planned(evidence):
+    """1b: starts that only the worker's own guard kept away."""
+    verdict = Verdict("1b the workers' guards were never needed")
+    verdict.checks = len(evidence.runs)
+    reasons = collections.Counter()
+    for entry in evidence.refused:
+        if entry["event"] == "refused":
+            reasons[entry["reason"].partition(":")[0]] += 1
+        else:
+            verdict.violations.append(
+                f"{entry['worker']} guard {entry['part']}: {entry['task_id']}"
+                f" at {entry['at']:.3f}"
+            )
+    verdict.notes.append(f"refusals by reason: {dict(reasons)}")
+    return verdict
+
+
+def one_place(evidence):
+    """2: no two runs of the same piece of work overlap."""
+    verdict = Verdict("2 nothing durable ran in two places at once")
+    for task_id, runs in evidence.durable().items():
+        ordered = sorted(runs, key=lambda run: run.since)
+        for first, second in itertools.pairwise(ordered):
+            verdict.check(first.until <= second.since, f"{task_id}: {first} {second}")
+        verdict.checks += len(ordered) == 1
+    return verdict
+
+
+def at_most_once(evidence):
+    """3: orders are started once in all logs."""
+    verdict = Verdict("3 non-idempotent work ran at most once")
+    for task_id, runs in evidence.durable().items():
+        if task_id in evidence.history.orders:
+            verdict.check(len(runs) <= 1, f"{task_id}: {runs}")
+    return verdict
+
+
+def resumed(evidence):
+    """4: the generation after an eviction starts once, and no earlier one."""
+    verdict = Verdict("4 evicted work resumed exactly once")
+    evicted = {
+        (row["request"]["team"] + "/" + row["request"]["request_id"], row["generation"])
+        for _, _, row in evidence.writes
+        if row["state"] == "evicted"
+    }
+    cancelled = final_states(evidence, "cancelled")
+    for task_id, generation in evicted:
+        runs = evidence.by_task[task_id]
+        after = collections.Counter(r.generation for r in runs)
+        later = [g for g in after if g > generation]
+        verdict.check(
+            (later or task_id in cancelled) and all(n == 1 for n in after.values()),
+            f"{task_id} evicted at generation {generation}: {runs}",
+        )
+    return verdict
+
+
+def final_states(evidence, state):
+    return {
+        f"{row['request']['team']}/{row['request']['request_id']}"
+        for _, _, row in evidence.writes
+        if row["state"] == state
+    }
+
+
+def whole_answers(evidence):
+    """5: each answered quote carries its own request."""
+    verdict = Verdict("5 every answered quote was whole and its own")
+    statuses = collections.Counter()
+    for call in evidence.history.calls:
+        if call.role != "quote":
+            continue
+        reason = (call.answer or {}).get("title", "") if call.status else ""
+        statuses[f"{call.status} {reason}".strip()] += 1
+        if call.status == 200:
+            verdict.check(
+                call.answer.get("echo") == call.body
+                and call.answer.get("task_id") == call.task_id
+                and call.headers.get("request-id") == call.task_id.split("/")[1],
+                lambda c=call: f"{c.task_id} at {c.instance}: {c.answer}",
+            )
+    verdict.notes.append(f"statuses: {dict(statuses.most_common())}")
+    return verdict
+
+
+def not_run(evidence, role, title):
+    """6: what was told not_run has no start, unless it was sent again."""
+    verdict = Verdict(title)
+    racing = 0
+    sent = collections.defaultdict(list)
+    for call in evidence.history.calls:
+        if call.role in ("quote", "order"):
+            sent[call.task_id].append(call)
+    for call in evidence.history.calls:
+        if call.role not in role or outcome(call) != "not_run":
+            continue
+        others = [c for c in sent[call.task_id] if c is not call]
+        final = "retry-after" not in call.headers
+        if not final and any(c.ended_at >= call.sent_at for c in others):
+            # Another copy was on its way or came later, and may well have run.
+            racing += 1
+            continue
+        runs = evidence.by_task.get(call.task_id, [])
+        verdict.check(
+            not runs,
+            lambda c=call, r=runs: (
+                f"{c.task_id} told {c.status} {c.answer} by {c.instance}"
+                f" at {c.ended_at:.3f}, but {r}"
+            ),
+        )
+    verdict.notes.append(f"not judged, another copy was under way: {racing}")
+    return verdict
+
+
+def completed(evidence):
+    """7: what was told completed has one end, with that answer."""
+    verdict = Verdict("7 told completed: one end, with that answer")
+    for call in evidence.history.calls:
+        if call.role not in ("order", "ask") or outcome(call) != "completed":
+            continue
+        runs = evidence.by_task.get(call.task_id, [])
+        done = [run for run in runs if run.state == "done"]
+        answer = call.answer.get("answer") or {}
+        body = evidence.history.orders[call.task_id]
+        verdict.check(
+            len(done) == 1
+            and answer.get("task_id") == call.task_id
+            and answer.get("echo") == body
+            and answer.get("worker") == done[0].worker,
+            lambda c=call, r=runs: f"{c.task_id} told {c.answer}, but {r}",
+        )
+    return verdict
+
+
+def nothing_lost(evidence, last_orders, last_jobs):
+    """8: what was accepted ends, or is unknown for a reason that can be named."""
+    verdict = Verdict("8 nothing accepted was lost")
+    unknown = collections.Counter()
+    accepted = {
+        c.task_id
+        for c in evidence.history.calls
+        if c.role == "order" and (c.status in (200, 202) or outcome(c) == "unknown")
+    }
+    started = set(evidence.durable())
+    for task_id in sorted(evidence.history.orders):
+        if task_id not in accepted | started:
+            continue
+        call = last_orders.get(task_id)
+        told = outcome(call) if call and call.status else None
+        if told not in (None, "unknown"):
+            verdict.check(True, "")
+            continue
+        runs = evidence.by_task.get(task_id, [])
+        states = [run.state for run in runs]
+        why = states[-1] if states else "never started"
+        if task_id not in accepted and not states:
+            continue
+        excused = told == "unknown" and why == "killed" and "retry_after" in call.answer
+        unknown[why] += 1
+        verdict.check(
+            excused,
+            lambda t=task_id, c=call, r=runs: (
+                f"{t} last told {c and (c.status, c.answer)}, ran {r}"
+            ),
+        )
+    for task_id, (tasks, answer) in last_jobs.items():
+        ended = answer and answer["completed"] + answer["failed"] == tasks
+        verdict.check(ended, f"job {task_id} of {tasks} tasks last told {answer}")
+    verdict.notes.append(f"without a final outcome, by what the worker did: {unknown}")
+    return verdict
+
+
+def leaving(evidence):
+    """9: a worker that leaves gets no start once the term is over."""
+    verdict = Verdict("9 leaving workers got no new work after 3 s")
+    for fault in evidence.history.faults:
+        if fault.kind != "left":
+            continue
+        late = [
+            run
+            for run in evidence.runs
+            if run.worker == fault.target and run.since > fault.began + LEAVING_TERM
+        ]
+        verdict.check(not late, f"{fault.target} left at {fault.began:.3f}: {late[:2]}")
+    return verdict
+
+
+def graceful(evidence):
+    """10: what an instance was working on when told to stop was answered."""
+    verdict = Verdict("10 planned stops cut nothing off")
+    for fault in evidence.history.faults:
+        if fault.kind != "stop":
+            continue
+        for call in evidence.history.calls:
+            in_flight = call.sent_at < fault.began - 0.05 < fault.began < call.ended_at
+            if call.instance == fault.target and in_flight:
+                verdict.check(
+                    call.status is not None,
+                    lambda c=call, f=fault: (
+                        f"{c.role} {c.task_id} sent to {c.instance} at {c.sent_at:.3f},"
+                        f" stopped at {f.began:.3f}, cut off at {c.ended_at:.3f}"
+                    ),
+                )
+    return verdict
+
+
+def settings(evidence):
+    """11: accepted changes are in force in time, and none comes back."""
+    verdict = Verdict("11 accepted settings in force in 5 s, never reverting")
+    history = evidence.history
+    seen = collections.defaultdict(list)
+    for sighting in sorted(history.sightings, key=lambda s: s.at):
+        seen[sighting.instance].append(sighting)
+    accepted = sorted(history.changes, key=lambda change: change.accepted_at)
+    order = {change.number: place for place, change in enumerate(accepted)}
+    delays = []
+    for name, sightings in seen.items():
+        highest = -1
+        for sighting in sightings:
+            place = order[sighting.number]
+            verdict.check(place >= highest, f"{name} went back to {sighting}")
+            highest = max(highest, place)
+        for place, change in enumerate(accepted[:-1]):
+            due = change.accepted_at + IN_FORCE_TERM
+            if due > sightings[-1].at or history.disturbed(
+                name, change.accepted_at - 1, due
+            ):
+                continue
+            reached = [s.at for s in sightings if order[s.number] >= place]
+            delay = min(reached, default=NEVER) - change.accepted_at
+            delays.append(delay)
+            verdict.check(
+                delay <= IN_FORCE_TERM, f"{name}: {change} in force after {delay:.1f} s"
+            )
+    if delays:
+        verdict.notes.append(
+            f"{len(accepted)} accepted, {history.lost_races} lost races,"
+            f" slowest in force {max(delays):.2f} s"
+        )
+    return verdict
+
+
+def watches(evidence):
+    """12: each watch's reader saw 1, 2, 3 ... over all resumes."""
+    verdict = Verdict("12 watches: no event lost or doubled over resumes")
+    for watch in evidence.history.watches:
+        expected = list(range(1, len(watch.events) + 1))
+        verdict.checks += len(watch.events)
+        if watch.events != expected:
+            wrong = next(
+                i for i, (a, b) in enumerate(zip(watch.events, expected, strict=True))
+                if a != b
+            )  # fmt: skip
+            verdict.violations.append(
+                f"{watch.subject} after {watch.resumes} resumes: "
+                f"{watch.events[max(wrong - 2, 0) : wrong + 3]}"
+            )
+        verdict.notes.append(
+            f"{watch.subject}: {len(watch.events)} of {watch.total} events,"
+            f" {watch.resumes} connections"
+        )
+    return verdict
+
+
+def alive(evidence, logs, exits):
+    """13: no instance ended by itself, none logged a traceback."""
+    verdict = Verdict("13 no instance aborted, no tracebacks")
+    for name, status in exits.items():
+        verdict.check(status is None, f"{name} ended with status {status}")
+    for text in evidence.history.deaths:
+        verdict.check(False, text)
+    failed = 0
+    for name, lines in logs.items():
+        bad = [i for i, line in enumerate(lines) if line.startswith("Traceback")]
+        verdict.check(
+            not bad,
+            lambda n=name, ls=lines, b=bad: f"{n}: {' | '.join(ls[b[0] :][:14])}",
+        )
+        failed += sum("step failed" in line for line in lines)
+    verdict.notes.append(f"step failed lines: {failed}")
+    return verdict
+
+
+def judge(evidence, last_orders, last_jobs, logs, exits):
+    return [
+        carried(evidence),
+        planned(evidence),
+        one_place(evidence),
+        at_most_once(evidence),
+        resumed(evidence),
+        whole_answers(evidence),
+        not_run(evidence, ("order", "ask"), "6 told not_run: has no start in any log"),
+        not_run(evidence, ("quote",), "6b a quote told not_run: has no start either"),
+        completed(evidence),
+        nothing_lost(evidence, last_orders, last_jobs),
+        leaving(evidence),
+        graceful(evidence),
+        settings(evidence),
+        watches(evidence),
+        alive(evidence, logs, exits),
+    ]
+
+
+def table_of(verdicts):
+    lines = [f"{'promise':55} {'checks':>7} {'broken':>7}  state"]
+    for v in verdicts:
+        lines.append(f"{v.promise:55} {v.checks:7} {len(v.violations):7}  {v.state}")
+        lines += [f"    ! {text[:600]}" for text in v.violations[:SHOWN]]
+        lines += [f"    - {text}" for text in v.notes]
+    return "\n".join(lines)
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,75 @@
+"""Which faults come when: drawn from the seed alone, before the run starts."""
+
+import dataclasses
+import random
+
+#: Kinds of faults by what they hit, each with its shortest and longest duration.
+INSTANCE = {
+    "kill": (0.5, 2.0),
+    "freeze": (1.0, 8.0),
+    "cut": (2.0, 12.0),
+    "stop": (1, 1),
+}
+WORKER = {
+    "kill_worker": (0.5, 4.0),
+    "fail_all": (2.0, 8.0),
+    "black_hole": (2.0, 10.0),
+    "lose_starts": (2.0, 8.0),
+    "slow": (2.0, 8.0),
+    "leaving": (1, 1),
+}
+PLATFORM = {
+    "table_down": (2.0, 12.0),
+    "table_slow": (2.0, 8.0),
+    "lose_answers": (2.0, 8.0),
+    "objects_down": (2.0, 10.0),
+}
+DATA_CENTRE = {"cut_data_centre": (3.0, 12.0)}
+KINDS = {**INSTANCE, **WORKER, **PLATFORM, **DATA_CENTRE}
+#: Mean seconds between the beginnings of two faults.
+MEAN_GAP = 3.0
+#: Seconds at the start without faults.
+QUIET_START = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    at: float
+    seconds: float
+    kind: str
+    target: str
+
+
+def draw(seed, seconds, instances, workers, data_centres, kinds=tuple(KINDS)):
+    """Return the faults of a run of `seconds`, ordered by time.
+
+    Faults of different targets overlap freely; one target has one at a time.
+    """
+    chance = random.Random(f"schedule/{seed}")
+    faults, busy = [], {}
+    at = QUIET_START
+    while kinds:
+        at += chance.expovariate(1 / MEAN_GAP)
+        if at >= seconds:
+            break
+        kind = chance.choice(kinds)
+        target = pick(chance, kind, instances, workers, data_centres)
+        duration = chance.uniform(*KINDS[kind])
+        if busy.get(target, 0.0) > at:
+            continue
+        # A killed process needs a while until it is worth killing again.
+        busy[target] = at + duration + 4.0
+        if kind == "leaving":
+            busy[target] = float("inf")
+        faults.append(Fault(at, min(duration, seconds - at), kind, target))
+    return faults
+
+
+def pick(chance, kind, instances, workers, data_centres):
+    if kind in INSTANCE:
+        return chance.choice(instances)
+    if kind in WORKER:
+        return chance.choice(workers)
+    if kind in DATA_CENTRE:
+        return chance.choice(data_centres)
+    return f"platform:{kind}"
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -92,6 +92,8 @@
         self.version = 0
         self.changed = gevent.event.Event()
         self.log = []
+        #: Outlives the process, so that a kill leaves the evidence behind.
+        self.log_file = None
         self.usage = {"measured_at": 0.0, "cpus": 0.0, "memory_gb": 0.0, "tasks": {}}
         self.faults = {
             "fail_all": False,
@@ -106,18 +108,20 @@
         self.store_object = store_object
         self.connections = 0
         self.most_connections = 0
+        self.epoch = EPOCH
 
     def note(self, event, start, **facts):
-        self.log.append(
-            {
-                "at": time.time(),
-                "worker": self.name,
-                "event": event,
-                "task_id": start["task_id"],
-                "generation": start["generation"],
-                **facts,
-            }
-        )
+        entry = {
+            "at": time.time(),
+            "worker": self.name,
+            "event": event,
+            "task_id": start["task_id"],
+            "generation": start["generation"],
+            **facts,
+        }
+        self.log.append(entry)
+        if self.log_file:
+            self.log_file.write(json.dumps(entry) + "\n")
 
     def touch(self):
         self.version += 1
@@ -161,6 +165,7 @@
             start,
             kind=start["kind"],
             team=start["team"],
+            needs=start["needs"],
             done_seconds=task.done_seconds,
             owner_generation=start["owner_generation"],
         )
@@ -390,7 +395,7 @@
         """Event n of a subject happens n * interval after the worker's epoch."""
         total = int(subject.rpartition(":")[2]) if ":" in subject else 5
         for number in range(after + 1, total + 1):
-            happens_at = EPOCH + number * EVENT_INTERVAL
+            happens_at = self.worker.epoch + number * EVENT_INTERVAL
             gevent.sleep(max(happens_at - time.time(), 0))
             while self.worker.faults["black_hole"]:
                 gevent.sleep(0.1)
@@ -409,7 +414,7 @@
         resp.media = self.worker.faults
 
 
-#: Events of watches happen at the same times for all workers of a test run.
+#: Wall time of event 0 of all watches, unless `--epoch` says another.
 EPOCH = 0.0
 EVENT_INTERVAL = 0.2
 
@@ -456,7 +461,10 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--connections", type=int, default=64)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--epoch", type=float, default=EPOCH)
+    parser.add_argument("--log-file", help="also append the execution log here")
     args = parser.parse_args()
+    log_file = open(args.log_file, "a", buffering=1) if args.log_file else None
     fetch, store = object_access(args.platform)
     capacity = {
         "cpus": args.cpus,
@@ -469,6 +477,8 @@
     for index, entry in enumerate(args.workers):
         name, _, address = entry.partition("=")
         worker = Worker(name, capacity, fetch, store)
+        worker.epoch = args.epoch
+        worker.log_file = log_file
         gevent.spawn(worker.tick_forever)
         gevent.spawn(worker.measure_forever)
         served.append(gevent.spawn(server.serve, create(worker), address))
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -87,6 +87,7 @@
 
     def __init__(self, keep_logs=None):
         self.processes = {}
+        self.commands = {}  # process name -> (command, env), for `restart`
         self.instances = {}  # name -> http address
         self.peer_addresses = {}
         self.workers = {}  # name -> address
@@ -97,6 +98,7 @@
         self.logs.mkdir(parents=True, exist_ok=True)
 
     def start(self, name, *command, env=None):
+        self.commands[name] = (command, env)
         log = open(self.logs / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
             [sys.executable, *command],
@@ -108,6 +110,11 @@
         log.close()
         return self.processes[name]
 
+    def restart(self, name):
+        """Start a process that has ended again, with the same command."""
+        command, env = self.commands[name]
+        return self.start(name, *command, env=env)
+
     def start_platform(self, lag=0.5, seed=1):
         self.platform = free_address()
         self.start(
