Give operators and developers a command line

The program could only be served; status, work and watches took curl. Flags of `serve` are made from the fields of ProcessSettings, which alone check them, so flag, variable and message can't differ. Ruled out: pydantic-settings' own command line (no completion, other messages) and flags written by hand beside the fields (two lists).

`status` asks one instance, which asks its peers at that moment.

Found on the way: the gRPC server of an instance was garbage collected, as nothing held it, so no peer was ever reached (membership.heartbeat_failed. unavailable counted, no forwarding). It is held now; the status scenarios fail without that. A closed geventhttpclient pool refuses all later requests, so the client opens a new one.

--- a/src/mangosail/__main__.py
+++ b/src/mangosail/__main__.py
@@ -15,7 +15,7 @@
 
 def main() -> None:
     """Run the command line."""
-    commands.app()
+    commands.app(prog_name="mangosail")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/mangosail/cli/client.py
@@ -0,0 +1,177 @@
+"""Calls from the command line to an instance, over HTTP."""
+
+import collections.abc as cabc
+import dataclasses
+import os
+import pathlib
+import typing as t
+import urllib.parse
+
+import geventhttpclient
+import typer
+from geventhttpclient import response as http_response
+
+from mangosail import codec
+from mangosail.cli import exits
+
+#: Seconds until a connection that does not come about is given up.
+CONNECT_TIMEOUT = 5.0
+#: Seconds of silence after which an answer is taken for lost.
+NETWORK_TIMEOUT = 60.0
+
+Server = t.Annotated[
+    str,
+    typer.Option(
+        "--server",
+        envvar="MANGOSAIL_SERVER",
+        help="Instance or balancer: IP number and port, or an http(s) URL.",
+    ),
+]
+TokenFile = t.Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        "--token-file",
+        envvar="MANGOSAIL_TOKEN_FILE",
+        help="File that holds the bearer token; else MANGOSAIL_TOKEN is read.",
+    ),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer; `retry_after` is in seconds."""
+
+    status: int
+    body: bytes
+    retry_after: float | None = None
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the server did what it was asked."""
+        return 200 <= self.status < 300
+
+    def json(self) -> t.Any:
+        """Return the decoded body, or None if it is no JSON."""
+        try:
+            return codec.from_json(self.body, object)
+        except codec.DecodeError:
+            return None
+
+    def refusal(self) -> str:
+        """Return one line that tells why the server refused."""
+        content = self.json()
+        if not isinstance(content, dict):
+            return f"refused with status {self.status}"
+        parts = [content.get(name) for name in ("title", "description", "outcome")]
+        return f"refused with status {self.status}: " + ": ".join(filter(None, parts))
+
+
+class Unreachable(Exception):
+    """No whole answer came; the text says from where and why."""
+
+
+class Client:
+    """One server, and the token that the commands show it."""
+
+    def __init__(self, server: str, token: str) -> None:
+        self.server = server
+        url = server if "://" in server else f"http://{server}"
+        parts = urllib.parse.urlsplit(url)
+        try:
+            port = parts.port
+        except ValueError:
+            port = None
+        if not parts.hostname or parts.scheme not in ("http", "https") or not port:
+            exits.leave(
+                exits.USAGE,
+                f"--server (MANGOSAIL_SERVER): {server!r}: expected an IP number and "
+                "a port, or an http(s) URL with a port",
+            )
+        self.host, self.port = parts.hostname, port
+        self.secure = parts.scheme == "https"
+        self.token = token
+        self.http = self._open()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: cabc.Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Send one request; raise `Unreachable` unless a whole answer comes."""
+        try:
+            response = self.http.request(method, path, body, dict(headers or {}))
+            after = response.get("retry-after")
+            return Reply(
+                response.status_code,
+                bytes(response.read()),
+                float(str(after)) if after else None,
+            )
+        except (OSError, http_response.HTTPParseError) as exc:
+            raise self._broken(exc) from exc
+
+    def lines(self, path: str) -> cabc.Iterator[bytes]:
+        """Yield the lines of a stream; raise `Unreachable` if it breaks off."""
+        try:
+            response = self.http.get(path)
+            if response.status_code != 200:
+                body = bytes(response.read())
+                exits.leave(exits.FAILED, Reply(response.status_code, body).refusal())
+            while line := response.readline(sep=b"\n"):
+                yield bytes(line).rstrip(b"\r\n")
+        except (OSError, http_response.HTTPParseError) as exc:
+            raise self._broken(exc) from exc
+
+    def _open(self) -> geventhttpclient.HTTPClient:
+        return geventhttpclient.HTTPClient(
+            self.host,
+            port=self.port,
+            ssl=self.secure,
+            connection_timeout=CONNECT_TIMEOUT,
+            network_timeout=NETWORK_TIMEOUT,
+            headers={"Authorization": f"Bearer {self.token}"},
+        )
+
+    def _broken(self, exc: Exception) -> Unreachable:
+        # A closed pool refuses all later requests, so the next one gets a new
+        # pool; keeping the old one would offer connections that are dead too.
+        self.http.close()
+        self.http = self._open()
+        return Unreachable(f"{self.server}: {exc or type(exc).__name__}")
+
+
+def connect(server: str, token_file: pathlib.Path | None) -> Client:
+    """Return a client, with the token from its file or else the environment.
+
+    No flag takes the token itself: others on the machine can read a process's
+    arguments.
+    """
+    token = os.environ.get("MANGOSAIL_TOKEN")
+    if token_file is not None:
+        try:
+            token = token_file.read_text().strip()
+        except OSError as exc:
+            exits.leave(
+                exits.USAGE,
+                f"--token-file (MANGOSAIL_TOKEN_FILE): {str(token_file)!r}: "
+                f"expected a readable file: {exc.strerror}",
+            )
+    if not token:
+        exits.leave(
+            exits.USAGE,
+            "--token-file (MANGOSAIL_TOKEN_FILE) or MANGOSAIL_TOKEN: expected a "
+            "bearer token",
+        )
+    return Client(server, token)
+
+
+def ask(client: Client, method: str, path: str, body: bytes = b"") -> t.Any:
+    """Return the decoded answer, or end the program if there is none."""
+    try:
+        reply = client.call(method, path, body)
+    except Unreachable as exc:
+        exits.leave(exits.UNREACHABLE, str(exc))
+    if not reply.ok:
+        exits.leave(exits.FAILED, reply.refusal())
+    return reply.json()
--- /dev/null
+++ b/src/mangosail/cli/flags.py
@@ -0,0 +1,93 @@
+"""Flags made from the fields of a settings class, so that none is written twice.
+
+A field ``http_address`` becomes ``--http-address`` and is also read from
+``MANGOSAIL_HTTP_ADDRESS``. The settings class alone checks the values::
+
+    @app.command()
+    @flags.of(process.ProcessSettings)
+    def serve(settings: process.ProcessSettings) -> None: ...
+"""
+
+import collections.abc as cabc
+import functools
+import inspect
+import typing as t
+
+import pydantic
+import typer
+
+from mangosail.cli import exits
+
+#: Start of every environment variable's name.
+PREFIX = "MANGOSAIL_"
+
+Model = t.TypeVar("Model", bound=pydantic.BaseModel)
+
+
+def flag_of(field: str) -> str:
+    """Return the flag of the settings field `field`."""
+    return "--" + field.replace("_", "-")
+
+
+def variable_of(field: str) -> str:
+    """Return the environment variable of the settings field `field`."""
+    return PREFIX + field.upper()
+
+
+def of(
+    model: type[Model],
+) -> cabc.Callable[[cabc.Callable[[Model], None]], cabc.Callable[..., None]]:
+    """Give a command one flag for each field of `model`."""
+
+    def decorate(command: cabc.Callable[[Model], None]) -> cabc.Callable[..., None]:
+        @functools.wraps(command)
+        def run(**values: t.Any) -> None:
+            command(checked(model, values))
+
+        parameters = [_parameter(*item) for item in model.model_fields.items()]
+        # Typer reads both; without them it would see only ``**values``.
+        run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+        run.__annotations__ = {p.name: p.annotation for p in parameters}
+        return run
+
+    return decorate
+
+
+def checked(model: type[Model], values: cabc.Mapping[str, t.Any]) -> Model:
+    """Return the settings, or end the program naming each flag that is wrong."""
+    given = {name: value for name, value in values.items() if value is not None}
+    try:
+        return model(**given)
+    except pydantic.ValidationError as exc:
+        exits.leave(exits.USAGE, "\n".join(complaints(exc)))
+
+
+def complaints(exc: pydantic.ValidationError) -> list[str]:
+    """Return a line for each error: the flag, the value and what was expected."""
+    lines = []
+    for error in exc.errors():
+        field = str(error["loc"][0]) if error["loc"] else ""
+        named = f"{flag_of(field)} ({variable_of(field)})" if field else "settings"
+        message = error["msg"].removeprefix("Value error, ")
+        if error["type"] == "missing" or not field:
+            lines.append(f"{named}: {message}")
+        else:
+            lines.append(f"{named}: {error['input']!r}: {message}")
+    return lines
+
+
+def _parameter(name: str, field: pydantic.fields.FieldInfo) -> inspect.Parameter:
+    # All but switches stay text here, so that one place checks them.
+    kind: t.Any = bool | None if field.annotation is bool else str | None
+    option = typer.Option(
+        flag_of(name),
+        envvar=variable_of(name),
+        help=field.description,
+        show_default=False,
+    )
+    return inspect.Parameter(
+        name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=None,
+        annotation=t.Annotated[kind, option],
+    )
--- a/src/mangosail/cli/main.py
+++ b/src/mangosail/cli/main.py
@@ -1,19 +1,25 @@
-"""The commands of ``mangosail``."""
+"""The commands of ``mangosail``, each in a module of its own."""
 
-import typing as t
-
-import pydantic
 import typer
 
 import mangosail
-from mangosail import instance
-from mangosail.settings import process
-from mangosail.telemetry import logs
+from mangosail.cli import serve, status, watch, work
+
+#: Gives each flag without a variable of its own one: MANGOSAIL_SUBMIT_REQUEST_ID.
+CONTEXT = {"auto_envvar_prefix": "MANGOSAIL"}
 
-app = typer.Typer(no_args_is_help=True, add_completion=True)
+app = typer.Typer(
+    name="mangosail",
+    no_args_is_help=True,
+    add_completion=True,
+    pretty_exceptions_enable=False,
+    context_settings=CONTEXT,
+)
 
-#: Exit status when a flag, a variable or a file is wrong.
-EXIT_USAGE = 2
+
+@app.callback()
+def program() -> None:
+    """Schedule latency-critical services and batch work on shared workers."""
 
 
 @app.command()
@@ -22,35 +28,14 @@
     typer.echo(mangosail.__version__)
 
 
-@app.command()
-def serve(
-    name: t.Annotated[str, typer.Option("--instance", envvar="MANGOSAIL_INSTANCE")],
-    data_centre: t.Annotated[str, typer.Option(envvar="MANGOSAIL_DATA_CENTRE")],
-    http_address: t.Annotated[str, typer.Option(envvar="MANGOSAIL_HTTP_ADDRESS")],
-    peer_address: t.Annotated[str, typer.Option(envvar="MANGOSAIL_PEER_ADDRESS")],
-    platform_address: t.Annotated[
-        str, typer.Option(envvar="MANGOSAIL_PLATFORM_ADDRESS")
-    ],
-    statsd_address: t.Annotated[
-        str | None, typer.Option(envvar="MANGOSAIL_STATSD_ADDRESS")
-    ] = None,
-    log_level: t.Annotated[str, typer.Option(envvar="MANGOSAIL_LOG_LEVEL")] = "INFO",
-) -> None:
-    """Run one entry instance."""
-    try:
-        settings = process.ProcessSettings(
-            instance=name,
-            data_centre=data_centre,
-            http_address=http_address,
-            peer_address=peer_address,
-            platform_address=platform_address,
-            statsd_address=statsd_address,
-            log_level=log_level,
-        )
-    except pydantic.ValidationError as exc:
-        for error in exc.errors():
-            flag = "--" + str(error["loc"][0]).replace("_", "-")
-            typer.echo(f"{flag}: {error['input']!r}: {error['msg']}", err=True)
-        raise typer.Exit(EXIT_USAGE) from exc
-    logs.setup(settings.instance, settings.data_centre, settings.log_level)
-    instance.Instance(settings).run()
+for command in (
+    serve.serve,
+    serve.check,
+    status.status,
+    status.drain,
+    work.submit,
+    work.cancel,
+    work.jobs,
+    watch.watch,
+):
+    app.command()(command)
--- /dev/null
+++ b/src/mangosail/cli/watch.py
@@ -0,0 +1,84 @@
+"""``mangosail watch``: the events of a subject, over dropped connections too."""
+
+import dataclasses
+import time
+import typing as t
+import urllib.parse
+
+import typer
+
+from mangosail import codec
+from mangosail.cli import client as clients
+from mangosail.cli import exits, work
+
+#: Seconds to wait before a dropped watch is taken up again.
+RESUME_DELAY = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """What the command needs of a line of the stream.
+
+    An event has a `sequence` number. A line with `resume_after` instead says
+    that the watch goes on elsewhere; an empty line, that it is alive.
+    """
+
+    sequence: int | None = None
+    resume_after: int | None = None
+
+
+def watch(
+    server: clients.Server,
+    target: t.Annotated[str, typer.Argument(help="SERVICE/OPERATION.")],
+    subject: t.Annotated[str, typer.Argument(help="What is watched.")],
+    after: t.Annotated[
+        int, typer.Option(help="Sequence number of the last event already seen.")
+    ] = 0,
+    wait: t.Annotated[
+        float,
+        typer.Option(
+            envvar="MANGOSAIL_WAIT",
+            help="Seconds without a connection after which to give up.",
+        ),
+    ] = 300.0,
+    token_file: clients.TokenFile = None,
+) -> None:
+    """Print a subject's events as lines of JSON, until the watch ends.
+
+    A dropped connection is taken up again past the last event, so that none is
+    missed or printed twice.
+    """
+    client = clients.connect(server, token_file)
+    base = f"/v1/watches/{work.target_path(target)}"
+    deadline = time.monotonic() + wait
+    while True:
+        query = urllib.parse.urlencode({"subject": subject, "after": after})
+        try:
+            for line in client.lines(f"{base}?{query}"):
+                event = read_event(line)
+                deadline = time.monotonic() + wait
+                if event.sequence is not None and event.sequence > after:
+                    typer.echo(line.decode())
+                    after = event.sequence
+                if event.resume_after is not None:
+                    # An instance that stops ends the stream in good order;
+                    # taken for the end, the watcher would miss what follows.
+                    raise clients.Unreachable(f"{server}: the watch was ended early")
+            return
+        except clients.Unreachable as exc:
+            if time.monotonic() >= deadline:
+                exits.leave(exits.UNREACHABLE, f"{exc}; resume with --after {after}")
+            typer.echo(f"{exc}; resuming after event {after}", err=True)
+            time.sleep(RESUME_DELAY)
+
+
+def read_event(line: bytes) -> Event:
+    """Return the event that `line` holds.
+
+    A connection cut inside a line leaves half an event, which counts as a broken
+    connection: the resumed watch prints it whole.
+    """
+    try:
+        return codec.from_json(line or b"{}", Event)
+    except codec.DecodeError as exc:
+        raise clients.Unreachable(f"half an event: {line[:80]!r}") from exc
--- /dev/null
+++ b/src/mangosail/cli/work.py
@@ -0,0 +1,187 @@
+"""``submit``, ``cancel`` and ``jobs``: work, from the command line."""
+
+import pathlib
+import secrets
+import sys
+import time
+import typing as t
+import urllib.parse
+
+import typer
+
+from mangosail import codec
+from mangosail.cli import client as clients
+from mangosail.cli import exits
+
+#: Seconds between two questions how far a job has come.
+POLL_INTERVAL = 0.5
+#: Seconds to wait after a broken connection before the request is sent again.
+RECONNECT_DELAY = 1.0
+
+Body = t.Annotated[
+    str, typer.Argument(help="File with the JSON body; - reads standard input.")
+]
+Wait = t.Annotated[
+    float, typer.Option(envvar="MANGOSAIL_WAIT", help="Seconds to wait for the end.")
+]
+
+
+def submit(
+    server: clients.Server,
+    target: t.Annotated[
+        str, typer.Argument(help="SERVICE/OPERATION, or 'job' for a batch job.")
+    ],
+    body: Body = "-",
+    request_id: t.Annotated[
+        str | None, typer.Option(help="Id of the request; drawn if left out.")
+    ] = None,
+    wait: Wait = 300.0,
+    token_file: clients.TokenFile = None,
+) -> None:
+    """Submit a request or a job, wait for its end and print the answer.
+
+    A request whose answer is lost is sent again under the same id, under which
+    durable work runs at most once.
+    """
+    client = clients.connect(server, token_file)
+    deadline = time.monotonic() + wait
+    if target == "job":
+        follow_job(client, read_body(body), deadline)
+        return
+    path = f"/v1/services/{target_path(target)}"
+    content = read_body(body)
+    request_id = request_id or secrets.token_hex(8)
+    typer.echo(f"request {request_id}", err=True)
+    follow_request(client, path, content, request_id, deadline)
+
+
+def cancel(
+    server: clients.Server,
+    request_id: t.Annotated[str, typer.Argument(help="Id of the request.")],
+    token_file: clients.TokenFile = None,
+) -> None:
+    """Cancel durable work, and print what became of it."""
+    client = clients.connect(server, token_file)
+    answer = clients.ask(client, "DELETE", f"/v1/work/{quote(request_id)}")
+    typer.echo(codec.to_json(answer))
+
+
+def jobs(
+    server: clients.Server,
+    job_id: t.Annotated[
+        str | None, typer.Argument(help="One job; all if left out.")
+    ] = None,
+    token_file: clients.TokenFile = None,
+) -> None:
+    """Print how far the team's jobs have come, one line of JSON for each."""
+    client = clients.connect(server, token_file)
+    path = f"/v1/jobs/{quote(job_id)}" if job_id else "/v1/jobs"
+    answer = clients.ask(client, "GET", path)
+    found = answer.get("jobs", [answer]) if isinstance(answer, dict) else answer
+    for job in found:
+        typer.echo(codec.to_json(job))
+
+
+def read_body(source: str) -> bytes:
+    """Return the JSON in the file `source`, or on standard input for ``-``."""
+    try:
+        data = sys.stdin.buffer.read() if source == "-" else _file(source)
+        codec.from_json(data, object)
+    except OSError as exc:
+        exits.leave(
+            exits.USAGE, f"BODY: {source!r}: expected a readable file: {exc.strerror}"
+        )
+    except codec.DecodeError as exc:
+        exits.leave(exits.USAGE, f"BODY: {source!r}: expected JSON: {exc}")
+    return data
+
+
+def follow_request(
+    client: clients.Client,
+    path: str,
+    body: bytes,
+    request_id: str,
+    deadline: float,
+) -> None:
+    """Send a request until it has a final answer, and print that."""
+    while True:
+        left = max(deadline - time.monotonic(), 0.0)
+        headers = {"Request-Id": request_id, "Request-Timeout": f"{min(left, 30):g}"}
+        try:
+            reply = client.call("POST", path, body, headers)
+        except clients.Unreachable as exc:
+            reply = None
+            pause, why = RECONNECT_DELAY, str(exc)
+        if reply is not None:
+            if reply.retry_after is None:
+                finish(reply)
+                return
+            pause, why = reply.retry_after, waiting_for(reply)
+        if time.monotonic() + pause >= deadline:
+            status = exits.UNREACHABLE if reply is None else exits.UNKNOWN
+            exits.leave(status, f"{why}; ask again with --request-id {request_id}")
+        typer.echo(f"{why}; asking again in {pause:g} s", err=True)
+        time.sleep(pause)
+
+
+def waiting_for(reply: clients.Reply) -> str:
+    """Return why there is no final answer yet."""
+    return "still running" if reply.ok else reply.refusal()
+
+
+def finish(reply: clients.Reply) -> None:
+    """Print a final answer; end the program with its status."""
+    if not reply.ok:
+        exits.leave(exits.FAILED, reply.refusal())
+    typer.echo(reply.body.decode())
+    content = reply.json()
+    outcome = content.get("outcome") if isinstance(content, dict) else None
+    if outcome in ("failed", "not_run", "cancelled"):
+        exits.leave(exits.FAILED, f"the work ended: {outcome}")
+    if outcome == "unknown":
+        exits.leave(exits.UNKNOWN, "whether the work ran is not known")
+
+
+def follow_job(client: clients.Client, body: bytes, deadline: float) -> None:
+    """Submit a job and show its progress until all tasks have ended."""
+    progress = clients.ask(client, "POST", "/v1/jobs", body)
+    path = f"/v1/jobs/{quote(progress['job_id'])}"
+    shown = ""
+    while progress["completed"] + progress["failed"] < progress["tasks"]:
+        line = progress_line(progress)
+        if line != shown:
+            typer.echo(line, err=True)
+            shown = line
+        if time.monotonic() >= deadline:
+            exits.leave(exits.UNKNOWN, "the job goes on; see: mangosail jobs")
+        time.sleep(POLL_INTERVAL)
+        progress = clients.ask(client, "GET", path)
+    typer.echo(codec.to_json(progress))
+    if progress["failed"]:
+        exits.leave(exits.FAILED, f"{progress['failed']} tasks failed")
+
+
+def progress_line(progress: dict[str, t.Any]) -> str:
+    """Return one line that tells how far a job has come."""
+    return (
+        f"{progress['job_id']}: {progress['completed']}/{progress['tasks']} completed, "
+        f"{progress['running']} running, {progress['waiting']} waiting, "
+        f"{progress['failed']} failed"
+    )
+
+
+def target_path(target: str) -> str:
+    """Return the part of a path that SERVICE/OPERATION stands for."""
+    service, slash, operation = target.partition("/")
+    if not (service and slash and operation):
+        exits.leave(exits.USAGE, f"TARGET: {target!r}: expected SERVICE/OPERATION")
+    return f"{quote(service)}/{quote(operation)}"
+
+
+def quote(part: str) -> str:
+    """Return `part` as one part of a path."""
+    return urllib.parse.quote(part, safe="")
+
+
+def _file(name: str) -> bytes:
+    return pathlib.Path(name).read_bytes()
--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -2,7 +2,7 @@
 
 import falcon
 
-from mangosail.front import batch, context, outcomes, services, status, watches
+from mangosail.front import batch, context, drain, outcomes, services, status, watches
 
 
 def create(front: context.Front) -> falcon.App:
@@ -15,6 +15,8 @@
     app.add_route("/v1/jobs", jobs)
     app.add_route("/v1/jobs/{job_id}", jobs)
     app.add_route("/v1/status", status.StatusResource(front))
+    app.add_route("/v1/instances", status.InstancesResource(front))
+    app.add_route("/v1/drain", drain.DrainResource(front))
     app.add_route("/healthz", status.HealthResource())
     app.add_route("/readyz", status.ReadyResource(front))
     return app
--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -9,6 +9,7 @@
 from mangosail import codec
 from mangosail.front import messages, quotes
 from mangosail.jobs import queue
+from mangosail.membership import peers as membership
 from mangosail.placement import workers
 from mangosail.settings import state
 from mangosail.telemetry import counters as telemetry
@@ -33,6 +34,7 @@
         clock: clocks.Clock,
         counters: telemetry.Counters,
         describe: t.Callable[[], dict[str, t.Any]],
+        peers: membership.Peers,
     ) -> None:
         self.settings = settings
         self.quotes = quote_service
@@ -42,6 +44,7 @@
         self.clock = clock
         self.counters = counters
         self.describe = describe
+        self.peers = peers
         self.ready = False
 
     def identify(self, req: falcon.Request) -> state.Identity:
--- a/src/mangosail/front/status.py
+++ b/src/mangosail/front/status.py
@@ -1,9 +1,18 @@
-"""``/v1/status``, ``/healthz`` and ``/readyz``."""
+"""``/v1/status``, ``/v1/instances``, ``/healthz`` and ``/readyz``."""
+
+import typing as t
 
 import falcon
+import gevent
+import result
 
 from mangosail import codec
 from mangosail.front import context
+from mangosail.membership import messages as peer_messages
+from mangosail.membership import peers as membership
+
+#: Seconds that a peer's description may take.
+DESCRIBE_TIMEOUT = 1.0
 
 
 class StatusResource:
@@ -18,6 +27,43 @@
         resp.text = codec.to_json(self.front.describe())
 
 
+class InstancesResource:
+    """``GET /v1/instances``: the status of all instances, asked now.
+
+    Heartbeats stay small; the peers are asked only when an operator asks.
+    """
+
+    def __init__(self, front: context.Front) -> None:
+        self.front = front
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return the status of all instances, or of those of a data centre."""
+        self.front.identify(req)
+        wanted = req.get_param("data_centre")
+        asked = [
+            gevent.spawn(self._describe, peer)
+            for peer in list(self.front.peers.by_name.values())
+            if wanted in (None, peer.listed.data_centre)
+        ]
+        own = self.front.describe()
+        found = [own] if wanted in (None, own["data_centre"]) else []
+        found += [task.get() for task in asked]
+        found.sort(key=lambda one: (one["data_centre"], one["instance"]))
+        resp.text = codec.to_json({"instances": found})
+
+    def _describe(self, peer: membership.Peer) -> dict[str, t.Any]:
+        request = peer_messages.DescribeRequest(self.front.peers.own_name)
+        answer = peer.channel.describe(request, DESCRIBE_TIMEOUT)
+        if isinstance(answer, result.Ok):
+            return codec.from_json(answer.ok_value.text, dict)
+        self.front.counters.count("front.describe_failed")
+        return {
+            "instance": peer.listed.name,
+            "data_centre": peer.listed.data_centre,
+            "reachable": False,
+        }
+
+
 class HealthResource:
     """``GET /healthz``: the process runs."""
 
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -91,17 +91,19 @@
             self.clock,
             self.counters,
             self.describe,
+            self.peers,
         )
 
     def run(self) -> None:
         """Serve until the process is stopped."""
-        rpc.serve(self, self.process.peer_address)
+        peer_server = rpc.serve(self, self.process.peer_address)
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
         httpd = server.create(app.create(self.front), self.process.http_address)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
+        peer_server.stop(grace=0)
 
     def heartbeat(self, message: peer_messages.Heartbeat) -> peer_messages.Heartbeat:
         """Take in a peer's state and return our own."""
@@ -155,18 +157,34 @@
             },
         )
 
+    def describe_to(
+        self, message: peer_messages.DescribeRequest
+    ) -> peer_messages.Description:
+        """Return our status for the operator of a peer."""
+        return peer_messages.Description(
+            self.process.instance, codec.to_json(self.describe())
+        )
+
     def describe(self) -> dict[str, t.Any]:
         """Return the status that operators see."""
+        now = self.clock.monotonic()
+        read_at = self.settings.read_at
         return {
             "instance": self.process.instance,
             "data_centre": self.process.data_centre,
             "ready": self.front.ready,
+            "draining": self.heartbeat_message().draining,
+            "waiting_tasks": len(self.jobs.waiting),
+            "running_work": len(self.runner.running),
+            "settings_age": None if read_at is None else now - read_at,
+            "lease_left": self.lease.deadline - now,
             "workers": [
                 {
                     "name": owned.name,
                     "generation": owned.generation,
                     "used": owned.ledger.used,
                     "capacity": owned.ledger.capacity,
+                    "health": health_of(owned),
                 }
                 for owned in self.workers
             ],
@@ -250,6 +268,13 @@
             self.clock.sleep(interval)
 
 
+def health_of(owned: workers.OwnedWorker) -> str:
+    """Return in one word whether a worker takes new work, and why if not."""
+    if owned.leaving:
+        return "leaving"
+    return "taking" if owned.ready else "rebuilding"
+
+
 def make_counters(settings: process.ProcessSettings) -> telemetry.StatsdCounters:
     """Return the counters, sent to statsd if an address is set."""
     if settings.statsd_address is None:
--- a/src/mangosail/membership/messages.py
+++ b/src/mangosail/membership/messages.py
@@ -45,3 +45,18 @@
     retry_after: float | None = None
     worker: str = ""
     data_centre: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DescribeRequest:
+    """Asks an instance for its status; sent only when an operator asks."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """An instance's status as JSON text."""
+
+    instance: str
+    text: str
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -32,11 +32,15 @@
     def forward(self, message: messages.Forwarded) -> messages.ForwardedAnswer:
         """Serve a request from our own workers only."""
 
+    def describe_to(self, message: messages.DescribeRequest) -> messages.Description:
+        """Return our status for a peer's operator."""
+
 
 #: Each method's name, request type and answer type.
 METHODS: dict[str, tuple[type, type]] = {
     "heartbeat": (messages.Heartbeat, messages.Heartbeat),
     "forward": (messages.Forwarded, messages.ForwardedAnswer),
+    "describe_to": (messages.DescribeRequest, messages.Description),
 }
 
 
@@ -93,6 +97,12 @@
         """Pass a request on; an Err names the status."""
         return self._call("forward", message, timeout)
 
+    def describe(
+        self, message: messages.DescribeRequest, timeout: float
+    ) -> result.Result[messages.Description, str]:
+        """Ask the peer for its status; an Err names the status code."""
+        return self._call("describe_to", message, timeout)
+
     def close(self) -> None:
         """Give the channel up."""
         self.channel.close()
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -1,10 +1,14 @@
 """Process settings: flags and environment variables, checked at the start."""
 
 import ipaddress
+import typing as t
 
 import pydantic
 import pydantic_settings
 
+Name = t.Annotated[str, pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+LogLevel = t.Literal["CRITICAL", "ERROR", "WARNING", "NOTICE", "INFO", "DEBUG"]
+
 
 def check_address(value: str) -> str:
     """Return `value` if it is an IP number and a port."""
@@ -12,12 +16,15 @@
     try:
         ipaddress.ip_address(host)
     except ValueError as exc:
-        raise ValueError(f"{value!r}: expected IP number and port") from exc
+        raise ValueError("expected an IP number and a port") from exc
     if not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{value!r}: expected a port from 1 to 65535")
+        raise ValueError("expected a port from 1 to 65535")
     return value
 
 
+Address = t.Annotated[str, pydantic.AfterValidator(check_address)]
+
+
 class ProcessSettings(pydantic_settings.BaseSettings):
     """What one instance is told when it starts.
 
@@ -29,22 +36,22 @@
         env_prefix="MANGOSAIL_", frozen=True
     )
 
-    instance: str = pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")
-    data_centre: str = pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")
-    #: Where callers and operators are served.
-    http_address: str
-    #: Where peers are served.
-    peer_address: str
-    #: Where the platform listens.
-    platform_address: str
-    statsd_address: str | None = None
-    log_level: str = "INFO"
-    #: End the process on a broken invariant instead of only counting it.
-    abort_on_broken_invariant: bool = False
-    #: Seed of random choices; 0 draws one.
-    seed: int = 0
-
-    @pydantic.field_validator("http_address", "peer_address", "platform_address")
-    @classmethod
-    def _addresses(cls, value: str) -> str:
-        return check_address(value)
+    instance: Name = pydantic.Field(description="Name of this instance.")
+    data_centre: Name = pydantic.Field(description="Data centre it stands in.")
+    http_address: Address = pydantic.Field(
+        description="Where callers and operators are served."
+    )
+    peer_address: Address = pydantic.Field(description="Where peers are served.")
+    platform_address: Address = pydantic.Field(
+        description="Where the platform listens."
+    )
+    statsd_address: Address | None = pydantic.Field(
+        None, description="Where metrics are sent; none are if left out."
+    )
+    log_level: LogLevel = pydantic.Field(
+        "INFO", description="Least level of the log lines that are written."
+    )
+    abort_on_broken_invariant: bool = pydantic.Field(
+        False, description="End the process on a broken invariant."
+    )
+    seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
--- /dev/null
+++ b/tests/cli/steps/cli_steps.py
@@ -0,0 +1,174 @@
+import json
+import os
+import shlex
+import subprocess
+import sys
+import tempfile
+import threading
+import wsgiref.simple_server
+
+from behave import given, then, when
+from tests.support import relay, stage
+
+
+def run(context, arguments, text="", command=None):
+    """Run the command line against the first instance, as a process."""
+    variables = {
+        "PYTHONPATH": f"{stage.ROOT}/src",
+        "MANGOSAIL_SERVER": context.stage.instances["shymkent-0"],
+        "COLUMNS": "200",
+    }
+    if context.token:
+        variables["MANGOSAIL_TOKEN"] = context.token
+    kept = {k: v for k, v in os.environ.items() if not k.startswith("MANGOSAIL_")}
+    context.done = subprocess.run(
+        command or [sys.executable, "-m", "mangosail", *shlex.split(arguments)],
+        input=text,
+        text=True,
+        capture_output=True,
+        timeout=60,
+        cwd=stage.ROOT,
+        env={**kept, **variables, **context.variables},
+    )
+
+
+@given('the variable "{name}" is "{value}"')
+def set_variable(context, name, value):
+    context.variables[name] = value
+
+
+@given('the token is "{token}"')
+def set_token(context, token):
+    context.token = token
+
+
+@given('the token is ""')
+def no_token(context):
+    context.token = ""
+
+
+@given('the server is "{instance}"')
+def set_server(context, instance):
+    context.variables["MANGOSAIL_SERVER"] = context.stage.instances[instance]
+
+
+@given('the instance "{name}" is frozen')
+def freeze(context, name):
+    context.stage.freeze(name)
+    context.add_cleanup(context.stage.thaw, name)
+
+
+@given("the connection is cut after {count:d} bytes of the answer")
+def cut(context, count):
+    cutting = relay.Relay(context.stage.instances["shymkent-0"], count)
+    context.add_cleanup(cutting.close)
+    context.variables["MANGOSAIL_SERVER"] = cutting.address
+
+
+@when('"{arguments}" is run')
+def run_plain(context, arguments):
+    run(context, arguments)
+
+
+@when("\"{arguments}\" is run with the input '{text}'")
+def run_with_input(context, arguments, text):
+    run(context, arguments, text)
+
+
+@when("\"{arguments}\" is run with the file '{text}'")
+def run_with_file(context, arguments, text):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(text)
+        file.flush()
+        run(context, arguments.replace("--file -", f"--file {file.name}"))
+
+
+@when('"{arguments}" is run against a server that records requests')
+def run_recorded(context, arguments):
+    context.asked = []
+
+    def record(environ, respond):
+        context.asked.append(f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}")
+        respond("200 OK", [("Content-Type", "application/json")])
+        return [b'{"outcome": "cancelled"}']
+
+    server = wsgiref.simple_server.make_server("127.0.0.1", 0, record)
+    threading.Thread(target=server.handle_request, daemon=True).start()
+    context.variables["MANGOSAIL_SERVER"] = f"127.0.0.1:{server.server_port}"
+    run(context, arguments)
+    server.server_close()
+
+
+@when('"{arguments}" is run from bash')
+def run_from_bash(context, arguments):
+    # The program finds the shell among its ancestors; `true` keeps bash there.
+    line = f"{sys.executable} -m mangosail {arguments}; true"
+    run(context, "", command=["bash", "-c", line])
+
+
+@when('the shell completes "{words}"')
+def complete(context, words):
+    context.variables |= {
+        "_MANGOSAIL_COMPLETE": "complete_bash",
+        "COMP_WORDS": words,
+        "COMP_CWORD": "1",
+    }
+    run(context, "")
+
+
+@then("it ends with status {status:d}")
+def ends_with(context, status):
+    assert context.done.returncode == status, context.done
+
+
+@then('it complains of "{text}"')
+def complains(context, text):
+    assert text in context.done.stderr, context.done
+
+
+@then('it prints "{first}" and "{second}"')
+def prints(context, first, second):
+    assert first in context.done.stdout, context.done
+    assert second in context.done.stdout, context.done
+
+
+@then('it prints "{text}" and ""')
+def prints_one(context, text):
+    assert text in context.done.stdout, context.done
+
+
+@then('the JSON lists only "{instance}" with worker "{worker}" "{health}" work')
+def json_lists(context, instance, worker, health):
+    (found,) = json.loads(context.done.stdout)["instances"]
+    assert found["instance"] == instance, found
+    assert [(w["name"], w["health"]) for w in found["workers"]] == [(worker, health)]
+    assert 0 < found["lease_left"] <= 3.0, found
+    assert 0 <= found["settings_age"] < 5.0, found
+
+
+@then('the workers\' logs show one start of "{request_id}"')
+def one_start(context, request_id):
+    starts = [
+        entry
+        for entry in context.stage.execution_log()
+        if entry["event"] == "start" and entry["task_id"] == f"fuel-desk/{request_id}"
+    ]
+    assert len(starts) == 1, starts
+
+
+@then("it prints the events {first:d} to {last:d}, each once")
+def prints_events(context, first, last):
+    lines = context.done.stdout.splitlines()
+    numbers = [json.loads(line)["sequence"] for line in lines]
+    assert numbers == list(range(first, last + 1)), context.done
+
+
+@then('the server was asked "{asked}"')
+def was_asked(context, asked):
+    assert context.asked == [asked], context.asked
+
+
+@then('the process of "{name}" ends within {seconds:d} seconds')
+def process_ends(context, name, seconds):
+    process = context.stage.processes[name]
+    stage.wait_until(lambda: process.poll() is not None, seconds, f"{name} ended")
