--- a/src/mangosail/membership/messages.py
+++ b/src/mangosail/membership/messages.py
@@ -69,3 +69,18 @@
     """Whether the peer refused to claim; all else is in the work's row."""
 
     refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DescribeRequest:
+    """Asks an instance for its status; sent only when an operator asks."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """An instance's status as JSON text."""
+
+    instance: str
+    text: str
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -38,6 +38,9 @@
     def cancel_work(self, message: messages.CancelWork) -> messages.WorkAnswer:
         """Cancel durable work that we hold."""
 
+    def describe_to(self, message: messages.DescribeRequest) -> messages.Description:
+        """Return our status for a peer's operator."""
+
 
 #: Each method's name, request type and answer type.
 METHODS: dict[str, tuple[type, type]] = {
@@ -45,6 +48,7 @@
     "forward": (messages.Forwarded, messages.ForwardedAnswer),
     "submit_work": (messages.ForwardedWork, messages.WorkAnswer),
     "cancel_work": (messages.CancelWork, messages.WorkAnswer),
+    "describe_to": (messages.DescribeRequest, messages.Description),
 }
 
 
@@ -113,6 +117,12 @@
         """Pass a cancellation on; an Err names the status."""
         return self._call("cancel_work", message, timeout)
 
+    def describe(
+        self, message: messages.DescribeRequest, timeout: float
+    ) -> result.Result[messages.Description, str]:
+        """Ask the peer for its status; an Err names the status code."""
+        return self._call("describe_to", message, timeout)
+
     def close(self) -> None:
         """Give the channel up."""
         self.channel.close()
--- a/tests/support/teams.py
+++ b/tests/support/teams.py
@@ -16,7 +16,7 @@
 
 def token(secret, operator=False):
     digest = hashlib.sha256(secret.encode()).hexdigest()
-    return {"name": "test", "sha256": digest, "operator": operator}
+    return {"name": f"test-{digest[:8]}", "sha256": digest, "operator": operator}
 
 
 def bearer(secret, **headers):
