Make the window of group commit a process setting

Cause: the window is to be set by measurement. Ruled out: a window fixed in the code, which can't be compared on one build.

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -63,7 +63,9 @@
         self.peers = membership.Peers(
             settings.instance, self.heartbeat_message, self.clock, self.counters
         )
-        self.grouped = batching.GroupCommit(self.table, self.counters)
+        self.grouped = batching.GroupCommit(
+            self.table, self.counters, settings.commit_window
+        )
         self.runner = runner.Runner(
             claims.Claims(self.grouped),
             self.workers,
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -54,4 +54,7 @@
     abort_on_broken_invariant: bool = pydantic.Field(
         False, description="End the process on a broken invariant."
     )
+    commit_window: float = pydantic.Field(
+        0.01, ge=0, le=1, description="Seconds that a write waits for others."
+    )
     seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
