--- /dev/null
+++ b/tests/settings/steps/machine_steps.py
@@ -0,0 +1,223 @@
+import types
+
+import hypothesis
+import result
+from behave import given, then, when
+from hypothesis import stateful
+from tests.settings import fakes, machine
+from tests.support import teams
+
+from mangosail import codec
+from mangosail.platform import table as tables
+from mangosail.settings import changes, errors, messages, process, spread, state
+from mangosail.telemetry import counters
+
+
+def new_state(context):
+    return state.Settings(
+        context.store, fakes.Clock(), counters.StatsdCounters(None, 0), seed=1
+    )
+
+
+def change(context, team, content):
+    found = state.read_teams(context.store, [team]).ok_value.get(team)
+    asked = messages.Change(
+        f"c{context.store.sequence}", found.revision if found else 0, content
+    )
+    clock, in_force = fakes.Clock(), new_state(context)
+    made = changes.Changes(context.store, in_force, clock, in_force.counters)
+    made.change(team, asked, "test").unwrap()
+
+
+@then("{count:d} random histories of settings keep every promise")
+def histories(context, count):
+    stateful.run_state_machine_as_test(
+        machine.Settings,
+        settings=hypothesis.settings(
+            derandomize=True, max_examples=count, stateful_step_count=40,
+            deadline=None, database=None,
+            # Shrinking a failure took minutes; CI must stay bounded.
+            phases=(hypothesis.Phase.generate,),
+        ),
+    )  # fmt: skip
+
+
+@given("{count:d} teams' settings in a table")
+def some_teams(context, count):
+    context.store = fakes.Table()
+    for number in range(count):
+        change(context, f"team-{number}", {"quota": {"cpus": 1.0 + number}})
+    context.store.rows_read = 0
+    context.held = new_state(context)
+    context.held.refresh().unwrap()
+
+
+@when("an instance looks {count:d} times")
+def looks(context, count):
+    for _ in range(count):
+        context.held.refresh().unwrap()
+
+
+@then("it has read {rows:d} rows besides the {first:d} of the first look")
+def rows_read(context, rows, first):
+    assert context.store.rows_read == rows + first, context.store.rows_read
+
+
+@when("{count:d} teams' settings change and the instance looks once")
+def some_change(context, count):
+    for number in range(count):
+        change(context, f"team-{number}", {"quota": {"cpus": 500.0}})
+    context.store.rows_read = 0
+    context.held.refresh().unwrap()
+    assert context.held.by_team["team-0"].settings.quota.cpus == 500
+
+
+@then("it has read {rows:d} rows more")
+def rows_more(context, rows):
+    assert context.store.rows_read == rows, context.store.rows_read
+
+
+@when("an instance learns them from a peer in answers of at most {limit:d} bytes")
+def learns(context, limit):
+    usual, state.DELTA_LIMIT = state.DELTA_LIMIT, limit
+    context.learner, context.answers = new_state(context), 0
+    while context.learner.sequence < context.held.sequence and context.answers < 200:
+        context.learner.learn(context.held.since(context.learner.sequence))
+        context.answers += 1
+    state.DELTA_LIMIT = usual
+
+
+@then("it has all {count:d} teams in force after more than one answer")
+def learned(context, count):
+    assert len(context.learner.by_team) == count
+    assert 1 < context.answers < 200, context.answers
+
+
+@when("a later program writes a field that this one doesn't know")
+def later_program(context):
+    subtree = messages.Subtree("team-1", 2, 3, "c", "test", 0.0, {"quota": {"gpus": 3}})
+    rows = {
+        messages.team_key("team-1"): codec.to_json(subtree),
+        messages.CHANGES_KEY: codec.to_json(
+            messages.Changes(3, (messages.Recent(3, "team-1"),))
+        ),
+    }
+    writes = tuple(tables.Write(key, text) for key, text in rows.items())
+    context.store.take_effect(tables.Transaction((), writes))
+    context.held.refresh().unwrap()
+
+
+@then("the instance keeps what it has and its sequence number")
+def keeps(context):
+    assert context.held.sequence == 2
+    assert context.held.by_team["team-1"].settings.quota.cpus == 2
+    assert context.held.counters.snapshot()["settings.malformed"] == 1
+
+
+@when("one team's settings change {count:d} times")
+def change_often(context, count):
+    context.store = fakes.Table()
+    for number in range(count):
+        change(context, "fuel-desk", {"quota": {"cpus": 1.0 + number}})
+
+
+@then("its history holds {count:d} revisions and as many change ids")
+def bounded(context, count):
+    for prefix in ("settings/history/", "settings/change/"):
+        kept = [key for key in context.store.rows if key.startswith(prefix)]
+        assert len(kept) == count, (prefix, len(kept))
+
+
+def try_change(context, in_force, revision, cores):
+    asked = messages.Change(f"t{cores}", revision, {"quota": {"cpus": cores}})
+    clock = fakes.Clock()
+    made = changes.Changes(context.store, in_force, clock, in_force.counters)
+    return made.change("team-0", asked, "test")
+
+
+@when("it is put back to before a change, and an operator changes what it shows")
+def put_back_and_change(context):
+    backup = dict(context.store.rows)
+    try_change(context, context.held, 1, 50.0).unwrap()
+    context.store.rows = backup
+    context.answer = try_change(context, context.held, 1, 60.0)
+
+
+@then('the operator is told to ask again, for "{reason}"')
+def refused(context, reason):
+    assert context.answer.unwrap_err() == errors.Undecided("t60.0", reason)
+
+
+@then("the lost change is written back, and can then be built on")
+def written_back(context):
+    for _ in range(100):
+        context.held.refresh().unwrap()
+    found = state.read_teams(context.store, ["team-0"]).ok_value["team-0"]
+    assert found.content == {"quota": {"cpus": 50.0}}, found
+    assert try_change(context, context.held, found.revision, 70.0).is_ok()
+
+
+@given("a peer that says to be further on but can't be asked")
+def peer_ahead(context):
+    peer = types.SimpleNamespace(
+        state=types.SimpleNamespace(settings_sequence=99),
+        listed=types.SimpleNamespace(name="taraz-0"),
+        channel=types.SimpleNamespace(
+            settings_since=lambda *_: result.Err("unavailable")
+        ),
+    )
+    context.peers = [peer]
+    reachable = types.SimpleNamespace(reachable=lambda: context.peers)
+    context.spread = spread.Spread(
+        context.held, reachable, "shymkent", context.held.counters
+    )
+
+
+@when("it is put back to before a change, and the instance looks {count:d} times")
+def put_back_and_look(context, count):
+    backup = dict(context.store.rows)
+    try_change(context, context.held, 1, 50.0).unwrap()
+    context.store.rows = backup
+    look_and_learn(context, count)
+
+
+def look_and_learn(context, count):
+    for _ in range(count):
+        context.spread.learn()
+        context.held.refresh().unwrap()
+
+
+@then("the table still lacks the change")
+def still_lacks(context):
+    found = state.read_teams(context.store, ["team-0"]).ok_value["team-0"]
+    assert found.revision == 1, found
+
+
+@when("that peer is gone and the instance looks {count:d} times")
+def peer_gone(context, count):
+    context.peers = []
+    look_and_learn(context, count)
+
+
+@then(
+    "each of {desk:d} and {plegadora:d} process settings is whole, with an address "
+    "of its own"
+)
+def examples(context, desk, plegadora):
+    for user, count in (("fuel-desk", desk), ("plegadora", plegadora)):
+        found = [
+            dict(
+                line.removeprefix("MANGOSAIL_").split("=", 1)
+                for line in path.read_text().splitlines()
+                if not line.startswith("#")
+            )
+            for path in sorted((teams.EXAMPLES / user).glob("*.env"))
+        ]
+        checked = [
+            process.ProcessSettings(**{k.lower(): v for k, v in entry.items()})
+            for entry in found
+        ]
+        addresses = {s.http_address for s in checked} | {
+            s.peer_address for s in checked
+        }
+        assert len(found) == count and len(addresses) == 2 * count, (user, addresses)
