Change settings by compare-and-set, with ids, history and peers that tell

Cause: nothing could change settings in a running system; instances scanned every subtree each second (150 rows a look at the two-year size, 13,500 row reads a second for 90 instances against the table's 2,000); one that could not read the table learned nothing; one started during an outage had no settings.

Change: a change names the revision it is based on and carries an id; subtree, history, id and the row of changes are written in one transaction. A lost answer is cleared up by trying again under the same checks, else answered 'undecided'. Instances read the row of changes once a second and only the changed subtrees; heartbeats carry one sequence number in place of a map of teams, and an instance that hears a higher one asks that peer. Changes that the table lost are written back by an instance that holds them. The administration API under /v1/settings and 'mangosail settings' use this.

Ruled out: ordering by the table's own versions, which start lower after a restore; naming every team in each heartbeat (150 entries a second a peer).

--- a/src/mangosail/cli/flags.py
+++ b/src/mangosail/cli/flags.py
@@ -69,10 +69,12 @@
         field = str(error["loc"][0]) if error["loc"] else ""
         named = f"{flag_of(field)} ({variable_of(field)})" if field else "settings"
         message = error["msg"].removeprefix("Value error, ")
+        # A token given in place of its hash must not be printed.
+        value = "hidden" if "token" in field else repr(error["input"])
         if error["type"] == "missing" or not field:
             lines.append(f"{named}: {message}")
         else:
-            lines.append(f"{named}: {error['input']!r}: {message}")
+            lines.append(f"{named}: {value}: {message}")
     return lines
 
 
--- a/src/mangosail/cli/main.py
+++ b/src/mangosail/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 import mangosail
-from mangosail.cli import serve, status, watch, work
+from mangosail.cli import serve, settings, status, watch, work
 
 #: Gives each flag without a variable of its own one: MANGOSAIL_SUBMIT_REQUEST_ID.
 CONTEXT = {"auto_envvar_prefix": "MANGOSAIL"}
@@ -39,3 +39,5 @@
     watch.watch,
 ):
     app.command()(command)
+
+app.add_typer(settings.app, name="settings")
--- a/src/mangosail/cli/serve.py
+++ b/src/mangosail/cli/serve.py
@@ -4,11 +4,12 @@
 import typing as t
 
 import pydantic
+import result
 import typer
 
-from mangosail import errors, instance
+from mangosail import codec, errors, instance
 from mangosail.cli import exits, flags
-from mangosail.settings import process, schema
+from mangosail.settings import checks, process
 from mangosail.telemetry import logs
 
 SettingsFile = t.Annotated[
@@ -64,13 +65,12 @@
 def wrong_in_file(file: pathlib.Path) -> list[str]:
     """Return a line for each fault of a team's settings in `file`."""
     try:
-        schema.TeamSettings.model_validate_json(file.read_bytes())
+        content = codec.from_json(file.read_bytes(), object)
     except OSError as exc:
         return [f"--file: {str(file)!r}: expected a readable file: {exc.strerror}"]
-    except pydantic.ValidationError as exc:
-        return [
-            f"--file: {file}: {'.'.join(map(str, error['loc']))}: "
-            f"{error['input']!r}: {error['msg']}"
-            for error in exc.errors()
-        ]
-    return []
+    except codec.DecodeError as exc:
+        return [f"--file: {str(file)!r}: expected JSON: {exc}"]
+    checked = checks.check(content)
+    if isinstance(checked, result.Ok):
+        return []
+    return [f"--file: {file}: {fault}" for fault in checked.err_value.faults]
--- /dev/null
+++ b/src/mangosail/cli/settings.py
@@ -0,0 +1,292 @@
+"""``mangosail settings``: read, change and follow a team's settings.
+
+Exit status: 0 done; 1 refused, and certainly not made, or not in force
+everywhere in time; 2 a flag or a file is wrong; 3 no answer from the server;
+4 not known whether it was made, so the same change id is to be used again.
+"""
+
+import pathlib
+import secrets
+import time
+import typing as t
+
+import pydantic
+import typer
+
+from mangosail import codec
+from mangosail.cli import client as clients
+from mangosail.cli import exits, serve
+from mangosail.settings import schema, state
+
+app = typer.Typer(no_args_is_help=True, help="Read and change a team's settings.")
+
+#: Seconds between attempts of a change, and between looks at its rollout.
+PAUSE = 0.5
+#: Statuses by which an answer says that asking again may help.
+UNAVAILABLE = 503
+#: Status for a team that is not there, or not the asker's.
+NOT_FOUND = 404
+
+AsJson = t.Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+Timeout = t.Annotated[
+    float,
+    typer.Option("--timeout", help="Seconds to try for."),
+]
+ChangeId = t.Annotated[
+    str | None,
+    typer.Option("--change-id", help="Id of the change, to ask again safely."),
+]
+Revision = t.Annotated[
+    int | None,
+    typer.Option("--revision", help="Revision the change is based on; else present."),
+]
+
+
+@app.command()
+def get(
+    team: str,
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    as_json: AsJson = False,
+) -> None:
+    """Print a team's settings."""
+    found = ask(clients.connect(server, token_file), "GET", f"/v1/settings/{team}")
+    if as_json:
+        typer.echo(codec.to_json(found))
+        return
+    typer.echo(f"# revision {found['revision']} by {found['author']}", err=True)
+    typer.echo(pretty(found["content"]))
+
+
+@app.command("set")
+def set_(
+    team: str,
+    file: pathlib.Path,
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    revision: Revision = None,
+    change_id: ChangeId = None,
+    timeout: Timeout = 30.0,
+    as_json: AsJson = False,
+) -> None:
+    """Change a team's settings to what FILE holds."""
+    asked = {"content": read(file), "change_id": change_id}
+    make(clients.connect(server, token_file), team, asked, revision, timeout, as_json)
+
+
+@app.command()
+def restore(
+    team: str,
+    content_of: t.Annotated[int, typer.Argument(help="Revision to take up again.")],
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    revision: Revision = None,
+    change_id: ChangeId = None,
+    timeout: Timeout = 30.0,
+    as_json: AsJson = False,
+) -> None:
+    """Roll forward to the content of an earlier revision; tokens stay."""
+    asked = {"content_of": content_of, "change_id": change_id}
+    make(clients.connect(server, token_file), team, asked, revision, timeout, as_json)
+
+
+@app.command()
+def diff(
+    team: str,
+    file: pathlib.Path,
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    as_json: AsJson = False,
+) -> None:
+    """Print what `set` would change, without changing it."""
+    there = clients.connect(server, token_file)
+    body = {"content": read(file), "revision": present(there, team)}
+    planned = ask(there, "PUT", f"/v1/settings/{team}?dry_run=true", body)
+    show_change(planned, as_json)
+
+
+@app.command()
+def history(
+    team: str,
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    limit: t.Annotated[int, typer.Option(min=1, max=100)] = 20,
+    as_json: AsJson = False,
+) -> None:
+    """Print who changed what, and when; the latest first."""
+    path = f"/v1/settings/{team}/history?limit={limit}"
+    found = ask(clients.connect(server, token_file), "GET", path)
+    if as_json:
+        typer.echo(codec.to_json(found))
+        return
+    for entry in found["revisions"]:
+        at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(entry["changed_at"]))
+        typer.echo(f"{entry['revision']:>6}  {at}  {entry['author']}")
+        show_differences(entry["changed"])
+
+
+@app.command()
+def watch(
+    team: str,
+    server: clients.Server,
+    token_file: clients.TokenFile = None,
+    timeout: Timeout = 30.0,
+    as_json: AsJson = False,
+) -> None:
+    """Follow the present revision until every data centre has it in force."""
+    there = clients.connect(server, token_file)
+    deadline = time.monotonic() + timeout
+    shown: dict[str, bool] = {}
+    while True:
+        found = ask(there, "GET", f"/v1/settings/{team}/rollout")
+        if found["data_centres"] != shown:
+            shown = found["data_centres"]
+            typer.echo(codec.to_json(found) if as_json else rollout_line(found))
+        if all(shown.values()):
+            return
+        if time.monotonic() >= deadline:
+            exits.leave(exits.FAILED, f"not in force everywhere after {timeout:g} s")
+        time.sleep(PAUSE)
+
+
+@app.command("schema")
+def print_schema() -> None:
+    """Print the JSON schema of a team's settings."""
+    typer.echo(pretty(schema.TeamSettings.model_json_schema()))
+
+
+@app.command()
+def check(file: pathlib.Path) -> None:
+    """Check the settings that FILE holds, before use."""
+    if wrong := serve.wrong_in_file(file):
+        exits.leave(exits.USAGE, "\n".join(wrong))
+    typer.echo(f"{file}: good")
+
+
+@app.command()
+def new_token(name: str, operator: bool = False) -> None:
+    """Make a token: it is printed once, its entry for the settings with it."""
+    token = secrets.token_urlsafe(32)
+    entry = schema.Token(name=name, sha256=state.digest_of(token), operator=operator)
+    typer.echo(f"token: {token}")
+    typer.echo(f"entry: {codec.to_json(entry.model_dump())}")
+
+
+def read(file: pathlib.Path) -> t.Any:
+    """Return the JSON that `file` holds, or end with what is wrong with it."""
+    try:
+        return codec.from_json(file.read_bytes(), object)
+    except (OSError, codec.DecodeError) as exc:
+        exits.leave(exits.USAGE, f"FILE: {str(file)!r}: expected a JSON file: {exc}")
+
+
+def ask(there: clients.Client, method: str, path: str, body: t.Any = None) -> t.Any:
+    """Return the decoded answer, or end the program with the refusal."""
+    data = b"" if body is None else codec.to_json(body).encode()
+    try:
+        reply = there.call(method, path, data)
+    except clients.Unreachable as exc:
+        exits.leave(exits.UNREACHABLE, str(exc))
+    if not reply.ok:
+        refused(reply)
+    return reply.json()
+
+
+def present(there: clients.Client, team: str) -> int:
+    """Return a team's present revision, 0 for one that has no settings yet."""
+    try:
+        reply = there.call("GET", f"/v1/settings/{team}")
+    except clients.Unreachable as exc:
+        exits.leave(exits.UNREACHABLE, str(exc))
+    if reply.status == NOT_FOUND:
+        return 0
+    if not reply.ok:
+        refused(reply)
+    return int(reply.json()["revision"])
+
+
+def make(
+    there: clients.Client,
+    team: str,
+    asked: dict[str, t.Any],
+    revision: int | None,
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Make a change, asking again with its id until it is known to stand."""
+    change_id = asked["change_id"] or secrets.token_hex(8)
+    base = present(there, team) if revision is None else revision
+    body = codec.to_json({**asked, "change_id": change_id, "revision": base}).encode()
+    deadline = time.monotonic() + timeout
+    unknown = False
+    while True:
+        reply = attempt(there, team, body)
+        if reply is not None and reply.ok:
+            show_change(reply.json(), as_json)
+            return
+        if reply is not None and reply.status != UNAVAILABLE:
+            refused(reply)
+        unknown = unknown or reply is None or reply.json()["outcome"] == "unknown"
+        if time.monotonic() >= deadline:
+            break
+        typer.echo(f"change {change_id}: trying again", err=True)
+        time.sleep(PAUSE)
+    if reply is not None and not unknown:
+        refused(reply)
+    exits.leave(
+        exits.UNKNOWN,
+        f"unknown: ask again with --change-id {change_id} --revision {base}",
+    )
+
+
+def attempt(there: clients.Client, team: str, body: bytes) -> clients.Reply | None:
+    """Send a change once; None means that no whole answer came."""
+    try:
+        return there.call("PUT", f"/v1/settings/{team}", body)
+    except clients.Unreachable as exc:
+        typer.echo(str(exc), err=True)
+        return None
+
+
+def refused(reply: clients.Reply) -> t.NoReturn:
+    """End the program, telling why something was refused."""
+    lines = [reply.refusal()]
+    body = reply.json()
+    if isinstance(body, dict) and body.get("revision") is not None:
+        lines.append(f"  present revision {body['revision']} by {body.get('author')}")
+    for fault in body.get("faults", []) if isinstance(body, dict) else []:
+        value = repr(fault["value"])
+        lines.append(f"  {fault['path']}: {value}: expected {fault['expected']}")
+    exits.leave(exits.FAILED, "\n".join(lines))
+
+
+def show_change(change: t.Any, as_json: bool) -> None:
+    """Print a change that was accepted or planned."""
+    if as_json:
+        typer.echo(codec.to_json(change))
+        return
+    typer.echo(f"revision {change['revision']}, change {change['change_id']}")
+    show_differences(change["changed"])
+    for warning in change["warnings"]:
+        typer.echo(f"warning: {warning}", err=True)
+
+
+def show_differences(changed: t.Any) -> None:
+    """Print one line for each path that differs."""
+    for difference in changed:
+        old, new = codec.to_json(difference["old"]), codec.to_json(difference["new"])
+        typer.echo(f"        {difference['path']}: {old} -> {new}")
+
+
+def rollout_line(found: t.Any) -> str:
+    """Return how far a revision has come, for people."""
+    parts = [
+        f"{name} {'in force' if there else 'waiting'}"
+        for name, there in sorted(found["data_centres"].items())
+    ]
+    return f"revision {found['revision']}: {', '.join(parts)}"
+
+
+def pretty(value: t.Any) -> str:
+    """Return `value` as indented JSON."""
+    return pydantic.TypeAdapter(t.Any).dump_json(value, indent=2).decode()
--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -2,10 +2,19 @@
 
 import falcon
 
-from mangosail.front import batch, context, drain, outcomes, services, status, watches
+from mangosail.front import (
+    batch,
+    context,
+    drain,
+    outcomes,
+    services,
+    settings,
+    status,
+    watches,
+)
 
 
-def create(front: context.Front) -> falcon.App:
+def create(front: context.Front, administration: settings.Administration) -> falcon.App:
     """Return the WSGI application."""
     app = falcon.App()
     app.add_route("/v1/services/{service}/{operation}", services.ServiceResource(front))
@@ -17,6 +26,7 @@
     app.add_route("/v1/status", status.StatusResource(front))
     app.add_route("/v1/instances", status.InstancesResource(front))
     app.add_route("/v1/drain", drain.DrainResource(front))
+    settings.add_routes(app, administration)
     app.add_route("/healthz", status.HealthResource())
     app.add_route("/readyz", status.ReadyResource(front))
     return app
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -15,6 +15,7 @@
 from mangosail.dispatch import monitor
 from mangosail.front import app, context, quotes, server
 from mangosail.front import messages as front_messages
+from mangosail.front import settings as administration
 from mangosail.jobs import queue
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
@@ -24,7 +25,8 @@
 from mangosail.placement import choice, workers
 from mangosail.platform import batching, inventory
 from mangosail.platform import http as platform_http
-from mangosail.settings import process, state
+from mangosail.settings import changes, process, spread, state
+from mangosail.settings import messages as settings_messages
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import claims, forwarding, runner
 
@@ -59,13 +61,21 @@
             self._adopt,
             self.counters,
         )
-        self.settings = state.Settings(self.table, self.clock, self.counters)
+        self.settings = state.Settings(
+            self.table,
+            self.clock,
+            self.counters,
+            settings.seed or random.getrandbits(32),
+        )
         self.peers = membership.Peers(
             settings.instance, self.heartbeat_message, self.clock, self.counters
         )
         self.grouped = batching.GroupCommit(
             self.table, self.counters, settings.commit_window
         )
+        self.spread = spread.Spread(
+            self.settings, self.peers, settings.data_centre, self.counters
+        )
         self.runner = runner.Runner(
             claims.Claims(self.grouped),
             self.workers,
@@ -101,6 +111,18 @@
             self.describe,
             self.peers,
         )
+        self.administration = administration.Administration(
+            self.front,
+            changes.Changes(
+                self.table,
+                self.settings,
+                self.clock,
+                self.counters,
+                settings.seed or random.getrandbits(32),
+            ),
+            self.spread,
+            settings.admin_token_sha256,
+        )
 
     def run(self) -> None:
         """Serve until the process is stopped."""
@@ -109,8 +131,12 @@
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
         gevent.spawn(self.grouped.run)
         gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
+        gevent.spawn(self._forever, self.settings.refresh, REFRESH_INTERVAL)
+        gevent.spawn(self._forever, self.spread.learn, spread.LEARN_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
-        httpd = server.create(app.create(self.front), self.process.http_address)
+        httpd = server.create(
+            app.create(self.front, self.administration), self.process.http_address
+        )
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
         peer_server.stop(grace=0)
@@ -173,10 +199,8 @@
             self.lease.row.incarnation,
             self.process.data_centre,
             self.workers.free(),
-            settings={
-                team: in_force.version
-                for team, in_force in self.settings.by_team.items()
-            },
+            settings_sequence=self.settings.sequence,
+            settings_age=self.settings.age(),
         )
 
     def describe_to(
@@ -187,10 +211,15 @@
             self.process.instance, codec.to_json(self.describe())
         )
 
+    def settings_since(
+        self, message: settings_messages.Since
+    ) -> settings_messages.Delta:
+        """Return the settings changed past what the peer has in force."""
+        return self.settings.since(message.sequence)
+
     def describe(self) -> dict[str, t.Any]:
         """Return the status that operators see."""
         now = self.clock.monotonic()
-        read_at = self.settings.read_at
         return {
             "instance": self.process.instance,
             "data_centre": self.process.data_centre,
@@ -198,7 +227,7 @@
             "draining": self.heartbeat_message().draining,
             "waiting_tasks": len(self.jobs.waiting),
             "running_work": len(list(self.runner.ctx.registry)),
-            "settings_age": None if read_at is None else now - read_at,
+            "settings_age": self.settings.age(),
             "lease_left": self.lease.deadline - now,
             "workers": [
                 {
@@ -210,6 +239,7 @@
                 }
                 for owned in self.workers
             ],
+            "settings": self.settings.describe(),
             "peers": [peer.listed.name for peer in self.peers.reachable()],
             "counters": self.counters.snapshot(),
         }
@@ -274,7 +304,6 @@
         if isinstance(listing, result.Ok):
             self.listing = listing.ok_value
             self.peers.update(self.listing.instances)
-        self.settings.refresh()
         own = [
             worker
             for worker in self.listing.workers
@@ -285,7 +314,7 @@
         can_serve = any(owned.accepts() for owned in self.workers)
         self.front.ready = bool(self.settings.by_team) and can_serve
 
-    def _forever(self, step: t.Callable[[], None], interval: float) -> None:
+    def _forever(self, step: t.Callable[[], object], interval: float) -> None:
         while True:
             try:
                 step()
--- a/src/mangosail/membership/messages.py
+++ b/src/mangosail/membership/messages.py
@@ -17,8 +17,10 @@
     free: resources.Resources
     #: True while the instance stops: it takes no new work.
     draining: bool = False
-    #: Version in force of each team's settings.
-    settings: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: All changes of settings up to this one are in force there.
+    settings_sequence: int = 0
+    #: Seconds since the table last answered there; None if it never did.
+    settings_age: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -9,6 +9,7 @@
 
 from mangosail import codec
 from mangosail.membership import messages
+from mangosail.settings import messages as settings_messages
 
 SERVICE = "mangosail.Peer"
 #: Requests from peers that are served at a time.
@@ -41,6 +42,11 @@
     def describe_to(self, message: messages.DescribeRequest) -> messages.Description:
         """Return our status for a peer's operator."""
 
+    def settings_since(
+        self, message: settings_messages.Since
+    ) -> settings_messages.Delta:
+        """Return the settings changed past what the peer has in force."""
+
 
 #: Each method's name, request type and answer type.
 METHODS: dict[str, tuple[type, type]] = {
@@ -49,6 +55,7 @@
     "submit_work": (messages.ForwardedWork, messages.WorkAnswer),
     "cancel_work": (messages.CancelWork, messages.WorkAnswer),
     "describe_to": (messages.DescribeRequest, messages.Description),
+    "settings_since": (settings_messages.Since, settings_messages.Delta),
 }
 
 
@@ -123,6 +130,12 @@
         """Ask the peer for its status; an Err names the status code."""
         return self._call("describe_to", message, timeout)
 
+    def settings_since(
+        self, sequence: int, timeout: float
+    ) -> result.Result[settings_messages.Delta, str]:
+        """Return the peer's settings changed past `sequence`."""
+        return self._call("settings_since", settings_messages.Since(sequence), timeout)
+
     def close(self) -> None:
         """Give the channel up."""
         self.channel.close()
--- /dev/null
+++ b/src/mangosail/settings/checks.py
@@ -0,0 +1,97 @@
+"""Checks of a subtree's content: all faults at once, and no secret in any.
+
+Example::
+
+    >>> check({"quota": {"cpus": -1}}).err_value.faults
+    (Fault(path='quota.cpus', value=-1, expected='greater than 0'),)
+"""
+
+import typing as t
+
+import pydantic
+import result
+
+from mangosail import codec
+from mangosail.settings import errors, schema
+
+#: Largest content of a subtree, in bytes of JSON.
+CONTENT_LIMIT = 64 * 1024
+#: Longest text of a wrong value that is shown.
+SHOWN_LENGTH = 80
+#: Stands for a value that must not be shown.
+HIDDEN = "hidden"
+
+
+def check(
+    content: t.Any,
+) -> result.Result[schema.TeamSettings, errors.BadSettings]:
+    """Return the settings that `content` holds, or everything wrong with it."""
+    size = len(codec.to_json(content))
+    if size > CONTENT_LIMIT:
+        fault = errors.Fault("", f"{size} bytes", f"at most {CONTENT_LIMIT} bytes")
+        return result.Err(errors.BadSettings((fault,)))
+    try:
+        return result.Ok(schema.TeamSettings.model_validate(content))
+    except pydantic.ValidationError as exc:
+        found = exc.errors(include_url=False, include_context=False)
+        return result.Err(errors.BadSettings(tuple(fault_of(e) for e in found)))
+
+
+def fault_of(error: t.Any) -> errors.Fault:
+    """Return a validation error as a path, a value and what was expected."""
+    path = ".".join(str(part) for part in error["loc"] if part != "[key]")
+    return errors.Fault(path, shown(path, error["input"]), expected(error))
+
+
+def expected(error: t.Any) -> str:
+    """Return what a validation error says was expected."""
+    if error["type"] == "missing":
+        return "a value"
+    if error["type"] == "extra_forbidden":
+        return "no such field"
+    text: str = error["msg"]
+    for prefix in ("Input should be ", "Value error, ", "Input should "):
+        text = text.removeprefix(prefix)
+    return text
+
+
+def shown(path: str, value: t.Any) -> t.Any:
+    """Return `value` as it may be shown: short, and nothing of a token."""
+    if path.split(".")[0] == "tokens":
+        return HIDDEN
+    if isinstance(value, dict):
+        return f"object of {len(value)} fields"
+    if isinstance(value, list | tuple):
+        return f"list of {len(value)} items"
+    if isinstance(value, str):
+        return value[:SHOWN_LENGTH]
+    return value
+
+
+def with_hashes(content: t.Any, present: dict[str, t.Any]) -> t.Any:
+    """Return `content` with the hashes of tokens that it names without one.
+
+    Answers never show a hash, so an operator who edits what was read sends
+    tokens back without; those keep the hash that they have.
+    """
+    if not isinstance(content, dict) or not isinstance(content.get("tokens"), list):
+        return content
+    hashes = {e["name"]: e["sha256"] for e in present.get("tokens", [])}
+    return {**content, "tokens": [_filled(e, hashes) for e in content["tokens"]]}
+
+
+def _filled(entry: t.Any, hashes: dict[str, str]) -> t.Any:
+    if not isinstance(entry, dict) or "sha256" in entry:
+        return entry
+    known = hashes.get(str(entry.get("name")))
+    return {**entry, "sha256": known} if known else entry
+
+
+def without_hashes(content: dict[str, t.Any]) -> dict[str, t.Any]:
+    """Return `content` as it may be shown to its operators."""
+    if "tokens" not in content:
+        return content
+    kept = [
+        {k: v for k, v in entry.items() if k != "sha256"} for entry in content["tokens"]
+    ]
+    return {**content, "tokens": kept}
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -7,6 +7,7 @@
 import pydantic_settings
 
 Name = t.Annotated[str, pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+Digest = t.Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 LogLevel = t.Literal["CRITICAL", "ERROR", "WARNING", "NOTICE", "INFO", "DEBUG"]
 
 
@@ -57,4 +58,7 @@
     commit_window: float = pydantic.Field(
         0.01, ge=0, le=1, description="Seconds that a write waits for others."
     )
+    admin_token_sha256: Digest | None = pydantic.Field(
+        None, description="SHA-256 of the administrator's token, in hexadecimal."
+    )
     seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
--- a/tests/run.py
+++ b/tests/run.py
@@ -40,7 +40,7 @@
     scenarios = [
         (f"{name}: {element['name']}", element.get("status"))
         for feature in (json.loads(text) if text else [])
-        for element in feature["elements"]
+        for element in feature.get("elements", [])
         if element["type"] == "scenario"
     ]
     passed = [n for n, status in scenarios if status == "passed"]
--- /dev/null
+++ b/tests/settings/machine.feature
@@ -0,0 +1,30 @@
+Feature: Accepted settings hold, whatever the table does
+  Operators race at three instances while the table is down, loses answers after
+  the write took effect, or lets a write take effect long after its answer was
+  given up. Instances read, learn from each other and restart in between. An
+  operator who was told `accepted` must find the change; one who was told
+  `not_made` must never; no instance may go back to an earlier revision.
+
+  Scenario: Random histories agree with the oracle
+    Then 150 random histories of settings keep every promise
+
+  Scenario: An instance reads one row for each look while nothing changes
+    Given 150 teams' settings in a table
+    When an instance looks 100 times
+    Then it has read 100 rows besides the 151 of the first look
+    When 3 teams' settings change and the instance looks once
+    Then it has read 4 rows more
+
+  Scenario: An instance takes up a large tree from a peer in parts
+    Given 150 teams' settings in a table
+    When an instance learns them from a peer in answers of at most 4000 bytes
+    Then it has all 150 teams in force after more than one answer
+
+  Scenario: A subtree that this version can't read is not said to be in force
+    Given 2 teams' settings in a table
+    When a later program writes a field that this one doesn't know
+    Then the instance keeps what it has and its sequence number
+
+  Scenario: The history keeps a bounded number of revisions
+    When one team's settings change 503 times
+    Then its history holds 500 revisions and as many change ids
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -171,8 +171,24 @@
         )  # fmt: skip
 
     def write_settings(self, team, settings):
-        """Write a team's settings straight into the table, before any instance."""
-        rows = {f"settings/team/{team}": json.dumps(settings)}
+        """Write a team's settings straight into the table, as a change would."""
+        found = call(self.platform, "GET", "/rows?prefix=settings/").json()
+        rows = {row["key"]: json.loads(row["value"]) for row in found}
+        changes = rows.get("settings/changes", {"sequence": 0, "recent": []})
+        sequence = changes["sequence"] + 1
+        revision = rows.get(f"settings/team/{team}", {"revision": 0})["revision"] + 1
+        subtree = {
+            "team": team, "revision": revision, "sequence": sequence,
+            "change_id": f"test-{sequence}", "author": "test",
+            "changed_at": time.time(), "content": settings,
+        }  # fmt: skip
+        recent = [*changes["recent"], {"sequence": sequence, "team": team}]
+        written = {
+            f"settings/team/{team}": subtree,
+            f"settings/history/{team}/{revision:08d}": subtree,
+            "settings/changes": {"sequence": sequence, "recent": recent[-32:]},
+        }
+        rows = {key: json.dumps(value) for key, value in written.items()}
         call(self.platform, "POST", "/rows", rows)
 
     def wait_ready(self, *names, timeout=START_TIMEOUT):
