--- a/tests/settings/steps/settings_steps.py
+++ b/tests/settings/steps/settings_steps.py
@@ -12,6 +12,7 @@
 from tests.settings import environment
 from tests.support import stage, teams
 
+OPERATOR = teams.token("fuel-desk-token")["name"]
 DESK = teams.bearer("fuel-desk-token")
 ADMIN = teams.bearer(environment.ADMIN)
 PATH = "/v1/settings/fuel-desk"
@@ -113,7 +114,7 @@
         assert (first.status, second.status) == (200, 409), answers
         told = second.json()
         assert told["title"] == "superseded" and told["outcome"] == "not_made", told
-        assert (told["revision"], told["author"]) == (revision + 1, "test"), told
+        assert (told["revision"], told["author"]) == (revision + 1, OPERATOR), told
 
 
 @given("the table loses every answer to a write")
@@ -239,7 +240,7 @@
     assert ask(context, "taraz-0", path="/v1/status",
                headers=teams.bearer("old-caller")).status == 200  # fmt: skip
     tokens = [
-        {"name": "test", "operator": True},
+        {"name": OPERATOR, "operator": True},
         {**teams.token("new-caller"), "name": "caller"},
     ]
     content = {**now["content"], "tokens": tokens, "quota": {"cpus": 130}}
@@ -327,11 +328,11 @@
 
 @when('"{team}" sets its quota to {cores:d} cores')
 def team_sets(context, team, cores):
+    context.operator = teams.token(f"{team}-token")["name"]
+    tokens = [{"name": context.operator, "operator": True}]
     body = {
         "change_id": "quota", "revision": 1,
-        "content": {
-            "quota": {"cpus": cores}, "tokens": [{"name": "test", "operator": True}],
-        },
+        "content": {"quota": {"cpus": cores}, "tokens": tokens},
     }  # fmt: skip
     context.started = time.time()
     headers = teams.bearer(f"{team}-token")
@@ -344,12 +345,11 @@
 @then("its history names both authors, times and paths")
 def names_authors(context):
     second, first = context.answer.json()["revisions"]
-    assert (first["author"], second["author"]) == ("administrator", "test")
+    assert (first["author"], second["author"]) == ("administrator", context.operator)
     assert abs(second["changed_at"] - context.started) < 5
     assert second["changed"] == [{"path": "quota.cpus", "old": None, "new": 9}]
-    assert {"path": "tokens.test.sha256", "old": None, "new": "hidden"} in first[
-        "changed"
-    ]
+    token = f"tokens.{context.operator}.sha256"
+    assert {"path": token, "old": None, "new": "hidden"} in first["changed"], first
 
 
 @given('"{name}" is cut off from the platform')
