Answer unknown wherever an earlier attempt may still take effect

Cause: asking again with a change id while the table was down was answered 'not_made', though the first attempt's write could still be on its way and took effect later: 'made though refused', found by the state machine once its scripts were biased towards late writes.

Change: every answer with status 503 is 'unknown', names what stood in the way and the change id, and is cleared up by asking again; 'not_made' stays with answers that rest on the table's content.

Ruled out: a mark by which the operator says that this is a repetition: one that is forgotten would turn an unknown into a false 'not_made'.

--- a/src/mangosail/cli/settings.py
+++ b/src/mangosail/cli/settings.py
@@ -218,7 +218,6 @@
     base = present(there, team) if revision is None else revision
     body = codec.to_json({**asked, "change_id": change_id, "revision": base}).encode()
     deadline = time.monotonic() + timeout
-    unknown = False
     while True:
         reply = attempt(there, team, body)
         if reply is not None and reply.ok:
@@ -226,13 +225,10 @@
             return
         if reply is not None and reply.status != UNAVAILABLE:
             refused(reply)
-        unknown = unknown or reply is None or reply.json()["outcome"] == "unknown"
         if time.monotonic() >= deadline:
             break
         typer.echo(f"change {change_id}: trying again", err=True)
         time.sleep(PAUSE)
-    if reply is not None and not unknown:
-        refused(reply)
     exits.leave(
         exits.UNKNOWN,
         f"unknown: ask again with --change-id {change_id} --revision {base}",
--- a/src/mangosail/front/settings.py
+++ b/src/mangosail/front/settings.py
@@ -24,8 +24,8 @@
 CHANGE_ID = re.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 #: Name under which the administrator's changes stand in the history.
 ADMINISTRATOR = "administrator"
-#: Seconds after which a change that was not made may be tried again.
-COME_BACK = 1.0
+#: Seconds after which a change that is undecided is to be asked for again.
+COME_BACK = 1
 #: Revisions that one answer lists at most, and unless asked for otherwise.
 LONGEST_HISTORY = 100
 USUAL_HISTORY = 20
@@ -191,8 +191,9 @@
         )
         found = self.administration.changes.history(team, limit)
         if isinstance(found, result.Err):
-            refuse(resp, errors.NotMade("store_unavailable"))
-            return
+            raise falcon.HTTPServiceUnavailable(
+                title="store_unavailable", retry_after=COME_BACK
+            )
         views = [view(subtree, "table") for subtree in found.ok_value]
         resp.text = codec.to_json({"team": team, "revisions": views})
 
@@ -261,8 +262,6 @@
         case errors.UnknownRevision(revision):
             refused = Refused("unknown_revision", "not_made", (), revision)
             return falcon.HTTP_NOT_FOUND, refused
-        case errors.NotMade(reason):
-            return falcon.HTTP_SERVICE_UNAVAILABLE, Refused(reason, "not_made")
-        case errors.Undecided(change_id):
-            refused = Refused("undecided", "unknown", change_id=change_id)
+        case errors.Undecided(change_id, reason):
+            refused = Refused(reason, "unknown", change_id=change_id)
             return falcon.HTTP_SERVICE_UNAVAILABLE, refused
--- a/src/mangosail/settings/changes.py
+++ b/src/mangosail/settings/changes.py
@@ -78,12 +78,11 @@
     ) -> result.Result[messages.Accepted, errors.ChangeError]:
         """Make `change`; accepted means that it stands."""
         deadline = self.clock.monotonic() + CHANGE_TERM
-        uncertain = False
-        reason = "contended"
+        reason, lost = "contended", False
         while self.clock.monotonic() < deadline:
             present = self._read(team, change)
             if isinstance(present, result.Err):
-                return self._unanswered(change, uncertain, "store_unavailable")
+                return self._undecided(change, "store_unavailable", lost)
             done = self._already(team, change, present.ok_value)
             if done is not None:
                 return done
@@ -101,17 +100,17 @@
             if isinstance(committed, result.Ok):
                 return self._accept(planned.ok_value, present.ok_value)
             if isinstance(committed.err_value, platform_errors.Unavailable):
-                return self._unanswered(change, uncertain, "store_unavailable")
+                return self._undecided(change, "store_unavailable", lost)
             # An answer that was lost is cleared up by trying again: the checks
             # on the subtree and on the change id let only one of them through.
             if isinstance(committed.err_value, platform_errors.Uncertain):
                 self.counters.count("settings.retry.answer_lost")
-                uncertain = True
+                lost = True
             else:
                 self.counters.count("settings.retry.raced")
             reason = "contended"
             self.clock.sleep(self.random.uniform(0, LONGEST_PAUSE))
-        return self._unanswered(change, uncertain, reason)
+        return self._undecided(change, reason, lost)
 
     def preview(
         self, team: str, change: messages.Change, author: str
@@ -119,7 +118,7 @@
         """Return what `change` would do, without making it."""
         present = self._read(team, change)
         if isinstance(present, result.Err):
-            return self._unanswered(change, False, "store_unavailable")
+            return self._undecided(change, "store_unavailable")
         planned = self._plan(team, change, author, present.ok_value)
         if isinstance(planned, result.Err):
             return planned
@@ -313,14 +312,13 @@
             self.in_force.apply(subtree)
         return result.Ok(accepted(subtree, present))
 
-    def _unanswered(
-        self, change: messages.Change, uncertain: bool, reason: str
+    def _undecided(
+        self, change: messages.Change, reason: str, lost: bool = False
     ) -> result.Result[messages.Accepted, errors.ChangeError]:
-        if uncertain:
-            self.counters.count("settings.unknown.answer_lost")
-            return result.Err(errors.Undecided(change.change_id))
-        self.counters.count(f"settings.refused.{reason}")
-        return result.Err(errors.NotMade(reason))
+        if lost:
+            reason = "undecided"
+        self.counters.count(f"settings.unknown.{reason}")
+        return result.Err(errors.Undecided(change.change_id, reason))
 
 
 def accepted(subtree: messages.Subtree, present: Present) -> messages.Accepted:
--- a/src/mangosail/settings/errors.py
+++ b/src/mangosail/settings/errors.py
@@ -46,21 +46,18 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotMade:
-    """The table took no change; this one certainly has no effect."""
-
-    reason: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecided:
-    """The change may or may not stand; asking again with its id clears it up."""
+    """The change may or may not stand; asking again with its id clears it up.
+
+    That holds also where the table took nothing this time: the same change may
+    have been asked for before, and that write may still be on its way.
+    """
 
     change_id: str
+    #: ``undecided`` if an answer was lost this time, else what stood in the way.
+    reason: str
 
 
 #: Everything that a change can fail with.
-ChangeError = (
-    BadSettings | Superseded | ChangeIdConflict | UnknownRevision | NotMade | Undecided
-)
+ChangeError = BadSettings | Superseded | ChangeIdConflict | UnknownRevision | Undecided
--- a/tests/settings/steps/machine_steps.py
+++ b/tests/settings/steps/machine_steps.py
@@ -2,10 +2,11 @@
 from behave import given, then, when
 from hypothesis import stateful
 from tests.settings import fakes, machine
+from tests.support import teams
 
 from mangosail import codec
 from mangosail.platform import table as tables
-from mangosail.settings import changes, messages, state
+from mangosail.settings import changes, errors, messages, process, state
 from mangosail.telemetry import counters
 
 
@@ -122,3 +123,56 @@
     for prefix in ("settings/history/", "settings/change/"):
         kept = [key for key in context.store.rows if key.startswith(prefix)]
         assert len(kept) == count, (prefix, len(kept))
+
+
+def try_change(context, in_force, revision, cores):
+    asked = messages.Change(f"t{cores}", revision, {"quota": {"cpus": cores}})
+    clock = fakes.Clock()
+    made = changes.Changes(context.store, in_force, clock, in_force.counters)
+    return made.change("team-0", asked, "test")
+
+
+@when("it is put back to before a change, and an operator changes what it shows")
+def put_back_and_change(context):
+    backup = dict(context.store.rows)
+    try_change(context, context.held, 1, 50.0).unwrap()
+    context.store.rows = backup
+    context.answer = try_change(context, context.held, 1, 60.0)
+
+
+@then('the operator is told to ask again, for "{reason}"')
+def refused(context, reason):
+    assert context.answer.unwrap_err() == errors.Undecided("t60.0", reason)
+
+
+@then("the lost change is written back, and can then be built on")
+def written_back(context):
+    for _ in range(100):
+        context.held.refresh().unwrap()
+    found = state.read_teams(context.store, ["team-0"]).ok_value["team-0"]
+    assert found.content == {"quota": {"cpus": 50.0}}, found
+    assert try_change(context, context.held, found.revision, 70.0).is_ok()
+
+
+@then(
+    "each of {desk:d} and {plegadora:d} process settings is whole, with an address "
+    "of its own"
+)
+def examples(context, desk, plegadora):
+    for user, count in (("fuel-desk", desk), ("plegadora", plegadora)):
+        found = [
+            dict(
+                line.removeprefix("MANGOSAIL_").split("=", 1)
+                for line in path.read_text().splitlines()
+                if not line.startswith("#")
+            )
+            for path in sorted((teams.EXAMPLES / user).glob("*.env"))
+        ]
+        checked = [
+            process.ProcessSettings(**{k.lower(): v for k, v in entry.items()})
+            for entry in found
+        ]
+        addresses = {s.http_address for s in checked} | {
+            s.peer_address for s in checked
+        }
+        assert len(found) == count and len(addresses) == 2 * count, (user, addresses)
