Leave the empty root out of differences

Cause: the first change of a team listed a path '' with the old value {}. Change: the root is no path; the history scenario now compares the whole list.

--- a/src/mangosail/settings/differences.py
+++ b/src/mangosail/settings/differences.py
@@ -44,7 +44,7 @@
 def _leaves(path: str, value: t.Any) -> cabc.Iterator[tuple[str, t.Any]]:
     if path == "tokens" and isinstance(value, list):
         value = {entry["name"]: entry for entry in value}
-    if not isinstance(value, dict) or not value:
+    if not isinstance(value, dict) or (path and not value):
         yield path, value
         return
     for name, inner in value.items():
--- a/tests/settings/steps/settings_steps.py
+++ b/tests/settings/steps/settings_steps.py
@@ -348,8 +348,12 @@
     assert (first["author"], second["author"]) == ("administrator", context.operator)
     assert abs(second["changed_at"] - context.started) < 5
     assert second["changed"] == [{"path": "quota.cpus", "old": None, "new": 9}]
-    token = f"tokens.{context.operator}.sha256"
-    assert {"path": token, "old": None, "new": "hidden"} in first["changed"], first
+    token = f"tokens.{context.operator}"
+    assert {d["path"]: d["new"] for d in first["changed"]} == {
+        f"{token}.name": context.operator,
+        f"{token}.operator": True,
+        f"{token}.sha256": "hidden",
+    }, first
 
 
 @given('"{name}" is cut off from the platform')
