Write lost changes back though the peer furthest on is gone

Cause: an instance left the writing back to any peer it had ever heard to be further on. If that peer was gone, or its own latest change had come before earlier ones, nobody wrote back and every change was held off as table_behind.

Change: only peers reachable now are left to; the own sequence number decides.

--- a/src/mangosail/settings/spread.py
+++ b/src/mangosail/settings/spread.py
@@ -68,8 +68,8 @@
             for peer in self.peers.reachable()
             if peer.state is not None
         )
-        if ahead:
-            self.in_force.heard = max(self.in_force.heard, -ahead[0][0])
+        # Of peers reachable now only: one that is gone writes nothing back.
+        self.in_force.heard = -ahead[0][0] if ahead else 0
         for negative, _, peer in ahead[:PEERS_ASKED]:
             if -negative <= self.in_force.sequence:
                 return
--- a/src/mangosail/settings/state.py
+++ b/src/mangosail/settings/state.py
@@ -89,7 +89,7 @@
         self.sequence = 0
         #: The latest change that is in force here; earlier ones may be missing.
         self.highest = 0
-        #: The latest change that any peer said to have in force.
+        #: The latest change that a reachable peer says to have in force.
         self.heard = 0
         #: Monotonic time of the last read that the table answered.
         self.read_at: float | None = None
@@ -211,11 +211,11 @@
         The table was put back to an earlier state, or we were told of a change
         by a peer between its commit and our read. Accepted changes must not
         revert, and only the instances still hold them. The check on the row of
-        changes lets one instance win; the others see its higher number. One
-        that knows a peer to be further on leaves it to that peer.
+        changes lets one instance win; the others see its higher number. While
+        a reachable peer is further on, it is left to that peer.
         """
         self.counters.count("settings.table_behind")
-        if self.sequence < max(self.heard, self.highest):
+        if self.sequence < self.heard:
             return result.Ok(None)
         if self.random.random() >= RESTORE_CHANCE:
             return result.Ok(None)
--- a/tests/settings/machine.feature
+++ b/tests/settings/machine.feature
@@ -38,5 +38,16 @@
     Then the operator is told to ask again, for "table_behind"
     And the lost change is written back, and can then be built on
 
+  Scenario: A lost change is written back though the peer furthest on is gone
+    The table is put back; a peer that is further on than all is heard of, and
+    leaves it to that peer, but the peer dies before it writes back. The operator
+    would be told "table_behind" for good if the others went on waiting for it.
+    Given 2 teams' settings in a table
+    And a peer that says to be further on but can't be asked
+    When it is put back to before a change, and the instance looks 100 times
+    Then the table still lacks the change
+    When that peer is gone and the instance looks 100 times
+    Then the lost change is written back, and can then be built on
+
   Scenario: The example files of both users start instances
     Then each of 8 and 9 process settings is whole, with an address of its own
--- a/tests/settings/steps/machine_steps.py
+++ b/tests/settings/steps/machine_steps.py
@@ -1,4 +1,7 @@
+import types
+
 import hypothesis
+import result
 from behave import given, then, when
 from hypothesis import stateful
 from tests.settings import fakes, machine
@@ -6,7 +9,7 @@
 
 from mangosail import codec
 from mangosail.platform import table as tables
-from mangosail.settings import changes, errors, messages, process, state
+from mangosail.settings import changes, errors, messages, process, spread, state
 from mangosail.telemetry import counters
 
 
@@ -154,6 +157,48 @@
     assert try_change(context, context.held, found.revision, 70.0).is_ok()
 
 
+@given("a peer that says to be further on but can't be asked")
+def peer_ahead(context):
+    peer = types.SimpleNamespace(
+        state=types.SimpleNamespace(settings_sequence=99),
+        listed=types.SimpleNamespace(name="taraz-0"),
+        channel=types.SimpleNamespace(
+            settings_since=lambda *_: result.Err("unavailable")
+        ),
+    )
+    context.peers = [peer]
+    reachable = types.SimpleNamespace(reachable=lambda: context.peers)
+    context.spread = spread.Spread(
+        context.held, reachable, "shymkent", context.held.counters
+    )
+
+
+@when("it is put back to before a change, and the instance looks {count:d} times")
+def put_back_and_look(context, count):
+    backup = dict(context.store.rows)
+    try_change(context, context.held, 1, 50.0).unwrap()
+    context.store.rows = backup
+    look_and_learn(context, count)
+
+
+def look_and_learn(context, count):
+    for _ in range(count):
+        context.spread.learn()
+        context.held.refresh().unwrap()
+
+
+@then("the table still lacks the change")
+def still_lacks(context):
+    found = state.read_teams(context.store, ["team-0"]).ok_value["team-0"]
+    assert found.revision == 1, found
+
+
+@when("that peer is gone and the instance looks {count:d} times")
+def peer_gone(context, count):
+    context.peers = []
+    look_and_learn(context, count)
+
+
 @then(
     "each of {desk:d} and {plegadora:d} process settings is whole, with an address "
     "of its own"
