--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -94,6 +94,7 @@
         log.info("peer found", peer=peer.listed.name)
         while not peer.dropped:
             sent_at = self.clock.monotonic()
+            self.counters.count("membership.heartbeat_sent")
             answer = peer.channel.heartbeat(self.describe(), HEARTBEAT_TIMEOUT)
             if isinstance(answer, result.Ok):
                 peer.state = answer.ok_value
