Keep every worker within its capacity whoever thinks he owns it

Cause: an instance whose lease lapsed refused everything, also in an outage that nobody else could use; one whose session was ended never joined again; a claim whose answer was lost left the worker unused; a taker took all of a worker that an earlier owner might still use; monitors of lost workers never ended.

Change: at the lapse an owner keeps half of what durable work did not take, for quotes only; the taker computes a bound of it from the worker's own list, writes it into the owner row and uses it only once the earlier run is gone and the row says so. Starts carry whether they are idempotent and until when they may begin; the taker fences the worker before it rebuilds the ledger. Owner rows are read only when an epoch row has moved. The server for peers is kept.

Found by the state machine on the way: one sum of promises and of earlier quotes is too small when one owner's excess meets another's unused promise (taken for each now), and a run that is gone can leave quotes begun since the last list.

--- a/src/mangosail/dispatch/messages.py
+++ b/src/mangosail/dispatch/messages.py
@@ -38,6 +38,11 @@
     body: t.Any = None
     #: Name of the object that holds the state to resume from.
     checkpoint: str = ""
+    #: Whether it may run twice. A worker that knows fences by generation only
+    #: what is not: an earlier owner may go on with quotes on what it kept.
+    idempotent: bool = False
+    #: Wall time after which a worker that knows must not begin it; 0 is never.
+    start_deadline: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +60,9 @@
     progress: float = 0.0
     answer: t.Any = None
     reason: str = ""
+    #: From the task's start: who ordered it, and whether it may run twice.
+    owner_generation: int = 0
+    idempotent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/dispatch/monitor.py
+++ b/src/mangosail/dispatch/monitor.py
@@ -50,6 +50,10 @@
         """Fetch one snapshot and hand it to the listeners."""
         wait = POLL_WAIT if self.version >= 0 else 0.0
         answer = self.connection.snapshot(self.version, wait)
+        if self.stopped:
+            # The worker was lost, and perhaps taken again under another
+            # monitor, while this poll waited: its news are too old by now.
+            return
         if isinstance(answer, result.Err):
             self.counters.count("dispatch.snapshot_failed")
             self.clock.sleep(RETRY_INTERVAL)
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -70,16 +70,15 @@
     def _candidates(
         self, request: messages.ServiceRequest
     ) -> list[workers.OwnedWorker]:
-        if not self.lease.valid():
-            return []
-        return self.owned.fitting(request.declared.needs.as_resources())
+        needs = request.declared.needs.as_resources()
+        return self.owned.fitting(needs, durable=False)
 
     def _run(
         self, request: messages.ServiceRequest, owned: workers.OwnedWorker
     ) -> result.Result[dispatch_messages.Report, dispatch_errors.DispatchError]:
         task_id = f"{request.team}/{request.request_id}"
         needs = request.declared.needs.as_resources()
-        if not owned.ledger.reserve(task_id, needs):
+        if not owned.ledger.reserve(task_id, needs, durable=False):
             return result.Err(dispatch_errors.NotSent("reserved"))
         left = request.deadline - self.clock.monotonic()
         start = dispatch_messages.Start(
@@ -91,6 +90,8 @@
             kind=request.kind,
             needs=needs,
             body=request.body,
+            idempotent=True,
+            start_deadline=self.lease.start_deadline(),
         )
         try:
             return owned.target.run(start, request.deadline)
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -20,9 +20,10 @@
 from mangosail.membership import peers as membership
 from mangosail.membership import rpc
 from mangosail.ownership import messages as ownership_messages
-from mangosail.ownership import owners, session, sightings
+from mangosail.ownership import owners, session, sightings, takeover
 from mangosail.placement import choice, workers
 from mangosail.platform import batching, inventory
+from mangosail.platform import errors as platform_errors
 from mangosail.platform import http as platform_http
 from mangosail.settings import process, state
 from mangosail.telemetry import counters as telemetry
@@ -49,6 +50,7 @@
         self.inventory = platform_http.HttpInventory(caller)
         self.listing = inventory.Listing()
         self.workers = workers.Workers()
+        self.monitors: dict[str, monitor.Monitor] = {}
         self.chooser = choice.LeastLoaded(settings.seed or random.getrandbits(32))
         self.lease = session.Session(self.table, self.clock, self._session_row())
         self.owners = owners.Owners(
@@ -56,7 +58,9 @@
             self.lease,
             sightings.Sightings(self.clock, self.lease.term),
             self.workers,
-            self._adopt,
+            self,
+            (self,),
+            self.clock,
             self.counters,
         )
         self.settings = state.Settings(self.table, self.clock, self.counters)
@@ -104,6 +108,7 @@
 
     def run(self) -> None:
         """Serve until the process is stopped."""
+        # Dropped, the server would be collected and would stop listening.
         peer_server = rpc.serve(self, self.process.peer_address)
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
@@ -200,6 +205,7 @@
             "running_work": len(list(self.runner.ctx.registry)),
             "settings_age": None if read_at is None else now - read_at,
             "lease_left": self.lease.deadline - now,
+            "lease_holds": self.lease.valid(),
             "workers": [
                 {
                     "name": owned.name,
@@ -207,6 +213,8 @@
                     "used": owned.ledger.used,
                     "capacity": owned.ledger.capacity,
                     "health": health_of(owned),
+                    "withheld": owned.ledger.withheld(),
+                    "kept": owned.ledger.kept,
                 }
                 for owned in self.workers
             ],
@@ -222,17 +230,11 @@
         owned.usage = snapshot.usage
         owned.leaving = owned.leaving or snapshot.leaving
         if not owned.ready:
-            running = {
-                report.task_id: report.needs
-                for report in snapshot.tasks
-                if report.state is dispatch_messages.TaskState.RUNNING
-            }
-            owned.ledger.rebuild(running)
+            owned.ledger.rebuild(takeover.running(snapshot), owned.generation)
             owned.ready = True
+        owned.ledger.follow(takeover.running(snapshot), owned.generation)
         self.invariants.check(
-            owned.ledger.used.fits_in(owned.worker.capacity),
-            "ledger_within_capacity",
-            worker=worker,
+            owned.ledger.within_capacity(), "ledger_within_capacity", worker=worker
         )
 
     def _session_row(self) -> ownership_messages.SessionRow:
@@ -244,19 +246,16 @@
             0.0,
         )
 
-    def _adopt(self, worker: inventory.Worker, generation: int) -> workers.OwnedWorker:
+    def adopt(self, worker: inventory.Worker, generation: int) -> workers.OwnedWorker:
+        """Return the handle of a worker that was taken."""
         target = dispatch_http.HttpTarget(
             worker.address, worker.capacity.connections, self.clock
         )
-        owned = workers.OwnedWorker(worker, generation, target)
+        owned = workers.OwnedWorker(worker, generation, target, self.lease.valid)
         # Control exchanges share the worker's connections with requests.
         owned.ledger.capacity -= resources.Resources(
             connections=dispatch_http.CONTROL_CONNECTIONS
         )
-        follower = monitor.Monitor(
-            worker.name, target, (self, self.runner), self.clock, self.counters
-        )
-        gevent.spawn(follower.follow)
         return owned
 
     def _gone(self, worker: str) -> bool:
@@ -266,14 +265,48 @@
             for listed in self.listing.workers
         )
 
+    def look_at(self, worker: inventory.Worker) -> dispatch_messages.Snapshot | None:
+        """Return what a worker that is not owned says, or None if it is silent."""
+        target = dispatch_http.HttpTarget(
+            worker.address, worker.capacity.connections, self.clock
+        )
+        return target.snapshot(-1, 0.0).ok()
+
+    def on_taken(self, owned: workers.OwnedWorker) -> None:
+        """Follow a worker that was taken, once earlier owners are fenced off."""
+        follower = monitor.Monitor(
+            owned.name, owned.target, (self, self.runner), self.clock, self.counters
+        )
+        self.monitors[owned.name] = follower
+        gevent.spawn(self._follow, owned, follower)
+
+    def on_lost(self, owned: workers.OwnedWorker) -> None:
+        """Stop following a worker that was lost, or given up."""
+        follower = self.monitors.pop(owned.name, None)
+        if follower is not None:
+            follower.stopped = True
+
+    def _follow(self, owned: workers.OwnedWorker, follower: monitor.Monitor) -> None:
+        if takeover.fence(owned, self.clock, self.counters):
+            follower.follow()
+
     def _renew(self) -> None:
-        self.lease.renew()
+        renewed = self.lease.renew()
+        if isinstance(renewed, result.Err) and isinstance(
+            renewed.err_value, platform_errors.Conflict
+        ):
+            self.owners.give_up_all()
 
     def _refresh(self) -> None:
         listing = self.inventory.fetch()
         if isinstance(listing, result.Ok):
             self.listing = listing.ok_value
             self.peers.update(self.listing.instances)
+            self.owners.absences.see(
+                entry.name
+                for entry in self.listing.instances
+                if entry.standing is not inventory.Standing.GONE
+            )
         self.settings.refresh()
         own = [
             worker
--- a/src/mangosail/ownership/messages.py
+++ b/src/mangosail/ownership/messages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from mangosail import resources
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionRow:
@@ -19,6 +21,19 @@
     lease_deadline: float
     #: True once somebody found the lease lapsed, or the instance left.
     ended: bool = False
+    #: True once the holder itself stopped using all that it held.
+    released: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retention:
+    """The most that an earlier owner may still use of a worker, for quotes."""
+
+    instance: str
+    incarnation: str
+    #: Generation under which it owned the worker, and still starts its quotes.
+    generation: int
+    budget: resources.Resources
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +44,12 @@
     instance: str
     incarnation: str
     generation: int
+    #: Earlier owners that have not released the worker and may still live.
+    retained: tuple[Retention, ...] = ()
+
+    def promised(self) -> dict[int, resources.Resources]:
+        """Return the most that each earlier owner may still use, by generation."""
+        return {held.generation: held.budget for held in self.retained}
 
 
 def session_key(data_centre: str, instance: str) -> str:
@@ -39,3 +60,8 @@
 def owner_key(data_centre: str, worker: str) -> str:
     """Return the key of a worker's owner."""
     return f"owner/{data_centre}/{worker}"
+
+
+def epoch_key(data_centre: str) -> str:
+    """Return the key of the row that each change of an owner row rewrites."""
+    return f"owner-epoch/{data_centre}"
--- a/src/mangosail/ownership/owners.py
+++ b/src/mangosail/ownership/owners.py
@@ -1,21 +1,85 @@
 """Taking workers into ownership and giving them up."""
 
 import collections.abc as cabc
+import dataclasses
 import typing as t
 
+import gevent
 import logbook
 import result
 
-from mangosail import codec
-from mangosail.ownership import messages, session, shares, sightings
+from mangosail import clock as clocks
+from mangosail import codec, resources
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.ownership import messages, session, shares, sightings, takeover
 from mangosail.placement import workers as placed
 from mangosail.platform import errors, inventory, table
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("ownership")
 
-#: Makes the handle of a worker that was taken, from it and its generation.
-Adopt = t.Callable[[inventory.Worker, int], placed.OwnedWorker]
+#: Seconds that work in flight may take before a worker is handed over anyway.
+HANDOVER_WAIT = 5.0
+#: Seconds for which an instance that the platform never listed must be absent
+#: from its list until it counts as gone; the list lags.
+ABSENCE_TERM = 30.0
+#: Seconds between looks at whether the quotes in flight have ended.
+POLL_INTERVAL = 0.02
+
+
+class Listener(t.Protocol):
+    """Told of workers that come and go."""
+
+    def on_taken(self, owned: placed.OwnedWorker) -> None:
+        """Begin to follow a worker that was taken; its ledger is not ready yet."""
+
+    def on_lost(self, owned: placed.OwnedWorker) -> None:
+        """Stop following a worker that was lost, or given up."""
+
+
+class Workbench(t.Protocol):
+    """Makes what is needed to speak to a worker."""
+
+    def adopt(self, worker: inventory.Worker, generation: int) -> placed.OwnedWorker:
+        """Return the handle of a worker that was taken."""
+
+    def look_at(self, worker: inventory.Worker) -> dispatch_messages.Snapshot | None:
+        """Return what a worker that is not owned says, or None if it is silent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """An owner row as it was read."""
+
+    row: messages.OwnerRow
+    version: int
+
+
+class Absences:
+    """Since when instances have been absent from the platform's list."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.present: set[str] = set()
+        self.ever_listed: set[str] = set()
+        #: Monotonic time from which an absent instance counts as gone.
+        self.gone_from: dict[str, float] = {}
+
+    def see(self, listed: cabc.Iterable[str]) -> None:
+        """Take in the names of a list that was just fetched."""
+        self.present = set(listed)
+        self.ever_listed |= self.present
+        for name in self.present:
+            self.gone_from.pop(name, None)
+
+    def gone(self, name: str) -> bool:
+        """Tell whether the platform no longer lists the instance `name`."""
+        if not self.present or name in self.present:
+            return False
+        if name in self.ever_listed:
+            return True
+        now = self.clock.monotonic()
+        return now >= self.gone_from.setdefault(name, now + ABSENCE_TERM)
 
 
 class Owners:
@@ -27,122 +91,283 @@
         lease: session.Session,
         seen: sightings.Sightings,
         owned: placed.Workers,
-        adopt: Adopt,
+        bench: Workbench,
+        listeners: cabc.Sequence[Listener],
+        clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
         self.rows = rows
         self.lease = lease
         self.seen = seen
         self.owned = owned
-        self.adopt = adopt
+        self.bench = bench
+        self.listeners = listeners
+        self.clock = clock
         self.counters = counters
-        self.by_worker: dict[str, messages.OwnerRow] = {}
+        self.absences = Absences(clock)
+        self.by_worker: dict[str, Known] = {}
+        #: Version of the epoch row at which `by_worker` was read.
+        self.epoch: int | None = None
+        #: True once a planned stop began: nothing is taken any more.
+        self.releasing = False
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre whose workers this instance may own."""
+        return self.lease.row.data_centre
 
     def refresh(
         self, listed: cabc.Sequence[inventory.Worker]
     ) -> result.Result[None, errors.Unavailable]:
-        """Read sessions and owners, end lapsed sessions, take what is ours to take."""
-        data_centre = self.lease.row.data_centre
-        sessions = table.scan_all(self.rows, f"session/{data_centre}/")
+        """Read sessions and owners, end lapsed sessions, take what is ours to take.
+
+        Owner rows are read before the sessions: a run that owns something has
+        registered before, so a session that names another run is a later one.
+        """
+        found = self._read_owners()
+        if isinstance(found, result.Err):
+            return found
+        sessions = table.scan_all(self.rows, f"session/{self.data_centre}/")
         if isinstance(sessions, result.Err):
             return sessions
         self.seen.see(sessions.ok_value)
         for lapsed in self.seen.lapsed():
             self._end(lapsed)
-        found = table.scan_all(self.rows, f"owner/{data_centre}/")
+        self._drop_lost()
+        if not self.lease.valid() or self.releasing:
+            return result.Ok(None)
+        self._settle_retained()
+        self._take(listed)
+        return result.Ok(None)
+
+    def give_up_all(self) -> None:
+        """Stop using every worker, after the lease was taken away for good.
+
+        Waits for the quotes in flight: only then may a new run be registered,
+        because peers take that as the release of all that this one kept.
+        """
+        self.counters.count("ownership.session_lost")
+        log.warning("session lost")
+        given_up = list(self.owned)
+        for owned in given_up:
+            self._drop(owned, "ownership.lost")
+        self._await_quotes(given_up, self.clock.monotonic() + HANDOVER_WAIT)
+        self.lease.restart()
+
+    def release_all(self, deadline: float) -> result.Result[None, errors.CommitError]:
+        """Hand every worker over for a planned stop, so that peers take at once.
+
+        Nothing new is started from the call on. Waits until the monotonic
+        `deadline` for quotes in flight; durable work goes on where it runs.
+        """
+        self.releasing = True
+        given_up = list(self.owned)
+        for owned in given_up:
+            owned.handover_deadline = deadline
+        self._await_quotes(given_up, deadline)
+        for owned in given_up:
+            self._drop(owned, "ownership.handed_over")
+        closed = self.lease.release()
+        if isinstance(closed, result.Ok):
+            log.info("session released", workers=len(given_up))
+        return closed
+
+    def _await_quotes(
+        self, given_up: cabc.Sequence[placed.OwnedWorker], deadline: float
+    ) -> None:
+        while any(owned.ledger.idempotent for owned in given_up):
+            if self.clock.monotonic() >= deadline:
+                self.counters.count("ownership.quotes_outlast_handover")
+                return
+            self.clock.sleep(POLL_INTERVAL)
+
+    def _read_owners(self) -> result.Result[None, errors.Unavailable]:
+        """Read the owner rows if any of them changed since the last time."""
+        key = messages.epoch_key(self.data_centre)
+        epochs = self.rows.read([key])
+        if isinstance(epochs, result.Err):
+            return epochs
+        epoch = epochs.ok_value.get(key)
+        version = epoch.version if epoch else table.ABSENT
+        if version == self.epoch:
+            return result.Ok(None)
+        found = table.scan_all(self.rows, f"owner/{self.data_centre}/")
         if isinstance(found, result.Err):
             return found
-        versions = {row.key: row.version for row in found.ok_value}
-        self.by_worker = {
-            owner.worker: owner
-            for owner in (
-                codec.from_json(row.value, messages.OwnerRow) for row in found.ok_value
-            )
-        }
-        self._drop_lost()
-        self._take(listed, versions)
+        self.by_worker = {}
+        for row in found.ok_value:
+            owner = codec.from_json(row.value, messages.OwnerRow)
+            self.by_worker[owner.worker] = Known(owner, row.version)
+        self.epoch = version
         return result.Ok(None)
 
     def _end(self, lapsed: sightings.Sighting) -> None:
         """Mark a lapsed session ended, so that its holder can't renew it."""
-        row = lapsed.row
-        ended = messages.SessionRow(
-            row.instance,
-            row.incarnation,
-            row.data_centre,
-            row.peer_address,
-            row.lease_deadline,
-            ended=True,
-        )
-        key = messages.session_key(row.data_centre, row.instance)
+        ended = dataclasses.replace(lapsed.row, ended=True)
+        key = messages.session_key(ended.data_centre, ended.instance)
         transaction = table.Transaction(
             checks=(table.Check(key, lapsed.version),),
             writes=(table.Write(key, codec.to_json(ended)),),
         )
         if isinstance(self.rows.commit(transaction), result.Ok):
             self.counters.count("ownership.session_ended")
-            log.info("session ended", other=row.instance)
+            log.info("session ended", other=ended.instance)
 
     def _drop_lost(self) -> None:
         for owned in self.owned:
-            owner = self.by_worker.get(owned.name)
-            if owner is None or owner.generation != owned.generation:
-                self.owned.remove(owned.name)
-                self.counters.count("ownership.lost")
-                log.warning("worker lost", worker=owned.name)
-
-    def _take(
-        self, listed: cabc.Sequence[inventory.Worker], versions: dict[str, int]
-    ) -> None:
+            known = self.by_worker.get(owned.name)
+            if known is None or known.row.generation != owned.generation:
+                self._drop(owned, "ownership.lost")
+
+    def _drop(self, owned: placed.OwnedWorker, reason: str) -> None:
+        owned.ledger.closed = True
+        self.owned.remove(owned.name)
+        for listener in self.listeners:
+            listener.on_lost(owned)
+        self.counters.count(reason)
+        log.info("worker given up", worker=owned.name, why=reason)
+
+    def _settle_retained(self) -> None:
+        """Use again what earlier owners kept, once they are known to be gone.
+
+        The row is written first: were this instance to lapse in between, the
+        next taker must not compute its share from a larger promise than it
+        used.
+        """
+        for owned in self.owned:
+            known = self.by_worker.get(owned.name)
+            if known is None:
+                continue
+            left = self._still_retained(known.row)
+            if left == known.row.retained:
+                owned.ledger.promised = known.row.promised()
+                continue
+            snapshot = self.bench.look_at(owned.worker)
+            if snapshot is None:
+                continue
+            # A run that is gone can have left quotes that are still running,
+            # begun since the last list; they must be seen before its promise
+            # ends, or their room would be given twice.
+            owned.ledger.follow(takeover.running(snapshot), owned.generation)
+            row = dataclasses.replace(known.row, retained=left)
+            if isinstance(self._write(row, known), result.Ok):
+                owned.ledger.promised = row.promised()
+                self.counters.count("ownership.retention_ended")
+
+    def _still_retained(self, row: messages.OwnerRow) -> tuple[messages.Retention, ...]:
+        return tuple(
+            retention
+            for retention in row.retained
+            if not self._stopped(retention.instance, retention.incarnation)
+        )
+
+    def _stopped(self, instance: str, incarnation: str) -> bool:
+        """Tell whether this run certainly starts nothing any more."""
+        if self.seen.replaced(instance, incarnation):
+            return True
+        return self.absences.gone(instance)
+
+    def _take(self, listed: cabc.Sequence[inventory.Worker]) -> None:
+        own_name = self.lease.row.instance
         live = [row.instance for row in self.seen.live()]
-        if self.lease.row.instance not in live:
+        if own_name not in live:
             return
         assigned = shares.assign([worker.name for worker in listed], live)
+        claims = []
         for worker in listed:
-            owner = self.by_worker.get(worker.name)
-            key = messages.owner_key(worker.data_centre, worker.name)
-            version = versions.get(key, table.ABSENT)
-            if assigned[worker.name] != self.lease.row.instance:
-                self._hand_over(worker, version)
-            elif owner is None or not self.seen.holds(
-                owner.instance, owner.incarnation
-            ):
-                self._claim(worker, owner, version)
-
-    def _hand_over(self, worker: inventory.Worker, version: int) -> None:
-        """Give up a worker that is another's share, once nothing runs on it."""
+            known = self.by_worker.get(worker.name)
+            if known is not None and self._is_own(known.row):
+                self._keep(worker, known, assigned[worker.name] == own_name)
+            elif assigned[worker.name] == own_name and self._is_free(known):
+                claims.append(gevent.spawn(self._claim, worker, known))
+        gevent.joinall(claims)
+
+    def _is_own(self, row: messages.OwnerRow) -> bool:
+        own = self.lease.row
+        return (row.instance, row.incarnation) == (own.instance, own.incarnation)
+
+    def _is_free(self, known: Known | None) -> bool:
+        if known is None:
+            return True
+        return not self.seen.holds(known.row.instance, known.row.incarnation)
+
+    def _keep(self, worker: inventory.Worker, known: Known, ours: bool) -> None:
+        """Go on with a worker that is owned, or hand it over to whose share it is."""
         owned = self.owned.get(worker.name)
-        if owned is None or owned.ledger.reserved:
+        if owned is None:
+            # The answer to our claim was lost after the write had taken effect;
+            # without this nobody would ever use the worker.
+            self.counters.count("ownership.claim_recovered")
+            self._adopt(worker, known.row)
             return
-        self.owned.remove(worker.name)
-        row = messages.OwnerRow(worker.name, "", "", owned.generation)
-        key = messages.owner_key(worker.data_centre, worker.name)
-        transaction = table.Transaction(
-            checks=(table.Check(key, version),),
-            writes=(table.Write(key, codec.to_json(row)),),
-        )
-        self.rows.commit(transaction)
-        self.counters.count("ownership.handed_over")
+        if ours:
+            owned.handover_deadline = None
+            return
+        if owned.handover_deadline is None:
+            owned.handover_deadline = self.clock.monotonic() + HANDOVER_WAIT
+        over = self.clock.monotonic() >= owned.handover_deadline
+        if owned.ledger.reserved and not over:
+            return
+        if owned.ledger.idempotent:
+            # Quotes are bounded by their deadlines; they are never cut off.
+            return
+        self._drop(owned, "ownership.handed_over")
+        row = dataclasses.replace(known.row, instance="", incarnation="")
+        if isinstance(self._write(row, known), result.Err):
+            self.counters.count("ownership.handover_unwritten")
 
-    def _claim(
-        self,
-        worker: inventory.Worker,
-        previous: messages.OwnerRow | None,
-        version: int,
-    ) -> None:
-        generation = previous.generation + 1 if previous else 1
+    def _claim(self, worker: inventory.Worker, known: Known | None) -> None:
         row = messages.OwnerRow(
             worker.name,
             self.lease.row.instance,
             self.lease.row.incarnation,
-            generation,
+            known.row.generation + 1 if known else 1,
+            self._retained_after(worker, known.row) if known else (),
         )
-        key = messages.owner_key(worker.data_centre, worker.name)
+        version = Known(row, known.version if known else table.ABSENT)
+        if not self.lease.valid():
+            return
+        if isinstance(self._write(row, version), result.Ok):
+            self._adopt(worker, row)
+
+    def _retained_after(
+        self, worker: inventory.Worker, previous: messages.OwnerRow
+    ) -> tuple[messages.Retention, ...]:
+        """Return what the earlier owners may go on using after we take over."""
+        left = self._still_retained(previous)
+        if not previous.instance:
+            return left
+        if self._stopped(previous.instance, previous.incarnation):
+            return left
+        snapshot = self.bench.look_at(worker)
+        reports = takeover.running(snapshot) if snapshot else None
+        # All that the earlier row promised counts, also what has ended since:
+        # the owner may not have known that when it lapsed.
+        kept = takeover.retention_of(previous, worker.capacity, reports)
+        if kept.budget == resources.Resources():
+            return left
+        return (*left, kept)
+
+    def _write(
+        self, row: messages.OwnerRow, known: Known
+    ) -> result.Result[int, errors.CommitError]:
+        """Write an owner row over the one that was read, and move the epoch on."""
+        key = messages.owner_key(self.data_centre, row.worker)
+        epoch = messages.epoch_key(self.data_centre)
         transaction = table.Transaction(
-            checks=(table.Check(key, version),),
-            writes=(table.Write(key, codec.to_json(row)),),
+            checks=(table.Check(key, known.version),),
+            writes=(
+                table.Write(key, codec.to_json(row)),
+                table.Write(epoch, codec.to_json(row.generation)),
+            ),
         )
-        if isinstance(self.rows.commit(transaction), result.Ok):
-            self.owned.add(self.adopt(worker, generation))
-            self.counters.count("ownership.taken")
-            log.info("worker taken", worker=worker.name, generation=generation)
+        return self.rows.commit(transaction)
+
+    def _adopt(self, worker: inventory.Worker, row: messages.OwnerRow) -> None:
+        owned = self.bench.adopt(worker, row.generation)
+        owned.ledger.promised = row.promised()
+        self.owned.add(owned)
+        self.counters.count("ownership.taken")
+        log.info("worker taken", worker=worker.name, generation=row.generation)
+        for listener in self.listeners:
+            listener.on_taken(owned)
--- a/src/mangosail/ownership/session.py
+++ b/src/mangosail/ownership/session.py
@@ -1,5 +1,8 @@
 """The session of this instance: one row whose renewal keeps all its leases."""
 
+import dataclasses
+import secrets
+
 import result
 
 from mangosail import clock as clocks
@@ -34,6 +37,8 @@
         self.version: int | None = None
         #: Monotonic time at which the lease ends; 0 before the first renewal.
         self.deadline = 0.0
+        #: True after a planned stop: the row is never written again.
+        self.closed = False
 
     @property
     def key(self) -> str:
@@ -44,6 +49,25 @@
         """Tell whether the lease holds now; ask before each side effect."""
         return self.clock.monotonic() < self.deadline
 
+    def start_deadline(self) -> float:
+        """Return the wall time until which a start sent now may begin.
+
+        A process can be frozen between its check of the lease and the send;
+        the worker then refuses the start. 0 means that the lease has lapsed:
+        such a start counts against what was kept and needs no deadline.
+        """
+        left = self.deadline - self.clock.monotonic()
+        if left <= 0:
+            return 0.0
+        return self.clock.wall() + left
+
+    def restart(self) -> None:
+        """Become a new run; call only after all that was held is given up."""
+        incarnation = secrets.token_hex(8)
+        self.row = dataclasses.replace(self.row, incarnation=incarnation)
+        self.version = None
+        self.deadline = 0.0
+
     def open(self) -> result.Result[None, errors.CommitError]:
         """Write the row for the first time, over that of an earlier run."""
         found = self.rows.read([self.key])
@@ -54,6 +78,8 @@
 
     def renew(self) -> result.Result[None, errors.CommitError]:
         """Move the lease on; `Conflict` means that it was taken away for good."""
+        if self.closed:
+            return result.Ok(None)
         if self.version is None:
             return self.open()
         renewed = self._write(self.version)
@@ -63,6 +89,19 @@
             return self._settle(renewed.err_value)
         return renewed
 
+    def release(self) -> result.Result[None, errors.CommitError]:
+        """End the session for good, once nothing that it held is used any more."""
+        self.closed = True
+        self.deadline = 0.0
+        if self.version is None:
+            return result.Ok(None)
+        row = dataclasses.replace(self.row, ended=True, released=True)
+        committed = self._commit(row, self.version)
+        if isinstance(committed, result.Err):
+            return committed
+        self.version = committed.ok_value
+        return result.Ok(None)
+
     def _settle(
         self, conflict: errors.Conflict
     ) -> result.Result[None, errors.CommitError]:
@@ -84,20 +123,20 @@
 
     def _write(self, version: int) -> result.Result[None, errors.CommitError]:
         sent_at = self.clock.monotonic()
-        row = messages.SessionRow(
-            self.row.instance,
-            self.row.incarnation,
-            self.row.data_centre,
-            self.row.peer_address,
-            self.clock.wall() + self.term,
-        )
-        transaction = table.Transaction(
-            checks=(table.Check(self.key, version),),
-            writes=(table.Write(self.key, codec.to_json(row)),),
-        )
-        committed = self.rows.commit(transaction)
+        lease_deadline = self.clock.wall() + self.term
+        row = dataclasses.replace(self.row, lease_deadline=lease_deadline)
+        committed = self._commit(row, version)
         if isinstance(committed, result.Err):
             return committed
         self.version = committed.ok_value
         self.deadline = sent_at + self.term
         return result.Ok(None)
+
+    def _commit(
+        self, row: messages.SessionRow, version: int
+    ) -> result.Result[int, errors.CommitError]:
+        transaction = table.Transaction(
+            checks=(table.Check(self.key, version),),
+            writes=(table.Write(self.key, codec.to_json(row)),),
+        )
+        return self.rows.commit(transaction)
--- a/src/mangosail/ownership/sightings.py
+++ b/src/mangosail/ownership/sightings.py
@@ -59,5 +59,16 @@
             return False
         return not sighting.row.ended
 
+    def replaced(self, instance: str, incarnation: str) -> bool:
+        """Tell whether this run of `instance` has stopped for certain.
+
+        It released all it held, or a later run of the name is registered,
+        which happens only once the earlier one is dead or has given all up.
+        """
+        sighting = self.by_instance.get(instance)
+        if sighting is None:
+            return False
+        return sighting.row.incarnation != incarnation or sighting.row.released
+
     def _over(self, sighting: Sighting) -> bool:
         return sighting.row.ended or self.clock.monotonic() >= sighting.lapse_deadline
--- a/src/mangosail/placement/ledger.py
+++ b/src/mangosail/placement/ledger.py
@@ -3,52 +3,168 @@
 Everything that may run on the worker is entered before it is started and
 removed only when it certainly has ended, so the sum never understates the
 worker's load.
+
+While the owner's lease holds, it may use all of the worker but what earlier
+owners may still use. Once the lease has lapsed it keeps half of what durable
+work did not take, for idempotent quotes only; see `kept_at_lapse`.
 """
 
 import collections.abc as cabc
 
 from mangosail import resources
+from mangosail.dispatch import messages
+
+NOTHING = resources.Resources()
+
+
+def kept_at_lapse(
+    budget: resources.Resources, durable: resources.Resources
+) -> resources.Resources:
+    """Return what an owner may go on using once its lease has lapsed.
+
+    Durable work only shrinks after the lapse, so whoever computes this later
+    from the worker's own list gets at least as much as the owner keeps::
+
+        >>> kept_at_lapse(Resources(slots=8), Resources(slots=2)).slots
+        3
+    """
+    return (budget - durable).largest(NOTHING).halved()
 
 
 class Ledger:
-    """Reservations against one worker's capacity."""
+    """Reservations against one worker's capacity.
+
+    `lease_holds` tells whether the owner's lease holds now. Each method asks it
+    first, so what is kept is fixed from the durable work as it was at the
+    lapse: an owner that wakes from a freeze must not count on room that durable
+    work left meanwhile, because the next owner has counted on it as well.
+    """
 
-    def __init__(self, capacity: resources.Resources) -> None:
-        #: What this instance may use of the worker at present.
+    def __init__(
+        self,
+        capacity: resources.Resources,
+        lease_holds: cabc.Callable[[], bool] = lambda: True,
+    ) -> None:
         self.capacity = capacity
+        self.lease_holds = lease_holds
         self.reserved: dict[str, resources.Resources] = {}
-        self.used = resources.Resources()
+        self.used = NOTHING
+        #: Tasks in `reserved` that are idempotent, and their sum.
+        self.idempotent: set[str] = set()
+        self.idempotent_used = NOTHING
+        #: Tasks that were entered from the worker's own list.
+        self.listed: set[str] = set()
+        #: What each earlier owner may use, by generation, as the owner row says.
+        self.promised: dict[int, resources.Resources] = {}
+        #: What the worker says that earlier owners' quotes use, by generation.
+        self.earlier_used: dict[int, resources.Resources] = {}
+        #: What is kept since the lapse, or None while the lease holds.
+        self.kept: resources.Resources | None = None
+        #: True once ownership ended: nothing is started any more.
+        self.closed = False
 
-    def reserve(self, task_id: str, needs: resources.Resources) -> bool:
+    def reserve(
+        self, task_id: str, needs: resources.Resources, durable: bool = True
+    ) -> bool:
         """Enter `task_id` if it fits, and tell whether it did."""
-        if task_id in self.reserved:
+        free = self.free(durable)
+        if self.closed or (durable and self.kept is not None):
             return False
-        if not (self.used + needs).fits_in(self.capacity):
+        if task_id in self.reserved or not needs.fits_in(free):
             return False
-        self.enter(task_id, needs)
+        self.enter(task_id, needs, durable)
         return True
 
-    def enter(self, task_id: str, needs: resources.Resources) -> None:
+    def enter(
+        self, task_id: str, needs: resources.Resources, durable: bool = True
+    ) -> None:
         """Enter a task that runs already, whether it fits or not."""
         self.release(task_id)
         self.reserved[task_id] = needs
         self.used = self.used + needs
+        if not durable:
+            self.idempotent.add(task_id)
+            self.idempotent_used = self.idempotent_used + needs
 
     def release(self, task_id: str) -> None:
         """Remove `task_id`; nothing happens if it is not there."""
+        self._settle()
         needs = self.reserved.pop(task_id, None)
         if needs is None:
             return
+        self.listed.discard(task_id)
         self.used = self.used - needs
+        if task_id in self.idempotent:
+            self.idempotent.remove(task_id)
+            self.idempotent_used = self.idempotent_used - needs
+        # Sums of fractions drift; an empty ledger is exactly zero again.
+        if not self.idempotent:
+            self.idempotent_used = NOTHING
         if not self.reserved:
-            # Sums of fractions drift; an empty ledger is exactly zero again.
-            self.used = resources.Resources()
+            self.used = NOTHING
 
-    def free(self) -> resources.Resources:
-        """Return what is left of the capacity."""
-        return self.capacity - self.used
+    def free(self, durable: bool = True) -> resources.Resources:
+        """Return what may be started now, of durable or idempotent work."""
+        self._settle()
+        if self.closed:
+            return NOTHING
+        if self.kept is None:
+            return self.budget() - self.used
+        if durable:
+            return NOTHING
+        return self.kept - self.idempotent_used
 
-    def rebuild(self, running: cabc.Mapping[str, resources.Resources]) -> None:
+    def budget(self) -> resources.Resources:
+        """Return the capacity without what earlier owners may use."""
+        return self.capacity - self.withheld()
+
+    def withheld(self) -> resources.Resources:
+        """Return what is kept back for earlier owners.
+
+        Each can use what it was promised, and has more in flight if it lapsed
+        with more; one's excess does not fit into another's promise, so the
+        larger of the two is taken for each, not for their sums.
+        """
+        withheld = NOTHING
+        for generation in self.promised.keys() | self.earlier_used.keys():
+            promised = self.promised.get(generation, NOTHING)
+            used = self.earlier_used.get(generation, NOTHING)
+            withheld = withheld + promised.largest(used)
+        return withheld
+
+    def within_capacity(self) -> bool:
+        """Tell whether all that is reserved fits in the capacity."""
+        return self.used.fits_in(self.capacity)
+
+    def rebuild(self, running: cabc.Iterable[messages.Report], generation: int) -> None:
         """Replace all reservations by what the worker itself says it runs."""
-        self.reserved = dict(running)
-        self.used = sum(self.reserved.values(), resources.Resources())
+        self._settle()
+        for task_id in list(self.reserved):
+            self.release(task_id)
+        running = list(running)
+        for report in running:
+            if not report.idempotent:
+                self.enter(report.task_id, report.needs)
+                self.listed.add(report.task_id)
+        self.follow(running, generation)
+
+    def follow(self, running: cabc.Iterable[messages.Report], generation: int) -> None:
+        """Remove listed tasks that ended; see what earlier owners' quotes use."""
+        self._settle()
+        running = list(running)
+        for task_id in self.listed - {report.task_id for report in running}:
+            self.release(task_id)
+        used: dict[int, resources.Resources] = {}
+        for report in running:
+            earlier = report.owner_generation
+            if report.idempotent and earlier < generation:
+                used[earlier] = used.get(earlier, NOTHING) + report.needs
+        self.earlier_used = used
+
+    def _settle(self) -> None:
+        """Fix what is kept when the lease lapsed; be whole when it holds again."""
+        if self.lease_holds():
+            self.kept = None
+        elif self.kept is None:
+            durable = self.used - self.idempotent_used
+            self.kept = kept_at_lapse(self.budget(), durable)
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -13,16 +13,23 @@
     """A worker under this instance's ownership."""
 
     def __init__(
-        self, worker: inventory.Worker, generation: int, target: targets.Target
+        self,
+        worker: inventory.Worker,
+        generation: int,
+        target: targets.Target,
+        lease_holds: cabc.Callable[[], bool] = lambda: True,
     ) -> None:
         self.worker = worker
         self.generation = generation
         self.target = target
-        self.ledger = ledger.Ledger(worker.capacity)
+        self.ledger = ledger.Ledger(worker.capacity, lease_holds)
         #: False until the ledger was rebuilt from the worker's own list.
         self.ready = False
         #: True once the worker leaves: what runs goes on, nothing is added.
         self.leaving = worker.standing is not inventory.Standing.LIVE
+        #: Monotonic time at which the worker is handed over whatever still runs,
+        #: or None while it is kept.
+        self.handover_deadline: float | None = None
         #: The last usage measurement, which lags.
         self.usage = dispatch_messages.Usage()
 
@@ -33,7 +40,7 @@
 
     def accepts(self) -> bool:
         """Tell whether new work may be started here."""
-        return self.ready and not self.leaving
+        return self.ready and not self.leaving and self.handover_deadline is None
 
 
 class Workers:
@@ -57,15 +64,17 @@
         """Forget a worker that is no longer owned."""
         self.by_name.pop(name, None)
 
-    def fitting(self, needs: resources.Resources) -> list[OwnedWorker]:
+    def fitting(
+        self, needs: resources.Resources, durable: bool = True
+    ) -> list[OwnedWorker]:
         """Return the workers on which `needs` can be started now."""
         return [
             owned
             for owned in self
-            if owned.accepts() and needs.fits_in(owned.ledger.free())
+            if owned.accepts() and needs.fits_in(owned.ledger.free(durable))
         ]
 
     def free(self) -> resources.Resources:
-        """Return what is free on all workers that take new work."""
-        free = [owned.ledger.free() for owned in self if owned.accepts()]
+        """Return what is free for quotes on all workers that take new work."""
+        free = [owned.ledger.free(durable=False) for owned in self if owned.accepts()]
         return sum(free, resources.Resources())
--- a/src/mangosail/work/starts.py
+++ b/src/mangosail/work/starts.py
@@ -73,6 +73,7 @@
             needs=row.request.needs,
             body=row.request.body,
             checkpoint=row.checkpoint,
+            start_deadline=self.ctx.lease.start_deadline(),
         )
         task.in_doubt = True
         self.ctx.counters.count("work.started")
--- /dev/null
+++ b/tests/ownership/environment.py
@@ -0,0 +1,5 @@
+def after_scenario(context, scenario):
+    if "load" in context:
+        context.load.stop()
+    if "stage" in context:
+        context.stage.close()
--- /dev/null
+++ b/tests/ownership/steps/table_steps.py
@@ -0,0 +1,147 @@
+import json
+
+from behave import given, then, when
+from tests.support import tables
+
+from mangosail import resources
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.ownership import messages, owners, session, sightings
+from mangosail.placement import workers
+from mangosail.platform import inventory
+from mangosail.telemetry import counters
+
+WORKER = inventory.Worker(
+    "w", "dc", "rack", "127.0.0.1:1", resources.Resources(32, 125, 2, 8, 60)
+)
+
+
+class ManualClock:
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+    wall = monotonic
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+class Party:
+    """One instance: its owners and lease over a shared table."""
+
+    def __init__(self, name, rows, clock):
+        self.clock = clock
+        self.snapshot = dispatch_messages.Snapshot(1)
+        row = messages.SessionRow(name, f"{name}-1", "dc", "127.0.0.1:1", 0.0)
+        self.lease = session.Session(rows, clock, row)
+        self.workers = workers.Workers()
+        self.lost = []
+        self.owners = owners.Owners(
+            rows,
+            self.lease,
+            sightings.Sightings(clock, self.lease.term),
+            self.workers,
+            self,
+            (self,),
+            clock,
+            counters.StatsdCounters(None, 0),
+        )
+        self.owners.absences.see(["a", "b"])
+
+    def adopt(self, worker, generation):
+        return workers.OwnedWorker(worker, generation, None, self.lease.valid)
+
+    def look_at(self, worker):
+        return self.snapshot
+
+    def on_taken(self, owned):
+        owned.ready = True
+
+    def on_lost(self, owned):
+        self.lost.append(owned.name)
+
+    def look(self):
+        self.lease.renew()
+        self.owners.refresh([WORKER])
+        return self.workers.get("w")
+
+
+@given("two instances that share a table and one worker")
+def two(context):
+    context.rows = tables.MemoryTable()
+    context.clock = ManualClock()
+    context.a = Party("a", context.rows, context.clock)
+    context.b = Party("b", context.rows, context.clock)
+
+
+@when('"a" takes the worker and the answer is lost')
+def take_unheard(context):
+    context.a.lease.renew()
+    context.rows.lose_next = True
+    context.a.owners.refresh([WORKER])
+    assert context.a.workers.get("w") is None
+    row = json.loads(context.rows.rows["owner/dc/w"].value)
+    assert row["instance"] == "a"
+
+
+@then('"a" uses the worker at its next look')
+def uses(context):
+    assert context.a.look().generation == 1
+
+
+@when('"a" takes the worker and releases all')
+def release_all(context):
+    assert context.a.look()
+    context.a.owners.release_all(context.clock.now + 5)
+    assert context.a.workers.get("w") is None and context.a.lost == ["w"]
+
+
+@then('"b" has the whole worker at its next look')
+def whole(context):
+    owned = context.b.look()
+    assert owned.ledger.free(durable=False) == WORKER.capacity, owned.ledger.promised
+
+
+@when('"a" takes the worker and its session lapses with 2 slots of durable work')
+def lapse(context):
+    needs = resources.Resources(slots=2)
+    assert context.a.look().ledger.reserve("t", needs)
+    report = dispatch_messages.Report(
+        "t", 1, dispatch_messages.TaskState.RUNNING, needs=needs, owner_generation=1
+    )
+    context.b.snapshot = dispatch_messages.Snapshot(1, (report,))
+    context.b.look()
+    context.clock.now += 4
+    assert context.a.workers.get("w").ledger.free(durable=False).slots == 3
+
+
+@then('"b" takes it and keeps 3 slots back')
+def keeps_back(context):
+    context.b.look()
+    # The session is found lapsed in one round and its workers taken in the next.
+    assert context.b.look().ledger.withheld().slots == 3
+
+
+@when('"a" is registered again but the table fails "b" in writing')
+def registered(context):
+    context.a.lease.renew()
+    context.a.owners.give_up_all()
+    context.a.lease.renew()
+    context.commit, context.rows.commit = context.rows.commit, fail
+    context.b.owners.refresh([WORKER])
+
+
+def fail(transaction):
+    return owners.result.Err(owners.errors.Unavailable("down"))
+
+
+@then('"b" still keeps 3 slots back')
+def still(context):
+    assert context.b.workers.get("w").ledger.withheld().slots == 3
+
+
+@when("the table takes writes again")
+def writes_again(context):
+    context.rows.commit = context.commit
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,53 @@
+"""TCP relay whose path can be cut, to part one pair of processes.
+
+It runs in threads of the test itself: ``relay.cut()`` closes nothing and passes
+nothing on, as a lossy path would; new connections are accepted and go silent.
+"""
+
+import socket
+import threading
+
+
+class Relay:
+    def __init__(self, destination):
+        host, _, port = destination.rpartition(":")
+        self.destination = (host, int(port))
+        self.flowing = threading.Event()
+        self.flowing.set()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def cut(self):
+        self.flowing.clear()
+
+    def mend(self):
+        self.flowing.set()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            threading.Thread(target=self.connect, args=(near,), daemon=True).start()
+
+    def connect(self, near):
+        self.flowing.wait()
+        try:
+            far = socket.create_connection(self.destination, timeout=5)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        for source, sink in ((near, far), (far, near)):
+            threading.Thread(
+                target=self.pass_on, args=(source, sink), daemon=True
+            ).start()
+
+    def pass_on(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                self.flowing.wait()
+                sink.sendall(data)
+        except OSError:
+            pass
+        source.close()
+        sink.close()
