--- a/tests/ownership/steps/table_steps.py
+++ b/tests/ownership/steps/table_steps.py
@@ -1,7 +1,7 @@
 import json
 
 from behave import given, then, when
-from tests.support import tables
+from tests.support import fakes
 
 from mangosail import resources
 from mangosail.dispatch import messages as dispatch_messages
@@ -70,7 +70,8 @@
 
 @given("two instances that share a table and one worker")
 def two(context):
-    context.rows = tables.MemoryTable()
+    context.world = fakes.World()
+    context.rows = fakes.Table(context.world)
     context.clock = ManualClock()
     context.a = Party("a", context.rows, context.clock)
     context.b = Party("b", context.rows, context.clock)
@@ -79,10 +80,10 @@
 @when('"a" takes the worker and the answer is lost')
 def take_unheard(context):
     context.a.lease.renew()
-    context.rows.lose_next = True
+    context.world.table_fault = "lost"
     context.a.owners.refresh([WORKER])
     assert context.a.workers.get("w") is None
-    row = json.loads(context.rows.rows["owner/dc/w"].value)
+    row = json.loads(context.world.rows["owner/dc/w"].value)
     assert row["instance"] == "a"
 
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -47,6 +47,9 @@
     def valid(self):
         return self.holds
 
+    def start_deadline(self):
+        return 0.0
+
 
 class World:
     def __init__(self):
