--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -179,7 +179,9 @@
         """Cancel durable work that we hold."""
         return self.runner.cancel_for_peer(message)
 
-    def heartbeat_message(self, asks_for_peers: bool) -> peer_messages.Heartbeat:
+    def heartbeat_message(
+        self, asks_for_peers: bool = False
+    ) -> peer_messages.Heartbeat:
         """Return our state as peers are told it."""
         return peer_messages.Heartbeat(
             self.process.instance,
