End no lease for an outage of the table that held it up

Cause: during an outage no session row can move; the first instance to read afterwards found all of them unchanged for longer than the term and ended them, so that workers changed hands for nothing. Ruled out: a renewal that comes late by itself (the holder's own version still stood). Change: after a look that failed, unchanged rows are watched for a whole term again. It only delays a takeover.

--- a/src/mangosail/ownership/owners.py
+++ b/src/mangosail/ownership/owners.py
@@ -126,9 +126,11 @@
         """
         found = self._read_owners()
         if isinstance(found, result.Err):
+            self.seen.missed()
             return found
         sessions = table.scan_all(self.rows, f"session/{self.data_centre}/")
         if isinstance(sessions, result.Err):
+            self.seen.missed()
             return sessions
         self.seen.see(sessions.ok_value)
         for lapsed in self.seen.lapsed():
--- a/src/mangosail/ownership/sightings.py
+++ b/src/mangosail/ownership/sightings.py
@@ -28,6 +28,17 @@
         self.clock = clock
         self.term = term
         self.by_instance: dict[str, Sighting] = {}
+        #: True since a look failed, until the next one.
+        self.blind = False
+
+    def missed(self) -> None:
+        """Note that the rows could not be read.
+
+        While the table is out no holder can renew either. Rows that have not
+        changed meanwhile must be watched for a whole term again: else whoever
+        looks first after an outage would end everybody's lease.
+        """
+        self.blind = True
 
     def see(self, rows: cabc.Iterable[table.Row]) -> None:
         """Take in what a scan of the sessions returned."""
@@ -35,12 +46,14 @@
         for row in rows:
             session = codec.from_json(row.value, messages.SessionRow)
             known = self.by_instance.get(session.instance)
-            if known is not None and known.version == row.version:
+            unchanged = known is not None and known.version == row.version
+            if known is not None and unchanged and not self.blind:
                 seen[session.instance] = known
                 continue
             lapse = self.clock.monotonic() + self.term + RATE_MARGIN
             seen[session.instance] = Sighting(session, row.version, lapse)
         self.by_instance = seen
+        self.blind = False
 
     def live(self) -> list[messages.SessionRow]:
         """Return the sessions that have not lapsed."""
--- a/tests/ownership/ownership.feature
+++ b/tests/ownership/ownership.feature
@@ -33,6 +33,13 @@
     When the table takes writes again
     Then "b" has the whole worker at its next look
 
+  Scenario: After an outage nobody's lease is ended by who looks first
+    During the outage no row could move. The first to read after it sees rows as
+    old as the outage: ended for that, every worker would change hands for nothing.
+    Given two instances that share a table and one worker
+    When "a" takes the worker and the table fails all for longer than the lease
+    Then "b" looks first and "a" is still whole after its renewal
+
   Scenario: A killed owner's workers are taken within seconds
     Its lease runs out, the rest divide its workers. Half of each is kept back
     until the platform's list no longer has it: it might only be cut off.
@@ -77,6 +84,17 @@
     Then all leases hold within 5 seconds and no worker changed its owner
     And no worker was ever given more than it can carry
 
+  Scenario: A data centre is cut off from the platform
+    Unlike a table that refuses, the platform is silent: every call hangs until
+    its timeout. Quotes must not wait for any of them.
+    Given a stage of 3 instances and 3 workers in one data centre
+    And quotes and releases arrive at every instance
+    When every instance is cut from the platform until every lease has lapsed
+    Then quotes are answered at every instance
+    When the cut is healed
+    Then all leases hold within 8 seconds and no worker changed its owner
+    And no worker was ever given more than it can carry
+
   Scenario: Two instances of a data centre can't reach each other
     Each reaches the table and the workers, only the pair is cut. Neither may
     hold the other for dead: ownership stays, and both go on answering.
--- a/tests/ownership/steps/ownership_steps.py
+++ b/tests/ownership/steps/ownership_steps.py
@@ -262,6 +262,21 @@
     )
 
 
+@when("every instance is cut from the platform until every lease has lapsed")
+def all_cut(context):
+    context.before = owners(context)
+    context.stage.faults(cut=list(context.stage.instances))
+    stage.wait_until(
+        lambda: (
+            not any(
+                status(context, name)["lease_holds"] for name in context.stage.instances
+            )
+        ),
+        10,
+        "every lease lapsed",
+    )
+
+
 @then("quotes are answered at every instance")
 def all_answer(context):
     started = time.monotonic()
--- a/tests/ownership/steps/table_steps.py
+++ b/tests/ownership/steps/table_steps.py
@@ -146,3 +146,22 @@
 @when("the table takes writes again")
 def writes_again(context):
     context.rows.commit = context.commit
+
+
+@when('"a" takes the worker and the table fails all for longer than the lease')
+def fail_all(context):
+    assert context.a.look()
+    context.b.owners.refresh([WORKER])
+    context.world.table_fault = "down"
+    for _ in range(5):
+        context.clock.now += 1
+        context.b.owners.refresh([WORKER])
+    assert not context.a.lease.valid()
+    context.world.table_fault = ""
+
+
+@then('"b" looks first and "a" is still whole after its renewal')
+def still_whole(context):
+    context.b.owners.refresh([WORKER])
+    assert context.a.look().ledger.free() == WORKER.capacity
+    assert context.a.lease.row.incarnation == "a-1"
