--- a/src/mangosail/membership/messages.py
+++ b/src/mangosail/membership/messages.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from mangosail import resources
+from mangosail.platform import inventory
 from mangosail.work import messages as work_messages
 
 
@@ -21,6 +22,12 @@
     settings_sequence: int = 0
     #: Seconds since the table last answered there; None if it never did.
     settings_age: float | None = None
+    #: Where the sender listens for peers: one that has no list answers there.
+    peer_address: str = ""
+    #: True while the sender has never seen the platform's list.
+    asks_for_peers: bool = False
+    #: All instances that the sender knows, for one that asked.
+    known: tuple[inventory.EntryInstance, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
