Keep jobs in the table, and see them through when their holder dies

Cause: a job was a row that nobody read again. Its queue and its progress were in the memory of one instance, other instances answered 404, a second POST of the same job was a 503, nothing was checked, cancelled or tried again, and the job was lost with its holder.

Ruled out: one row that holds declaration and progress, because the body, up to 64 KiB, would be written again with each change; scanning all jobs for lost holders each second, because ended ones pile up; materialising 100,000 queued tasks, as a byte for each is enough.

Change: a job's declaration and its small state are two rows. Any instance answers from them; the holder writes the state at most once a second, and a compare-and-set makes another instance of the data centre the holder once the session has ended. It learns from the tasks' rows what ended or runs, and queues only the rest. Tasks without room are offered to peers over gRPC, which claim and run them. Order is urgent first, then teams by dominant share, then age; a worker is kept for a task that others have passed for 3 s; an urgent task evicts the fewest. Failures are tried three times, a job that fails on two workers without a success is given up. Cancelling is durable first, then 16 tasks at a time.

A takeover took 18 s, because the scan came when the session lapsed and not when it was ended; the trigger is now the set of sessions that hold.

Rows of offered tasks are read after 1 s, then at waits that double up to 30 s: read each second, 17,000 running tasks would cost eight times the reads there are. This is worked out, not measured.

A job waits while its whole data centre is down.

--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -13,7 +13,7 @@
     app.add_route("/v1/watches/{service}/{operation}", watches.WatchResource(front))
     jobs = batch.JobsResource(front)
     app.add_route("/v1/jobs", jobs)
-    app.add_route("/v1/jobs/{job_id}", jobs)
+    app.add_route("/v1/jobs/{job_id}", jobs, suffix="job")
     app.add_route("/v1/status", status.StatusResource(front))
     app.add_route("/v1/instances", status.InstancesResource(front))
     app.add_route("/v1/drain", drain.DrainResource(front))
--- a/src/mangosail/front/batch.py
+++ b/src/mangosail/front/batch.py
@@ -1,16 +1,21 @@
-"""``/v1/jobs``: batch jobs."""
+"""``/v1/jobs``: batch jobs, answered alike by every instance."""
+
+import dataclasses
 
 import falcon
-import msgspec
 import result
 
 from mangosail import codec
-from mangosail.front import context, messages, quotes, replies
-from mangosail.jobs import messages as job_messages
+from mangosail.front import context
+from mangosail.jobs import errors, validation
+
+#: Jobs on one page unless the caller says otherwise, and the most there can be.
+PAGE = 50
+LARGEST_PAGE = 200
 
 
 class JobsResource:
-    """``POST /v1/jobs`` and ``GET /v1/jobs/{job_id}``."""
+    """``POST`` and ``GET /v1/jobs``; ``GET`` and ``DELETE /v1/jobs/{job_id}``."""
 
     def __init__(self, front: context.Front) -> None:
         self.front = front
@@ -18,27 +23,95 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Accept a job; accepted means that it is recorded."""
         identity = self.front.identify(req)
-        body = self.front.body(req)
-        try:
-            job = msgspec.convert({**body, "team": identity.team}, job_messages.Job)
-        except (msgspec.ValidationError, TypeError) as exc:
-            self.front.counters.count("front.refused.malformed")
-            raise falcon.HTTPBadRequest(
-                title="malformed", description=str(exc)
-            ) from exc
+        read = validation.read(identity.team, self.front.body(req))
+        if isinstance(read, result.Err):
+            self._refuse(resp, read.err_value)
+            return
+        job = read.ok_value
+        if job.urgent and not self.front.settings.urgent_jobs(identity.team):
+            self._refuse(resp, errors.NotAllowed())
+            return
+        sized = validation.check_size(job.needs, self.front.capacities())
+        if isinstance(sized, result.Err):
+            self._refuse(resp, sized.err_value)
+            return
         submitted = self.front.jobs.submit(job)
         if isinstance(submitted, result.Err):
-            replies.refuse(
-                resp, messages.Refusal(503, "store_unavailable", quotes.COME_BACK)
-            )
+            self._refuse(resp, submitted.err_value)
             return
-        resp.status = falcon.HTTP_CREATED
-        resp.text = codec.to_json(submitted.ok_value)
+        progress, new = submitted.ok_value
+        resp.status = falcon.HTTP_CREATED if new else falcon.HTTP_OK
+        resp.text = codec.to_json(progress)
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return the team's jobs by id, a page at a time."""
+        identity = self.front.identify(req)
+        limit = req.get_param_as_int(
+            "limit", min_value=1, max_value=LARGEST_PAGE, default=PAGE
+        )
+        after = req.get_param("after", default="")
+        page = self.front.jobs.page(identity.team, after, limit)
+        self._answer(resp, page)
 
-    def on_get(self, req: falcon.Request, resp: falcon.Response, job_id: str) -> None:
+    def on_get_job(
+        self, req: falcon.Request, resp: falcon.Response, job_id: str
+    ) -> None:
         """Return how far a job has come."""
         identity = self.front.identify(req)
-        progress = self.front.jobs.look_up(identity.team, job_id)
-        if progress is None:
-            raise falcon.HTTPNotFound(title="unknown_job")
-        resp.text = codec.to_json(progress)
+        self._answer(resp, self.front.jobs.look_up(identity.team, job_id))
+
+    def on_delete_job(
+        self, req: falcon.Request, resp: falcon.Response, job_id: str
+    ) -> None:
+        """Cancel a job; accepted means that no waiting task of it will start."""
+        identity = self.front.identify(req)
+        cancelled = self.front.jobs.cancel(identity.team, job_id)
+        self._answer(resp, cancelled)
+        if isinstance(cancelled, result.Ok):
+            resp.status = falcon.HTTP_ACCEPTED
+
+    def _answer(
+        self,
+        resp: falcon.Response,
+        answer: result.Result[object, errors.ReadError | errors.CancelError],
+    ) -> None:
+        if isinstance(answer, result.Err):
+            self._refuse(resp, answer.err_value)
+            return
+        resp.text = codec.to_json(answer.ok_value)
+
+    def _refuse(
+        self,
+        resp: falcon.Response,
+        error: errors.SubmitError | errors.ReadError | errors.CancelError,
+    ) -> None:
+        refusal = REFUSALS[type(error)]
+        self.front.counters.count(f"front.refused.{refusal.title}")
+        resp.status = refusal.status
+        body: dict[str, str] = {"title": refusal.title, "outcome": refusal.outcome}
+        if isinstance(error, errors.Malformed | errors.TooLarge):
+            body["description"] = str(error)
+        resp.text = codec.to_json(body)
+        if isinstance(error, errors.StoreUnavailable | errors.Undecided):
+            resp.set_header("Retry-After", f"{error.retry_after:g}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRefusal:
+    """How an error of jobs looks to a caller."""
+
+    status: int
+    title: str
+    #: Whether anything of what was asked may have taken effect.
+    outcome: str = "not_run"
+
+
+REFUSALS: dict[type, JobRefusal] = {
+    errors.Malformed: JobRefusal(400, "malformed"),
+    errors.NotAllowed: JobRefusal(403, "urgent_not_allowed"),
+    errors.UnknownJob: JobRefusal(404, "unknown_job"),
+    errors.Conflict: JobRefusal(409, "body_conflict"),
+    errors.TooLarge: JobRefusal(422, "too_large"),
+    errors.StoreUnavailable: JobRefusal(503, "store_unavailable"),
+    errors.Undecided: JobRefusal(503, "undecided", "unknown"),
+}
--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -6,7 +6,7 @@
 import falcon
 
 from mangosail import clock as clocks
-from mangosail import codec
+from mangosail import codec, resources
 from mangosail.front import messages, quotes
 from mangosail.jobs import queue
 from mangosail.membership import peers as membership
@@ -35,6 +35,7 @@
         counters: telemetry.Counters,
         describe: t.Callable[[], dict[str, t.Any]],
         peers: membership.Peers,
+        capacities: t.Callable[[], list[resources.Resources]],
     ) -> None:
         self.settings = settings
         self.quotes = quote_service
@@ -45,6 +46,8 @@
         self.counters = counters
         self.describe = describe
         self.peers = peers
+        #: What each listed worker can carry, of all data centres.
+        self.capacities = capacities
         self.ready = False
 
     def identify(self, req: falcon.Request) -> state.Identity:
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -15,7 +15,8 @@
 from mangosail.dispatch import monitor
 from mangosail.front import app, context, quotes, server
 from mangosail.front import messages as front_messages
-from mangosail.jobs import queue
+from mangosail.jobs import messages as job_messages
+from mangosail.jobs import offers, queue, records, room, takeover
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.membership import rpc
@@ -79,8 +80,28 @@
             platform_http.HttpObjects(caller),
             self._gone,
         )
+        self.room = room.Room(self.workers, self.runner, self.clock, self.counters)
+        self.offers = offers.Offers(
+            self.peers, self.runner, self.room, self.lease, self.clock, self.counters
+        )
         self.jobs = queue.JobQueue(
-            self.table, self.runner, self.lease, self.clock, self.counters
+            records.Records(self.table),
+            self.runner,
+            self.room,
+            self.offers,
+            self.lease,
+            self.settings.quota,
+            self.clock,
+            self.counters,
+        )
+        self.runner.on_end.append(self.jobs.on_end)
+        self.takeover = takeover.Takeover(
+            self.table,
+            self.jobs,
+            self.owners.seen,
+            self.lease,
+            self.clock,
+            self.counters,
         )
         self.quotes = quotes.Quotes(
             self.workers,
@@ -100,6 +121,7 @@
             self.counters,
             self.describe,
             self.peers,
+            lambda: [worker.capacity for worker in self.listing.workers],
         )
 
     def run(self) -> None:
@@ -110,6 +132,8 @@
         gevent.spawn(self.grouped.run)
         gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
+        gevent.spawn(self._forever, self.jobs.record, queue.RECORD_INTERVAL)
+        gevent.spawn(self._forever, self.takeover.refresh, REFRESH_INTERVAL)
         httpd = server.create(app.create(self.front), self.process.http_address)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
@@ -166,6 +190,14 @@
         """Cancel durable work that we hold."""
         return self.runner.cancel_for_peer(message)
 
+    def offer(self, message: job_messages.Offer) -> job_messages.OfferAnswer:
+        """Take a peer's batch task on if there is room."""
+        return self.offers.take(message)
+
+    def task_ended(self, message: job_messages.TaskEnded) -> job_messages.Noted:
+        """Take in what became of a task that the peer took on."""
+        return self.jobs.task_ended(message)
+
     def heartbeat_message(self) -> peer_messages.Heartbeat:
         """Return our state as peers are told it."""
         return peer_messages.Heartbeat(
@@ -196,7 +228,7 @@
             "data_centre": self.process.data_centre,
             "ready": self.front.ready,
             "draining": self.heartbeat_message().draining,
-            "waiting_tasks": len(self.jobs.waiting),
+            "waiting_tasks": self.jobs.waiting(),
             "running_work": len(list(self.runner.ctx.registry)),
             "settings_age": None if read_at is None else now - read_at,
             "lease_left": self.lease.deadline - now,
--- /dev/null
+++ b/src/mangosail/jobs/records.py
@@ -0,0 +1,155 @@
+"""The rows of jobs in the table."""
+
+import dataclasses
+
+import result
+
+from mangosail import codec
+from mangosail.jobs import errors, messages
+from mangosail.platform import errors as platform_errors
+from mangosail.platform import table
+from mangosail.work import messages as work_messages
+
+#: Seconds after which a caller should come back when the table was no help.
+COME_BACK = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """A job as the table has it; `version` is that of its state's row."""
+
+    row: messages.JobRow
+    state: messages.JobState
+    version: int
+
+
+class Records:
+    """Reads and writes jobs; each change is checked against the row it replaces."""
+
+    def __init__(self, rows: table.Table) -> None:
+        self.rows = rows
+
+    def create(
+        self, row: messages.JobRow, state: messages.JobState
+    ) -> result.Result[Found, errors.SubmitError]:
+        """Record a job, or find that the same one is recorded already."""
+        job = row.job
+        keys = keys_of(row)
+        transaction = table.Transaction(
+            checks=tuple(table.Check(key, table.ABSENT) for key in keys),
+            writes=(
+                table.Write(keys[0], codec.to_json(row)),
+                table.Write(keys[1], codec.to_json(state)),
+            ),
+        )
+        committed = self.rows.commit(transaction)
+        if isinstance(committed, result.Ok):
+            return result.Ok(Found(row, state, committed.ok_value))
+        if isinstance(committed.err_value, platform_errors.Unavailable):
+            return result.Err(errors.StoreUnavailable(COME_BACK))
+        found = self.find(job.team, job.job_id)
+        if isinstance(found, result.Err):
+            # Absent is no proof: the write may still be on its way.
+            return result.Err(errors.Undecided(COME_BACK))
+        if found.ok_value.row.digest != row.digest:
+            return result.Err(errors.Conflict(job.job_id))
+        return found
+
+    def find(self, team: str, job_id: str) -> result.Result[Found, errors.ReadError]:
+        """Return a job of `team`."""
+        key = messages.job_key(team, job_id)
+        read = self.rows.read([key])
+        if isinstance(read, result.Err):
+            return result.Err(errors.StoreUnavailable(COME_BACK))
+        if key not in read.ok_value:
+            return result.Err(errors.UnknownJob(job_id))
+        row = codec.from_json(read.ok_value[key].value, messages.JobRow)
+        states = self.states([row])
+        if isinstance(states, result.Err):
+            return states
+        if states.ok_value:
+            return result.Ok(states.ok_value[0])
+        # The job ended between the two reads, so its row has the end by now.
+        return self.find(team, job_id)
+
+    def page(
+        self, team: str, after: str, limit: int
+    ) -> result.Result[list[Found], errors.StoreUnavailable]:
+        """Return at most `limit` jobs of `team` by id, past the id `after`."""
+        prefix = messages.job_key(team, "")
+        scanned = self.rows.scan(prefix, prefix + after if after else "", limit)
+        if isinstance(scanned, result.Err):
+            return result.Err(errors.StoreUnavailable(COME_BACK))
+        rows = [codec.from_json(r.value, messages.JobRow) for r in scanned.ok_value]
+        return self.states(rows)
+
+    def states(
+        self, rows: list[messages.JobRow]
+    ) -> result.Result[list[Found], errors.StoreUnavailable]:
+        """Return the jobs of `rows` with their states; one just ended is left out."""
+        keys = [keys_of(row)[1] for row in rows if row.final is None]
+        present: dict[str, table.Row] = {}
+        if keys:
+            read = self.rows.read(keys)
+            if isinstance(read, result.Err):
+                return result.Err(errors.StoreUnavailable(COME_BACK))
+            present = read.ok_value
+        found: list[Found] = []
+        for row in rows:
+            if row.final is not None:
+                found.append(Found(row, row.final, table.ABSENT))
+                continue
+            state = present.get(keys_of(row)[1])
+            if state is not None:
+                decoded = codec.from_json(state.value, messages.JobState)
+                found.append(Found(row, decoded, state.version))
+        return result.Ok(found)
+
+    def work(
+        self, keys: list[str]
+    ) -> result.Result[list[work_messages.WorkRow], errors.StoreUnavailable]:
+        """Return the rows of those pieces of work under `keys` that exist."""
+        read = self.rows.read(keys)
+        if isinstance(read, result.Err):
+            return result.Err(errors.StoreUnavailable(COME_BACK))
+        rows = read.ok_value.values()
+        return result.Ok(
+            [codec.from_json(row.value, work_messages.WorkRow) for row in rows]
+        )
+
+    def write(
+        self, found: Found, state: messages.JobState
+    ) -> result.Result[Found, platform_errors.CommitError]:
+        """Replace the state of a running job."""
+        key = keys_of(found.row)[1]
+        transaction = table.Transaction(
+            checks=(table.Check(key, found.version),),
+            writes=(table.Write(key, codec.to_json(state)),),
+        )
+        committed = self.rows.commit(transaction)
+        return committed.map(lambda version: Found(found.row, state, version))
+
+    def end(
+        self, found: Found, state: messages.JobState
+    ) -> result.Result[Found, platform_errors.CommitError]:
+        """Record the end of a job, and take it off the running ones."""
+        row = dataclasses.replace(found.row, final=state)
+        job_key, state_key = keys_of(row)
+        transaction = table.Transaction(
+            checks=(table.Check(state_key, found.version),),
+            writes=(
+                table.Write(job_key, codec.to_json(row)),
+                table.Write(state_key, None),
+            ),
+        )
+        committed = self.rows.commit(transaction)
+        return committed.map(lambda _: Found(row, state, table.ABSENT))
+
+
+def keys_of(row: messages.JobRow) -> tuple[str, str]:
+    """Return the keys of a job and of its state."""
+    job = row.job
+    return (
+        messages.job_key(job.team, job.job_id),
+        messages.state_key(row.data_centre, job.team, job.job_id),
+    )
--- /dev/null
+++ b/src/mangosail/jobs/takeover.py
@@ -0,0 +1,135 @@
+"""Taking over the jobs of holders that are gone."""
+
+import logbook
+import result
+
+from mangosail import clock as clocks
+from mangosail import codec
+from mangosail.jobs import held, messages, queue, tally
+from mangosail.ownership import session, shares, sightings
+from mangosail.platform import table
+from mangosail.telemetry import counters as telemetry
+from mangosail.work import messages as work_messages
+
+log = logbook.Logger("jobs")
+
+#: Seconds between scans of all running jobs while no session has ended.
+SCAN_INTERVAL = 15.0
+
+
+class Takeover:
+    """Finds running jobs whose holder's session has ended, and takes its share.
+
+    All instances compute alike which of them takes a job; should two think
+    that they do, the compare-and-set on the job's state lets one of them.
+    """
+
+    def __init__(
+        self,
+        rows: table.Table,
+        jobs: queue.JobQueue,
+        seen: sightings.Sightings,
+        lease: session.Session,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.rows = rows
+        self.jobs = jobs
+        self.seen = seen
+        self.lease = lease
+        self.clock = clock
+        self.counters = counters
+        self.scan_deadline = 0.0
+        self.known: set[str] = set()
+
+    def refresh(self) -> None:
+        """Scan the running jobs if a session came or went, or it is time."""
+        # Not the live ones: a session lapses a little before it is ended, and
+        # only then are its jobs free to be taken.
+        present = self.seen.holding()
+        now = self.clock.monotonic()
+        if present == self.known and now < self.scan_deadline:
+            return
+        if not self.lease.valid():
+            return
+        prefix = messages.state_key(self.lease.row.data_centre, "", "").rstrip("/")
+        found = table.scan_all(self.rows, f"{prefix}/")
+        if isinstance(found, result.Err):
+            return
+        self.known = present
+        self.scan_deadline = now + SCAN_INTERVAL
+        for row in found.ok_value:
+            state = codec.from_json(row.value, messages.JobState)
+            if self._ours_to_take(state) and not self._take(state):
+                # Not all was taken, so the next round scans again.
+                self.scan_deadline = now
+
+    def _ours_to_take(self, state: messages.JobState) -> bool:
+        own = self.lease.row
+        key = messages.job_key(state.team, state.job_id)
+        if key in self.jobs.jobs:
+            return False
+        if state.incarnation == own.incarnation:
+            # Ours, by a write whose answer was lost.
+            return True
+        if self.seen.holds(state.holder, state.incarnation):
+            return False
+        live = [row.instance for row in self.seen.live()]
+        best = max(live, key=lambda name: shares.score(key, name), default="")
+        return best == own.instance
+
+    def _take(self, state: messages.JobState) -> bool:
+        """Become a job's holder, and tell whether that is settled."""
+        found = self.jobs.records.find(state.team, state.job_id)
+        if isinstance(found, result.Err):
+            return False
+        own = self.lease.row
+        before = found.ok_value
+        if before.row.final or before.state.incarnation != state.incarnation:
+            return True
+        taken = messages.change(
+            before.state, holder=own.instance, incarnation=own.incarnation
+        )
+        written = self.jobs.records.write(before, taken)
+        if isinstance(written, result.Err):
+            self.counters.count("jobs.takeover_failed")
+            return False
+        job = held.HeldJob(written.ok_value)
+        if not self._rebuild(job):
+            return False
+        self.jobs.hold(job)
+        self.counters.count("jobs.taken_over")
+        log.info("job taken over", job=state.job_id, before=state.holder)
+        return True
+
+    def _rebuild(self, job: held.HeldJob) -> bool:
+        """Learn from the rows of a job's tasks where each of them stands."""
+        prefix = work_messages.work_key(job.job.team, f"{job.job.job_id}.")
+        found = table.scan_all(self.rows, prefix)
+        if isinstance(found, result.Err):
+            return False
+        last: dict[int, tuple[int, work_messages.WorkRow]] = {}
+        for each in found.ok_value:
+            row = codec.from_json(each.value, work_messages.WorkRow)
+            task = tally.task_of(job.job, row.request.request_id)
+            if task is None or row.request.job != job.job.job_id:
+                continue
+            index, attempt = task
+            if row.state is work_messages.State.FAILED:
+                job.failed_attempts[index] += 1
+            if index not in last or last[index][0] < attempt:
+                last[index] = (attempt, row)
+        for index, (attempt, row) in last.items():
+            job.tally.attempts[index] = attempt
+            job.tally.move(index, tally.Standing.RUNNING)
+            # Those with an end or an eviction are settled at the next reading.
+            job.follow(index, self.clock.monotonic())
+            if row.state is work_messages.State.COMPLETED:
+                job.followed.pop(index)
+                job.tally.move(index, tally.Standing.COMPLETED)
+            elif row.state is work_messages.State.FAILED:
+                # Counted again when it is settled.
+                job.failed_attempts[index] -= 1
+        if job.state is not messages.State.RUNNING:
+            job.tally.cancel_waiting()
+        return True
--- /dev/null
+++ b/src/mangosail/jobs/validation.py
@@ -0,0 +1,110 @@
+"""Checks of a job's declaration, where it comes in.
+
+An error names the field, its value and what was expected::
+
+    tasks: 0: expected an integer from 1 to 100000
+"""
+
+import collections.abc as cabc
+import dataclasses
+import re
+import typing as t
+
+import msgspec
+import result
+
+from mangosail import codec, resources
+from mangosail.jobs import errors, messages
+
+#: Most tasks that one job may have.
+MOST_TASKS = 100_000
+#: Largest body in bytes of JSON; each of the tasks' rows carries it.
+BODY_LIMIT = 64 * 1024
+#: Job ids have no dots: a dot parts a job's id from its task's index.
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,99}")
+KIND = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,99}")
+#: The resources of which a task may need nothing.
+OPTIONAL = ("memory_gb", "accelerators", "slots", "connections")
+
+
+def read(team: str, declared: t.Any) -> result.Result[messages.Job, errors.Malformed]:
+    """Return the job that `declared`, decoded JSON, holds."""
+    if not isinstance(declared, dict):
+        return malformed("job", declared, "an object")
+    known = {field.name for field in dataclasses.fields(messages.Job)} - {"team"}
+    for name in declared:
+        if name not in known:
+            return malformed(str(name), declared[name], f"one of {sorted(known)}")
+    for name, kind in (("job_id", NAME), ("kind", KIND)):
+        value = declared.get(name)
+        if not isinstance(value, str) or not kind.fullmatch(value):
+            return malformed(name, value, f"text that matches {kind.pattern}")
+    tasks = declared.get("tasks")
+    if type(tasks) is not int or not 1 <= tasks <= MOST_TASKS:
+        return malformed("tasks", tasks, f"an integer from 1 to {MOST_TASKS}")
+    size = len(codec.to_json(declared.get("body")).encode())
+    if size > BODY_LIMIT:
+        return malformed("body", f"{size} bytes", f"at most {BODY_LIMIT} bytes")
+    if type(declared.get("urgent", False)) is not bool:
+        return malformed("urgent", declared["urgent"], "true or false")
+    needs = _read_needs(declared.get("needs"))
+    if isinstance(needs, result.Err):
+        return needs
+    return result.Ok(
+        messages.Job(
+            team,
+            declared["job_id"],
+            declared["kind"],
+            tasks,
+            needs.ok_value,
+            declared.get("body"),
+            declared.get("urgent", False),
+        )
+    )
+
+
+def check_size(
+    needs: resources.Resources, capacities: cabc.Sequence[resources.Resources]
+) -> result.Result[None, errors.TooLarge]:
+    """Refuse `needs` that fit on none of the workers there are.
+
+    Nothing is refused while no worker is listed: what can't be known yet must
+    not be answered for good.
+    """
+    if not capacities or any(needs.fits_in(capacity) for capacity in capacities):
+        return result.Ok(None)
+    for field in dataclasses.fields(resources.Resources):
+        most = max(getattr(capacity, field.name) for capacity in capacities)
+        value = getattr(needs, field.name)
+        if value > most:
+            expected = f"at most {most:g}, what the largest worker has"
+            return result.Err(errors.TooLarge(f"needs.{field.name}", value, expected))
+    expected = "no more than some one worker has"
+    return result.Err(errors.TooLarge("needs", needs, expected))
+
+
+def _read_needs(
+    declared: t.Any,
+) -> result.Result[resources.Resources, errors.Malformed]:
+    if not isinstance(declared, dict):
+        return malformed("needs", declared, "an object with cpus and memory_gb")
+    known = ("cpus", *OPTIONAL)
+    for name in declared:
+        if name not in known:
+            return malformed(f"needs.{name}", declared[name], f"one of {known}")
+    try:
+        needs = msgspec.convert(declared, resources.Resources)
+    except msgspec.ValidationError:
+        return malformed("needs", declared, "numbers, whole ones for counts")
+    if not needs.cpus > 0:
+        return malformed("needs.cpus", declared.get("cpus"), "a number above 0")
+    for name in OPTIONAL:
+        if not getattr(needs, name) >= 0:
+            return malformed(f"needs.{name}", declared[name], "0 or more")
+    # A task takes one slot of its worker, whatever was declared.
+    return result.Ok(dataclasses.replace(needs, slots=max(needs.slots, 1)))
+
+
+def malformed(field: str, value: t.Any, expected: str) -> result.Err[errors.Malformed]:
+    """Return the error that `field` is not what was expected."""
+    return result.Err(errors.Malformed(field, value, expected))
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -8,6 +8,7 @@
 import result
 
 from mangosail import codec
+from mangosail.jobs import messages as job_messages
 from mangosail.membership import messages
 
 SERVICE = "mangosail.Peer"
@@ -41,6 +42,12 @@
     def describe_to(self, message: messages.DescribeRequest) -> messages.Description:
         """Return our status for a peer's operator."""
 
+    def offer(self, message: job_messages.Offer) -> job_messages.OfferAnswer:
+        """Take a peer's batch task on if there is room."""
+
+    def task_ended(self, message: job_messages.TaskEnded) -> job_messages.Noted:
+        """Take in what became of a task that the peer took on."""
+
 
 #: Each method's name, request type and answer type.
 METHODS: dict[str, tuple[type, type]] = {
@@ -49,6 +56,8 @@
     "submit_work": (messages.ForwardedWork, messages.WorkAnswer),
     "cancel_work": (messages.CancelWork, messages.WorkAnswer),
     "describe_to": (messages.DescribeRequest, messages.Description),
+    "offer": (job_messages.Offer, job_messages.OfferAnswer),
+    "task_ended": (job_messages.TaskEnded, job_messages.Noted),
 }
 
 
@@ -123,6 +132,18 @@
         """Ask the peer for its status; an Err names the status code."""
         return self._call("describe_to", message, timeout)
 
+    def offer(
+        self, message: job_messages.Offer, timeout: float
+    ) -> result.Result[job_messages.OfferAnswer, str]:
+        """Offer a batch task; an Err names the status."""
+        return self._call("offer", message, timeout)
+
+    def task_ended(
+        self, message: job_messages.TaskEnded, timeout: float
+    ) -> result.Result[job_messages.Noted, str]:
+        """Tell a job's holder of a task's end; an Err names the status."""
+        return self._call("task_ended", message, timeout)
+
     def close(self) -> None:
         """Give the channel up."""
         self.channel.close()
--- a/src/mangosail/ownership/sightings.py
+++ b/src/mangosail/ownership/sightings.py
@@ -59,5 +59,10 @@
             return False
         return not sighting.row.ended
 
+    def holding(self) -> set[str]:
+        """Return the runs of instances that may still hold leases."""
+        rows = [sighting.row for sighting in self.by_instance.values()]
+        return {row.incarnation for row in rows if not row.ended}
+
     def _over(self, sighting: Sighting) -> bool:
         return sighting.row.ended or self.clock.monotonic() >= sighting.lapse_deadline
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -23,6 +23,12 @@
         self.ready = False
         #: True once the worker leaves: what runs goes on, nothing is added.
         self.leaving = worker.standing is not inventory.Standing.LIVE
+        #: True while batch work is kept off to hold the tail of quotes.
+        self.closed_to_batch = False
+        #: Kinds of batch task that may come all the same: they slow no quotes.
+        self.harmless: cabc.Collection[str] = ()
+        #: Id of the one batch task that may start here, or empty for any.
+        self.reserved_for = ""
         #: The last usage measurement, which lags.
         self.usage = dispatch_messages.Usage()
 
@@ -35,6 +41,16 @@
         """Tell whether new work may be started here."""
         return self.ready and not self.leaving
 
+    def free_cpus(self) -> float:
+        """Return the cores that nothing has reserved."""
+        return self.ledger.free().cpus
+
+    def open_to(self, batch: str, kind: str) -> bool:
+        """Tell whether the batch task `batch` of `kind` may be started here."""
+        if self.reserved_for:
+            return self.reserved_for == batch
+        return not self.closed_to_batch or kind in self.harmless
+
 
 class Workers:
     """All workers that this instance owns, by name."""
@@ -57,12 +73,19 @@
         """Forget a worker that is no longer owned."""
         self.by_name.pop(name, None)
 
-    def fitting(self, needs: resources.Resources) -> list[OwnedWorker]:
-        """Return the workers on which `needs` can be started now."""
+    def fitting(
+        self, needs: resources.Resources, batch: str = "", kind: str = ""
+    ) -> list[OwnedWorker]:
+        """Return the workers on which `needs` can be started now.
+
+        `batch` is the id of a batch task of `kind`; empty for other work.
+        """
         return [
             owned
             for owned in self
-            if owned.accepts() and needs.fits_in(owned.ledger.free())
+            if owned.accepts()
+            and needs.fits_in(owned.ledger.free())
+            and (not batch or owned.open_to(batch, kind))
         ]
 
     def free(self) -> resources.Resources:
--- a/src/mangosail/settings/state.py
+++ b/src/mangosail/settings/state.py
@@ -9,6 +9,7 @@
 import result
 
 from mangosail import clock as clocks
+from mangosail import resources
 from mangosail.platform import errors, table
 from mangosail.settings import schema
 from mangosail.telemetry import counters as telemetry
@@ -85,6 +86,19 @@
                     return Identity(in_force.team, known.name, known.operator)
         return None
 
+    def urgent_jobs(self, team: str) -> bool:
+        """Tell whether a team's jobs may be urgent."""
+        in_force = self.by_team.get(team)
+        return in_force is not None and in_force.settings.urgent
+
+    def quota(self, team: str) -> resources.Resources:
+        """Return a team's quota; nothing if the team is unknown."""
+        in_force = self.by_team.get(team)
+        if in_force is None:
+            return resources.Resources()
+        quota = in_force.settings.quota
+        return resources.Resources(quota.cpus, accelerators=quota.accelerators)
+
     def operation(
         self, team: str, service: str, operation: str
     ) -> schema.Operation | None:
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -115,7 +115,7 @@
             return result.Ok(outcomes.in_doubt(request.request_id, "claiming"))
         if self.ctx.registry.get(task_id) is not None:
             return self._repeat(request, deadline)
-        if not self.owned.fitting(request.needs) or not self.ctx.lease.valid():
+        if not self._candidates(request) or not self.ctx.lease.valid():
             return self._without_room(request, deadline, forward)
         return self._claim(request, None, deadline)
 
@@ -149,6 +149,11 @@
             return result.Ok(outcomes.outcome_of(held.row))
         return result.Ok(self._cancel_at_holder(held))
 
+    def on_worker(self, worker: str) -> list[messages.Request]:
+        """Return the work in hand on an own worker."""
+        tasks = self.ctx.registry.on_worker(worker)
+        return [task.row.request for task in tasks]
+
     def look_up(
         self, team: str, request_id: str
     ) -> result.Result[messages.Outcome | None, errors.StoreUnavailable]:
@@ -228,13 +233,17 @@
         return result.Ok(self.waiting.for_task(task, deadline))
 
     def _reserve(self, request: messages.Request) -> workers.OwnedWorker | None:
-        candidates = self.owned.fitting(request.needs)
+        candidates = self._candidates(request)
         if not candidates or not self.ctx.lease.valid():
             return None
         owned = self.chooser.choose(candidates, request.kind)
         task_id = messages.task_id_of(request)
         return owned if owned.ledger.reserve(task_id, request.needs) else None
 
+    def _candidates(self, request: messages.Request) -> list[workers.OwnedWorker]:
+        batch = messages.task_id_of(request) if request.job else ""
+        return self.owned.fitting(request.needs, batch, request.kind)
+
     def _claimed_row(
         self,
         request: messages.Request,
--- /dev/null
+++ b/tests/jobs/jobs.feature
@@ -0,0 +1,65 @@
+Feature: Batch jobs
+  A job that was accepted is seen through, whoever is asked and whoever dies.
+
+  Scenario: A job is one job, however often and wherever it is submitted
+    When a job "j-1" of 4 tasks of 0.2 seconds is submitted to "shymkent-0"
+    And the same job is submitted to "shymkent-1"
+    And the job "j-1" is submitted with 5 tasks
+    Then the answers are 201, 200, 409
+    And every instance sees "j-1" "completed" with 4 of 4 tasks within 20 seconds
+    And every index of "j-1" completed exactly once
+
+  Scenario: A job that can't be is refused at once, with what was expected
+    When jobs with faults are submitted
+      | field      | value  | status | title     |
+      | tasks      | 0      | 400    | malformed |
+      | tasks      | 100001 | 400    | malformed |
+      | needs.cpus | 0      | 400    | malformed |
+      | needs.cpus | 33     | 422    | too_large |
+      | job_id     | "a.b"  | 400    | malformed |
+    Then each answer names the field, the value and what was expected
+
+  Scenario: The holder of a job is killed in the middle of it
+    The caller had a 201 from the first instance, which then dies: its queue,
+    held in memory, is gone, and some tasks run on workers that nobody owns.
+    The other instance finds the session ended, takes the job over by
+    compare-and-set, reads which tasks ended or run, and queues only the rest.
+    When a job "j-2" of 40 tasks of 0.5 seconds is submitted to "shymkent-0"
+    And 5 tasks of "j-2" have completed and "shymkent-0" is killed
+    Then every instance sees "j-2" "completed" with 40 of 40 tasks within 25 seconds
+    And every index of "j-2" completed exactly once
+
+  Scenario: A large job is cancelled while it runs, at the other instance
+    The caller deletes a job of 600 tasks, of which a few run. What waits never
+    starts, what runs is stopped on its worker, and the count says so.
+    When a job "j-3" of 600 tasks of 30 seconds is submitted to "shymkent-0"
+    And 4 tasks of "j-3" run and it is deleted at "shymkent-1"
+    Then every instance sees "j-3" "cancelled" with 0 of 600 tasks within 15 seconds
+    And no task of "j-3" runs or starts any more
+
+  Scenario: A job that fails everywhere ends with its reason
+    Every task fails on every worker. Retrying 500 of them to their last attempt
+    would keep the slots from work that can succeed, so the job is given up once
+    its tasks have failed on two workers without a single success.
+    When a job "j-4" of 500 tasks that fail is submitted to "shymkent-0"
+    Then every instance sees "j-4" "failed" with 0 of 500 tasks within 30 seconds
+    And fewer than 60 tasks of "j-4" were started
+
+  Scenario: A big task is not starved by the small ones that pass it
+    Small tasks keep both workers busy and fill each gap as it opens, so the 32
+    cores that the big one needs are never free together unless they are kept.
+    When a job "small" of 200 tasks of 1.0 seconds is submitted to "shymkent-0"
+    And a job "big" of 1 tasks with 32 cores is submitted to "shymkent-0"
+    Then every instance sees "big" "completed" with 1 of 1 tasks within 25 seconds
+    And "small" is not yet done
+
+  Scenario: Urgent work starts at once though batch fills all workers
+    Both workers are full of long tasks, none of which would end in time. The
+    urgent task is kept a worker, on which the fewest tasks are evicted with a
+    checkpoint; they resume where they were, once each, when there is room.
+    When a job "bulk" of 10 tasks of 8 seconds is submitted to "shymkent-0"
+    And 10 tasks of "bulk" run and an urgent job "now" of 1 task is submitted
+    Then the first task of "now" started within 2.1 seconds
+    And every instance sees "bulk" "completed" with 10 of 10 tasks within 40 seconds
+    And every index of "bulk" completed exactly once
+    And a task of "bulk" was resumed from a checkpoint
--- /dev/null
+++ b/tests/jobs/steps/jobs_steps.py
@@ -0,0 +1,194 @@
+import collections
+import time
+
+from behave import then, when
+from tests.support import stage, teams
+
+HEADERS = teams.bearer("fuel-desk-token")
+
+
+def job(job_id, tasks, cpus=6, **body):
+    needs = {"cpus": cpus, "memory_gb": 2}
+    return {
+        "job_id": job_id,
+        "kind": "batch.tabulate",
+        "tasks": tasks,
+        "needs": needs,
+        "body": body,
+    }
+
+
+def post(context, instance, body):
+    context.job = body
+    answer = context.stage.call(instance, "POST", "/v1/jobs", body, HEADERS)
+    context.answers = [*getattr(context, "answers", []), answer]
+    return answer
+
+
+def progress(context, instance, job_id):
+    path = f"/v1/jobs/{job_id}"
+    return context.stage.call(instance, "GET", path, headers=HEADERS).json()
+
+
+def entries(context, job_id, event):
+    """Return the workers' log entries of a job's tasks, with the index of each."""
+    prefix = f"fuel-desk/{job_id}."
+    return [
+        (int(entry["task_id"].removeprefix(prefix).split(".")[0]), entry)
+        for entry in context.stage.execution_log()
+        if entry["event"] == event and entry["task_id"].startswith(prefix)
+    ]
+
+
+@when(
+    'a job "{job_id}" of {tasks:d} tasks of {seconds:g} seconds '
+    'is submitted to "{instance}"'
+)
+def submit(context, job_id, tasks, seconds, instance):
+    post(context, instance, job(job_id, tasks, work_seconds=seconds))
+
+
+@when('a job "{job_id}" of {tasks:d} tasks that fail is submitted to "{instance}"')
+def submit_failing(context, job_id, tasks, instance):
+    post(context, instance, job(job_id, tasks, work_seconds=0.1, fail=True))
+
+
+@when(
+    'a job "{job_id}" of {tasks:d} tasks with {cpus:d} cores '
+    'is submitted to "{instance}"'
+)
+def submit_big(context, job_id, tasks, cpus, instance):
+    post(context, instance, job(job_id, tasks, cpus, work_seconds=0.5))
+
+
+@when('the same job is submitted to "{instance}"')
+def submit_again(context, instance):
+    post(context, instance, context.job)
+
+
+@when('the job "{job_id}" is submitted with {tasks:d} tasks')
+def submit_other(context, job_id, tasks):
+    post(context, "shymkent-1", {**context.job, "tasks": tasks})
+
+
+@then("the answers are {statuses}")
+def answered(context, statuses):
+    got = [str(answer.status) for answer in context.answers]
+    assert got == statuses.split(", "), [(a.status, a.body) for a in context.answers]
+
+
+@then(
+    'every instance sees "{job_id}" "{state}" with {done:d} of {tasks:d} tasks '
+    "within {seconds:d} seconds"
+)
+def seen(context, job_id, state, done, tasks, seconds):
+    expected = (state, done, tasks)
+
+    def matches(instance):
+        last = progress(context, instance, job_id)
+        context.last = last
+        return (last.get("state"), last.get("completed"), last.get("tasks")) == expected
+
+    deadline = time.monotonic() + seconds
+    for instance in context.stage.instances:
+        if context.stage.processes[instance].poll() is None:
+            left = max(deadline - time.monotonic(), 2)
+            try:
+                stage.wait_until(lambda i=instance: matches(i), left, job_id)
+            except AssertionError as exc:
+                raise AssertionError(f"{exc}; last seen: {context.last}") from exc
+
+
+@then('every index of "{job_id}" completed exactly once')
+def once(context, job_id):
+    ends = entries(context, job_id, "end")
+    done = collections.Counter(i for i, e in ends if e["state"] == "done")
+    tasks = range(context.answers[0].json()["tasks"])
+    assert done == dict.fromkeys(tasks, 1), done
+    running = {}
+    events = entries(context, job_id, "start") + ends
+    for index, entry in sorted(events, key=lambda pair: pair[1]["at"]):
+        if entry["event"] == "start":
+            assert index not in running, (running[index], entry)
+            running[index] = entry
+        else:
+            running.pop(index)
+
+
+@when("jobs with faults are submitted")
+def submit_faulty(context):
+    context.rows = list(context.table)
+    context.answers = []
+    for row in context.rows:
+        body = job("faulty", 3)
+        value = stage.json.loads(row["value"])
+        name, _, part = row["field"].partition(".")
+        body[name] = {**body[name], part: value} if part else value
+        post(context, "shymkent-0", body)
+
+
+@then("each answer names the field, the value and what was expected")
+def named(context):
+    for row, answer in zip(context.rows, context.answers, strict=True):
+        assert answer.status == int(row["status"]), (row, answer)
+        assert answer.json()["title"] == row["title"], (row, answer)
+        description = answer.json()["description"]
+        value = repr(stage.json.loads(row["value"]))
+        assert row["field"] in description, (row, answer)
+        assert value in description and "expected" in description, (row, answer)
+
+
+@when('{count:d} tasks of "{job_id}" have completed and "{instance}" is killed')
+def kill_holder(context, count, job_id, instance):
+    stage.wait_until(lambda: len(entries(context, job_id, "end")) >= count, 20)
+    context.stage.kill(instance)
+
+
+@when('{count:d} tasks of "{job_id}" run and it is deleted at "{instance}"')
+def delete(context, count, job_id, instance):
+    stage.wait_until(lambda: len(entries(context, job_id, "start")) >= count, 20)
+    path = f"/v1/jobs/{job_id}"
+    answer = context.stage.call(instance, "DELETE", path, headers=HEADERS)
+    assert answer.status in (200, 202), answer
+
+
+@then('no task of "{job_id}" runs or starts any more')
+def stopped(context, job_id):
+    starts = entries(context, job_id, "start")
+    ends = entries(context, job_id, "end")
+    assert len(starts) == len(ends) > 0, (len(starts), len(ends))
+    assert starts[-1][1]["at"] <= ends[-1][1]["at"]
+
+
+@then('fewer than {count:d} tasks of "{job_id}" were started')
+def few_started(context, count, job_id):
+    assert 0 < len(entries(context, job_id, "start")) < count
+
+
+@then('"{job_id}" is not yet done')
+def not_done(context, job_id):
+    last = progress(context, "shymkent-0", job_id)
+    assert last["state"] == "running", last
+
+
+@when(
+    '{count:d} tasks of "{job_id}" run and an urgent job "{urgent}" '
+    "of 1 task is submitted"
+)
+def submit_urgent(context, count, job_id, urgent):
+    stage.wait_until(lambda: len(entries(context, job_id, "start")) >= count, 20)
+    context.submitted_at = time.time()
+    post(context, "shymkent-0", {**job(urgent, 1, work_seconds=0.2), "urgent": True})
+
+
+@then('the first task of "{job_id}" started within {seconds:g} seconds')
+def started_soon(context, job_id, seconds):
+    first = stage.wait_until(lambda: entries(context, job_id, "start"), 20)[0][1]
+    took = first["at"] - context.submitted_at
+    assert took <= seconds, took
+
+
+@then('a task of "{job_id}" was resumed from a checkpoint')
+def resumed(context, job_id):
+    starts = [e for _, e in entries(context, job_id, "start") if e["generation"] > 1]
+    assert starts and all(e["done_seconds"] > 0 for e in starts), starts
