Throttle and evict batch tasks to hold the tail of quotes

Cause: nothing kept a noisy batch task from slowing the quotes beside it.

Ruled out: the worker's usage as the signal, as it lags by a second or more; the 99th percentile of the last quotes, as of forty it is the slowest one; evicting what declares most, as declared sizes say nothing of noise.

Change: each instance compares, for each own worker, the quotes that began after its last step with their target. It closes the worker to batch, throttles the kind that throttling has shown to add most, and evicts from a budget after a time that the team's weights set. Kinds shown to be harmless get their share back and may come to a closed worker. Memory above 92 % evicts what went furthest past its declaration. Work that belongs to no job is never touched.

It gives up too much batch work.

--- /dev/null
+++ b/src/mangosail/control/budget.py
@@ -0,0 +1,25 @@
+"""A token bucket that bounds how often something costly is done."""
+
+from mangosail import clock as clocks
+
+
+class Budget:
+    """`burst` at once at most, and one more every `interval` seconds."""
+
+    def __init__(self, clock: clocks.Clock, burst: float, interval: float) -> None:
+        self.clock = clock
+        self.burst = burst
+        self.interval = interval
+        self.tokens = burst
+        self.counted_at = clock.monotonic()
+
+    def take(self) -> bool:
+        """Take one token if there is one."""
+        now = self.clock.monotonic()
+        earned = (now - self.counted_at) / self.interval
+        self.tokens = min(self.tokens + earned, self.burst)
+        self.counted_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/mangosail/control/memory.py
@@ -0,0 +1,58 @@
+"""Keeps a worker's measured memory under what it has, declared or not."""
+
+import result
+
+from mangosail import clock as clocks
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.jobs import work
+from mangosail.placement import workers
+from mangosail.telemetry import counters as telemetry
+from mangosail.work import messages as work_messages
+
+#: Part of the memory above which a batch task is evicted. Measurements lag, so
+#: it leaves room for what is taken up until the next one.
+EVICT_ABOVE = 0.92
+
+
+class Guard:
+    """Evicts the task that went furthest past what it declared.
+
+    It has no budget: a worker out of memory fails all that runs on it.
+    """
+
+    def __init__(
+        self, run: work.Work, clock: clocks.Clock, counters: telemetry.Counters
+    ) -> None:
+        self.run = run
+        self.clock = clock
+        self.counters = counters
+        #: Wall time of the last eviction by worker; older measurements still
+        #: show the task that is gone.
+        self.evicted_at: dict[str, float] = {}
+
+    def relieve(
+        self, owned: workers.OwnedWorker, tasks: list[work_messages.Request]
+    ) -> bool:
+        """Evict a task if memory is short, and tell whether it is."""
+        usage = owned.usage
+        if usage.memory_gb <= EVICT_ABOVE * owned.worker.capacity.memory_gb:
+            return False
+        settled = self.evicted_at.get(owned.name, 0.0) + clocks.CLOCK_SKEW_MARGIN
+        if usage.measured_at <= settled or not tasks:
+            return True
+        worst = max(tasks, key=lambda request: overshoot(usage, request))
+        evicted = self.run.evict(work_messages.task_id_of(worst), "memory")
+        if isinstance(evicted, result.Err):
+            self.counters.count("control.not_evicted.failed")
+            return True
+        self.evicted_at[owned.name] = self.clock.wall()
+        self.counters.count("control.evicted.memory")
+        return True
+
+
+def overshoot(usage: dispatch_messages.Usage, request: work_messages.Request) -> float:
+    """Return the gigabytes by which a task exceeds what it declared."""
+    measured = usage.tasks.get(work_messages.task_id_of(request))
+    if measured is None:
+        return 0.0
+    return measured.memory_gb - request.needs.memory_gb
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -4,6 +4,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec
+from mangosail.control import tails
 from mangosail.dispatch import errors as dispatch_errors
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.front import messages
@@ -35,6 +36,7 @@
         lease: session.Session,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        seen: tails.Tails,
     ) -> None:
         self.owned = owned
         self.chooser = chooser
@@ -42,6 +44,7 @@
         self.lease = lease
         self.clock = clock
         self.counters = counters
+        self.tails = seen
 
     def serve(
         self, request: messages.ServiceRequest, forward: bool = True
@@ -92,9 +95,18 @@
             needs=needs,
             body=request.body,
         )
+        started_at = self.clock.monotonic()
         try:
             return owned.target.run(start, request.deadline)
         finally:
+            # A lost answer counts too: it took at least as long as this.
+            self.tails.observe(
+                owned.name,
+                request.team,
+                request.declared.target_p99_seconds,
+                started_at,
+                self.clock.monotonic() - started_at,
+            )
             owned.ledger.release(task_id)
 
     def _forward(
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -10,6 +10,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec, invariants, resources
+from mangosail.control import loop, tails
 from mangosail.dispatch import http as dispatch_http
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.dispatch import monitor
@@ -103,6 +104,7 @@
             self.clock,
             self.counters,
         )
+        self.tails = tails.Tails()
         self.quotes = quotes.Quotes(
             self.workers,
             self.chooser,
@@ -110,6 +112,16 @@
             self.lease,
             self.clock,
             self.counters,
+            self.tails,
+        )
+        self.control = loop.Control(
+            self.workers,
+            self.tails,
+            self.runner,
+            self.settings,
+            self.lease,
+            self.clock,
+            self.counters,
         )
         self.front = context.Front(
             self.settings,
@@ -132,6 +144,8 @@
         gevent.spawn(self.grouped.run)
         gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
+        if self.process.control is process.Control.ON:
+            gevent.spawn(self._forever, self.control.step, loop.INTERVAL)
         gevent.spawn(self._forever, self.jobs.record, queue.RECORD_INTERVAL)
         gevent.spawn(self._forever, self.takeover.refresh, REFRESH_INTERVAL)
         httpd = server.create(app.create(self.front), self.process.http_address)
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -1,5 +1,6 @@
 """Process settings: flags and environment variables, checked at the start."""
 
+import enum
 import ipaddress
 import typing as t
 
@@ -10,6 +11,13 @@
 LogLevel = t.Literal["CRITICAL", "ERROR", "WARNING", "NOTICE", "INFO", "DEBUG"]
 
 
+class Control(enum.StrEnum):
+    """Whether the control loop acts; off is for measurements against it."""
+
+    ON = "on"
+    OFF = "off"
+
+
 def check_address(value: str) -> str:
     """Return `value` if it is an IP number and a port."""
     host, _, port = value.rpartition(":")
@@ -58,3 +66,6 @@
         0.01, ge=0, le=1, description="Seconds that a write waits for others."
     )
     seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
+    control: Control = pydantic.Field(
+        Control.ON, description="Whether batch tasks are throttled for quotes."
+    )
