Keep no closed worker for a task that has waited

Cause: a task without room for 3 s is kept a worker, and a kept worker takes it even while the control loop has closed it to batch.

Ruled out: letting closure go before every reservation, since urgent work then finds no room on a closed worker.

Change: only urgent tasks are kept a closed worker, and one that is closed later is released.

Figures: the new scenario failed before and passes after, with `python -m tests.run path control jobs`.

--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -60,6 +60,8 @@
 
     def fits(self, request: work_messages.Request) -> bool:
         """Tell whether a batch task can be started here now."""
+        if self.reservation and not self._stands(self.reservation, urgent=False):
+            self.release()
         task_id = work_messages.task_id_of(request)
         fitting = self.owned.fitting(request.needs, task_id, request.kind)
         if not fitting:
@@ -103,7 +105,7 @@
         if kept is not None and self._stands(kept, urgent):
             return
         self.release()
-        owned = self._best(request.needs)
+        owned = self._best(request.needs, urgent)
         if owned is None:
             return
         task_id = work_messages.task_id_of(request)
@@ -122,14 +124,20 @@
         if urgent and not kept.urgent:
             return False
         owned = self.owned.get(kept.worker)
-        return owned is not None and owned.accepts()
+        if owned is None or not owned.accepts():
+            return False
+        return kept.urgent or not owned.closed_to_batch
 
-    def _best(self, needs: resources.Resources) -> placed.OwnedWorker | None:
+    def _best(
+        self, needs: resources.Resources, urgent: bool
+    ) -> placed.OwnedWorker | None:
         """Return the worker that is closest to having room for `needs`."""
         able = [
             owned
             for owned in self.owned
-            if owned.accepts() and needs.fits_in(owned.ledger.capacity)
+            if owned.accepts()
+            and needs.fits_in(owned.ledger.capacity)
+            and (urgent or not owned.closed_to_batch)
         ]
         if not able:
             return None
--- a/tests/control/control.feature
+++ b/tests/control/control.feature
@@ -50,3 +50,12 @@
       | greedy | scan  | 0.0   | 90        |
     When 5 seconds pass
     Then only "greedy" was evicted
+
+  Scenario: A worker that is closed is not kept for a task that has waited long
+    Tasks that find no room for 3 seconds are kept a worker. On a closed one that
+    would bring back the very noise it was closed for.
+    Given a worker with batch tasks
+      | id    | kind | noise |
+      | noisy | scan | 1.0   |
+    When 5 seconds pass
+    Then a batch task that has waited 10 seconds is kept no worker and finds no room
--- a/tests/control/steps/control_steps.py
+++ b/tests/control/steps/control_steps.py
@@ -6,6 +6,7 @@
 from mangosail import resources
 from mangosail.control import loop, tails
 from mangosail.dispatch import messages as dispatch_messages
+from mangosail.jobs import room
 from mangosail.placement import workers
 from mangosail.platform import inventory
 from mangosail.settings import schema
@@ -33,7 +34,7 @@
         worker = inventory.Worker("w", "dc", "r", "127.0.0.1:1", CAPACITY)
         self.owned = workers.OwnedWorker(worker, 1, self)
         self.owned.ready = True
-        owned = workers.Workers()
+        owned = self.workers = workers.Workers()
         owned.add(self.owned)
         self.settings = types.SimpleNamespace(by_team={})
         lease = types.SimpleNamespace(valid=lambda: True)
@@ -175,3 +176,16 @@
 @then("no task is throttled any more")
 def none_throttled(context):
     assert set(context.scene.shares.values()) == {1.0}, context.scene.shares
+
+
+@then(
+    "a batch task that has waited {seconds:d} seconds is kept no worker "
+    "and finds no room"
+)
+def kept_none(context, seconds):
+    scene = context.scene
+    places = room.Room(scene.workers, scene, scene, scene.control.counters)
+    request = scene.tasks["t/noisy"]
+    places.make(request, False, scene.now - seconds)
+    assert places.reservation is None
+    assert not places.fits(request)
