--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -11,13 +11,16 @@
 
 from mangosail import clock as clocks
 from mangosail import codec, invariants, resources
+from mangosail.control import loop, tails
 from mangosail.dispatch import http as dispatch_http
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.dispatch import monitor
 from mangosail.front import app, context, quotes, server
 from mangosail.front import messages as front_messages
 from mangosail.front import settings as administration
-from mangosail.jobs import queue
+from mangosail.jobs import messages as job_messages
+from mangosail.jobs import offers, queue, records, room
+from mangosail.jobs import takeover as job_takeover
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.membership import rpc
@@ -98,9 +101,30 @@
             platform_http.HttpObjects(caller),
             self._gone,
         )
+        self.room = room.Room(self.workers, self.runner, self.clock, self.counters)
+        self.offers = offers.Offers(
+            self.peers, self.runner, self.room, self.lease, self.clock, self.counters
+        )
         self.jobs = queue.JobQueue(
-            self.table, self.runner, self.lease, self.clock, self.counters
+            records.Records(self.table),
+            self.runner,
+            self.room,
+            self.offers,
+            self.lease,
+            self.settings.quota,
+            self.clock,
+            self.counters,
+        )
+        self.runner.on_end.append(self.jobs.on_end)
+        self.takeover = job_takeover.Takeover(
+            self.table,
+            self.jobs,
+            self.owners.seen,
+            self.lease,
+            self.clock,
+            self.counters,
         )
+        self.tails = tails.Tails()
         self.quotes = quotes.Quotes(
             self.workers,
             self.chooser,
@@ -108,6 +132,16 @@
             self.lease,
             self.clock,
             self.counters,
+            self.tails,
+        )
+        self.control = loop.Control(
+            self.workers,
+            self.tails,
+            self.runner,
+            self.settings,
+            self.lease,
+            self.clock,
+            self.counters,
         )
         self.front = context.Front(
             self.settings,
@@ -119,6 +153,7 @@
             self.counters,
             self.describe,
             self.peers,
+            lambda: [worker.capacity for worker in self.listing.workers],
         )
         self.administration = administration.Administration(
             self.front,
@@ -144,6 +179,10 @@
         gevent.spawn(self._forever, self.settings.refresh, REFRESH_INTERVAL)
         gevent.spawn(self._forever, self.spread.learn, spread.LEARN_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
+        if self.process.control is process.Control.ON:
+            gevent.spawn(self._forever, self.control.step, loop.INTERVAL)
+        gevent.spawn(self._forever, self.jobs.record, queue.RECORD_INTERVAL)
+        gevent.spawn(self._forever, self.takeover.refresh, REFRESH_INTERVAL)
         httpd = server.create(
             app.create(self.front, self.administration), self.process.http_address
         )
@@ -205,6 +244,14 @@
         """Cancel durable work that we hold."""
         return self.runner.cancel_for_peer(message)
 
+    def offer(self, message: job_messages.Offer) -> job_messages.OfferAnswer:
+        """Take a peer's batch task on if there is room."""
+        return self.offers.take(message)
+
+    def task_ended(self, message: job_messages.TaskEnded) -> job_messages.Noted:
+        """Take in what became of a task that the peer took on."""
+        return self.jobs.task_ended(message)
+
     def heartbeat_message(
         self, asks_for_peers: bool = False
     ) -> peer_messages.Heartbeat:
@@ -242,7 +289,7 @@
             "data_centre": self.process.data_centre,
             "ready": self.front.ready,
             "draining": self.heartbeat_message().draining,
-            "waiting_tasks": len(self.jobs.waiting),
+            "waiting_tasks": self.jobs.waiting(),
             "running_work": len(list(self.runner.ctx.registry)),
             "settings_age": self.settings.age(),
             "lease_left": self.lease.deadline - now,
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -8,6 +8,7 @@
 import result
 
 from mangosail import codec
+from mangosail.jobs import messages as job_messages
 from mangosail.membership import messages
 from mangosail.settings import messages as settings_messages
 
@@ -47,6 +48,12 @@
     ) -> settings_messages.Delta:
         """Return the settings changed past what the peer has in force."""
 
+    def offer(self, message: job_messages.Offer) -> job_messages.OfferAnswer:
+        """Take a peer's batch task on if there is room."""
+
+    def task_ended(self, message: job_messages.TaskEnded) -> job_messages.Noted:
+        """Take in what became of a task that the peer took on."""
+
 
 #: Each method's name, request type and answer type.
 METHODS: dict[str, tuple[type, type]] = {
@@ -56,6 +63,8 @@
     "cancel_work": (messages.CancelWork, messages.WorkAnswer),
     "describe_to": (messages.DescribeRequest, messages.Description),
     "settings_since": (settings_messages.Since, settings_messages.Delta),
+    "offer": (job_messages.Offer, job_messages.OfferAnswer),
+    "task_ended": (job_messages.TaskEnded, job_messages.Noted),
 }
 
 
@@ -136,6 +145,18 @@
         """Return the peer's settings changed past `sequence`."""
         return self._call("settings_since", settings_messages.Since(sequence), timeout)
 
+    def offer(
+        self, message: job_messages.Offer, timeout: float
+    ) -> result.Result[job_messages.OfferAnswer, str]:
+        """Offer a batch task; an Err names the status."""
+        return self._call("offer", message, timeout)
+
+    def task_ended(
+        self, message: job_messages.TaskEnded, timeout: float
+    ) -> result.Result[job_messages.Noted, str]:
+        """Tell a job's holder of a task's end; an Err names the status."""
+        return self._call("task_ended", message, timeout)
+
     def close(self) -> None:
         """Give the channel up."""
         self.channel.close()
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -1,5 +1,6 @@
 """Process settings: flags and environment variables, checked at the start."""
 
+import enum
 import ipaddress
 import typing as t
 
@@ -11,6 +12,13 @@
 LogLevel = t.Literal["CRITICAL", "ERROR", "WARNING", "NOTICE", "INFO", "DEBUG"]
 
 
+class Control(enum.StrEnum):
+    """Whether the control loop acts; off is for measurements against it."""
+
+    ON = "on"
+    OFF = "off"
+
+
 def check_address(value: str) -> str:
     """Return `value` if it is an IP number and a port."""
     host, _, port = value.rpartition(":")
@@ -62,3 +70,6 @@
         None, description="SHA-256 of the administrator's token, in hexadecimal."
     )
     seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
+    control: Control = pydantic.Field(
+        Control.ON, description="Whether batch tasks are throttled for quotes."
+    )
