--- a/src/mangosail/dispatch/http.py
+++ b/src/mangosail/dispatch/http.py
@@ -2,6 +2,7 @@
 
 import collections.abc as cabc
 import typing as t
+import urllib.parse
 
 import gevent
 import result
@@ -10,6 +11,9 @@
 from mangosail import clock as clocks
 from mangosail import codec
 from mangosail.dispatch import connections, errors, messages
+from mangosail.telemetry import counters as telemetry
+
+T = t.TypeVar("T")
 
 #: Shortest time in seconds that an exchange is given.
 SHORTEST_TIMEOUT = 0.01
@@ -23,50 +27,63 @@
 class HttpTarget:
     """One worker's target over HTTP."""
 
-    def __init__(self, address: str, limit: int, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
         self.clock = clock
-        self.requests = connections.Connections(address, limit - CONTROL_CONNECTIONS)
-        self.control = connections.Connections(address, CONTROL_CONNECTIONS)
+        self.counters = counters
+        self.requests = connections.Connections(
+            address, limit - CONTROL_CONNECTIONS, clock, counters
+        )
+        self.control = connections.Connections(
+            address, CONTROL_CONNECTIONS, clock, counters
+        )
 
     def run(
         self, start: messages.Start, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Run an idempotent task and return its answer in the same exchange."""
-        answer = self._task(self.requests, "/run", start, deadline)
-        return answer.and_then(lambda report: whole(start, report))
+        answer = self._exchange(
+            self.requests, "/run", start, deadline, answer_to(start.task_id)
+        )
+        return answer.and_then(succeeded)
 
     def start(
         self, start: messages.Start, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Start a task that goes on after the exchange."""
-        return self._task(self.control, "/tasks", start, deadline)
+        return self._task("/tasks", start, start.task_id, deadline)
 
     def look_up(
         self, task_id: str, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Return what the worker knows of `task_id`."""
-        return self._task(self.control, "/look-up", {"task_id": task_id}, deadline)
+        return self._task("/look-up", {"task_id": task_id}, task_id, deadline)
 
     def void(
         self, task_id: str, generation: int, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Make sure that this generation does not run from now on."""
         order = {"task_id": task_id, "generation": generation}
-        return self._task(self.control, "/void", order, deadline)
+        return self._task("/void", order, task_id, deadline)
 
     def checkpoint(
         self, task_id: str, name: str, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Have the worker store the task's state as object `name`."""
         order = {"task_id": task_id, "name": name}
-        return self._task(self.control, "/checkpoint", order, deadline)
+        return self._task("/checkpoint", order, task_id, deadline)
 
     def throttle(
         self, task_id: str, share: float, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Let the task have `share` of its processors, from 0 to 1."""
         order = {"task_id": task_id, "share": share}
-        return self._task(self.control, "/throttle", order, deadline)
+        return self._task("/throttle", order, task_id, deadline)
 
     def renew(
         self, lease_deadline: float, owner_generation: int, deadline: float
@@ -76,7 +93,7 @@
             "lease_deadline": lease_deadline,
             "owner_generation": owner_generation,
         }
-        answer = self._exchange(self.control, "/renew", order, deadline)
+        answer = self._exchange(self.control, "/renew", order, deadline, decoder(dict))
         return answer.map(lambda _: None)
 
     def snapshot(
@@ -85,35 +102,53 @@
         """Return all tasks as soon as something is newer than `since`."""
         order = {"since": since, "wait": wait}
         deadline = self.clock.monotonic() + wait + 1.0
-        answer = self._exchange(self.control, "/snapshot", order, deadline)
-        return answer.and_then(lambda body: decode(body, messages.Snapshot))
+        return self._exchange(
+            self.control, "/snapshot", order, deadline, decoder(messages.Snapshot)
+        )
+
+    def retire_idle(self) -> None:
+        """Close the idle connections: one like them was found silent."""
+        self.requests.retire_idle()
+        self.control.retire_idle()
 
     def watch(
-        self, subject: str, after: int
+        self, subject: str, after: int, silence: float
     ) -> cabc.Iterator[result.Result[dict[str, t.Any], errors.DispatchError]]:
-        """Yield the events of `subject` past sequence number `after`."""
-        connection = self.requests.acquire(timeout=30.0)
+        """Yield the events of `subject` past sequence number `after`.
+
+        An empty event says that the worker has opened the stream. Ends without
+        an error only when the worker ended the stream as a whole;
+        `Lost` after `silence` seconds without an event, or on half an event.
+        """
+        connection = self.requests.acquire(timeout=silence)
         if connection is None:
             yield result.Err(errors.NotSent("connections"))
             return
+        query = urllib.parse.urlencode({"subject": subject, "after": after})
         try:
-            response = connection.get(f"/watch?subject={subject}&after={after}")
-            while line := response.readline(sep=b"\n"):
+            with gevent.Timeout(silence):
+                response = connection.client.get(f"/watch?{query}")
+            if response.status_code != OK:
+                yield result.Err(errors.Refused(str(response.status_code)))
+                return
+            yield result.Ok({})
+            while True:
+                with gevent.Timeout(silence):
+                    line = response.readline(sep=b"\n")
+                if not line:
+                    return
                 yield result.Ok(codec.from_json(bytes(line), dict))
+        except gevent.Timeout:
+            yield result.Err(errors.Lost("silent"))
         except (OSError, http_response.HTTPParseError, codec.DecodeError) as exc:
-            yield result.Err(errors.Lost(str(exc)))
+            yield result.Err(errors.Lost(type(exc).__name__))
         finally:
-            self.requests.retire(connection)
+            self.requests.retire(connection, "watch_ended")
 
     def _task(
-        self,
-        pool: connections.Connections,
-        path: str,
-        order: t.Any,
-        deadline: float,
+        self, path: str, order: t.Any, task_id: str, deadline: float
     ) -> result.Result[messages.Report, errors.DispatchError]:
-        answer = self._exchange(pool, path, order, deadline)
-        return answer.and_then(lambda body: decode(body, messages.Report))
+        return self._exchange(self.control, path, order, deadline, answer_to(task_id))
 
     def _exchange(
         self,
@@ -121,43 +156,88 @@
         path: str,
         order: t.Any,
         deadline: float,
-    ) -> result.Result[bytes, errors.DispatchError]:
+        read: cabc.Callable[[bytes], result.Result[T, errors.DispatchError]],
+    ) -> result.Result[T, errors.DispatchError]:
+        """Send `order` and return what `read` makes of the whole answer.
+
+        Only a connection whose answer was whole and right is used again.
+        """
         left = max(deadline - self.clock.monotonic(), SHORTEST_TIMEOUT)
         connection = pool.acquire(left)
         if connection is None:
+            self.counters.count("dispatch.not_sent.connections")
             return result.Err(errors.NotSent("connections"))
         try:
             with gevent.Timeout(left):
-                response = connection.post(path, body=codec.to_json(order))
+                response = connection.client.post(path, body=codec.to_json(order))
                 body = bytes(response.read())
-        except (OSError, http_response.HTTPParseError, gevent.Timeout) as exc:
-            pool.retire(connection)
-            if isinstance(exc, ConnectionRefusedError):
-                return result.Err(errors.NotSent("connection_refused"))
+        except ConnectionRefusedError:
+            pool.retire(connection, "refused")
+            self.counters.count("dispatch.not_sent.refused")
+            return result.Err(errors.NotSent("connection_refused"))
+        except (gevent.Timeout, TimeoutError):
+            pool.retire(connection, "timeout")
+            if connection.proven:
+                # It worked before, so something may have silenced it; what idled
+                # beside it is suspect. A new one that stays silent is the worker.
+                self.retire_idle()
+            self.counters.count("dispatch.lost.timeout")
+            return result.Err(errors.Lost("timeout"))
+        except (OSError, http_response.HTTPParseError) as exc:
+            pool.retire(connection, "broken")
+            self.counters.count("dispatch.lost.broken")
             return result.Err(errors.Lost(type(exc).__name__))
-        pool.release(connection)
+        except BaseException:
+            # The request was given up on; its answer may still come.
+            pool.retire(connection, "cancelled")
+            raise
         if response.status_code not in (OK, CREATED):
+            pool.release(connection)
             return result.Err(errors.Refused(body.decode(errors="replace")))
-        return result.Ok(body)
+        answer = read(body)
+        if isinstance(answer, result.Err):
+            pool.retire(connection, "wrong_answer")
+            self.counters.count("dispatch.lost.wrong_answer")
+            return answer
+        pool.release(connection)
+        return answer
 
 
-T = t.TypeVar("T")
+def decoder(
+    kind: type[T],
+) -> cabc.Callable[[bytes], result.Result[T, errors.DispatchError]]:
+    """Return a function that reads a `kind`; half an answer is a lost one."""
+
+    def read(body: bytes) -> result.Result[T, errors.DispatchError]:
+        try:
+            return result.Ok(codec.from_json(body, kind))
+        except codec.DecodeError as exc:
+            return result.Err(errors.Lost(f"malformed: {exc}"))
+
+    return read
+
+
+def answer_to(
+    task_id: str,
+) -> cabc.Callable[[bytes], result.Result[messages.Report, errors.DispatchError]]:
+    """Return a function that reads a report on `task_id` and on nothing else."""
+    decode = decoder(messages.Report)
 
+    def read(body: bytes) -> result.Result[messages.Report, errors.DispatchError]:
+        report = decode(body)
+        if isinstance(report, result.Ok) and report.ok_value.task_id != task_id:
+            return result.Err(errors.Lost("answer of another task"))
+        return report
 
-def decode(body: bytes, kind: type[T]) -> result.Result[T, errors.DispatchError]:
-    """Return the message in `body`; half an answer is a lost one."""
-    try:
-        return result.Ok(codec.from_json(body, kind))
-    except codec.DecodeError as exc:
-        return result.Err(errors.Lost(f"malformed: {exc}"))
+    return read
 
 
-def whole(
-    start: messages.Start, report: messages.Report
+def succeeded(
+    report: messages.Report,
 ) -> result.Result[messages.Report, errors.DispatchError]:
-    """Return `report` if it is the answer to `start` and to nothing else."""
-    if report.task_id != start.task_id:
-        return result.Err(errors.Lost("answer of another task"))
+    """Return `report` if its task came to its end."""
+    if report.state is messages.TaskState.DONE:
+        return result.Ok(report)
     if report.state is messages.TaskState.FAILED:
         return result.Err(errors.Failed(report.reason))
-    return result.Ok(report)
+    return result.Err(errors.Lost(f"{report.state.value}: {report.reason}"))
--- a/src/mangosail/dispatch/monitor.py
+++ b/src/mangosail/dispatch/monitor.py
@@ -6,7 +6,7 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail.dispatch import messages, target
+from mangosail.dispatch import errors, messages, target
 from mangosail.telemetry import counters as telemetry
 
 #: Seconds that one long poll waits for news.
@@ -21,6 +21,9 @@
     def on_snapshot(self, worker: str, snapshot: messages.Snapshot) -> None:
         """Handle all of the worker's tasks as they are now."""
 
+    def on_silence(self, worker: str) -> None:
+        """Handle that the worker can't be reached until the next snapshot."""
+
 
 class Monitor:
     """Follows one worker by long polls until it is stopped."""
@@ -40,6 +43,8 @@
         self.counters = counters
         self.stopped = False
         self.version = -1
+        #: Polls that failed since the last good one.
+        self.failed = 0
 
     def follow(self) -> None:
         """Poll until `stopped` is set."""
@@ -51,9 +56,25 @@
         wait = POLL_WAIT if self.version >= 0 else 0.0
         answer = self.connection.snapshot(self.version, wait)
         if isinstance(answer, result.Err):
-            self.counters.count("dispatch.snapshot_failed")
-            self.clock.sleep(RETRY_INTERVAL)
+            self._failed(answer.err_value)
             return
+        self.failed = 0
         self.version = answer.ok_value.version
         for listener in self.listeners:
             listener.on_snapshot(self.worker, answer.ok_value)
+
+    def _failed(self, error: errors.DispatchError) -> None:
+        """Tell a worker that is out of reach from a connection gone silent.
+
+        One lost poll may be the connection's fault: it is retired, and a second
+        poll is sent at once over a new one. Only if that is lost too, or no
+        connection can be opened, no work is sent there until a poll succeeds.
+        """
+        self.counters.count("dispatch.snapshot_failed")
+        self.version = -1
+        self.failed += 1
+        if self.failed == 1 and not isinstance(error, errors.NotSent):
+            return
+        for listener in self.listeners:
+            listener.on_silence(self.worker)
+        self.clock.sleep(RETRY_INTERVAL)
--- a/src/mangosail/dispatch/target.py
+++ b/src/mangosail/dispatch/target.py
@@ -59,6 +59,14 @@
         """
 
     def watch(
-        self, subject: str, after: int
+        self, subject: str, after: int, silence: float
     ) -> cabc.Iterator[result.Result[dict[str, t.Any], errors.DispatchError]]:
-        """Yield the events of `subject` past sequence number `after`."""
+        """Yield the events of `subject` past sequence number `after`.
+
+        An empty event says that the worker has opened the stream. Ends without
+        an error only when the worker ended the stream as a whole;
+        `Lost` after `silence` seconds without an event, or on half an event.
+        """
+
+    def retire_idle(self) -> None:
+        """Close the idle connections: one like them was found silent."""
--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -1,13 +1,28 @@
-"""The HTTP application: which resource answers which path."""
+"""The HTTP application: which resource answers which path, and errors' form."""
+
+import re
+import typing as t
 
 import falcon
+import logbook
 
+from mangosail import codec
 from mangosail.front import batch, context, drain, outcomes, services, status, watches
 
+log = logbook.Logger("front")
+
+#: What a reason looks like; other titles are falcon's own, in prose.
+REASON = re.compile("[a-z][a-z0-9_]*")
+#: Reasons of falcon's own errors, by status.
+FALCON_REASONS = {404: "unknown_route", 405: "wrong_method", 400: "malformed"}
+
 
 def create(front: context.Front) -> falcon.App:
     """Return the WSGI application."""
     app = falcon.App()
+    errors = Errors(front)
+    app.add_error_handler(Exception, errors.on_fault)
+    app.add_error_handler(falcon.HTTPError, errors.on_refusal)
     app.add_route("/v1/services/{service}/{operation}", services.ServiceResource(front))
     app.add_route("/v1/work/{request_id}", outcomes.WorkResource(front))
     app.add_route("/v1/watches/{service}/{operation}", watches.WatchResource(front))
@@ -20,3 +35,62 @@
     app.add_route("/healthz", status.HealthResource())
     app.add_route("/readyz", status.ReadyResource(front))
     return app
+
+
+class Errors:
+    """Writes errors as ``{title, description, outcome}`` and counts them."""
+
+    def __init__(self, front: context.Front) -> None:
+        self.front = front
+
+    def on_refusal(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        error: falcon.HTTPError,
+        params: dict[str, t.Any],
+    ) -> None:
+        """Answer a request that was refused before anything was done for it."""
+        reason = reason_of(error)
+        self.front.counters.count(f"front.refused.{reason}")
+        resp.status = error.status
+        for name, value in dict(error.headers or {}).items():
+            resp.set_header(name, value)
+        self._write(req, resp, reason, error.description, "not_run")
+
+    def on_fault(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        error: Exception,
+        params: dict[str, t.Any],
+    ) -> None:
+        """Answer a request during which the program failed.
+
+        How far the request came is not known here, so its outcome is not either.
+        """
+        self.front.counters.count("front.internal_error")
+        log.exception("request failed", path=req.path)
+        resp.status = falcon.HTTP_INTERNAL_SERVER_ERROR
+        self._write(req, resp, "internal_error", None, "unknown")
+
+    def _write(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        title: str,
+        description: str | None,
+        outcome: str,
+    ) -> None:
+        body = {"title": title, "description": description or ""}
+        if req.method == "POST":
+            body["outcome"] = outcome
+        resp.content_type = falcon.MEDIA_JSON
+        resp.text = codec.to_json(body)
+
+
+def reason_of(error: falcon.HTTPError) -> str:
+    """Return the reason that an error's title, or else its status, stands for."""
+    if error.title and REASON.fullmatch(error.title):
+        return error.title
+    return FALCON_REASONS.get(error.status_code, f"status_{error.status_code}")
--- /dev/null
+++ b/src/mangosail/front/attempts.py
@@ -0,0 +1,134 @@
+"""Attempts of idempotent requests on workers, and how surely each has ended.
+
+A request may be tried on several workers, one after the other or at a time. Each
+attempt has its own task id and its own reservation, which is given back only when
+the task certainly doesn't run any more, so the ledger never understates the load.
+"""
+
+import dataclasses
+import itertools
+import secrets
+
+import gevent
+import gevent.queue
+import result
+
+from mangosail import clock as clocks
+from mangosail.dispatch import errors as dispatch_errors
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.front import messages
+from mangosail.placement import workers
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds that a worker may take to say what became of an attempt.
+VOID_TIMEOUT = 1.0
+#: Seconds between such questions.
+VOID_INTERVAL = 0.25
+
+Answer = result.Result[dispatch_messages.Report, dispatch_errors.DispatchError]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a request on one worker; `answer` is None while it runs."""
+
+    owned: workers.OwnedWorker
+    start: dispatch_messages.Start
+    started_at: float
+    greenlet: gevent.Greenlet | None = None
+    answer: Answer | None = None
+
+
+class Attempts:
+    """Starts attempts on this instance's workers and settles the lost ones."""
+
+    def __init__(self, clock: clocks.Clock, counters: telemetry.Counters) -> None:
+        self.clock = clock
+        self.counters = counters
+        #: Makes task ids unique among the instances and runs that own a worker.
+        self.prefix = secrets.token_hex(4)
+        self.numbers = itertools.count(1)
+
+    def begin(
+        self,
+        request: messages.ServiceRequest,
+        owned: workers.OwnedWorker,
+        answers: "gevent.queue.SimpleQueue[Attempt]",
+    ) -> Attempt | None:
+        """Start an attempt whose end is put into `answers`; None if it won't fit."""
+        # A worker refuses a task id that it has seen, also in a repeated request.
+        suffix = f"{self.prefix}-{next(self.numbers)}"
+        task_id = f"{request.team}/{request.request_id}~{suffix}"
+        needs = request.declared.needs.as_resources()
+        if not owned.ledger.reserve(task_id, needs):
+            return None
+        now = self.clock.monotonic()
+        start = dispatch_messages.Start(
+            task_id=task_id,
+            generation=1,
+            owner_generation=owned.generation,
+            lease_deadline=self.clock.wall() + request.deadline - now,
+            team=request.team,
+            kind=request.kind,
+            needs=needs,
+            body=request.body,
+        )
+        attempt = Attempt(owned, start, now)
+        attempt.greenlet = gevent.spawn(self._run, attempt, request.deadline, answers)
+        return attempt
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give up an attempt that runs still: its connection is closed at once."""
+        if attempt.answer is not None or attempt.greenlet is None:
+            return
+        attempt.greenlet.kill(block=False)
+        self.counters.count("front.attempt_cancelled")
+        gevent.spawn(self._settle, attempt)
+
+    def _run(
+        self,
+        attempt: Attempt,
+        deadline: float,
+        answers: "gevent.queue.SimpleQueue[Attempt]",
+    ) -> None:
+        attempt.answer = attempt.owned.target.run(attempt.start, deadline)
+        answers.put(attempt)
+        if is_lost(attempt.answer):
+            self._settle(attempt)
+        else:
+            attempt.owned.ledger.release(attempt.start.task_id)
+
+    def _settle(self, attempt: Attempt) -> None:
+        """Keep the reservation until the task certainly doesn't run.
+
+        Either the worker promises so, or the lease that the worker holds has
+        ended on its clock too. A worker that never saw the order although it
+        was sent tells of a connection that went silent.
+        """
+        start = attempt.start
+        lease_end = start.lease_deadline + clocks.CLOCK_SKEW_MARGIN
+        while self.clock.wall() < lease_end:
+            deadline = self.clock.monotonic() + VOID_TIMEOUT
+            target = attempt.owned.target
+            voided = target.void(start.task_id, start.generation, deadline)
+            if isinstance(voided, result.Ok):
+                self._note(attempt, voided.ok_value.state)
+                break
+            self.clock.sleep(VOID_INTERVAL)
+        else:
+            self.counters.count("dispatch.settled.lease_over")
+        attempt.owned.ledger.release(start.task_id)
+
+    def _note(self, attempt: Attempt, state: dispatch_messages.TaskState) -> None:
+        if state is not dispatch_messages.TaskState.VOID:
+            self.counters.count("dispatch.settled.slow_worker")
+            return
+        self.counters.count("dispatch.settled.silent_connection")
+        attempt.owned.target.retire_idle()
+
+
+def is_lost(answer: Answer) -> bool:
+    """Tell whether the task may run still."""
+    return isinstance(answer, result.Err) and isinstance(
+        answer.err_value, dispatch_errors.Lost
+    )
--- a/src/mangosail/front/batch.py
+++ b/src/mangosail/front/batch.py
@@ -22,7 +22,6 @@
         try:
             job = msgspec.convert({**body, "team": identity.team}, job_messages.Job)
         except (msgspec.ValidationError, TypeError) as exc:
-            self.front.counters.count("front.refused.malformed")
             raise falcon.HTTPBadRequest(
                 title="malformed", description=str(exc)
             ) from exc
--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -1,13 +1,16 @@
 """What every resource needs: who asks, what, and until when."""
 
+import math
+import re
 import secrets
 import typing as t
 
 import falcon
+import gevent
 
 from mangosail import clock as clocks
 from mangosail import codec
-from mangosail.front import messages, quotes
+from mangosail.front import messages, quotes, streams
 from mangosail.jobs import queue
 from mangosail.membership import peers as membership
 from mangosail.placement import workers
@@ -19,6 +22,10 @@
 BODY_LIMIT = 1024 * 1024
 #: Longest time in seconds that a caller may ask to wait.
 LONGEST_TIMEOUT = 3600.0
+#: Seconds in which a body must have come.
+BODY_TERM = 5.0
+#: A request id: part of task ids and of rows' keys, so without their separators.
+REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 
 
 class Front:
@@ -31,6 +38,7 @@
         run: runner.Runner,
         jobs: queue.JobQueue,
         owned: workers.Workers,
+        open_watches: streams.Watches,
         clock: clocks.Clock,
         counters: telemetry.Counters,
         describe: t.Callable[[], dict[str, t.Any]],
@@ -41,50 +49,55 @@
         self.runner = run
         self.jobs = jobs
         self.owned = owned
+        self.watches = open_watches
         self.clock = clock
         self.counters = counters
         self.describe = describe
         self.peers = peers
         self.ready = False
+        #: True once a planned stop has begun.
+        self.draining = False
 
     def identify(self, req: falcon.Request) -> state.Identity:
         """Return whose request this is, or refuse it."""
         scheme, _, token = (req.auth or "").partition(" ")
         if scheme.lower() != "bearer" or not token:
-            self.counters.count("front.refused.token_missing")
             raise falcon.HTTPUnauthorized(title="token_missing")
         identity = self.settings.identify(token)
         if identity is None:
-            self.counters.count("front.refused.token_unknown")
             raise falcon.HTTPUnauthorized(title="token_unknown")
         return identity
 
     def body(self, req: falcon.Request) -> t.Any:
         """Return the request's JSON body, or refuse it."""
-        if (req.content_length or 0) > BODY_LIMIT:
-            self.counters.count("front.refused.oversized")
-            raise falcon.HTTPContentTooLarge(title="oversized")
-        try:
-            return codec.from_json(
-                req.bounded_stream.read(BODY_LIMIT) or b"null", object
+        data = self._read_body(req)
+        if not data:
+            return None
+        media_type = (req.content_type or falcon.MEDIA_JSON).partition(";")[0]
+        if media_type.strip().lower() != falcon.MEDIA_JSON:
+            raise falcon.HTTPUnsupportedMediaType(
+                title="wrong_content_type",
+                description=f"{media_type!r}: expected {falcon.MEDIA_JSON}",
             )
-        except codec.DecodeError as exc:
-            self.counters.count("front.refused.malformed")
+        try:
+            body = codec.from_json(data, object)
+        except (codec.DecodeError, RecursionError) as exc:
             raise falcon.HTTPBadRequest(
                 title="malformed", description=str(exc)
             ) from exc
+        if not isinstance(body, dict):
+            raise falcon.HTTPBadRequest(
+                title="not_an_object", description="the body: expected a JSON object"
+            )
+        return body
 
     def deadline(self, req: falcon.Request, default: float) -> float:
         """Return the monotonic time until which the caller waits."""
         text = req.get_header("Request-Timeout")
-        try:
-            seconds = float(text) if text else default
-        except ValueError as exc:
-            raise falcon.HTTPBadRequest(
-                title="malformed",
-                description=f"Request-Timeout: {text!r}: expected seconds",
-            ) from exc
-        return self.clock.monotonic() + min(max(seconds, 0.0), LONGEST_TIMEOUT)
+        seconds = default if text is None else timeout_of(text)
+        if seconds == 0:
+            raise falcon.HTTPGatewayTimeout(title="deadline")
+        return self.clock.monotonic() + min(seconds, LONGEST_TIMEOUT)
 
     def read(
         self, req: falcon.Request, service: str, operation: str
@@ -93,10 +106,11 @@
         identity = self.identify(req)
         declared = self.settings.operation(identity.team, service, operation)
         if declared is None:
-            self.counters.count("front.refused.unknown_service")
-            raise falcon.HTTPNotFound(title="unknown_service")
+            raise falcon.HTTPNotFound(
+                title="unknown_service", description=f"{service}/{operation}"
+            )
         return messages.ServiceRequest(
-            request_id=req.get_header("Request-Id") or secrets.token_hex(8),
+            request_id=request_id_of(req),
             team=identity.team,
             service=service,
             operation=operation,
@@ -104,3 +118,54 @@
             body=self.body(req),
             deadline=self.deadline(req, declared.deadline_seconds),
         )
+
+    def _read_body(self, req: falcon.Request) -> bytes:
+        """Return the whole body, with a length or chunked, within its bounds."""
+        if (req.content_length or 0) > BODY_LIMIT:
+            raise oversized()
+        try:
+            with gevent.Timeout(BODY_TERM):
+                data = req.env["wsgi.input"].read(BODY_LIMIT + 1)
+        except gevent.Timeout as exc:
+            raise falcon.HTTPError(408, title="slow_body") from exc
+        except OSError as exc:
+            raise falcon.HTTPBadRequest(
+                title="malformed", description="the body ended early"
+            ) from exc
+        if len(data) > BODY_LIMIT:
+            raise oversized()
+        return data
+
+
+def oversized() -> falcon.HTTPError:
+    """Return the refusal of a body that is too large."""
+    return falcon.HTTPContentTooLarge(
+        title="oversized", description=f"the body: at most {BODY_LIMIT} bytes"
+    )
+
+
+def request_id_of(req: falcon.Request) -> str:
+    """Return the caller's request id, or a new one if there is none."""
+    text = req.get_header("Request-Id")
+    if text is None:
+        return secrets.token_hex(8)
+    if not REQUEST_ID.fullmatch(text):
+        raise falcon.HTTPBadRequest(
+            title="bad_request_id",
+            description="Request-Id: expected 1 to 128 of A-Z a-z 0-9 . _ : -",
+        )
+    return text
+
+
+def timeout_of(text: str) -> float:
+    """Return the seconds that a Request-Timeout header gives."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds < 0:
+        raise falcon.HTTPBadRequest(
+            title="bad_request_timeout",
+            description=f"Request-Timeout: {text!r}: expected seconds",
+        )
+    return seconds
--- a/src/mangosail/front/drain.py
+++ b/src/mangosail/front/drain.py
@@ -31,7 +31,6 @@
         """Begin the planned stop; callers other than operators are refused."""
         identity = self.front.identify(req)
         if not identity.operator:
-            self.front.counters.count("front.refused.not_operator")
             raise falcon.HTTPForbidden(title="not_operator")
         log.info("drain asked for", team=identity.team, token=identity.token)
         gevent.spawn_later(ANSWER_TIME, stop_self)
--- a/src/mangosail/front/messages.py
+++ b/src/mangosail/front/messages.py
@@ -40,3 +40,5 @@
     status: int
     reason: str
     retry_after: float | None = None
+    #: "unknown" if an attempt was sent whose end nobody saw.
+    outcome: str = "not_run"
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -1,28 +1,47 @@
 """Quotes: latency-critical, idempotent, answered in the same exchange."""
 
+import collections.abc as cabc
+
+import gevent.queue
 import result
 
 from mangosail import clock as clocks
 from mangosail import codec
-from mangosail.dispatch import errors as dispatch_errors
-from mangosail.dispatch import messages as dispatch_messages
-from mangosail.front import messages
+from mangosail.dispatch import budget, latency
+from mangosail.front import attempts, messages
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
 from mangosail.placement import choice, workers
 from mangosail.telemetry import counters as telemetry
 
-#: Attempts that one quote may cost, the first included.
-ATTEMPTS = 2
+#: Attempts that one quote may cost here, the first included.
+MOST_ATTEMPTS = 3
+#: Retries that requests earn, as a share of them, and how many may be saved up.
+RETRY_SHARE = 0.10
+RETRY_BURST = 10.0
+#: The same for attempts started while the first one is still waited for.
+HEDGE_SHARE = 0.05
+HEDGE_BURST = 5.0
+#: Seconds that a hedge waits at least, however fast answers are.
+SHORTEST_PATIENCE = 0.01
+#: Share of the caller's time after which a silent first attempt counts as lost.
+LOST_SHARE = 0.5
 #: Seconds after which a caller that found no room should come back.
 COME_BACK = 1.0
 #: Seconds of a caller's time kept back for the way home from a peer.
 FORWARD_MARGIN = 0.02
+#: Peers that one quote is forwarded to, one after the other.
+MOST_PEERS = 2
+#: Share of the remaining time that the first of two peers is given.
+FIRST_PEER_SHARE = 0.6
 
+OK = 200
 UNAVAILABLE = 503
 TIMED_OUT = 504
 
+Answer = result.Result[messages.Served, messages.Refusal]
+
 
 class Quotes:
     """Serves quotes from own workers, else from a peer's."""
@@ -42,96 +61,216 @@
         self.lease = lease
         self.clock = clock
         self.counters = counters
+        self.attempts = attempts.Attempts(clock, counters)
+        self.latencies = latency.Latencies()
+        self.retries = budget.Budget(RETRY_SHARE, RETRY_BURST)
+        self.hedges = budget.Budget(HEDGE_SHARE, HEDGE_BURST)
 
-    def serve(
-        self, request: messages.ServiceRequest, forward: bool = True
-    ) -> result.Result[messages.Served, messages.Refusal]:
+    def serve(self, request: messages.ServiceRequest, forward: bool = True) -> Answer:
         """Answer `request` from here, or from a peer if `forward` allows."""
-        for _ in range(ATTEMPTS):
-            if self.clock.monotonic() >= request.deadline:
-                return self._refuse(TIMED_OUT, "deadline")
-            candidates = self._candidates(request)
-            if not candidates:
-                break
-            owned = self.chooser.choose(candidates, request.kind)
-            answer = self._run(request, owned)
-            if isinstance(answer, result.Ok):
-                served = messages.Served(
-                    answer.ok_value.answer, owned.name, owned.worker.data_centre
-                )
-                return result.Ok(served)
-            if isinstance(answer.err_value, dispatch_errors.Failed):
-                return self._refuse(UNAVAILABLE, "task_failed")
-            self.counters.count("front.retry.target")
+        self.retries.earn()
+        self.hedges.earn()
+        answer = Race(self, request).run()
+        if answer is not None:
+            return answer
+        if self.clock.monotonic() >= request.deadline:
+            return self.refuse(TIMED_OUT, "deadline")
         if forward:
             return self._forward(request)
-        return self._refuse(UNAVAILABLE, "no_capacity")
+        return self.refuse(UNAVAILABLE, "no_capacity")
 
-    def _candidates(
-        self, request: messages.ServiceRequest
+    def candidates(
+        self,
+        request: messages.ServiceRequest,
+        tried: cabc.Sequence[attempts.Attempt],
+        again: bool,
     ) -> list[workers.OwnedWorker]:
+        """Return the workers for the next attempt, if any.
+
+        A worker that was tried is a candidate only if `again` allows it and no
+        other fits.
+        """
         if not self.lease.valid():
             return []
-        return self.owned.fitting(request.declared.needs.as_resources())
+        fitting = self.owned.fitting(request.declared.needs.as_resources())
+        used = [attempt.owned for attempt in tried]
+        others = [owned for owned in fitting if owned not in used]
+        return others or (fitting if again else [])
 
-    def _run(
-        self, request: messages.ServiceRequest, owned: workers.OwnedWorker
-    ) -> result.Result[dispatch_messages.Report, dispatch_errors.DispatchError]:
-        task_id = f"{request.team}/{request.request_id}"
-        needs = request.declared.needs.as_resources()
-        if not owned.ledger.reserve(task_id, needs):
-            return result.Err(dispatch_errors.NotSent("reserved"))
-        left = request.deadline - self.clock.monotonic()
-        start = dispatch_messages.Start(
-            task_id=task_id,
-            generation=1,
-            owner_generation=owned.generation,
-            lease_deadline=self.clock.wall() + left,
-            team=request.team,
-            kind=request.kind,
-            needs=needs,
-            body=request.body,
-        )
-        try:
-            return owned.target.run(start, request.deadline)
-        finally:
-            owned.ledger.release(task_id)
+    def refuse(self, status: int, reason: str, outcome: str = "not_run") -> Answer:
+        """Return a refusal, and count it."""
+        self.counters.count(f"front.refused.{reason}")
+        return result.Err(messages.Refusal(status, reason, COME_BACK, outcome))
 
-    def _forward(
-        self, request: messages.ServiceRequest
-    ) -> result.Result[messages.Served, messages.Refusal]:
+    def _forward(self, request: messages.ServiceRequest) -> Answer:
+        """Pass the request on, to a second peer if the first one is lost."""
         needs = request.declared.needs.as_resources()
-        for peer in self.peers.with_room(needs, self.lease.row.data_centre)[:1]:
+        peers = self.peers.with_room(needs, self.lease.row.data_centre)[:MOST_PEERS]
+        reason = "no_capacity"
+        for turn, peer in enumerate(peers):
+            if turn and not self._retry(f"forward_{reason}"):
+                break
             left = request.deadline - self.clock.monotonic() - FORWARD_MARGIN
             if left <= 0:
-                return self._refuse(TIMED_OUT, "deadline")
-            message = peer_messages.Forwarded(
-                request.request_id,
-                request.team,
-                request.service,
-                request.operation,
-                request.body,
-                left,
-            )
+                return self.refuse(TIMED_OUT, "deadline")
+            if turn + 1 < len(peers):
+                # A frozen peer never answers: keep time to ask the other.
+                left *= FIRST_PEER_SHARE
             self.counters.count("front.forwarded")
-            answer = peer.channel.forward(message, left)
+            answer = peer.channel.forward(forwarded(request, left), left)
             if isinstance(answer, result.Err):
-                return self._refuse(UNAVAILABLE, "peer_lost")
+                self.counters.count(f"front.forward_failed.{answer.err_value}")
+                reason = "peer_lost"
+                continue
+            if answer.ok_value.status == UNAVAILABLE:
+                reason = answer.ok_value.body
+                continue
             return unpack(answer.ok_value)
-        return self._refuse(UNAVAILABLE, "no_capacity")
+        return self.refuse(UNAVAILABLE, reason)
 
-    def _refuse(
-        self, status: int, reason: str
-    ) -> result.Result[messages.Served, messages.Refusal]:
-        self.counters.count(f"front.refused.{reason}")
-        return result.Err(messages.Refusal(status, reason, COME_BACK))
+    def _retry(self, reason: str) -> bool:
+        return self.spend(self.retries, "retry", reason)
+
+    def spend(self, extra: budget.Budget, what: str, reason: str) -> bool:
+        """Take an extra attempt from a budget, and count it or its refusal."""
+        if not extra.spend():
+            self.counters.count(f"front.{what}_refused.budget")
+            return False
+        self.counters.count(f"front.{what}.{reason}")
+        return True
+
+
+class Race:
+    """The attempts of one quote on own workers; the first whole answer wins.
+
+    The second attempt starts once the first one takes longer than nearly all
+    answers of its kind, on another worker (a hedge), or once half of the
+    caller's time is over, on a new connection to the same worker if there is no
+    other: the connection may have gone silent.
+    """
+
+    def __init__(self, quotes: Quotes, request: messages.ServiceRequest) -> None:
+        self.quotes = quotes
+        self.request = request
+        self.answers: gevent.queue.SimpleQueue[attempts.Attempt] = (
+            gevent.queue.SimpleQueue()
+        )
+        self.tried: list[attempts.Attempt] = []
+        now = quotes.clock.monotonic()
+        patience = max(quotes.latencies.high(request.kind), SHORTEST_PATIENCE)
+        self.hedge_at = now + patience
+        self.lost_at = now + (request.deadline - now) * LOST_SHARE
+
+    def run(self) -> Answer | None:
+        """Return the answer; None if none can be had from own workers."""
+        try:
+            if not self._begin(again=False):
+                return None
+            return self._wait()
+        finally:
+            for attempt in self.tried:
+                self.quotes.attempts.cancel(attempt)
+
+    def _wait(self) -> Answer | None:
+        waiting = 1
+        while True:
+            ended = self._next()
+            if ended is None:
+                if self.quotes.clock.monotonic() >= self.request.deadline:
+                    return self.quotes.refuse(TIMED_OUT, "deadline", "unknown")
+                waiting += self._add()
+                continue
+            waiting -= 1
+            answer = ended.answer
+            if isinstance(answer, result.Ok):
+                return result.Ok(self._served(ended, answer.ok_value.answer))
+            assert answer is not None
+            reason = type(answer.err_value).__name__.lower()
+            if waiting:
+                continue
+            if not self._another(reason):
+                return self.quotes.refuse(UNAVAILABLE, f"target_{reason}", "unknown")
+            if not self._begin(again=True):
+                return None
+            waiting += 1
+
+    def _next(self) -> attempts.Attempt | None:
+        """Return the next attempt that ended, or None when it takes too long."""
+        until = min(self.hedge_at, self.lost_at, self.request.deadline)
+        left = until - self.quotes.clock.monotonic()
+        try:
+            return self.answers.get(timeout=max(left, 0.0))
+        except gevent.queue.Empty:
+            return None
+
+    def _add(self) -> int:
+        """Start another attempt beside those that run, and return their number."""
+        now = self.quotes.clock.monotonic()
+        never = self.request.deadline
+        if now >= self.lost_at:
+            self.lost_at = self.hedge_at = never
+            if not self.quotes.candidates(self.request, self.tried, again=True):
+                return 0
+            if not self._another("silent"):
+                return 0
+            return int(self._begin(again=True, fresh=True))
+        if now < self.hedge_at:
+            return 0
+        self.hedge_at = never
+        if not self.quotes.candidates(self.request, self.tried, again=False):
+            return 0
+        if not self.quotes.spend(self.quotes.hedges, "hedge", "slow"):
+            return 0
+        return int(self._begin(again=False))
+
+    def _another(self, reason: str) -> bool:
+        """Tell whether the retry budget and the caller's time allow an attempt."""
+        if len(self.tried) >= MOST_ATTEMPTS:
+            self.quotes.counters.count("front.retry_refused.attempts")
+            return False
+        if self.quotes.clock.monotonic() >= self.request.deadline:
+            return False
+        return self.quotes.spend(self.quotes.retries, "retry", reason)
+
+    def _begin(self, again: bool, fresh: bool = False) -> bool:
+        """Start an attempt, on a new connection if `fresh`; tell whether it was."""
+        candidates = self.quotes.candidates(self.request, self.tried, again)
+        if not candidates:
+            return False
+        owned = self.quotes.chooser.choose(candidates, self.request.kind)
+        if fresh:
+            owned.target.retire_idle()
+        attempt = self.quotes.attempts.begin(self.request, owned, self.answers)
+        if attempt is None:
+            return False
+        self.tried.append(attempt)
+        return True
+
+    def _served(self, ended: attempts.Attempt, answer: object) -> messages.Served:
+        now = self.quotes.clock.monotonic()
+        self.quotes.latencies.observe(self.request.kind, now - ended.started_at)
+        if ended is not self.tried[0]:
+            self.quotes.counters.count("front.extra_attempt_won")
+        return messages.Served(answer, ended.owned.name, ended.owned.worker.data_centre)
+
+
+def forwarded(
+    request: messages.ServiceRequest, timeout: float
+) -> peer_messages.Forwarded:
+    """Return `request` as it is passed on, with what is left of its time."""
+    return peer_messages.Forwarded(
+        request.request_id,
+        request.team,
+        request.service,
+        request.operation,
+        request.body,
+        timeout,
+    )
 
 
-def unpack(
-    answer: peer_messages.ForwardedAnswer,
-) -> result.Result[messages.Served, messages.Refusal]:
+def unpack(answer: peer_messages.ForwardedAnswer) -> Answer:
     """Return what a peer answered as if it had been answered here."""
-    if answer.status == 200:
+    if answer.status == OK:
         served = messages.Served(
             codec.from_json(answer.body, object), answer.worker, answer.data_centre
         )
--- a/src/mangosail/front/replies.py
+++ b/src/mangosail/front/replies.py
@@ -1,5 +1,7 @@
 """Refusals and outcomes as HTTP answers."""
 
+import math
+
 import falcon
 import result
 
@@ -14,9 +16,20 @@
 def refuse(resp: falcon.Response, refusal: messages.Refusal) -> None:
     """Write a refusal."""
     resp.status = refusal.status
-    resp.text = codec.to_json({"title": refusal.reason, "outcome": "not_run"})
-    if refusal.retry_after is not None:
-        resp.set_header("Retry-After", f"{refusal.retry_after:g}")
+    body = {
+        "title": refusal.reason,
+        "description": "",
+        "outcome": refusal.outcome,
+        "retry_after": refusal.retry_after,
+    }
+    resp.text = codec.to_json(body)
+    come_back(resp, refusal.retry_after)
+
+
+def come_back(resp: falcon.Response, seconds: float | None) -> None:
+    """Tell the caller when to ask again: HTTP takes whole seconds only."""
+    if seconds is not None:
+        resp.set_header("Retry-After", str(max(math.ceil(seconds), 1)))
 
 
 def answer_work(
@@ -31,7 +44,7 @@
     resp.text = codec.to_json(outcome)
     if outcome.retry_after is not None:
         resp.status = falcon.HTTP_ACCEPTED
-        resp.set_header("Retry-After", f"{outcome.retry_after:g}")
+        come_back(resp, outcome.retry_after)
 
 
 def refuse_work(resp: falcon.Response, error: runner.SubmitError) -> None:
@@ -55,6 +68,6 @@
 ) -> None:
     """Write a refusal of work of which nothing certain is known."""
     resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
-    resp.text = codec.to_json({"title": reason, "outcome": "unknown"})
-    if retry_after is not None:
-        resp.set_header("Retry-After", f"{retry_after:g}")
+    body = {"title": reason, "outcome": "unknown", "retry_after": retry_after}
+    resp.text = codec.to_json(body)
+    come_back(resp, retry_after)
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,9 +1,76 @@
-"""The WSGI server, set up for short answers on kept connections."""
+"""The WSGI server, set up for short answers and against slow or many callers."""
 
+import collections.abc as cabc
 import socket
 import typing as t
 
-from gevent import pywsgi
+import gevent
+from gevent import pool, pywsgi
+
+from mangosail import codec
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds that a connection may idle between requests, and a write may take.
+IDLE_TERM = 60.0
+#: Seconds in which a request's line and headers must have come.
+HEADERS_TERM = 5.0
+#: Seconds and bytes spent on what is left of a body that nobody wants.
+DISCARD_TERM = 2.0
+DISCARD_LIMIT = 4 * 1024 * 1024
+#: Connections held at a time; further ones wait to be accepted.
+MOST_CONNECTIONS = 4096
+#: Requests in hand at a time; further ones are refused at once.
+MOST_REQUESTS = 512
+#: Seconds after which a caller that was refused for that should come back.
+COME_BACK = 1
+#: Paths that are answered however many requests are in hand.
+ALWAYS = ("/healthz", "/readyz")
+
+OVERLOADED = "overloaded"
+
+
+class Gate:
+    """The application, with the requests in hand counted and bounded."""
+
+    def __init__(self, app: t.Any, counters: telemetry.Counters) -> None:
+        self.app = app
+        self.counters = counters
+        self.in_hand = 0
+        #: True while the instance stops: every answer ends its connection.
+        self.closing = False
+
+    def __call__(
+        self, environ: dict[str, t.Any], start_response: cabc.Callable[..., t.Any]
+    ) -> cabc.Iterable[bytes]:
+        """Serve one request."""
+        if environ["PATH_INFO"] in ALWAYS:
+            return self.app(environ, start_response)
+        if self.in_hand >= MOST_REQUESTS:
+            return self._refuse(start_response)
+        self.in_hand += 1
+        try:
+            return self.app(environ, start_response)
+        finally:
+            self.in_hand -= 1
+
+    def _refuse(
+        self, start_response: cabc.Callable[..., t.Any]
+    ) -> cabc.Iterable[bytes]:
+        self.counters.count(f"front.refused.{OVERLOADED}")
+        refusal = {
+            "title": OVERLOADED,
+            "description": "too many requests in hand",
+            "outcome": "not_run",
+            "retry_after": COME_BACK,
+        }
+        body = codec.to_json(refusal).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Retry-After", str(COME_BACK)),
+        ]
+        start_response("503 Service Unavailable", headers)
+        return [body]
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -16,12 +83,117 @@
 
     def __init__(self, sock: t.Any, *args: t.Any, **kwargs: t.Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Bounds idle connections, and callers that never read their answer.
+        sock.settimeout(IDLE_TERM)
         super().__init__(sock, *args, **kwargs)
+        #: True from a request's first byte to the end of its answer.
+        self.busy = False
+
+    def handle(self) -> None:
+        """Serve the connection's requests one after the other."""
+        self.server.handlers.add(self)
+        try:
+            super().handle()
+        finally:
+            self.server.handlers.discard(self)
+
+    def handle_one_request(self) -> t.Any:
+        """Serve one request, and mark the connection idle between requests."""
+        try:
+            return super().handle_one_request()
+        finally:
+            self.busy = False
+
+    def read_request(self, raw_requestline: t.Any) -> t.Any:
+        """Read the headers within their time; a slow caller is refused."""
+        self.busy = True
+        with gevent.Timeout(HEADERS_TERM, SlowRequest("headers")):
+            return super().read_request(raw_requestline)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        reason = "slow_headers" if isinstance(ex, SlowRequest) else "malformed"
+        status = "408 Request Timeout" if reason != "malformed" else "400 Bad Request"
+        self.server.counters.count(f"front.refused.{reason}")
+        refusal = {
+            "title": reason,
+            "description": "the request's headers",
+            "outcome": "not_run",
+        }
+        body = codec.to_json(refusal).encode()
+        head = (
+            f"HTTP/1.1 {status}\r\nConnection: close\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return status[:3], head.encode() + body
+
+    def handle_error(self, kind: t.Any, error: t.Any, trace: t.Any) -> None:
+        """Count a fault that came up while an answer was being written."""
+        self.server.counters.count("front.internal_error")
+        super().handle_error(kind, error, trace)
+
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: t.Any = None
+    ) -> t.Any:
+        """Begin an answer; a stopping instance asks the caller to connect anew."""
+        if getattr(self.application, "closing", False):
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def run_application(self) -> None:
+        """Answer, then get rid of a body that was not read.
+
+        pywsgi would read the rest for as long as it comes, which lets one slow
+        or endless caller hold the connection.
+        """
+        try:
+            super().run_application()
+        finally:
+            self._discard()
+
+    def _discard(self) -> None:
+        body = self.wsgi_input
+        left = DISCARD_LIMIT
+        with gevent.Timeout(DISCARD_TERM, False):
+            while left > 0:
+                try:
+                    data = body.read(min(left, 65536))
+                except OSError:
+                    break
+                if not data:
+                    return
+                left -= len(data)
+        self.close_connection = True
+        body.chunked_input = False
+        body.content_length = 0
+
+
+class SlowRequest(ValueError):
+    """A part of a request did not come within its time."""
+
+
+class Server(pywsgi.WSGIServer):
+    """The server, which knows its connections and can end them gracefully."""
+
+    def __init__(
+        self, address: tuple[str, int], app: t.Any, counters: telemetry.Counters
+    ) -> None:
+        super().__init__(
+            address,
+            app,
+            log=None,
+            error_log=None,
+            handler_class=Handler,
+            spawn=pool.Pool(MOST_CONNECTIONS),
+        )
+        self.counters = counters
+        self.handlers: set[Handler] = set()
+
+    def busy(self) -> bool:
+        """Tell whether any request is being read or answered."""
+        return any(handler.busy for handler in self.handlers)
 
 
-def create(app: t.Any, address: str) -> pywsgi.WSGIServer:
+def create(app: t.Any, address: str, counters: telemetry.Counters) -> Server:
     """Return a server for `app` on `address`, an IP number and a port."""
     host, _, port = address.rpartition(":")
-    return pywsgi.WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=Handler
-    )
+    return Server((host, int(port)), app, counters)
--- a/src/mangosail/front/status.py
+++ b/src/mangosail/front/status.py
@@ -80,6 +80,7 @@
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Return 200 while new requests are welcome, else 503."""
-        if not self.front.ready:
+        ready = self.front.ready and not self.front.draining
+        if not ready:
             resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
-        resp.text = codec.to_json({"ready": self.front.ready})
+        resp.text = codec.to_json({"ready": ready})
--- /dev/null
+++ b/src/mangosail/front/stopping.py
@@ -0,0 +1,78 @@
+"""The planned stop of an instance, which cuts off no request in flight."""
+
+import typing as t
+
+import logbook
+
+from mangosail import clock as clocks
+from mangosail.front import context, server
+from mangosail.telemetry import counters as telemetry
+
+log = logbook.Logger("front")
+
+#: Seconds that new callers are still served while the balancer finds out that
+#: this instance is not ready: three of its checks.
+NOTICE_TERM = 1.5
+#: Seconds between looks at what is in flight.
+LOOK_INTERVAL = 0.02
+#: Looks in a row without anything in flight after which nothing is on its way.
+QUIET_LOOKS = 5
+
+
+class Drain:
+    """Ends what an instance does, in the order in which callers lose nothing.
+
+    First the balancer is told and given time to send callers elsewhere; then
+    watches end at a point from which they can be resumed, the port is closed and
+    what is in flight is served to its end. Only then is ownership handed over:
+    whoever waits here for the end of its work needs the worker's reports.
+    """
+
+    def __init__(
+        self,
+        front: context.Front,
+        httpd: server.Server,
+        stop_peers: t.Callable[[float], None],
+        hand_over: t.Callable[[], None],
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+        term: float,
+    ) -> None:
+        self.front = front
+        self.httpd = httpd
+        self.stop_peers = stop_peers
+        self.hand_over = hand_over
+        self.clock = clock
+        self.counters = counters
+        self.term = term
+        self.begun = False
+
+    def run(self) -> None:
+        """Drain and stop the server; later calls do nothing."""
+        if self.begun:
+            return
+        self.begun = True
+        deadline = self.clock.monotonic() + self.term
+        log.info("draining")
+        self.counters.count("front.drain.begun")
+        self.front.draining = True
+        self.httpd.application.closing = True
+        self.clock.sleep(min(NOTICE_TERM, self.term))
+        self.front.watches.drain()
+        self.httpd.close()
+        self._wait(deadline)
+        self.stop_peers(max(deadline - self.clock.monotonic(), 0.0))
+        self.hand_over()
+        self.httpd.stop(timeout=0)
+        log.info("drained")
+
+    def _wait(self, deadline: float) -> None:
+        """Wait until nothing is in flight, or until the deadline."""
+        quiet = 0
+        while quiet < QUIET_LOOKS:
+            if self.clock.monotonic() >= deadline:
+                self.counters.count("front.drain.cut_off")
+                log.warning("drain deadline passed with requests in flight")
+                return
+            quiet = 0 if self.httpd.busy() else quiet + 1
+            self.clock.sleep(LOOK_INTERVAL)
--- /dev/null
+++ b/src/mangosail/front/streams.py
@@ -0,0 +1,197 @@
+"""Watches: streams of events that outlive the worker they are read from.
+
+A watch follows one worker's stream at a time. When the stream breaks or goes
+silent, it goes on from another worker after the last event that was passed on,
+so the caller gets each event once. An empty line every few seconds shows that the
+watch is alive; a last line ``{"resume_after": n, "reason": ...}`` tells a caller
+whose watch ends early where to resume.
+"""
+
+import collections.abc as cabc
+import typing as t
+
+import gevent
+import gevent.queue
+import result
+
+from mangosail import clock as clocks
+from mangosail import codec, resources
+from mangosail.placement import workers
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds without an event after which the stream is taken up elsewhere.
+SILENCE = 5.0
+#: Seconds between attempts to take a stream up.
+RESUME_INTERVAL = 0.25
+#: Seconds without an open stream after which a watch ends: the caller's next
+#: connection may reach an instance that has a worker to read from.
+NO_WORKER_TERM = 5.0
+#: Events read ahead for a slow caller.
+READ_AHEAD = 16
+#: Watches that one instance carries.
+MOST_WATCHES = 1024
+#: What a watch takes of its worker.
+NEEDS = resources.Resources(connections=1)
+
+
+class End(t.NamedTuple):
+    """The end of a watch: `reason` is empty if the stream itself ended."""
+
+    reason: str
+
+
+class Watches:
+    """All watches of this instance."""
+
+    def __init__(
+        self,
+        owned: workers.Workers,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.owned = owned
+        self.clock = clock
+        self.counters = counters
+        self.open: set[Watch] = set()
+        self.draining = False
+
+    def drain(self) -> None:
+        """End all watches where they can be resumed."""
+        self.draining = True
+        for watch in list(self.open):
+            watch.end("draining")
+
+    def refusal(self) -> str:
+        """Return why no watch can be opened now, or an empty string."""
+        if self.draining:
+            return "draining"
+        if len(self.open) >= MOST_WATCHES:
+            return "too_many_watches"
+        return "" if self.owned.fitting(NEEDS) else "no_capacity"
+
+
+class Watch:
+    """One caller's watch: a task reads events, the caller's task writes them."""
+
+    def __init__(
+        self,
+        watches: Watches,
+        task_id: str,
+        subject: str,
+        after: int,
+        deadline: float,
+    ) -> None:
+        self.watches = watches
+        self.task_id = task_id
+        self.subject = subject
+        #: Sequence number of the last event that was handed to the caller.
+        self.told = after
+        #: Sequence number of the last event that was read.
+        self.last = after
+        self.deadline = deadline
+        self.lines: gevent.queue.Queue[dict[str, t.Any] | End] = gevent.queue.Queue(
+            READ_AHEAD
+        )
+        self.ending = ""
+        #: Monotonic time at which the watch ends if no worker opens the stream.
+        self.open_deadline = watches.clock.monotonic() + NO_WORKER_TERM
+
+    def stream(self) -> cabc.Iterator[bytes]:
+        """Yield the lines for the caller."""
+        self.watches.open.add(self)
+        self.watches.counters.count("front.watch.opened")
+        reader = gevent.spawn(self._read)
+        try:
+            yield from self._lines()
+        finally:
+            reader.kill(block=False)
+            self.watches.open.discard(self)
+            self.watches.counters.count("front.watch.closed")
+
+    def end(self, reason: str) -> None:
+        """End the watch after the line that is being written."""
+        self.ending = reason
+        if self.lines.empty():
+            self.lines.put_nowait(End(reason))
+
+    def _lines(self) -> cabc.Iterator[bytes]:
+        while not self.ending:
+            left = self.deadline - self.watches.clock.monotonic()
+            if left <= 0:
+                self.ending = "deadline"
+                break
+            try:
+                line = self.lines.get(timeout=min(SILENCE, left))
+            except gevent.queue.Empty:
+                yield b"\n"
+                continue
+            if isinstance(line, End):
+                if not line.reason:
+                    return
+                self.ending = line.reason
+                break
+            yield encoded(line)
+            self.told = line["sequence"]
+        self.watches.counters.count(f"front.watch.ended.{self.ending}")
+        yield encoded({"resume_after": self.told, "reason": self.ending})
+
+    def _read(self) -> None:
+        """Read from one worker after the other until the stream ends."""
+        clock = self.watches.clock
+        previous: workers.OwnedWorker | None = None
+        while clock.monotonic() < self.open_deadline:
+            owned = self._choose(previous)
+            if owned is None:
+                clock.sleep(RESUME_INTERVAL)
+                continue
+            previous = owned
+            before = self.last
+            if self._follow(owned):
+                self.lines.put(End(""))
+                return
+            self.watches.counters.count("front.watch.resumed")
+            if self.last == before:
+                clock.sleep(RESUME_INTERVAL)
+        self.lines.put(End("no_worker"))
+
+    def _choose(
+        self, previous: workers.OwnedWorker | None
+    ) -> workers.OwnedWorker | None:
+        """Return a worker with a connection to spare, another one if possible."""
+        fitting = self.watches.owned.fitting(NEEDS)
+        others = [owned for owned in fitting if owned is not previous]
+        if not others:
+            return fitting[0] if fitting else None
+        return max(others, key=lambda owned: owned.ledger.free().connections)
+
+    def _follow(self, owned: workers.OwnedWorker) -> bool:
+        """Read from `owned`, and tell whether the stream came to its own end."""
+        if not owned.ledger.reserve(self.task_id, NEEDS):
+            return False
+        try:
+            for event in owned.target.watch(self.subject, self.last, SILENCE):
+                if isinstance(event, result.Err):
+                    reason = type(event.err_value).__name__.lower()
+                    self.watches.counters.count(f"front.watch.broken.{reason}")
+                    return False
+                self._take(event.ok_value)
+            return True
+        finally:
+            owned.ledger.release(self.task_id)
+
+    def _take(self, event: dict[str, t.Any]) -> None:
+        """Pass an event on unless it was passed on before."""
+        self.open_deadline = self.watches.clock.monotonic() + NO_WORKER_TERM + SILENCE
+        if not event:
+            return
+        sequence = event.get("sequence")
+        if not isinstance(sequence, int) or sequence <= self.last:
+            self.watches.counters.count("front.watch.repeated")
+            return
+        self.last = sequence
+        self.lines.put(event)
+
+
+def encoded(line: dict[str, t.Any]) -> bytes:
+    """Return a line as it is written."""
+    return codec.to_json(line).encode() + b"\n"
--- a/src/mangosail/front/watches.py
+++ b/src/mangosail/front/watches.py
@@ -1,13 +1,8 @@
 """``GET /v1/watches/{service}/{operation}``: events as lines of JSON."""
 
-import typing as t
-
 import falcon
-import result
 
-from mangosail import codec, resources
-from mangosail.front import context, messages, quotes, replies
-from mangosail.placement import workers
+from mangosail.front import context, messages, quotes, replies, streams
 from mangosail.settings import schema
 
 
@@ -16,6 +11,7 @@
 
     def __init__(self, front: context.Front) -> None:
         self.front = front
+        self.watches = front.watches
 
     def on_get(
         self,
@@ -29,28 +25,13 @@
         if request.declared.mode is not schema.Mode.WATCH:
             raise falcon.HTTPBadRequest(title="not_a_watch")
         subject = req.get_param("subject", required=True)
-        after = req.get_param_as_int("after", default=0)
-        needs = resources.Resources(connections=1)
-        candidates = self.front.owned.fitting(needs)
-        if not candidates:
-            replies.refuse(resp, messages.Refusal(503, "no_capacity", quotes.COME_BACK))
+        after = req.get_param_as_int("after", default=0, min_value=0)
+        refusal = self.watches.refusal()
+        if refusal:
+            self.front.counters.count(f"front.refused.{refusal}")
+            replies.refuse(resp, messages.Refusal(503, refusal, quotes.COME_BACK))
             return
+        task_id = f"{request.team}/{request.request_id}~watch-{id(resp):x}"
+        watch = streams.Watch(self.watches, task_id, subject, after, request.deadline)
         resp.content_type = "application/x-ndjson"
-        resp.stream = self._events(candidates[0], request, subject, after)
-
-    def _events(
-        self,
-        owned: workers.OwnedWorker,
-        request: messages.ServiceRequest,
-        subject: str,
-        after: int,
-    ) -> t.Iterator[bytes]:
-        task_id = f"{request.team}/{request.request_id}"
-        owned.ledger.reserve(task_id, resources.Resources(connections=1))
-        try:
-            for event in owned.target.watch(subject, after):
-                if isinstance(event, result.Err):
-                    return
-                yield codec.to_json(event.ok_value).encode() + b"\n"
-        finally:
-            owned.ledger.release(task_id)
+        resp.stream = watch.stream()
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import signal
 import typing as t
 
 import gevent
@@ -13,7 +14,7 @@
 from mangosail.dispatch import http as dispatch_http
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.dispatch import monitor
-from mangosail.front import app, context, quotes, server
+from mangosail.front import app, context, quotes, server, stopping, streams
 from mangosail.front import messages as front_messages
 from mangosail.jobs import queue
 from mangosail.membership import messages as peer_messages
@@ -96,6 +97,7 @@
             self.runner,
             self.jobs,
             self.workers,
+            streams.Watches(self.workers, self.clock, self.counters),
             self.clock,
             self.counters,
             self.describe,
@@ -110,7 +112,18 @@
         gevent.spawn(self.grouped.run)
         gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
-        httpd = server.create(app.create(self.front), self.process.http_address)
+        gate = server.Gate(app.create(self.front), self.counters)
+        httpd = server.create(gate, self.process.http_address, self.counters)
+        stop = stopping.Drain(
+            self.front,
+            httpd,
+            lambda grace: t.cast(None, peer_server.stop(grace).wait(grace)),
+            self._hand_over,
+            self.clock,
+            self.counters,
+            self.process.drain_seconds,
+        )
+        gevent.signal_handler(signal.SIGTERM, stop.run)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
         peer_server.stop(grace=0)
@@ -173,6 +186,7 @@
             self.lease.row.incarnation,
             self.process.data_centre,
             self.workers.free(),
+            draining=self.front.draining,
             settings={
                 team: in_force.version
                 for team, in_force in self.settings.by_team.items()
@@ -219,6 +233,7 @@
         owned = self.workers.get(worker)
         if owned is None:
             return
+        owned.reachable = True
         owned.usage = snapshot.usage
         owned.leaving = owned.leaving or snapshot.leaving
         if not owned.ready:
@@ -235,6 +250,14 @@
             worker=worker,
         )
 
+    def on_silence(self, worker: str) -> None:
+        """Send no new work to a worker that is out of reach."""
+        owned = self.workers.get(worker)
+        if owned is not None and owned.reachable:
+            owned.reachable = False
+            self.counters.count("dispatch.worker_unreachable")
+            log.warning("worker unreachable", worker=worker)
+
     def _session_row(self) -> ownership_messages.SessionRow:
         return ownership_messages.SessionRow(
             self.process.instance,
@@ -246,7 +269,10 @@
 
     def _adopt(self, worker: inventory.Worker, generation: int) -> workers.OwnedWorker:
         target = dispatch_http.HttpTarget(
-            worker.address, worker.capacity.connections, self.clock
+            worker.address,
+            worker.capacity.connections,
+            self.clock,
+            self.counters,
         )
         owned = workers.OwnedWorker(worker, generation, target)
         # Control exchanges share the worker's connections with requests.
@@ -274,7 +300,10 @@
         if isinstance(listing, result.Ok):
             self.listing = listing.ok_value
             self.peers.update(self.listing.instances)
+            self._note_leaving()
         self.settings.refresh()
+        if self.front.draining:
+            return
         own = [
             worker
             for worker in self.listing.workers
@@ -285,6 +314,19 @@
         can_serve = any(owned.accepts() for owned in self.workers)
         self.front.ready = bool(self.settings.by_team) and can_serve
 
+    def _note_leaving(self) -> None:
+        """Give workers that the platform lists as leaving no new work."""
+        for worker in self.listing.workers:
+            owned = self.workers.get(worker.name)
+            if owned is not None and worker.standing is not inventory.Standing.LIVE:
+                owned.leaving = True
+
+    def _hand_over(self) -> None:
+        """Give up all workers, so that peers needn't wait for the lease's end."""
+        release_all = getattr(self.owners, "release_all", None)
+        if release_all is not None:
+            release_all()
+
     def _forever(self, step: t.Callable[[], None], interval: float) -> None:
         while True:
             try:
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -23,6 +23,8 @@
         self.ready = False
         #: True once the worker leaves: what runs goes on, nothing is added.
         self.leaving = worker.standing is not inventory.Standing.LIVE
+        #: False while the worker's reports don't come.
+        self.reachable = True
         #: The last usage measurement, which lags.
         self.usage = dispatch_messages.Usage()
 
@@ -33,7 +35,7 @@
 
     def accepts(self) -> bool:
         """Tell whether new work may be started here."""
-        return self.ready and not self.leaving
+        return self.ready and self.reachable and not self.leaving
 
 
 class Workers:
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -51,6 +51,12 @@
     log_level: LogLevel = pydantic.Field(
         "INFO", description="Least level of the log lines that are written."
     )
+    drain_seconds: float = pydantic.Field(
+        30.0,
+        ge=0,
+        le=3600,
+        description="Longest time that a planned stop waits for requests in flight.",
+    )
     abort_on_broken_invariant: bool = pydantic.Field(
         False, description="End the process on a broken invariant."
     )
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -177,6 +177,9 @@
         self.adoption.scan_due()
         self.leases.renew_due()
 
+    def on_silence(self, worker: str) -> None:
+        """Do nothing: work on a worker out of reach may go on there."""
+
     def _take_in(self, task: registry.Task, report: dispatch_messages.Report) -> None:
         with task.lock:
             self.ends.take_in(task, report)
--- /dev/null
+++ b/tests/dispatch/dispatch.feature
@@ -0,0 +1,80 @@
+Feature: Connections to targets, retries and hedges
+  A dispatcher gets the whole answer to its own quote, in time, although
+  connections go silent, answers are late or cut short, and workers are slow.
+
+  Scenario: Connections that went silent are replaced within the caller's time
+    Callers see their quotes answered. Connections are open and idle; something
+    between the ends loses track of them, so that orders sent over them vanish,
+    with no error. The first that stays silent makes all beside it suspect.
+    Given 12 quotes asked at a time
+    When the open connections of all workers go silent
+    Then 12 quotes one by one are answered, each within 0.9 s
+    And the counter "dispatch.connection_retired.suspect" has grown
+    And the counter "dispatch.settled.silent_connection" has grown
+    And nothing stays reserved
+
+  Scenario: A slow worker is not taken for a silent connection
+    The caller sees a fast answer. Its worker has the order and runs it slowly;
+    a hedge on another worker wins, and the loser is stopped, which tells the
+    two apart: a worker behind a silent connection never saw the order.
+    Given 12 quotes asked at a time
+    When worker 0 runs everything 60 times slower
+    Then 12 quotes one by one are answered, each within 0.6 s
+    And the counter "dispatch.settled.slow_worker" has grown
+    And the counter "dispatch.settled.silent_connection" has not grown
+    And nothing stays reserved
+
+  Scenario Outline: Half an answer or a stranger's never reaches a caller
+    The worker's answers are <answers>. A caller gets another worker's whole
+    answer if there is one, else a refusal; and as every attempt fails, the
+    budget keeps retries from multiplying the load.
+    Given 25 quotes asked at a time
+    When worker 0 gives <answers> answers
+    Then 8 quotes one by one are answered, each within 0.9 s
+    When all workers give <answers> answers
+    Then 40 quotes are refused as "target_lost", with at most 14 retries and 7 hedges
+
+    Examples:
+      | answers    |
+      | truncated  |
+      | mismatched |
+
+  Scenario: A late answer is not given to the next request
+    The caller's time is over before its worker has answered. The answer comes
+    later, when the next callers are being served over new connections.
+    When all workers run everything 40 times slower
+    Then a quote with 0.2 s to go is refused 504 "deadline"
+    When all workers run everything 1 times slower
+    Then 30 quotes one by one are answered, each within 0.6 s
+
+  Scenario: A lost attempt stays reserved until it certainly has ended
+    The caller is told that its time is over. The worker still runs the order,
+    out of reach, so what it needs is still taken; were it given to the
+    next one, the worker would be given more than it can carry.
+    When all workers are black-holed after starting
+    Then a quote with 0.4 s to go is refused 504 "deadline"
+    And something stays reserved
+    When the black holes end
+    Then nothing stays reserved
+
+  Scenario: A quote that is repeated while the first one runs is answered too
+    A dispatcher's client gives up and sends the same Request-Id again. The
+    worker refuses a task id that it has seen, so each attempt has its own.
+    Then 12 quotes with one request id at a time are all answered
+
+  Scenario: Extra attempts stay within their share whatever fails
+    Then any sequence of requests and failures keeps extra attempts in budget
+
+  Scenario Outline: A leaving worker gets no new work after 3 seconds
+    Quotes are asked all the time. The <who> says that a worker leaves; what
+    runs on it goes on, and 3 seconds later nothing new is started there.
+    When the <who> says that worker <number> is leaving, under steady quotes
+    Then it started nothing more than 3 s later, and no quote failed
+
+    Examples:
+      | who      | number |
+      | worker   | 2      |
+      | platform | 3      |
+
+  Scenario: No worker ever held more connections than it has
+    Then no worker held more than 64 connections
--- /dev/null
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -0,0 +1,208 @@
+import concurrent.futures
+import itertools
+import time
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+from tests.support import stage, teams
+
+from mangosail.dispatch import budget
+
+TOKEN = "fuel-desk-token"
+NUMBERS = itertools.count()
+
+
+def quote(context, request_id=None, timeout=1.0):
+    number = next(NUMBERS)
+    answer = context.stage.call(
+        "shymkent-0",
+        "POST",
+        "/v1/services/fuel/quote",
+        {"tail": f"UP-{number}"},
+        teams.bearer(
+            TOKEN, Request_Id=request_id or f"q-{number}", Request_Timeout=timeout
+        ),
+    )
+    if answer.status == 200:
+        assert answer.json()["echo"] == {"tail": f"UP-{number}"}, answer
+    return answer
+
+
+def at_a_time(call, count):
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        return [f.result() for f in [pool.submit(call) for _ in range(count)]]
+
+
+def workers(context, which):
+    names = list(context.stage.workers)
+    return names if which == "all" else [names[int(which)]]
+
+
+@given("{count:d} quotes asked at a time")
+def warm(context, count):
+    # Enough for the latency of quotes to be learned.
+    for _ in range(4):
+        answers = at_a_time(lambda: quote(context), count)
+        assert all(answer.status == 200 for answer in answers), answers
+    context.before = context.status()["counters"]
+
+
+@when("the open connections of all workers go silent")
+def silence(context):
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, silence_open_connections=True)
+
+
+@when("worker {which} runs everything {times:g} times slower")
+@when("{which} workers run everything {times:g} times slower")
+def slow(context, which, times):
+    for worker in workers(context, which):
+        context.stage.worker_faults(worker, slow=times)
+
+
+@when("worker {which} gives {answers} answers")
+@when("{which} workers give {answers} answers")
+def spoil(context, which, answers):
+    for worker in workers(context, which):
+        context.stage.worker_faults(worker, answers=answers)
+
+
+@when("all workers are black-holed after starting")
+def black_hole(context):
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, slow=1000.0, black_hole=True)
+
+
+@when("the black holes end")
+def lift(context):
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, slow=1.0, black_hole=False)
+
+
+@then("{count:d} quotes one by one are answered, each within {seconds:g} s")
+def answered(context, count, seconds):
+    answers = [quote(context) for _ in range(count)]
+    assert all(answer.status == 200 for answer in answers), answers
+    slowest = max(answer.seconds for answer in answers)
+    assert slowest < seconds, slowest
+
+
+@then(
+    '{count:d} quotes are refused as "{title}", '
+    "with at most {retries:d} retries and {hedges:d} hedges"
+)
+def refused(context, count, title, retries, hedges):
+    context.before = context.status()["counters"]
+    for _ in range(count):
+        answer = quote(context)
+        assert answer.status == 503, answer
+        assert answer.json()["title"] == title, answer
+        assert int(answer.headers["retry-after"]) >= 1
+    assert 0 < growths(context, "front.retry.") <= retries
+    assert growths(context, "front.hedge.") <= hedges
+
+
+def growths(context, prefix):
+    names = [name for name in context.status()["counters"] if name.startswith(prefix)]
+    return sum(growth(context, name) for name in names)
+
+
+@then('a quote with {seconds:g} s to go is refused {status:d} "{title}"')
+def too_late(context, seconds, status, title):
+    answer = quote(context, timeout=seconds)
+    assert (answer.status, answer.json()["title"]) == (status, title), answer
+    assert answer.seconds < seconds + 0.3, answer
+
+
+def growth(context, counter):
+    return context.status()["counters"].get(counter, 0) - context.before.get(counter, 0)
+
+
+@then('the counter "{counter}" has grown')
+def grown(context, counter):
+    stage.wait_until(lambda: growth(context, counter) > 0, 3, counter)
+
+
+@then('the counter "{counter}" has not grown')
+def not_grown(context, counter):
+    assert growth(context, counter) == 0, context.status()["counters"]
+
+
+def reserved(context):
+    return sum(worker["used"]["slots"] for worker in context.status()["workers"])
+
+
+@then("nothing stays reserved")
+def nothing_reserved(context):
+    stage.wait_until(lambda: reserved(context) == 0, 5, "ledgers empty")
+
+
+@then("something stays reserved")
+def something_reserved(context):
+    assert reserved(context) > 0
+
+
+@then("{count:d} quotes with one request id at a time are all answered")
+def repeated(context, count):
+    answers = at_a_time(lambda: quote(context, request_id="same"), count)
+    assert [answer.status for answer in answers] == [200] * count, answers
+
+
+@then("any sequence of requests and failures keeps extra attempts in budget")
+def in_budget(context):
+    @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.floats(0.01, 0.5),
+        strategies.floats(1.0, 20.0),
+        strategies.lists(strategies.booleans(), max_size=200),
+    )
+    def check(share, burst, failures):
+        extra = budget.Budget(share, burst)
+        spent = 0
+        for failed in failures:
+            extra.earn()
+            spent += failed and extra.spend()
+        assert spent <= burst + share * len(failures) + 1e-6
+
+    check()
+
+
+@when("the {who} says that worker {number:d} is leaving, under steady quotes")
+def leave(context, who, number):
+    name = workers(context, number)[0]
+    context.leaving = name
+    context.answers = []
+    said_at = None
+    ends = time.time() + 5.0
+    while time.time() < ends:
+        context.answers += at_a_time(lambda: quote(context), 4)
+        if said_at is None and time.time() > ends - 4.5:
+            said_at = time.time()
+            if who == "worker":
+                context.stage.worker_faults(name, leaving=True)
+            else:
+                path = f"/inventory/workers/{name}"
+                stage.call(context.stage.platform, "PUT", path, {"standing": "leaving"})
+    context.said_at = said_at
+
+
+@then("it started nothing more than {seconds:d} s later, and no quote failed")
+def nothing_new(context, seconds):
+    starts = [
+        entry["at"]
+        for entry in context.stage.worker_log(context.leaving)["log"]
+        if entry["event"] == "start"
+    ]
+    before = [at for at in starts if at < context.said_at]
+    late = [at for at in starts if at > context.said_at + seconds]
+    assert before and not late, (len(before), late)
+    failed = [answer for answer in context.answers if answer.status != 200]
+    assert not failed, failed
+
+
+@then("no worker held more than {most:d} connections")
+def connections(context, most):
+    for worker in context.stage.workers:
+        held = context.stage.worker_log(worker)["most_connections"]
+        assert 0 < held <= most, (worker, held)
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -1,13 +1,29 @@
 """What the stand-ins share: a JSON WSGI server."""
 
+import socket
+
 import falcon
+from gevent import pywsgi
+
+
+class Handler(pywsgi.WSGIHandler):
+    """Sends each write at once."""
 
-from mangosail.front import server
+    def __init__(self, sock, *args, **kwargs):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, *args, **kwargs)
 
 
-def serve(app, address):
+def serve(app, address, handler_class=None):
     """Serve `app` on `address` until the process is ended."""
-    server.create(app, address).serve_forever()
+    host, _, port = address.rpartition(":")
+    pywsgi.WSGIServer(
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=handler_class or Handler,
+    ).serve_forever()
 
 
 def json_app():
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -7,7 +7,11 @@
 it behaves while it runs::
 
     {"fail_all": false, "slow": 1.0, "black_hole": false, "lose_starts": false,
-     "leaving": false, "stall_seconds": 0.0}
+     "leaving": false, "stall_seconds": 0.0, "answers": "whole"}
+
+``answers`` may be ``truncated`` (half of each quote's answer, then the end) or
+``mismatched`` (another task's id in it). ``{"silence_open_connections": true}``
+silences the connections that are open at that moment, for good.
 
 A task's body may say how it runs: ``work_seconds`` (how long it takes alone),
 ``noise`` (how much it slows others), ``fail`` (it fails everywhere).
@@ -102,6 +106,7 @@
             "lose_starts": False,
             "leaving": False,
             "stall_seconds": 0.0,
+            "answers": "whole",
         }
         self.most = {"cpus": 0.0, "memory_gb": 0.0, "accelerators": 0, "slots": 0}
         self.fetch_object = fetch_object
@@ -109,6 +114,7 @@
         self.connections = 0
         self.most_connections = 0
         self.epoch = EPOCH
+        self.silenced_until = 0.0  # connections opened before are silent
 
     def note(self, event, start, **facts):
         entry = {
@@ -290,7 +296,10 @@
         if task is not None:
             self.worker.run_exactly(task)
             self.gate()
-            resp.media = task.report()
+            report = task.report()
+            if self.worker.faults["answers"] == "mismatched":
+                report["task_id"] = "stranger"
+            resp.media = report
 
     def on_post_tasks(self, req, resp):
         start = req.media
@@ -394,10 +403,12 @@
         resp.stream = self.events(subject, after)
 
     def events(self, subject, after):
-        """Event n of a subject happens n * interval after the worker's epoch."""
-        total = int(subject.rpartition(":")[2]) if ":" in subject else 5
+        """Event n of subject "name:total:epoch" happens n intervals after epoch."""
+        parts = subject.split(":")
+        total = int(parts[1]) if len(parts) > 1 else 5
+        epoch = float(parts[2]) if len(parts) > 2 else self.worker.epoch
         for number in range(after + 1, total + 1):
-            happens_at = self.worker.epoch + number * EVENT_INTERVAL
+            happens_at = epoch + number * EVENT_INTERVAL
             gevent.sleep(max(happens_at - time.time(), 0))
             while self.worker.faults["black_hole"]:
                 gevent.sleep(0.1)
@@ -409,13 +420,54 @@
             "log": self.worker.log,
             "most": self.worker.most,
             "capacity": self.worker.capacity,
+            "most_connections": self.worker.most_connections,
         }
 
     def on_post_faults(self, req, resp):
+        if req.media.pop("silence_open_connections", False):
+            self.worker.silenced_until = time.monotonic()
         self.worker.faults.update(req.media)
+        self.worker.touch()
         resp.media = self.worker.faults
 
 
+def handler_of(worker):
+    """Return a handler that counts a worker's connections and can silence them."""
+
+    class Handler(server.Handler):
+        def __init__(self, *args, **kwargs):
+            super().__init__(*args, **kwargs)
+            self.opened_at = time.monotonic()
+
+        def handle(self):
+            worker.connections += 1
+            worker.most_connections = max(worker.most_connections, worker.connections)
+            try:
+                super().handle()
+            finally:
+                worker.connections -= 1
+
+        def wait_if_silenced(self):
+            while self.path not in ("/faults", "/log") and (
+                self.opened_at < worker.silenced_until
+            ):
+                gevent.sleep(0.05)
+
+        def run_application(self):
+            self.wait_if_silenced()
+            super().run_application()
+
+        def _sendall(self, data):
+            self.wait_if_silenced()
+            truncate = worker.faults["answers"] == "truncated" and self.path == "/run"
+            if truncate and not data.endswith(b"\r\n\r\n"):
+                self.close_connection = True
+                data = data[:-5]
+            super()._sendall(data)
+
+    return Handler
+
+
 #: Wall time of event 0 of all watches, unless `--epoch` says another.
 EPOCH = 0.0
 EVENT_INTERVAL = 0.2
@@ -483,7 +535,9 @@
         worker.log_file = log_file
         gevent.spawn(worker.tick_forever)
         gevent.spawn(worker.measure_forever)
-        served.append(gevent.spawn(server.serve, create(worker), address))
+        served.append(
+            gevent.spawn(server.serve, create(worker), address, handler_of(worker))
+        )
         register(args, name, address, capacity, f"rack-{index // args.per_rack}")
     gevent.joinall(served)
 
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -146,8 +146,9 @@
             )
         return list(entries)
 
-    def start_instance(self, name, data_centre, env=None):
-        http, peer = free_address(), free_address()
+    def start_instance(self, name, data_centre, env=None, http=None):
+        """Start an instance; `http` gives it the address of one it replaces."""
+        http, peer = http or free_address(), free_address()
         self.instances[name], self.peer_addresses[name] = http, peer
         entry = {
             "name": name,
@@ -193,6 +194,14 @@
     def worker_faults(self, worker, **faults):
         return call(self.workers[worker], "POST", "/faults", faults)
 
+    def counters(self, instance, token):
+        headers = {"Authorization": f"Bearer {token}"}
+        answer = self.call(instance, "GET", "/v1/status", headers=headers)
+        return answer.json()["counters"]
+
+    def worker_log(self, worker):
+        return call(self.workers[worker], "GET", "/log").json()
+
     def execution_log(self):
         """Return what all workers did, ordered by time."""
         entries = []
