Poll a worker's reports ten times a second at most

Cause: each start and end of a quote is news, so the long poll of a busy worker came back at once and cost the reading of all tasks that it listed, quotes that had ended within 30 s among them. Supposed from the rate of polls and from the processor time per quote, which fell as the rate rose; no profile was taken.

--- a/src/mangosail/dispatch/monitor.py
+++ b/src/mangosail/dispatch/monitor.py
@@ -11,6 +11,9 @@
 
 #: Seconds that one long poll waits for news.
 POLL_WAIT = 1.0
+#: Seconds between two polls at least. A busy worker has news all the time, and
+#: each poll costs the reading of all its tasks.
+POLL_INTERVAL = 0.1
 #: Seconds between attempts while the worker does not answer.
 RETRY_INTERVAL = 0.5
 
@@ -49,7 +52,9 @@
     def follow(self) -> None:
         """Poll until `stopped` is set."""
         while not self.stopped:
+            next_poll = self.clock.monotonic() + POLL_INTERVAL
             self.poll()
+            self.clock.sleep(max(next_poll - self.clock.monotonic(), 0.0))
 
     def poll(self) -> None:
         """Fetch one snapshot and hand it to the listeners."""
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -23,6 +23,9 @@
 #: The same for attempts started while the first one is still waited for.
 HEDGE_SHARE = 0.05
 HEDGE_BURST = 5.0
+#: Share of a worker's slots that must be free for a hedge: extra attempts must
+#: not take the room that first attempts need, which would then be refused.
+HEDGE_ROOM = 0.25
 #: Seconds that a hedge waits at least, however fast answers are.
 SHORTEST_PATIENCE = 0.01
 #: Share of the caller's time after which a silent first attempt counts as lost.
@@ -217,12 +220,19 @@
         if now < self.hedge_at:
             return 0
         self.hedge_at = never
-        if not self.quotes.candidates(self.request, self.tried, again=False):
+        if not self._room_for_hedge():
+            self.quotes.counters.count("front.hedge_refused.room")
             return 0
         if not self.quotes.spend(self.quotes.hedges, "hedge", "slow"):
             return 0
         return int(self._begin(again=False))
 
+    def _room_for_hedge(self) -> bool:
+        return any(
+            owned.ledger.free().slots > HEDGE_ROOM * owned.worker.capacity.slots
+            for owned in self.quotes.candidates(self.request, self.tried, again=False)
+        )
+
     def _another(self, reason: str) -> bool:
         """Tell whether the retry budget and the caller's time allow an attempt."""
         if len(self.tried) >= MOST_ATTEMPTS:
