--- a/src/mangosail/dispatch/monitor.py
+++ b/src/mangosail/dispatch/monitor.py
@@ -6,11 +6,14 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail.dispatch import messages, target
+from mangosail.dispatch import errors, messages, target
 from mangosail.telemetry import counters as telemetry
 
 #: Seconds that one long poll waits for news.
 POLL_WAIT = 1.0
+#: Seconds between two polls at least. A busy worker has news all the time, and
+#: each poll costs the reading of all its tasks.
+POLL_INTERVAL = 0.1
 #: Seconds between attempts while the worker does not answer.
 RETRY_INTERVAL = 0.5
 
@@ -21,6 +24,9 @@
     def on_snapshot(self, worker: str, snapshot: messages.Snapshot) -> None:
         """Handle all of the worker's tasks as they are now."""
 
+    def on_silence(self, worker: str) -> None:
+        """Handle that the worker can't be reached until the next snapshot."""
+
 
 class Monitor:
     """Follows one worker by long polls until it is stopped."""
@@ -40,11 +46,15 @@
         self.counters = counters
         self.stopped = False
         self.version = -1
+        #: Polls that failed since the last good one.
+        self.failed = 0
 
     def follow(self) -> None:
         """Poll until `stopped` is set."""
         while not self.stopped:
+            next_poll = self.clock.monotonic() + POLL_INTERVAL
             self.poll()
+            self.clock.sleep(max(next_poll - self.clock.monotonic(), 0.0))
 
     def poll(self) -> None:
         """Fetch one snapshot and hand it to the listeners."""
@@ -55,9 +65,25 @@
             # monitor, while this poll waited: its news are too old by now.
             return
         if isinstance(answer, result.Err):
-            self.counters.count("dispatch.snapshot_failed")
-            self.clock.sleep(RETRY_INTERVAL)
+            self._failed(answer.err_value)
             return
+        self.failed = 0
         self.version = answer.ok_value.version
         for listener in self.listeners:
             listener.on_snapshot(self.worker, answer.ok_value)
+
+    def _failed(self, error: errors.DispatchError) -> None:
+        """Tell a worker that is out of reach from a connection gone silent.
+
+        One lost poll may be the connection's fault: it is retired, and a second
+        poll is sent at once over a new one. Only if that is lost too, or no
+        connection can be opened, no work is sent there until a poll succeeds.
+        """
+        self.counters.count("dispatch.snapshot_failed")
+        self.version = -1
+        self.failed += 1
+        if self.failed == 1 and not isinstance(error, errors.NotSent):
+            return
+        for listener in self.listeners:
+            listener.on_silence(self.worker)
+        self.clock.sleep(RETRY_INTERVAL)
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import secrets
+import signal
 import typing as t
 
 import gevent
@@ -15,7 +16,7 @@
 from mangosail.dispatch import http as dispatch_http
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.dispatch import monitor
-from mangosail.front import app, context, quotes, server
+from mangosail.front import app, context, quotes, server, stopping, streams
 from mangosail.front import messages as front_messages
 from mangosail.front import settings as administration
 from mangosail.jobs import messages as job_messages
@@ -149,6 +150,7 @@
             self.runner,
             self.jobs,
             self.workers,
+            streams.Watches(self.workers, self.clock, self.counters),
             self.clock,
             self.counters,
             self.describe,
@@ -183,9 +185,18 @@
             gevent.spawn(self._forever, self.control.step, loop.INTERVAL)
         gevent.spawn(self._forever, self.jobs.record, queue.RECORD_INTERVAL)
         gevent.spawn(self._forever, self.takeover.refresh, REFRESH_INTERVAL)
-        httpd = server.create(
-            app.create(self.front, self.administration), self.process.http_address
+        gate = server.Gate(app.create(self.front, self.administration), self.counters)
+        httpd = server.create(gate, self.process.http_address, self.counters)
+        stop = stopping.Drain(
+            self.front,
+            httpd,
+            lambda grace: t.cast(None, peer_server.stop(grace).wait(grace)),
+            self._hand_over,
+            self.clock,
+            self.counters,
+            self.process.drain_seconds,
         )
+        gevent.signal_handler(signal.SIGTERM, stop.run)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
         peer_server.stop(grace=0)
@@ -265,6 +276,7 @@
             settings_age=self.settings.age(),
             peer_address=self.process.peer_address,
             asks_for_peers=asks_for_peers,
+            draining=self.front.draining,
         )
 
     def describe_to(
@@ -316,6 +328,7 @@
         owned = self.workers.get(worker)
         if owned is None:
             return
+        owned.reachable = True
         owned.usage = snapshot.usage
         owned.leaving = owned.leaving or snapshot.leaving
         if not owned.ready:
@@ -326,6 +339,14 @@
             owned.ledger.within_capacity(), "ledger_within_capacity", worker=worker
         )
 
+    def on_silence(self, worker: str) -> None:
+        """Send no new work to a worker that is out of reach."""
+        owned = self.workers.get(worker)
+        if owned is not None and owned.reachable:
+            owned.reachable = False
+            self.counters.count("dispatch.worker_unreachable")
+            log.warning("worker unreachable", worker=worker)
+
     def _session_row(self) -> ownership_messages.SessionRow:
         return ownership_messages.SessionRow(
             self.process.instance,
@@ -338,7 +359,10 @@
     def adopt(self, worker: inventory.Worker, generation: int) -> workers.OwnedWorker:
         """Return the handle of a worker that was taken."""
         target = dispatch_http.HttpTarget(
-            worker.address, worker.capacity.connections, self.clock
+            worker.address,
+            worker.capacity.connections,
+            self.clock,
+            self.counters,
         )
         owned = workers.OwnedWorker(worker, generation, target, self.lease.valid)
         # Control exchanges share the worker's connections with requests.
@@ -357,7 +381,7 @@
     def look_at(self, worker: inventory.Worker) -> dispatch_messages.Snapshot | None:
         """Return what a worker that is not owned says, or None if it is silent."""
         target = dispatch_http.HttpTarget(
-            worker.address, worker.capacity.connections, self.clock
+            worker.address, worker.capacity.connections, self.clock, self.counters
         )
         return target.snapshot(-1, 0.0).ok()
 
@@ -396,6 +420,9 @@
                 for entry in self.listing.instances
                 if entry.standing is not inventory.Standing.GONE
             )
+            self._note_leaving()
+        if self.front.draining:
+            return
         own = [
             worker
             for worker in self.listing.workers
@@ -406,6 +433,17 @@
         can_serve = any(owned.accepts() for owned in self.workers)
         self.front.ready = bool(self.settings.by_team) and can_serve
 
+    def _note_leaving(self) -> None:
+        """Give workers that the platform lists as leaving no new work."""
+        for worker in self.listing.workers:
+            owned = self.workers.get(worker.name)
+            if owned is not None and worker.standing is not inventory.Standing.LIVE:
+                owned.leaving = True
+
+    def _hand_over(self, deadline: float) -> None:
+        """Give up all workers, so that peers needn't wait for the lease's end."""
+        self.owners.release_all(deadline)
+
     def _forever(self, step: t.Callable[[], object], interval: float) -> None:
         while True:
             try:
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -36,6 +36,8 @@
         self.harmless: cabc.Collection[str] = ()
         #: Id of the one batch task that may start here, or empty for any.
         self.reserved_for = ""
+        #: False while the worker's reports don't come.
+        self.reachable = True
         #: The last usage measurement, which lags.
         self.usage = dispatch_messages.Usage()
 
@@ -46,7 +48,9 @@
 
     def accepts(self) -> bool:
         """Tell whether new work may be started here."""
-        return self.ready and not self.leaving and self.handover_deadline is None
+        if not self.ready or not self.reachable or self.leaving:
+            return False
+        return self.handover_deadline is None
 
     def free_cpus(self) -> float:
         """Return the cores that nothing has reserved."""
