Decide admission, sizes, ejection and shares in placement

Cause: a quote without time was started and timed out; declared sizes were believed; a worker that failed at once looked idle and drew work; a job that fits nowhere waited for ever; one team could take everything.

Ruled out: blaming whoever failed. A failing job would have its workers ejected, a failing worker its jobs ended; who else succeeds tells them apart.

Change: admission refuses a quote whose predicted time passes its deadline, with a time to come back from what is running, and lets one through each second to test the estimate. The ledger reserves the larger of declared and learned size, capped at a worker; what fits no listed worker is refused for good. A worker is ejected after five failures in a row that others' successes make its own, a third of them at most, and comes back after two single probes. A job that failed on two sound workers and succeeded nowhere is poisoned. FairShare gives the next team by weighted dominant share; quotas lend what others leave. A quote that failed on one worker is tried on another.

--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -10,6 +10,7 @@
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
+from mangosail.placement import errors as placement_errors
 from mangosail.placement import messages as placement_messages
 from mangosail.placement import placer
 from mangosail.telemetry import counters as telemetry
@@ -21,6 +22,14 @@
 #: Seconds of a caller's time kept back for the way home from a peer.
 FORWARD_MARGIN = 0.02
 
+#: Refusals after which a peer may still have room.
+FORWARDED_REASONS = frozenset(
+    {placement_errors.Reason.NO_CAPACITY, placement_errors.Reason.DEADLINE}
+)
+
+#: What a quote is told that found no owner to ask.
+NO_ROOM = placement_errors.NotPlaced(placement_errors.Reason.NO_CAPACITY, COME_BACK)
+
 UNAVAILABLE = 503
 TIMED_OUT = 504
 
@@ -46,13 +55,22 @@
         self, request: messages.ServiceRequest, forward: bool = True
     ) -> result.Result[messages.Served, messages.Refusal]:
         """Answer `request` from here, or from a peer if `forward` allows."""
+        refused = NO_ROOM
+        failed: frozenset[str] = frozenset()
+        error: dispatch_errors.DispatchError | None = None
         for _ in range(ATTEMPTS):
             if self.clock.monotonic() >= request.deadline:
                 return self._refuse(TIMED_OUT, "deadline")
             if not self.lease.valid():
                 break
-            placed = self.placer.place(work_of(request))
+            work = work_of(request)
+            placed = self.placer.place(work, request.deadline, failed)
             if isinstance(placed, result.Err):
+                if isinstance(error, dispatch_errors.Failed):
+                    return self._refuse(UNAVAILABLE, "task_failed")
+                refused = placed.err_value
+                if refused.reason not in FORWARDED_REASONS:
+                    return self._not_placed(refused)
                 break
             owned = placed.ok_value.owned
             answer = self._run(request, placed.ok_value)
@@ -61,12 +79,14 @@
                     answer.ok_value.answer, owned.name, owned.worker.data_centre
                 )
                 return result.Ok(served)
-            if isinstance(answer.err_value, dispatch_errors.Failed):
-                return self._refuse(UNAVAILABLE, "task_failed")
+            error = answer.err_value
+            failed |= {owned.name}
             self.counters.count("front.retry.target")
+        if isinstance(error, dispatch_errors.Failed):
+            return self._refuse(UNAVAILABLE, "task_failed")
         if forward:
-            return self._forward(request)
-        return self._refuse(UNAVAILABLE, "no_capacity")
+            return self._forward(request, refused)
+        return self._not_placed(refused)
 
     def _run(
         self, request: messages.ServiceRequest, placed: placer.Placed
@@ -92,7 +112,7 @@
         return answer
 
     def _forward(
-        self, request: messages.ServiceRequest
+        self, request: messages.ServiceRequest, refused: placement_errors.NotPlaced
     ) -> result.Result[messages.Served, messages.Refusal]:
         needs = request.declared.needs.as_resources()
         for peer in self.peers.with_room(needs, self.lease.row.data_centre)[:1]:
@@ -112,13 +132,20 @@
             if isinstance(answer, result.Err):
                 return self._refuse(UNAVAILABLE, "peer_lost")
             return unpack(answer.ok_value)
-        return self._refuse(UNAVAILABLE, "no_capacity")
+        return self._not_placed(refused)
+
+    def _not_placed(
+        self, refused: placement_errors.NotPlaced
+    ) -> result.Result[messages.Served, messages.Refusal]:
+        late = refused.reason is placement_errors.Reason.DEADLINE
+        status = TIMED_OUT if late else UNAVAILABLE
+        return self._refuse(status, refused.reason.value, refused.retry_after)
 
     def _refuse(
-        self, status: int, reason: str
+        self, status: int, reason: str, come_back: float | None = COME_BACK
     ) -> result.Result[messages.Served, messages.Refusal]:
         self.counters.count(f"front.refused.{reason}")
-        return result.Err(messages.Refusal(status, reason, COME_BACK))
+        return result.Err(messages.Refusal(status, reason, come_back))
 
 
 def work_of(request: messages.ServiceRequest) -> placement_messages.Work:
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -23,7 +23,7 @@
 from mangosail.placement import placer, workers
 from mangosail.platform import http as platform_http
 from mangosail.platform import inventory
-from mangosail.settings import process, state
+from mangosail.settings import process, schema, state
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import claims, runner
 
@@ -49,7 +49,13 @@
         self.listing = inventory.Listing()
         self.workers = workers.Workers()
         self.placer = placer.Placer(
-            self.workers, settings.chooser, settings.seed, self.clock, self.counters
+            self.workers,
+            settings.chooser,
+            settings.seed,
+            self.clock,
+            self.counters,
+            self._quota,
+            lambda: [worker.capacity for worker in self.listing.workers],
         )
         self.lease = session.Session(self.table, self.clock, self._session_row())
         self.owners = owners.Owners(
@@ -223,6 +229,10 @@
         gevent.spawn(follower.follow)
         return owned
 
+    def _quota(self, team: str) -> schema.Quota | None:
+        in_force = self.settings.by_team.get(team)
+        return in_force.settings.quota if in_force else None
+
     def _renew(self) -> None:
         self.lease.renew()
 
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -10,6 +10,7 @@
 from mangosail import codec
 from mangosail.jobs import messages
 from mangosail.ownership import session
+from mangosail.placement import errors
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import table
 from mangosail.telemetry import counters as telemetry
@@ -104,6 +105,10 @@
         answer = self.run.submit(request, deadline)
         count["running"] -= 1
         if isinstance(answer, result.Err):
+            error = answer.err_value
+            if isinstance(error, errors.NotPlaced) and error.retry_after is None:
+                count["failed"] += 1
+                return
             self.waiting.append(request)
             return
         done = answer.ok_value.outcome == work_messages.State.COMPLETED.value
--- a/src/mangosail/placement/errors.py
+++ b/src/mangosail/placement/errors.py
@@ -11,6 +11,8 @@
     TOO_LARGE = "too_large"
     DEADLINE = "deadline"
     QUOTA = "quota"
+    #: The work's job has failed on every worker it was tried on.
+    POISONED = "poisoned"
     NO_WORKERS = "no_workers"
 
 
--- /dev/null
+++ b/src/mangosail/placement/fairness.py
@@ -0,0 +1,93 @@
+"""Fair shares of the workers among teams: quotas, lending, and whose turn it is."""
+
+import collections.abc as cabc
+import dataclasses
+
+from mangosail import clock as clocks
+from mangosail import resources
+from mangosail.settings import schema
+
+#: Seconds for which a team that found no room counts as waiting.
+WAITING_TERM = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamUsage:
+    """What a team has running, on this instance or on all together."""
+
+    cpus: float = 0.0
+    accelerators: int = 0
+
+    def __add__(self, other: "TeamUsage") -> "TeamUsage":
+        return TeamUsage(self.cpus + other.cpus, self.accelerators + other.accelerators)
+
+
+class FairShare:
+    """Weighted dominant share: the team furthest below its quota goes first.
+
+    `quotas` returns the quota in force for a team, `usage` what it has running::
+
+        team = fair.next({"fuel-desk": 3, "plegadora": 40})
+    """
+
+    def __init__(
+        self,
+        quotas: cabc.Callable[[str], schema.Quota | None],
+        usage: cabc.Callable[[], cabc.Mapping[str, TeamUsage]],
+        clock: clocks.Clock,
+    ) -> None:
+        self.quotas = quotas
+        self.usage = usage
+        self.clock = clock
+        #: Monotonic time until which each team counts as waiting.
+        self.waiting: dict[str, float] = {}
+        self.turns: dict[str, int] = {}
+
+    def next(self, waiting_by_team: cabc.Mapping[str, int]) -> str | None:
+        """Return the team whose work is placed next, None if none waits."""
+        usage = self.usage()
+        waiting = [team for team, count in waiting_by_team.items() if count]
+        for team in waiting:
+            self.wants(team)
+        if not waiting:
+            return None
+        team = min(
+            waiting,
+            key=lambda t: (self.share(t, usage), self.turns.get(t, 0), t),
+        )
+        self.turns[team] = max(self.turns.values(), default=0) + 1
+        return team
+
+    def wants(self, team: str) -> None:
+        """Note that `team` has work that found no room."""
+        self.waiting[team] = self.clock.monotonic() + WAITING_TERM
+
+    def share(self, team: str, usage: cabc.Mapping[str, TeamUsage]) -> float:
+        """Return the team's use as a share of its quota, by what is scarcest."""
+        return self._share(team, usage.get(team, TeamUsage()))
+
+    def within(self, team: str, needs: resources.Resources) -> bool:
+        """Tell whether `team` may start work of `needs` now.
+
+        Up to its quota it always may. Beyond it, it borrows what others leave,
+        until one of them that is below its own quota waits for room.
+        """
+        usage = self.usage()
+        added = TeamUsage(needs.cpus, needs.accelerators)
+        if self._share(team, usage.get(team, TeamUsage()) + added) <= 1.0 + 1e-9:
+            return True
+        now = self.clock.monotonic()
+        return not any(
+            deadline > now and other != team and self.share(other, usage) < 1.0
+            for other, deadline in self.waiting.items()
+        )
+
+    def _share(self, team: str, used: TeamUsage) -> float:
+        quota = self.quotas(team)
+        if quota is None:
+            return 0.0
+        shares = [used.cpus / quota.cpus]
+        if used.accelerators:
+            # Without a quota of accelerators, each of them is borrowed.
+            shares.append(used.accelerators / max(quota.accelerators, 1e-9))
+        return max(shares)
--- a/src/mangosail/placement/latency.py
+++ b/src/mangosail/placement/latency.py
@@ -126,6 +126,24 @@
             key = (kind, other, band_of(load))
             self.pairs[key] = Estimate(max(value, 0.0), now)
 
+    def observe_loss(
+        self,
+        kind: str,
+        others: cabc.Mapping[str, float],
+        load: float,
+        worker: str,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Learn from a task of `kind` that had not ended after `seconds`.
+
+        Its true time is unknown, so it teaches nothing of the kinds; that it
+        took longer than predicted is held against the worker.
+        """
+        predicted = self.predict(kind, others, load, worker, now)
+        if seconds > predicted:
+            self._teach_worker(worker, seconds / max(predicted, 1e-9), now)
+
     def _teach_worker(self, worker: str, ratio: float, now: float) -> None:
         # Only what exceeds the prediction by far is the worker's own doing;
         # the rest is the neighbours', and is learned with the pair.
--- a/src/mangosail/placement/placer.py
+++ b/src/mangosail/placement/placer.py
@@ -4,10 +4,11 @@
 
     placed = placer.place(work, deadline)
     ...  # run it
-    placer.ended(placed, ok=True)
+    placer.ended(work.task_id, ok=True)
 """
 
 import collections
+import collections.abc as cabc
 import dataclasses
 import random
 import typing as t
@@ -18,14 +19,19 @@
 from mangosail import resources
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.placement import (
+    admission,
     choice,
+    ejection,
     errors,
+    fairness,
     latency,
     learned,
     messages,
     residents,
+    sizes,
     workers,
 )
+from mangosail.settings import schema
 from mangosail.telemetry import counters as telemetry
 
 #: Slots of each worker that only latency-critical work may take.
@@ -47,7 +53,10 @@
 
 
 class Placer:
-    """Decides where work runs and learns from how it went."""
+    """Decides where work runs and learns from how it went.
+
+    `quotas` returns a team's quota, `capacities` what each listed worker carries.
+    """
 
     def __init__(
         self,
@@ -56,82 +65,203 @@
         seed: int,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        quotas: cabc.Callable[[str], schema.Quota | None],
+        capacities: cabc.Callable[[], list[resources.Resources]],
     ) -> None:
         self.owned = owned
         self.clock = clock
         self.counters = counters
         self.latencies = latency.Latencies()
+        self.admission = admission.Admission(self.latencies)
         self.residents = residents.Residents(owned)
         self.chooser = self._chooser(policy, seed or random.getrandbits(32))
+        self.sizes = sizes.Sizes(capacities, counters)
+        self.ejection = ejection.Ejection(
+            lambda: [worker.name for worker in owned], clock, counters
+        )
+        self.fair = fairness.FairShare(quotas, self.usage, clock)
+        #: What other instances last said their teams have running.
+        self.peer_usage: cabc.Callable[[], cabc.Mapping[str, fairness.TeamUsage]] = dict
         #: Reservations that have not ended, by task id.
         self.open: dict[str, Placed] = {}
+        #: Wall time of the last measurement taken in from each worker.
+        self.measured_at: dict[str, float] = {}
+
+    def place(
+        self,
+        work: messages.Work,
+        deadline: float | None = None,
+        avoid: frozenset[str] = frozenset(),
+    ) -> result.Result[Placed, errors.NotPlaced]:
+        """Reserve a place for `work`, or tell why there is none.
+
+        `deadline` is the monotonic time until which a caller waits; the workers
+        to `avoid` are those that have just failed the same work.
+        """
+        final = self._final(work)
+        if final is not None:
+            return self._refuse(final, None)
+        work = self._sized(work)
+        if not self._within_quota(work):
+            return self._refuse(errors.Reason.QUOTA, self._come_back(work.team))
+        candidates = [o for o in self.candidates(work) if o.name not in avoid]
+        if not candidates:
+            self.fair.wants(work.team)
+            return self._refuse(errors.Reason.NO_CAPACITY, self._come_back())
+        owned = self._choose(candidates, work)
+        if deadline is not None and not self._in_time(work, owned, deadline):
+            return self._refuse(errors.Reason.DEADLINE, self._come_back())
+        return self._reserve(work, owned)
+
+    def must_wait(self, work: messages.Work) -> bool:
+        """Tell whether `work` finds no place now but may find one later."""
+        if self._final(work) is not None:
+            return False
+        work = self._sized(work)
+        return not (self._within_quota(work) and self.candidates(work))
 
     def candidates(self, work: messages.Work) -> list[workers.OwnedWorker]:
         """Return the workers that can take `work` now."""
-        fitting = self.owned.fitting(work.needs)
-        if work.work_class is not messages.WorkClass.BATCH:
-            return fitting
         return [
             owned
-            for owned in fitting
-            if (work.needs + headroom(owned)).fits_in(owned.ledger.free())
+            for owned in self.owned.fitting(work.needs)
+            if self._open_to(owned, work)
         ]
 
-    def place(self, work: messages.Work) -> result.Result[Placed, errors.NotPlaced]:
-        """Reserve a place for `work`, or tell why there is none."""
-        candidates = self.candidates(work)
-        if not candidates:
-            return self._refuse(errors.Reason.NO_CAPACITY, 1.0)
-        owned = self.chooser.choose(candidates, work)
-        others = self.residents.kinds(owned)
-        load = learned.pressure(owned)
-        if not owned.ledger.reserve(work.task_id, work.needs):
-            return self._refuse(errors.Reason.NO_CAPACITY, 1.0)
-        self.residents.enter(work)
-        placed = Placed(work, owned, others, load, self.clock.monotonic())
-        self.open[work.task_id] = placed
-        return result.Ok(placed)
-
     def ended(self, task_id: str, ok: bool, seconds: float | None = None) -> None:
         """Give the place back, and learn from how the work went.
 
         `seconds` is the run time that the worker told, else the time since the
-        place was reserved counts.
+        place was reserved counts. Refused, lost and late work is not `ok`.
         """
-        placed = self.open.pop(task_id, None)
+        placed = self.withdraw(task_id)
         if placed is None:
             return
+        work, worker = placed.work, placed.owned.name
+        self.ejection.observe(worker, work.kind, job_of(work), ok)
+        if seconds is None:
+            seconds = self.clock.monotonic() - placed.placed_at
+        self._learn(placed, seconds, ok)
+
+    def withdraw(self, task_id: str) -> Placed | None:
+        """Give the place back without learning anything."""
+        placed = self.open.pop(task_id, None)
+        if placed is None:
+            return None
         placed.owned.ledger.release(task_id)
         self.residents.leave(task_id)
-        if ok:
-            self._learn(placed, seconds)
+        return placed
 
     def on_snapshot(self, worker: str, snapshot: dispatch_messages.Snapshot) -> None:
-        """Take in the kinds of tasks that were started by an earlier owner."""
+        """Take in measured sizes, and tasks that an earlier owner started."""
         for report in snapshot.tasks:
             if report.state is not dispatch_messages.TaskState.RUNNING:
                 continue
             if report.task_id not in self.residents.works:
-                work = messages.Work(
-                    report.task_id,
-                    report.team,
-                    report.kind,
-                    report.needs,
-                    messages.WorkClass.TASK,
-                )
-                self.residents.enter(work)
-
-    def _learn(self, placed: Placed, seconds: float | None) -> None:
+                self.residents.enter(work_of(report))
+        usage = snapshot.usage
+        if usage.measured_at <= self.measured_at.get(worker, 0.0):
+            return
+        self.measured_at[worker] = usage.measured_at
+        for task_id, measured in usage.tasks.items():
+            work = self.residents.works.get(task_id)
+            if work is not None:
+                self.sizes.learn(size_kind(work), measured)
+
+    def usage(self) -> dict[str, fairness.TeamUsage]:
+        """Return what each team has running, here and on other instances."""
+        total = self.own_usage()
+        for team, used in self.peer_usage().items():
+            total[team] = total.get(team, fairness.TeamUsage()) + used
+        return total
+
+    def own_usage(self) -> dict[str, fairness.TeamUsage]:
+        """Return what each team has running on this instance's workers."""
+        total: dict[str, fairness.TeamUsage] = {}
+        for owned in self.owned:
+            for work in self.residents.on(owned):
+                used = fairness.TeamUsage(work.needs.cpus, work.needs.accelerators)
+                total[work.team] = total.get(work.team, fairness.TeamUsage()) + used
+        return total
+
+    def _final(self, work: messages.Work) -> errors.Reason | None:
+        """Return why `work` can never run, or None."""
+        if not self.sizes.fits_any(work.needs):
+            return errors.Reason.TOO_LARGE
+        if work.job and self.ejection.poisoned(job_of(work)):
+            return errors.Reason.POISONED
+        return None
+
+    def _sized(self, work: messages.Work) -> messages.Work:
+        needs = self.sizes.needs(size_kind(work), work.needs)
+        return dataclasses.replace(work, needs=needs)
+
+    def _within_quota(self, work: messages.Work) -> bool:
+        # Class goes first: a quote is short and is not held back for batch.
+        if work.work_class is messages.WorkClass.QUOTE:
+            return True
+        return self.fair.within(work.team, work.needs)
+
+    def _open_to(self, owned: workers.OwnedWorker, work: messages.Work) -> bool:
+        if self.ejection.ejected(owned.name):
+            # A probe may fail, so it is never work that must not run twice.
+            probes = work.work_class is not messages.WorkClass.TASK
+            idle = not owned.ledger.reserved
+            return probes and idle and self.ejection.may_probe(owned.name)
+        if work.work_class is not messages.WorkClass.BATCH:
+            return True
+        needs = work.needs + headroom(owned, work.needs)
+        return needs.fits_in(owned.ledger.free())
+
+    def _choose(
+        self, candidates: list[workers.OwnedWorker], work: messages.Work
+    ) -> workers.OwnedWorker:
+        for owned in candidates:
+            if self.ejection.ejected(owned.name):
+                return owned
+        return self.chooser.choose(candidates, work)
+
+    def _in_time(
+        self, work: messages.Work, owned: workers.OwnedWorker, deadline: float
+    ) -> bool:
+        now = self.clock.monotonic()
+        others = self.residents.kinds(owned)
+        load = learned.pressure(owned)
+        predicted = self.latencies.predict(work.kind, others, load, owned.name, now)
+        return self.admission.admits(work.kind, predicted, deadline, now)
+
+    def _reserve(
+        self, work: messages.Work, owned: workers.OwnedWorker
+    ) -> result.Result[Placed, errors.NotPlaced]:
+        others = self.residents.kinds(owned)
+        load = learned.pressure(owned)
+        if not owned.ledger.reserve(work.task_id, work.needs):
+            return self._refuse(errors.Reason.NO_CAPACITY, self._come_back())
+        self.residents.enter(work)
+        placed = Placed(work, owned, others, load, self.clock.monotonic())
+        self.open[work.task_id] = placed
+        return result.Ok(placed)
+
+    def _learn(self, placed: Placed, seconds: float, ok: bool) -> None:
         now = self.clock.monotonic()
         work, owned = placed.work, placed.owned
         after = self.residents.kinds(owned)
-        kinds = set(placed.others) | set(after)
         # Neighbours come and go while a task runs; the mean of both ends is
         # nearer to what it felt than either.
-        others = {kind: (placed.others[kind] + after[kind]) / 2 for kind in kinds}
-        if seconds is None:
-            seconds = now - placed.placed_at
-        self.latencies.observe(work.kind, others, placed.load, owned.name, seconds, now)
+        others = {
+            kind: (placed.others[kind] + after[kind]) / 2
+            for kind in set(placed.others) | set(after)
+        }
+        teach = self.latencies.observe if ok else self.latencies.observe_loss
+        teach(work.kind, others, placed.load, owned.name, seconds, now)
+
+    def _come_back(self, team: str | None = None) -> float:
+        running = [
+            (placed.work, placed.placed_at)
+            for placed in self.open.values()
+            if team is None or placed.work.team == team
+        ]
+        return self.admission.come_back(running, self.clock.monotonic())
 
     def _refuse(
         self, reason: errors.Reason, retry_after: float | None
@@ -149,10 +279,37 @@
         return learned.Learned(self.latencies, self.residents, self.clock, seed)
 
 
-def headroom(owned: workers.OwnedWorker) -> resources.Resources:
-    """Return what batch has to leave free on a worker for quotes."""
+def headroom(
+    owned: workers.OwnedWorker, needs: resources.Resources
+) -> resources.Resources:
+    """Return what batch of `needs` has to leave free on a worker for quotes.
+
+    It is never so much that a task which needs a whole worker could not run.
+    """
     capacity = owned.worker.capacity
-    urgent = QUOTE_SLOTS if capacity.slots > QUOTE_SLOTS else 0
     return resources.Resources(
-        cpus=capacity.cpus * QUOTE_CPU_SHARE, slots=urgent, connections=urgent
+        cpus=max(min(capacity.cpus * QUOTE_CPU_SHARE, capacity.cpus - needs.cpus), 0.0),
+        slots=max(min(QUOTE_SLOTS, capacity.slots - needs.slots), 0),
+        connections=QUOTE_SLOTS,
+    )
+
+
+def size_kind(work: messages.Work) -> str:
+    """Return the key of learned sizes: one team's kinds don't size another's."""
+    return f"{work.team}/{work.kind}"
+
+
+def job_of(work: messages.Work) -> str:
+    """Return the key of the work's job, empty if it is of none."""
+    return f"{work.team}/{work.job}" if work.job else ""
+
+
+def work_of(report: dispatch_messages.Report) -> messages.Work:
+    """Return a task that a worker tells of as placement sees it."""
+    return messages.Work(
+        report.task_id,
+        report.team,
+        report.kind,
+        report.needs,
+        messages.WorkClass.TASK,
     )
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -83,8 +83,8 @@
         return result.Ok(self.wait(request, deadline))
 
     def has_room(self, request: messages.Request) -> bool:
-        """Tell whether `request` could be placed now."""
-        return bool(self.placer.candidates(work_of(request)))
+        """Tell whether `request` would be placed, or refused for good, now."""
+        return not self.placer.must_wait(work_of(request))
 
     def look_up(
         self, team: str, request_id: str
@@ -164,7 +164,7 @@
         owned: workers.OwnedWorker,
         error: platform_errors.CommitError,
     ) -> result.Result[messages.Outcome, SubmitError]:
-        self.placer.ended(task_id_of(request), ok=False)
+        self.placer.withdraw(task_id_of(request))
         self.counters.count("work.claim_failed")
         if isinstance(error, platform_errors.Unavailable):
             return result.Err(errors.StoreUnavailable(ASK_AGAIN))
@@ -182,7 +182,7 @@
             lease_deadline=row.lease_deadline - clocks.CLOCK_SKEW_MARGIN,
             team=row.request.team,
             kind=row.request.kind,
-            needs=row.request.needs,
+            needs=owned.ledger.reserved.get(task_id, row.request.needs),
             body=row.request.body,
             checkpoint=row.checkpoint,
         )
@@ -226,8 +226,11 @@
             self.counters.count("work.finish_failed")
             return
         self.running.pop(task_id, None)
-        ok = row.state is messages.State.COMPLETED
-        self.placer.ended(task_id, ok, report.seconds)
+        if row.state in TELLING:
+            ok = row.state is messages.State.COMPLETED
+            self.placer.ended(task_id, ok, report.seconds)
+        else:
+            self.placer.withdraw(task_id)
         owned.ledger.release(task_id)
         outcome = outcome_of(row)
         self.counters.count(f"work.ended.{outcome.outcome}")
@@ -236,6 +239,11 @@
             waiting.set(outcome)
 
 
+#: Ends that say whether the worker and the job do well.
+TELLING = frozenset(
+    {messages.State.COMPLETED, messages.State.FAILED, messages.State.NOT_RUN}
+)
+
 #: What the end of a task on its worker makes of the work.
 END_STATES = {
     dispatch_messages.TaskState.DONE: messages.State.COMPLETED,
--- /dev/null
+++ b/tests/placement/processes.feature
@@ -0,0 +1,25 @@
+Feature: Placement over separate processes
+  What callers see of the decisions, with one instance and three workers.
+
+  Scenario: A worker that fails everything costs no quote
+    # It fails at once, looks idle and draws work. Each failed quote is tried on
+    # another worker, and after a few the worker is left but for probes.
+    Given one instance with three workers
+    When 20 quotes are asked for
+    And the first worker fails everything
+    And 60 quotes are asked for
+    Then all were answered
+    And at most 15 tasks failed on the first worker
+    When the first worker recovers
+    Then it carries quotes again within 10 seconds
+
+  Scenario: A quote without the time for it is refused before it starts
+    Given one instance with three workers
+    When quotes that take 0.4 seconds are asked for with 0.2 seconds left
+    Then the last is answered 504 "deadline" at once, with a time to come back
+
+  Scenario: A job that fits no worker ends with its reason
+    Given one instance with three workers
+    When a job of 2 tasks that need 64 cpus is submitted
+    And a job of 2 tasks that need 2 cpus is submitted
+    Then the first job ends with 2 failed and the second with 2 completed
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -39,7 +39,16 @@
             owned = workers.OwnedWorker(worker, 1, None)
             owned.ready = True
             self.workers.add(owned)
-        self.placer = placer.Placer(self.workers, policy, 1, self.clock, self.counters)
+        self.quotas = {}
+        self.placer = placer.Placer(
+            self.workers,
+            policy,
+            1,
+            self.clock,
+            self.counters,
+            self.quotas.get,
+            lambda: [owned.worker.capacity for owned in self.workers],
+        )
 
     def work(self, kind, work_class=messages.WorkClass.QUOTE, **options):
         task_id = f"team/{next(self.numbers)}"
