Look past a waiting task that finds no room

Cause: the first waiting task held up all kinds behind it, or took whatever slot came free, however harmful there.

Ruled out: sorting the queue by kind, which would break its order.

Change: of the first 256 waiting tasks, each kind is tried once in order.

--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -1,6 +1,7 @@
 """The jobs that this instance sees to, and the tasks that wait for a worker."""
 
 import collections
+import itertools
 
 import gevent
 import logbook
@@ -21,6 +22,8 @@
 
 #: Seconds between attempts to place waiting tasks.
 PLACE_INTERVAL = 0.1
+#: Waiting tasks that are looked at, so that one kind does not hold up the rest.
+LOOK_AHEAD = 256
 #: Seconds that one task of a job may take until it is looked at again.
 TASK_PATIENCE = 3600.0
 
@@ -83,15 +86,26 @@
 
     def place(self) -> None:
         """Start waiting tasks while they fit; the rest keeps its order."""
-        while self.waiting and self.lease.valid():
-            request = self.waiting[0]
-            if not self.run.has_room(request):
+        while self.lease.valid():
+            request = self._next()
+            if request is None:
                 return
-            self.waiting.popleft()
             gevent.spawn(self._run, request)
             # The task's reservation is made when its greenlet runs.
             self.clock.sleep(0)
 
+    def _next(self) -> work_messages.Request | None:
+        """Take the first waiting task that finds room, trying each kind once."""
+        tried = set()
+        for index, request in enumerate(itertools.islice(self.waiting, LOOK_AHEAD)):
+            if (request.team, request.kind, request.needs) in tried:
+                continue
+            tried.add((request.team, request.kind, request.needs))
+            if self.run.has_room(request):
+                del self.waiting[index]
+                return request
+        return None
+
     def place_forever(self) -> None:
         """Place waiting tasks again and again."""
         while True:
