Keep one worker quiet for each kind of quote

Cause: at the start of a wave the whole queue was placed at once, so for a while every worker was noisy for some kind of quote.

Ruled out: refusing noisy batch for good, which would starve it where all workers are noisy already.

Change: batch that would disturb the last worker that is quiet (up to 1.3 times the time alone) for some kind of quote is held back, for 5 s at most.

--- a/src/mangosail/placement/choice.py
+++ b/src/mangosail/placement/choice.py
@@ -5,6 +5,9 @@
     class First:
         def choose(self, candidates, work):
             return candidates[0]
+
+        def suitable(self, candidates, work):
+            return candidates
 """
 
 import collections.abc as cabc
@@ -23,6 +26,11 @@
     ) -> workers.OwnedWorker:
         """Return one of `candidates`, of which there is at least one."""
 
+    def suitable(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> list[workers.OwnedWorker]:
+        """Return those of `candidates` on which `work` does no undue harm."""
+
 
 class Policy(enum.StrEnum):
     """The choosers that an instance can be started with."""
@@ -42,7 +50,17 @@
     return max(shares)
 
 
-class LeastLoaded:
+class Indifferent:
+    """Base of choosers that know nothing of harm: any worker suits them."""
+
+    def suitable(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> list[workers.OwnedWorker]:
+        """Return all `candidates`."""
+        return list(candidates)
+
+
+class LeastLoaded(Indifferent):
     """Picks the worker with the smallest load; the first of equal ones by chance."""
 
     def __init__(self, seed: int) -> None:
@@ -55,7 +73,7 @@
         return min(candidates, key=lambda owned: (load(owned), self.random.random()))
 
 
-class TwoChoices:
+class TwoChoices(Indifferent):
     """Draws two workers and picks the less loaded one."""
 
     def __init__(self, seed: int) -> None:
@@ -68,7 +86,7 @@
         return min(self.random.sample(candidates, min(2, len(candidates))), key=load)
 
 
-class Random:
+class Random(Indifferent):
     """Picks any worker."""
 
     def __init__(self, seed: int) -> None:
--- a/src/mangosail/placement/learned.py
+++ b/src/mangosail/placement/learned.py
@@ -3,6 +3,8 @@
 Quotes go where they are predicted to end first. Batch goes where it is predicted
 to delay quotes least: each worker counts by the share of quotes it would attract,
 so noisy work gathers where quotes no longer go and the quiet workers stay quiet.
+Batch that would disturb the last quiet worker for some kind of quote is held back
+for a while, until room comes free elsewhere.
 """
 
 import collections.abc as cabc
@@ -17,6 +19,10 @@
 OWN_DELAY_WEIGHT = 0.05
 #: Weight of equal load, which decides where nothing else does.
 LOAD_WEIGHT = 0.01
+#: Stretch of a quote's time up to which a worker counts as quiet for it.
+QUIET_STRETCH = 1.3
+#: Seconds for which a kind of batch is held back in a row at most.
+LONGEST_HOLD = 5.0
 #: Seconds after which a kind of quote that was not seen is left out.
 KIND_TERM = 60.0
 
@@ -50,6 +56,8 @@
         self.random = random.Random(seed)
         #: Monotonic time at which each kind of quote was last placed.
         self.quote_kinds: dict[str, float] = {}
+        #: Monotonic time since which each kind of batch has found no place.
+        self.held_since: dict[str, float] = {}
 
     def choose(
         self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
@@ -65,6 +73,58 @@
             candidates, key=lambda owned: (costs[owned.name], self.random.random())
         )
 
+    def suitable(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> list[workers.OwnedWorker]:
+        """Return `candidates` but the last worker that is quiet for some quote."""
+        everywhere = [owned for owned in self.present.owned if owned.accepts()]
+        if work.work_class is not messages.WorkClass.BATCH or len(everywhere) < 2:
+            return list(candidates)
+        now = self.clock.monotonic()
+        last_quiet = self._last_quiet(everywhere, work, now)
+        suitable = [owned for owned in candidates if owned.name not in last_quiet]
+        if suitable or not candidates:
+            self.held_since.pop(work.kind, None)
+            return suitable
+        if now - self.held_since.setdefault(work.kind, now) < LONGEST_HOLD:
+            return []
+        # Work that fits nowhere else must not wait for ever.
+        return list(candidates)
+
+    def _last_quiet(
+        self,
+        everywhere: cabc.Sequence[workers.OwnedWorker],
+        work: messages.Work,
+        now: float,
+    ) -> set[str]:
+        """Return the workers that alone are quiet, and would not be with `work`."""
+        found = set()
+        for kind in self._active_quotes(now):
+            stretched = self._stretches(kind, everywhere, now)
+            quiet = [o for o in everywhere if stretched[o.name] <= QUIET_STRETCH]
+            if len(quiet) != 1:
+                continue
+            added = self.latencies.slowdown(kind, work.kind, pressure(quiet[0]), now)
+            if stretched[quiet[0].name] + added > QUIET_STRETCH:
+                found.add(quiet[0].name)
+        return found
+
+    def _active_quotes(self, now: float) -> list[str]:
+        seen = self.quote_kinds.items()
+        return [kind for kind, seen_at in seen if now - seen_at <= KIND_TERM]
+
+    def _stretches(
+        self, kind: str, everywhere: cabc.Sequence[workers.OwnedWorker], now: float
+    ) -> dict[str, float]:
+        """Return by what factor a quote of `kind` is stretched on each worker."""
+        return {
+            owned.name: self.latencies.shared(
+                kind, self.present.kinds(owned), pressure(owned), now
+            )
+            * self.latencies.factor(owned.name, now)
+            for owned in everywhere
+        }
+
     def latency(
         self, owned: workers.OwnedWorker, work: messages.Work, now: float
     ) -> float:
@@ -83,9 +143,7 @@
             + LOAD_WEIGHT * choice.load(owned)
             for owned in candidates
         }
-        for kind, seen_at in self.quote_kinds.items():
-            if now - seen_at > KIND_TERM:
-                continue
+        for kind in self._active_quotes(now):
             for owned, damage in self._damage_to(kind, candidates, work, now):
                 costs[owned.name] += damage
         return costs
@@ -105,13 +163,7 @@
         now: float,
     ) -> list[tuple[workers.OwnedWorker, float]]:
         """Return what `work` adds to quotes of `kind`, by what each attracts."""
-        stretched = {
-            owned.name: self.latencies.shared(
-                kind, self.present.kinds(owned), pressure(owned), now
-            )
-            * self.latencies.factor(owned.name, now)
-            for owned in candidates
-        }
+        stretched = self._stretches(kind, candidates, now)
         fastest = min(stretched.values())
         return [
             (
--- a/src/mangosail/placement/placer.py
+++ b/src/mangosail/placement/placer.py
@@ -120,11 +120,12 @@
 
     def candidates(self, work: messages.Work) -> list[workers.OwnedWorker]:
         """Return the workers that can take `work` now."""
-        return [
+        fitting = [
             owned
             for owned in self.owned.fitting(work.needs)
             if self._open_to(owned, work)
         ]
+        return self.chooser.suitable(fitting, work)
 
     def ended(self, task_id: str, ok: bool, seconds: float | None = None) -> None:
         """Give the place back, and learn from how the work went.
