--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -21,11 +21,11 @@
 from mangosail.ownership import messages as ownership_messages
 from mangosail.ownership import owners, session, sightings
 from mangosail.placement import placer, workers
+from mangosail.platform import batching, inventory
 from mangosail.platform import http as platform_http
-from mangosail.platform import inventory
 from mangosail.settings import process, schema, state
 from mangosail.telemetry import counters as telemetry
-from mangosail.work import claims, runner
+from mangosail.work import claims, forwarding, runner
 
 log = logbook.Logger("instance")
 
@@ -70,13 +70,19 @@
         self.peers = membership.Peers(
             settings.instance, self.heartbeat_message, self.clock, self.counters
         )
+        self.grouped = batching.GroupCommit(self.table, self.counters)
         self.runner = runner.Runner(
-            claims.Claims(self.table),
+            claims.Claims(self.grouped),
             self.workers,
             self.placer,
             self.lease,
             self.clock,
             self.counters,
+            forwarding.Forwarding(
+                self.peers, settings.data_centre, self.clock, self.counters
+            ),
+            platform_http.HttpObjects(caller),
+            self._gone,
         )
         self.jobs = queue.JobQueue(
             self.table, self.runner, self.lease, self.clock, self.counters
@@ -97,17 +103,21 @@
             self.clock,
             self.counters,
             self.describe,
+            self.peers,
         )
 
     def run(self) -> None:
         """Serve until the process is stopped."""
-        rpc.serve(self, self.process.peer_address)
+        peer_server = rpc.serve(self, self.process.peer_address)
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
+        gevent.spawn(self.grouped.run)
+        gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
         httpd = server.create(app.create(self.front), self.process.http_address)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
+        peer_server.stop(grace=0)
 
     def heartbeat(self, message: peer_messages.Heartbeat) -> peer_messages.Heartbeat:
         """Take in a peer's state and return our own."""
@@ -148,6 +158,18 @@
             data_centre=served.ok_value.data_centre,
         )
 
+    def submit_work(
+        self, message: peer_messages.ForwardedWork
+    ) -> peer_messages.WorkAnswer:
+        """Claim a peer's durable work for our own workers."""
+        return self.runner.submit_for_peer(message)
+
+    def cancel_work(
+        self, message: peer_messages.CancelWork
+    ) -> peer_messages.WorkAnswer:
+        """Cancel durable work that we hold."""
+        return self.runner.cancel_for_peer(message)
+
     def heartbeat_message(self) -> peer_messages.Heartbeat:
         """Return our state as peers are told it."""
         return peer_messages.Heartbeat(
@@ -161,18 +183,34 @@
             },
         )
 
+    def describe_to(
+        self, message: peer_messages.DescribeRequest
+    ) -> peer_messages.Description:
+        """Return our status for the operator of a peer."""
+        return peer_messages.Description(
+            self.process.instance, codec.to_json(self.describe())
+        )
+
     def describe(self) -> dict[str, t.Any]:
         """Return the status that operators see."""
+        now = self.clock.monotonic()
+        read_at = self.settings.read_at
         return {
             "instance": self.process.instance,
             "data_centre": self.process.data_centre,
             "ready": self.front.ready,
+            "draining": self.heartbeat_message().draining,
+            "waiting_tasks": len(self.jobs.waiting),
+            "running_work": len(list(self.runner.ctx.registry)),
+            "settings_age": None if read_at is None else now - read_at,
+            "lease_left": self.lease.deadline - now,
             "workers": [
                 {
                     "name": owned.name,
                     "generation": owned.generation,
                     "used": owned.ledger.used,
                     "capacity": owned.ledger.capacity,
+                    "health": health_of(owned),
                 }
                 for owned in self.workers
             ],
@@ -233,6 +271,13 @@
         in_force = self.settings.by_team.get(team)
         return in_force.settings.quota if in_force else None
 
+    def _gone(self, worker: str) -> bool:
+        """Tell whether the platform's list says that `worker` is gone."""
+        return any(
+            listed.name == worker and listed.standing is inventory.Standing.GONE
+            for listed in self.listing.workers
+        )
+
     def _renew(self) -> None:
         self.lease.renew()
 
@@ -264,6 +309,13 @@
             self.clock.sleep(interval)
 
 
+def health_of(owned: workers.OwnedWorker) -> str:
+    """Return in one word whether a worker takes new work, and why if not."""
+    if owned.leaving:
+        return "leaving"
+    return "taking" if owned.ready else "rebuilding"
+
+
 def make_counters(settings: process.ProcessSettings) -> telemetry.StatsdCounters:
     """Return the counters, sent to statsd if an address is set."""
     if settings.statsd_address is None:
--- a/src/mangosail/placement/placer.py
+++ b/src/mangosail/placement/placer.py
@@ -82,6 +82,8 @@
         self.peer_usage: cabc.Callable[[], cabc.Mapping[str, fairness.TeamUsage]] = dict
         #: Reservations that have not ended, by task id.
         self.open: dict[str, Placed] = {}
+        #: Run times of tasks that their workers say have ended.
+        self.told_seconds: dict[str, float] = {}
         #: Wall time of the last measurement taken in from each worker.
         self.measured_at: dict[str, float] = {}
 
@@ -127,23 +129,24 @@
         ]
         return self.chooser.suitable(fitting, work)
 
-    def ended(self, task_id: str, ok: bool, seconds: float | None = None) -> None:
+    def ended(self, task_id: str, ok: bool) -> None:
         """Give the place back, and learn from how the work went.
 
-        `seconds` is the run time that the worker told, else the time since the
-        place was reserved counts. Refused, lost and late work is not `ok`.
+        The run time that the worker told counts, else the time since the place
+        was reserved. Refused, lost and late work is not `ok`.
         """
+        told = self.told_seconds.get(task_id)
         placed = self.withdraw(task_id)
         if placed is None:
             return
         work, worker = placed.work, placed.owned.name
         self.ejection.observe(worker, work.kind, job_of(work), ok)
-        if seconds is None:
-            seconds = self.clock.monotonic() - placed.placed_at
+        seconds = self.clock.monotonic() - placed.placed_at if told is None else told
         self._learn(placed, seconds, ok)
 
     def withdraw(self, task_id: str) -> Placed | None:
         """Give the place back without learning anything."""
+        self.told_seconds.pop(task_id, None)
         placed = self.open.pop(task_id, None)
         if placed is None:
             return None
@@ -155,6 +158,8 @@
         """Take in measured sizes, and tasks that an earlier owner started."""
         for report in snapshot.tasks:
             if report.state is not dispatch_messages.TaskState.RUNNING:
+                if report.task_id in self.open:
+                    self.told_seconds[report.task_id] = report.seconds
                 continue
             if report.task_id not in self.residents.works:
                 self.residents.enter(work_of(report))
@@ -258,6 +263,7 @@
         )
 
     def _come_back(self, team: str | None = None) -> float:
+        self._drop_lost()
         running = [
             (placed.work, placed.placed_at)
             for placed in self.open.values()
@@ -265,6 +271,12 @@
         ]
         return self.admission.come_back(running, self.clock.monotonic())
 
+    def _drop_lost(self) -> None:
+        """Let go of places on workers that were lost with what ran there."""
+        for task_id, placed in list(self.open.items()):
+            if self.owned.get(placed.owned.name) is not placed.owned:
+                self.withdraw(task_id)
+
     def _refuse(
         self, reason: errors.Reason, retry_after: float | None
     ) -> result.Result[t.Any, errors.NotPlaced]:
