Test that run times come from the worker

Change: a scenario that fails when the time since the reservation is learned instead of the run time that the worker told.

--- a/tests/placement/decisions.feature
+++ b/tests/placement/decisions.feature
@@ -65,3 +65,11 @@
     When 2 seconds pass
     And a quote with 0.3 seconds left is placed
     Then it is placed
+
+  Scenario: Run times come from the worker and say when to come back
+    # From claim to recorded end takes longer than the task itself ran.
+    Given workers "a" and "b"
+    When a "batch.tidy" task is placed that its worker says ran 3 seconds
+    And batch tasks are placed until none fits
+    And 1 seconds pass
+    Then a "batch.tidy" task is told to come back in 2 seconds
--- a/tests/placement/steps/decision_steps.py
+++ b/tests/placement/steps/decision_steps.py
@@ -2,6 +2,7 @@
 from tests.support import placing
 
 from mangosail import resources
+from mangosail.dispatch import messages as dispatch_messages
 from mangosail.placement import latency, messages
 from mangosail.settings import schema
 
@@ -160,3 +161,20 @@
 def place_late(context, seconds):
     deadline = context.placing.clock.monotonic() + seconds
     place(context, "fuel.quote", messages.WorkClass.QUOTE, deadline=deadline)
+
+
+@when('a "{kind}" task is placed that its worker says ran {seconds:g} seconds')
+def told(context, kind, seconds):
+    placed = place(context, kind).ok_value
+    context.placing.clock.sleep(seconds + 1)
+    task_id, done = placed.work.task_id, dispatch_messages.TaskState.DONE
+    report = dispatch_messages.Report(task_id, 1, done, kind, seconds=seconds)
+    snapshot = dispatch_messages.Snapshot(1, (report,))
+    context.placing.placer.on_snapshot(placed.owned.name, snapshot)
+    context.placing.placer.ended(task_id, ok=True)
+
+
+@then('a "{kind}" task is told to come back in {seconds:g} seconds')
+def come_back(context, kind, seconds):
+    refused = place(context, kind).err_value
+    assert abs(refused.retry_after - seconds) < 0.01, refused
