Count teams' use of workers in a module of its own

Change: placement/usage.py counts what teams have running; own() is meant for the heartbeat, and peers returns what others told.

Conclusion: no change of behaviour; tests/placement passes.

--- a/src/mangosail/placement/fairness.py
+++ b/src/mangosail/placement/fairness.py
@@ -1,27 +1,16 @@
 """Fair shares of the workers among teams: quotas, lending, and whose turn it is."""
 
 import collections.abc as cabc
-import dataclasses
 
 from mangosail import clock as clocks
 from mangosail import resources
+from mangosail.placement import usage as usages
 from mangosail.settings import schema
 
 #: Seconds for which a team that found no room counts as waiting.
 WAITING_TERM = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TeamUsage:
-    """What a team has running, on this instance or on all together."""
-
-    cpus: float = 0.0
-    accelerators: int = 0
-
-    def __add__(self, other: "TeamUsage") -> "TeamUsage":
-        return TeamUsage(self.cpus + other.cpus, self.accelerators + other.accelerators)
-
-
 class FairShare:
     """Weighted dominant share: the team furthest below its quota goes first.
 
@@ -33,7 +22,7 @@
     def __init__(
         self,
         quotas: cabc.Callable[[str], schema.Quota | None],
-        usage: cabc.Callable[[], cabc.Mapping[str, TeamUsage]],
+        usage: cabc.Callable[[], cabc.Mapping[str, usages.TeamUsage]],
         clock: clocks.Clock,
     ) -> None:
         self.quotas = quotas
@@ -62,9 +51,9 @@
         """Note that `team` has work that found no room."""
         self.waiting[team] = self.clock.monotonic() + WAITING_TERM
 
-    def share(self, team: str, usage: cabc.Mapping[str, TeamUsage]) -> float:
+    def share(self, team: str, usage: cabc.Mapping[str, usages.TeamUsage]) -> float:
         """Return the team's use as a share of its quota, by what is scarcest."""
-        return self._share(team, usage.get(team, TeamUsage()))
+        return self._share(team, usage.get(team, usages.TeamUsage()))
 
     def within(self, team: str, needs: resources.Resources) -> bool:
         """Tell whether `team` may start work of `needs` now.
@@ -73,8 +62,8 @@
         until one of them that is below its own quota waits for room.
         """
         usage = self.usage()
-        added = TeamUsage(needs.cpus, needs.accelerators)
-        if self._share(team, usage.get(team, TeamUsage()) + added) <= 1.0 + 1e-9:
+        added = usages.TeamUsage(needs.cpus, needs.accelerators)
+        if self._share(team, usage.get(team, usages.TeamUsage()) + added) <= 1.0 + 1e-9:
             return True
         now = self.clock.monotonic()
         return not any(
@@ -82,7 +71,7 @@
             for other, deadline in self.waiting.items()
         )
 
-    def _share(self, team: str, used: TeamUsage) -> float:
+    def _share(self, team: str, used: usages.TeamUsage) -> float:
         quota = self.quotas(team)
         if quota is None:
             return 0.0
--- a/src/mangosail/placement/placer.py
+++ b/src/mangosail/placement/placer.py
@@ -30,6 +30,7 @@
     sizes,
     workers,
 )
+from mangosail.placement import usage as usages
 from mangosail.settings import schema
 from mangosail.telemetry import counters as telemetry
 
@@ -77,9 +78,8 @@
         self.ejection = ejection.Ejection(
             lambda: [worker.name for worker in owned], clock, counters
         )
-        self.fair = fairness.FairShare(quotas, self.usage, clock)
-        #: What other instances last said their teams have running.
-        self.peer_usage: cabc.Callable[[], cabc.Mapping[str, fairness.TeamUsage]] = dict
+        self.usage = usages.Usage(owned, self.residents)
+        self.fair = fairness.FairShare(quotas, self.usage.total, clock)
         #: Reservations that have not ended, by task id.
         self.open: dict[str, Placed] = {}
         #: Run times of tasks that their workers say have ended.
@@ -179,22 +179,6 @@
             if work is not None:
                 self.sizes.learn(size_kind(work), measured)
 
-    def usage(self) -> dict[str, fairness.TeamUsage]:
-        """Return what each team has running, here and on other instances."""
-        total = self.own_usage()
-        for team, used in self.peer_usage().items():
-            total[team] = total.get(team, fairness.TeamUsage()) + used
-        return total
-
-    def own_usage(self) -> dict[str, fairness.TeamUsage]:
-        """Return what each team has running on this instance's workers."""
-        total: dict[str, fairness.TeamUsage] = {}
-        for owned in self.owned:
-            for work in self.residents.on(owned):
-                used = fairness.TeamUsage(work.needs.cpus, work.needs.accelerators)
-                total[work.team] = total.get(work.team, fairness.TeamUsage()) + used
-        return total
-
     def _final(self, work: messages.Work) -> errors.Reason | None:
         """Return why `work` can never run, or None."""
         if not self.sizes.fits_any(work.needs):
