Test placement with random work against a plain sum

Change: a derandomised hypothesis run places, measures and ends work, and holds the ledger against what it knows to run.

--- a/tests/placement/decisions.feature
+++ b/tests/placement/decisions.feature
@@ -73,3 +73,8 @@
     And batch tasks are placed until none fits
     And 1 seconds pass
     Then a "batch.tidy" task is told to come back in 2 seconds
+
+  Scenario: Whatever is placed, measured and ended, no worker is overfull
+    # Learned sizes change while work runs, and work ends in any order; the sum on
+    # a worker must stay what it can carry.
+    Then random work on three workers never overfills one
