--- a/src/mangosail/placement/learned.py
+++ b/src/mangosail/placement/learned.py
@@ -8,7 +8,6 @@
 """
 
 import collections.abc as cabc
-import math
 import random
 
 from mangosail import clock as clocks
@@ -22,8 +21,6 @@
 LOAD_WEIGHT = 0.01
 #: Stretch of a quote's time up to which a worker counts as quiet for it.
 QUIET_STRETCH = 1.3
-#: Seconds in which half of the peak of quotes at a time is forgotten.
-PEAK_HALF_LIFE = 10.0
 #: Seconds for which a kind of batch is held back in a row at most.
 LONGEST_HOLD = 5.0
 #: Seconds after which a kind of quote that was not seen is left out.
@@ -36,11 +33,6 @@
     return max(choice.load(owned), min(measured, 1.0))
 
 
-def is_quote(work: messages.Work) -> bool:
-    """Tell whether a caller waits for the work's answer."""
-    return work.work_class is messages.WorkClass.QUOTE
-
-
 def around(
     owned: workers.OwnedWorker, present: residents.Residents
 ) -> latency.Surroundings:
@@ -64,8 +56,6 @@
         self.random = random.Random(seed)
         #: Monotonic time at which each kind of quote was last placed.
         self.quote_kinds: dict[str, float] = {}
-        #: The most quotes that ran at a time lately.
-        self.peak = latency.Estimate(0.0, 0.0)
         #: Monotonic time since which each kind of batch has found no place.
         self.held_since: dict[str, float] = {}
 
@@ -74,9 +64,8 @@
     ) -> workers.OwnedWorker:
         """Return the worker with the least latency, or the least damage."""
         now = self.clock.monotonic()
-        if is_quote(work):
+        if work.work_class is messages.WorkClass.QUOTE:
             self.quote_kinds[work.kind] = now
-            self._note_quotes(now)
             costs = {owned.name: self.latency(owned, work, now) for owned in candidates}
         else:
             costs = self._damages(candidates, work, now)
@@ -87,18 +76,13 @@
     def suitable(
         self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
     ) -> list[workers.OwnedWorker]:
-        """Return `candidates` but those that quotes need.
-
-        These are the last worker that is quiet for some kind of quote, and each
-        worker that is the best for one and would be left with too few slots.
-        """
+        """Return `candidates` but the last worker that is quiet for some quote."""
         everywhere = [owned for owned in self.present.owned if owned.accepts()]
         if work.work_class is not messages.WorkClass.BATCH or len(everywhere) < 2:
             return list(candidates)
         now = self.clock.monotonic()
-        needed = self._last_quiet(everywhere, work, now)
-        needed |= self._best_and_full(everywhere, work, now)
-        suitable = [owned for owned in candidates if owned.name not in needed]
+        last_quiet = self._last_quiet(everywhere, work, now)
+        suitable = [owned for owned in candidates if owned.name not in last_quiet]
         if suitable or not candidates:
             self.held_since.pop(work.kind, None)
             return suitable
@@ -125,41 +109,6 @@
                 found.add(quiet[0].name)
         return found
 
-    def _best_and_full(
-        self,
-        everywhere: cabc.Sequence[workers.OwnedWorker],
-        work: messages.Work,
-        now: float,
-    ) -> set[str]:
-        """Return the best workers for quotes that `work` would leave too full.
-
-        Quotes that find no slot on the one quiet worker run beside noise; so
-        it keeps slots for as many as ran at a time lately, half of all at most.
-        """
-        found = set()
-        for kind in self._active_quotes(now):
-            stretched = self._stretches(kind, everywhere, now)
-            best = min(everywhere, key=lambda owned: stretched[owned.name])
-            slots = best.worker.capacity.slots
-            kept = min(math.ceil(self._peak(now)), slots // 2)
-            quotes = sum(is_quote(other) for other in self.present.on(best))
-            batch = best.ledger.used.slots - quotes
-            if batch + work.needs.slots > slots - kept:
-                found.add(best.name)
-        return found
-
-    def _note_quotes(self, now: float) -> None:
-        running = 1 + sum(
-            is_quote(other)
-            for owned in self.present.owned
-            for other in self.present.on(owned)
-        )
-        self.peak = latency.Estimate(max(float(running), self._peak(now)), now)
-
-    def _peak(self, now: float) -> float:
-        kept: float = 0.5 ** ((now - self.peak.taught_at) / PEAK_HALF_LIFE)
-        return self.peak.value * kept
-
     def _active_quotes(self, now: float) -> list[str]:
         seen = self.quote_kinds.items()
         return [kind for kind, seen_at in seen if now - seen_at <= KIND_TERM]
