--- a/src/mangosail/front/attempts.py
+++ b/src/mangosail/front/attempts.py
@@ -19,7 +19,9 @@
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.front import messages
 from mangosail.ownership import session
-from mangosail.placement import workers
+from mangosail.placement import errors as placement_errors
+from mangosail.placement import messages as placement_messages
+from mangosail.placement import placer, workers
 from mangosail.telemetry import counters as telemetry
 
 #: Seconds that a worker may take to say what became of an attempt.
@@ -48,11 +50,13 @@
 
     def __init__(
         self,
+        place: placer.Placer,
         lease: session.Session,
         clock: clocks.Clock,
         counters: telemetry.Counters,
         seen: tails.Tails,
     ) -> None:
+        self.placer = place
         self.lease = lease
         self.tails = seen
         self.clock = clock
@@ -64,32 +68,40 @@
     def begin(
         self,
         request: messages.ServiceRequest,
-        owned: workers.OwnedWorker,
+        avoid: frozenset[str],
         answers: "gevent.queue.SimpleQueue[Attempt]",
-    ) -> Attempt | None:
-        """Start an attempt whose end is put into `answers`; None if it won't fit."""
+        fresh: bool = False,
+    ) -> result.Result[Attempt, placement_errors.NotPlaced]:
+        """Start an attempt whose end is put into `answers`, or tell why not.
+
+        It goes to none of the workers to `avoid`, and over a new connection if
+        `fresh`.
+        """
         # A worker refuses a task id that it has seen, also in a repeated request.
-        suffix = f"{self.prefix}-{next(self.numbers)}"
-        task_id = f"{request.team}/{request.request_id}~{suffix}"
-        needs = request.declared.needs.as_resources()
-        if not owned.ledger.reserve(task_id, needs, durable=False):
-            return None
+        suffix = f"~{self.prefix}-{next(self.numbers)}"
+        work = work_of(request, suffix)
+        placed = self.placer.place(work, request.deadline, avoid)
+        if isinstance(placed, result.Err):
+            return placed
+        owned = placed.ok_value.owned
         now = self.clock.monotonic()
         start = dispatch_messages.Start(
-            task_id=task_id,
+            task_id=work.task_id,
             generation=1,
             owner_generation=owned.generation,
             lease_deadline=self.clock.wall() + request.deadline - now,
             team=request.team,
             kind=request.kind,
-            needs=needs,
+            needs=placed.ok_value.work.needs,
             body=request.body,
             idempotent=True,
             start_deadline=self.lease.start_deadline(),
         )
+        if fresh:
+            owned.target.retire_idle()
         attempt = Attempt(owned, start, now, request.declared.target_p99_seconds)
         attempt.greenlet = gevent.spawn(self._run, attempt, request.deadline, answers)
-        return attempt
+        return result.Ok(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give up an attempt that runs still: its connection is closed at once."""
@@ -108,11 +120,13 @@
     ) -> None:
         attempt.answer = attempt.owned.target.run(attempt.start, deadline)
         self._observe(attempt)
+        task_id = attempt.start.task_id
         answers.put(attempt)
         if is_lost(attempt.answer):
+            self.placer.note(task_id, ok=False)
             self._settle(attempt)
         else:
-            attempt.owned.ledger.release(attempt.start.task_id)
+            self.placer.ended(task_id, ok=isinstance(attempt.answer, result.Ok))
 
     def _observe(self, attempt: Attempt) -> None:
         """Note the latency; one that was given up took at least as long."""
@@ -144,7 +158,7 @@
             self.clock.sleep(VOID_INTERVAL)
         else:
             self.counters.count("dispatch.settled.lease_over")
-        attempt.owned.ledger.release(start.task_id)
+        self.placer.withdraw(start.task_id)
 
     def _note(self, attempt: Attempt, state: dispatch_messages.TaskState) -> None:
         if state is not dispatch_messages.TaskState.VOID:
@@ -154,6 +168,16 @@
         attempt.owned.target.retire_idle()
 
 
+def work_of(request: messages.ServiceRequest, suffix: str) -> placement_messages.Work:
+    """Return an attempt at the request as placement sees it."""
+    return placement_messages.Work(
+        f"{request.team}/{request.request_id}{suffix}",
+        request.team,
+        request.kind,
+        request.declared.needs.as_resources(),
+    )
+
+
 def is_lost(answer: Answer) -> bool:
     """Tell whether the task may run still."""
     return isinstance(answer, result.Err) and isinstance(
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -13,7 +13,8 @@
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
-from mangosail.placement import choice, workers
+from mangosail.placement import errors as placement_errors
+from mangosail.placement import placer, workers
 from mangosail.telemetry import counters as telemetry
 
 #: Attempts that one quote may cost here, the first included.
@@ -41,6 +42,14 @@
 FIRST_PEER_SHARE = 0.6
 
 OK = 200
+#: Refusals after which a peer may still have room.
+FORWARDED_REASONS = frozenset(
+    {placement_errors.Reason.NO_CAPACITY, placement_errors.Reason.DEADLINE}
+)
+
+#: What a quote is told that found no owner to ask.
+NO_ROOM = placement_errors.NotPlaced(placement_errors.Reason.NO_CAPACITY, COME_BACK)
+
 UNAVAILABLE = 503
 TIMED_OUT = 504
 
@@ -52,21 +61,19 @@
 
     def __init__(
         self,
-        owned: workers.Workers,
-        chooser: choice.Chooser,
+        place: placer.Placer,
         peers: membership.Peers,
         lease: session.Session,
         clock: clocks.Clock,
         counters: telemetry.Counters,
         seen: tails.Tails,
     ) -> None:
-        self.owned = owned
-        self.chooser = chooser
+        self.placer = place
         self.peers = peers
         self.lease = lease
         self.clock = clock
         self.counters = counters
-        self.attempts = attempts.Attempts(lease, clock, counters, seen)
+        self.attempts = attempts.Attempts(place, lease, clock, counters, seen)
         self.latencies = latency.Latencies()
         self.retries = budget.Budget(RETRY_SHARE, RETRY_BURST)
         self.hedges = budget.Budget(HEDGE_SHARE, HEDGE_BURST)
@@ -75,42 +82,49 @@
         """Answer `request` from here, or from a peer if `forward` allows."""
         self.retries.earn()
         self.hedges.earn()
-        answer = Race(self, request).run()
+        race = Race(self, request)
+        answer = race.run()
         if answer is not None:
             return answer
         if self.clock.monotonic() >= request.deadline:
             return self.refuse(TIMED_OUT, "deadline")
-        if forward:
-            return self._forward(request)
-        return self.refuse(UNAVAILABLE, "no_capacity")
+        if forward and race.refused.reason in FORWARDED_REASONS:
+            return self._forward(request, race.refused)
+        return self._not_placed(race.refused)
 
     def candidates(
-        self,
-        request: messages.ServiceRequest,
-        tried: cabc.Sequence[attempts.Attempt],
-        again: bool,
+        self, request: messages.ServiceRequest, tried: cabc.Sequence[attempts.Attempt]
     ) -> list[workers.OwnedWorker]:
-        """Return the workers for the next attempt, if any.
-
-        A worker that was tried is a candidate only if `again` allows it and no
-        other fits.
-        """
-        needs = request.declared.needs.as_resources()
-        fitting = self.owned.fitting(needs, durable=False)
-        used = [attempt.owned for attempt in tried]
-        others = [owned for owned in fitting if owned not in used]
-        return others or (fitting if again else [])
+        """Return the workers that have not been tried and could take an attempt."""
+        used = names_of(tried)
+        found = self.placer.candidates(attempts.work_of(request, ""))
+        return [owned for owned in found if owned.name not in used]
 
-    def refuse(self, status: int, reason: str, outcome: str = "not_run") -> Answer:
+    def refuse(
+        self,
+        status: int,
+        reason: str,
+        outcome: str = "not_run",
+        retry_after: float | None = COME_BACK,
+    ) -> Answer:
         """Return a refusal, and count it."""
         self.counters.count(f"front.refused.{reason}")
-        return result.Err(messages.Refusal(status, reason, COME_BACK, outcome))
+        return result.Err(messages.Refusal(status, reason, retry_after, outcome))
+
+    def _not_placed(self, refused: placement_errors.NotPlaced) -> Answer:
+        late = refused.reason is placement_errors.Reason.DEADLINE
+        status = TIMED_OUT if late else UNAVAILABLE
+        return self.refuse(
+            status, refused.reason.value, retry_after=refused.retry_after
+        )
 
-    def _forward(self, request: messages.ServiceRequest) -> Answer:
+    def _forward(
+        self, request: messages.ServiceRequest, refused: placement_errors.NotPlaced
+    ) -> Answer:
         """Pass the request on, to a second peer if the first one is lost."""
         needs = request.declared.needs.as_resources()
         peers = self.peers.with_room(needs, self.lease.row.data_centre)[:MOST_PEERS]
-        reason = "no_capacity"
+        reason = ""
         for turn, peer in enumerate(peers):
             if turn and not self._retry(f"forward_{reason}"):
                 break
@@ -130,6 +144,8 @@
                 reason = answer.ok_value.body
                 continue
             return unpack(answer.ok_value)
+        if not reason:
+            return self._not_placed(refused)
         return self.refuse(UNAVAILABLE, reason)
 
     def _retry(self, reason: str) -> bool:
@@ -160,6 +176,8 @@
             gevent.queue.SimpleQueue()
         )
         self.tried: list[attempts.Attempt] = []
+        #: Why the last attempt found no place.
+        self.refused = NO_ROOM
         now = quotes.clock.monotonic()
         patience = max(quotes.latencies.high(request.kind), SHORTEST_PATIENCE)
         self.hedge_at = now + patience
@@ -213,8 +231,6 @@
         never = self.request.deadline
         if now >= self.lost_at:
             self.lost_at = self.hedge_at = never
-            if not self.quotes.candidates(self.request, self.tried, again=True):
-                return 0
             if not self._another("silent"):
                 return 0
             return int(self._begin(again=True, fresh=True))
@@ -231,7 +247,7 @@
     def _room_for_hedge(self) -> bool:
         return any(
             owned.ledger.free().slots > HEDGE_ROOM * owned.worker.capacity.slots
-            for owned in self.quotes.candidates(self.request, self.tried, again=False)
+            for owned in self.quotes.candidates(self.request, self.tried)
         )
 
     def _another(self, reason: str) -> bool:
@@ -244,19 +260,26 @@
         return self.quotes.spend(self.quotes.retries, "retry", reason)
 
     def _begin(self, again: bool, fresh: bool = False) -> bool:
-        """Start an attempt, on a new connection if `fresh`; tell whether it was."""
-        candidates = self.quotes.candidates(self.request, self.tried, again)
-        if not candidates:
-            return False
-        owned = self.quotes.chooser.choose(candidates, self.request.kind)
-        if fresh:
-            owned.target.retire_idle()
-        attempt = self.quotes.attempts.begin(self.request, owned, self.answers)
-        if attempt is None:
+        """Start an attempt, on a new connection if `fresh`; tell whether it was.
+
+        A worker that was tried is used only if `again` allows it and no other
+        has room.
+        """
+        avoid = names_of(self.tried)
+        begun = self._attempt(avoid, fresh)
+        if isinstance(begun, result.Err) and again and avoid:
+            begun = self._attempt(frozenset(), fresh)
+        if isinstance(begun, result.Err):
+            self.refused = begun.err_value
             return False
-        self.tried.append(attempt)
+        self.tried.append(begun.ok_value)
         return True
 
+    def _attempt(
+        self, avoid: frozenset[str], fresh: bool
+    ) -> result.Result[attempts.Attempt, placement_errors.NotPlaced]:
+        return self.quotes.attempts.begin(self.request, avoid, self.answers, fresh)
+
     def _served(self, ended: attempts.Attempt, answer: object) -> messages.Served:
         now = self.quotes.clock.monotonic()
         self.quotes.latencies.observe(self.request.kind, now - ended.started_at)
@@ -265,6 +288,11 @@
         return messages.Served(answer, ended.owned.name, ended.owned.worker.data_centre)
 
 
+def names_of(tried: cabc.Iterable[attempts.Attempt]) -> frozenset[str]:
+    """Return the names of the workers that were tried."""
+    return frozenset(attempt.owned.name for attempt in tried)
+
+
 def forwarded(
     request: messages.ServiceRequest, timeout: float
 ) -> peer_messages.Forwarded:
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -27,11 +27,11 @@
 from mangosail.membership import rpc
 from mangosail.ownership import messages as ownership_messages
 from mangosail.ownership import owners, session, sightings, takeover
-from mangosail.placement import choice, workers
+from mangosail.placement import placer, workers
 from mangosail.platform import batching, inventory
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import http as platform_http
-from mangosail.settings import changes, process, spread, state
+from mangosail.settings import changes, process, schema, spread, state
 from mangosail.settings import messages as settings_messages
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import claims, forwarding, runner
@@ -58,7 +58,15 @@
         self.listing = inventory.Listing()
         self.workers = workers.Workers()
         self.monitors: dict[str, monitor.Monitor] = {}
-        self.chooser = choice.LeastLoaded(settings.seed or random.getrandbits(32))
+        self.placer = placer.Placer(
+            self.workers,
+            settings.chooser,
+            settings.seed,
+            self.clock,
+            self.counters,
+            self._quota,
+            lambda: [worker.capacity for worker in self.listing.workers],
+        )
         self.lease = session.Session(self.table, self.clock, self._session_row())
         self.owners = owners.Owners(
             self.table,
@@ -92,7 +100,7 @@
         self.runner = runner.Runner(
             claims.Claims(self.grouped),
             self.workers,
-            self.chooser,
+            self.placer,
             self.lease,
             self.clock,
             self.counters,
@@ -102,7 +110,9 @@
             platform_http.HttpObjects(caller),
             self._gone,
         )
-        self.room = room.Room(self.workers, self.runner, self.clock, self.counters)
+        self.room = room.Room(
+            self.workers, self.placer, self.runner, self.clock, self.counters
+        )
         self.offers = offers.Offers(
             self.peers, self.runner, self.room, self.lease, self.clock, self.counters
         )
@@ -127,8 +137,7 @@
         )
         self.tails = tails.Tails()
         self.quotes = quotes.Quotes(
-            self.workers,
-            self.chooser,
+            self.placer,
             self.peers,
             self.lease,
             self.clock,
@@ -371,6 +380,10 @@
         )
         return owned
 
+    def _quota(self, team: str) -> schema.Quota | None:
+        in_force = self.settings.by_team.get(team)
+        return in_force.settings.quota if in_force else None
+
     def _gone(self, worker: str) -> bool:
         """Tell whether the platform's list says that `worker` is gone."""
         return any(
@@ -388,7 +401,11 @@
     def on_taken(self, owned: workers.OwnedWorker) -> None:
         """Follow a worker that was taken, once earlier owners are fenced off."""
         follower = monitor.Monitor(
-            owned.name, owned.target, (self, self.runner), self.clock, self.counters
+            owned.name,
+            owned.target,
+            (self, self.placer, self.runner),
+            self.clock,
+            self.counters,
         )
         self.monitors[owned.name] = follower
         gevent.spawn(self._follow, owned, follower)
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -22,6 +22,7 @@
     work,
 )
 from mangosail.ownership import session
+from mangosail.placement import errors as placement_errors
 from mangosail.platform import errors as platform_errors
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
@@ -214,9 +215,7 @@
         )
         self.room.forget(request)
         if isinstance(answer, result.Err):
-            reason = type(answer.err_value).__name__.lower()
-            self.counters.count(f"jobs.retry.{reason}")
-            self._put_back(job, index, 0)
+            self._not_run(job, index, answer.err_value)
             return
         self.settle(job, index, request.request_id, answer.ok_value.state)
 
@@ -249,6 +248,15 @@
         job.tally.move(index, at)
         self.counters.count(f"jobs.task.{at.name.lower()}")
 
+    def _not_run(self, job: held.HeldJob, index: int, error: object) -> None:
+        """Let a task that was not started wait again, unless it never can be."""
+        if isinstance(error, placement_errors.NotPlaced) and error.retry_after is None:
+            self._stop(job, messages.State.FAILED, error.reason.value)
+            self._end(job, index, tally.Standing.FAILED)
+            return
+        self.counters.count(f"jobs.retry.{type(error).__name__.lower()}")
+        self._put_back(job, index, 0)
+
     def _failed(self, job: held.HeldJob, index: int, request_id: str) -> None:
         """Try a task that failed again, unless that is of no use."""
         row = self._row(job.job.team, request_id)
--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -9,9 +9,11 @@
 from mangosail import clock as clocks
 from mangosail import resources
 from mangosail.jobs import work
+from mangosail.placement import placer
 from mangosail.placement import workers as placed
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
+from mangosail.work import runner
 
 log = logbook.Logger("jobs")
 
@@ -38,11 +40,13 @@
     def __init__(
         self,
         owned: placed.Workers,
+        place: placer.Placer,
         run: work.Work,
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
         self.owned = owned
+        self.placer = place
         self.run = run
         self.clock = clock
         self.counters = counters
@@ -62,10 +66,13 @@
         """Tell whether a batch task can be started here now."""
         if self.reservation and not self._stands(self.reservation, urgent=False):
             self.release()
-        task_id = work_messages.task_id_of(request)
-        fitting = self.owned.fitting(request.needs, batch=task_id, kind=request.kind)
-        if not fitting:
+        wanted = runner.work_of(request)
+        if self.placer.obstacle(wanted) is not None:
             return False
+        fitting = self.placer.candidates(wanted)
+        if not fitting:
+            # It can never run; its start is refused with the reason.
+            return True
         self._drop_entered()
         free = {owned.name: owned.ledger.free() for owned in fitting}
         for needs in self.pending.values():
--- a/src/mangosail/placement/choice.py
+++ b/src/mangosail/placement/choice.py
@@ -3,25 +3,43 @@
 A chooser is any object with a `choose` method; the smallest one is::
 
     class First:
-        def choose(self, candidates, kind):
+        def choose(self, candidates, work):
             return candidates[0]
+
+        def suitable(self, candidates, work):
+            return candidates
 """
 
 import collections.abc as cabc
+import enum
 import random
 import typing as t
 
-from mangosail.placement import workers
+from mangosail.placement import messages, workers
 
 
 class Chooser(t.Protocol):
-    """Picks a worker for a piece of work of `kind`."""
+    """Picks a worker for a piece of work."""
 
     def choose(
-        self, candidates: cabc.Sequence[workers.OwnedWorker], kind: str
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
     ) -> workers.OwnedWorker:
         """Return one of `candidates`, of which there is at least one."""
 
+    def suitable(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> list[workers.OwnedWorker]:
+        """Return those of `candidates` on which `work` does no undue harm."""
+
+
+class Policy(enum.StrEnum):
+    """The choosers that an instance can be started with."""
+
+    LEARNED = "learned"
+    LEAST_LOADED = "least-loaded"
+    TWO_CHOICES = "two-choices"
+    RANDOM = "random"
+
 
 def load(owned: workers.OwnedWorker) -> float:
     """Return the share of the worker's scarcest resource that is reserved."""
@@ -32,14 +50,50 @@
     return max(shares)
 
 
-class LeastLoaded:
+class Indifferent:
+    """Base of choosers that know nothing of harm: any worker suits them."""
+
+    def suitable(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> list[workers.OwnedWorker]:
+        """Return all `candidates`."""
+        return list(candidates)
+
+
+class LeastLoaded(Indifferent):
     """Picks the worker with the smallest load; the first of equal ones by chance."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
 
     def choose(
-        self, candidates: cabc.Sequence[workers.OwnedWorker], kind: str
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
     ) -> workers.OwnedWorker:
         """Return the least loaded of `candidates`."""
         return min(candidates, key=lambda owned: (load(owned), self.random.random()))
+
+
+class TwoChoices(Indifferent):
+    """Draws two workers and picks the less loaded one."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+
+    def choose(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> workers.OwnedWorker:
+        """Return the less loaded of two of `candidates`."""
+        return min(self.random.sample(candidates, min(2, len(candidates))), key=load)
+
+
+class Random(Indifferent):
+    """Picks any worker."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+
+    def choose(
+        self, candidates: cabc.Sequence[workers.OwnedWorker], work: messages.Work
+    ) -> workers.OwnedWorker:
+        """Return one of `candidates` by chance."""
+        return self.random.choice(candidates)
--- /dev/null
+++ b/src/mangosail/placement/placer.py
@@ -0,0 +1,352 @@
+"""The one way from a piece of work to a reserved place on a worker, and back.
+
+What callers do with it is always the same::
+
+    placed = placer.place(work, deadline)
+    ...  # run it
+    placer.ended(work.task_id, ok=True)
+"""
+
+import collections
+import collections.abc as cabc
+import dataclasses
+import random
+import typing as t
+
+import result
+
+from mangosail import clock as clocks
+from mangosail import resources
+from mangosail.dispatch import messages as dispatch_messages
+from mangosail.placement import (
+    admission,
+    choice,
+    ejection,
+    errors,
+    fairness,
+    latency,
+    learned,
+    messages,
+    residents,
+    sizes,
+    workers,
+)
+from mangosail.placement import usage as usages
+from mangosail.settings import schema
+from mangosail.telemetry import counters as telemetry
+
+#: Slots of each worker that only latency-critical work may take.
+QUOTE_SLOTS = 2
+#: Share of each worker's processors that only latency-critical work may take.
+QUOTE_CPU_SHARE = 0.125
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """A reservation, with what shared the worker when it was made."""
+
+    work: messages.Work
+    owned: workers.OwnedWorker
+    around: latency.Surroundings
+    #: Monotonic time at which it was made.
+    placed_at: float
+
+
+class Placer:
+    """Decides where work runs and learns from how it went.
+
+    `quotas` returns a team's quota, `capacities` what each listed worker carries.
+    """
+
+    def __init__(
+        self,
+        owned: workers.Workers,
+        policy: choice.Policy,
+        seed: int,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+        quotas: cabc.Callable[[str], schema.Quota | None],
+        capacities: cabc.Callable[[], list[resources.Resources]],
+    ) -> None:
+        self.owned = owned
+        self.clock = clock
+        self.counters = counters
+        self.latencies = latency.Latencies()
+        self.admission = admission.Admission(self.latencies)
+        self.residents = residents.Residents(owned)
+        self.chooser = self._chooser(policy, seed or random.getrandbits(32))
+        self.sizes = sizes.Sizes(capacities, counters)
+        self.ejection = ejection.Ejection(
+            lambda: [worker.name for worker in owned], clock, counters
+        )
+        self.usage = usages.Usage(owned, self.residents)
+        self.fair = fairness.FairShare(quotas, self.usage.total, clock)
+        #: Reservations that have not ended, by task id.
+        self.open: dict[str, Placed] = {}
+        #: Run times of tasks that their workers say have ended.
+        self.told_seconds: dict[str, float] = {}
+        #: Wall time of the last measurement taken in from each worker.
+        self.measured_at: dict[str, float] = {}
+
+    def place(
+        self,
+        work: messages.Work,
+        deadline: float | None = None,
+        avoid: frozenset[str] = frozenset(),
+    ) -> result.Result[Placed, errors.NotPlaced]:
+        """Reserve a place for `work`, or tell why there is none.
+
+        `deadline` is the monotonic time until which a caller waits; the workers
+        to `avoid` are those that have just failed the same work.
+        """
+        final = self._final(work)
+        if final is not None:
+            return self._refuse(final, None)
+        work = self._sized(work)
+        if not self._within_quota(work):
+            return self._refuse(errors.Reason.QUOTA, self._come_back(work.team))
+        candidates = [o for o in self.candidates(work) if o.name not in avoid]
+        if not candidates:
+            return self._refuse(errors.Reason.NO_CAPACITY, self._come_back())
+        owned = self._choose(candidates, work)
+        if deadline is not None and not self._in_time(work, owned, deadline):
+            return self._refuse(errors.Reason.DEADLINE, self._come_back())
+        return self._reserve(work, owned)
+
+    def obstacle(self, work: messages.Work) -> errors.NotPlaced | None:
+        """Return why `work` has to wait, None if `place` would decide on it now.
+
+        Work that can never run doesn't wait: `place` refuses it for good.
+        """
+        if self._final(work) is not None:
+            return None
+        work = self._sized(work)
+        if not self._within_quota(work):
+            return errors.NotPlaced(errors.Reason.QUOTA, self._come_back(work.team))
+        if self.candidates(work):
+            return None
+        self.fair.wants(work.team)
+        return errors.NotPlaced(errors.Reason.NO_CAPACITY, self._come_back())
+
+    def candidates(self, work: messages.Work) -> list[workers.OwnedWorker]:
+        """Return the workers that can take `work` now."""
+        fitting = [
+            owned
+            for owned in self.owned.fitting(
+                work.needs, is_durable(work), batch_id(work), work.kind
+            )
+            if self._open_to(owned, work)
+        ]
+        return self.chooser.suitable(fitting, work)
+
+    def ended(self, task_id: str, ok: bool) -> None:
+        """Give the place back, and learn from how the work went.
+
+        The run time that the worker told counts, else the time since the place
+        was reserved. Refused, lost and late work is not `ok`.
+        """
+        self.note(task_id, ok)
+        self.withdraw(task_id)
+
+    def note(self, task_id: str, ok: bool) -> None:
+        """Learn from how the work went, and keep the place reserved.
+
+        Work whose answer was lost may run still.
+        """
+        placed = self.open.get(task_id)
+        if placed is None:
+            return
+        told = self.told_seconds.get(task_id)
+        work, worker = placed.work, placed.owned.name
+        self.ejection.observe(worker, work.kind, job_of(work), ok)
+        seconds = self.clock.monotonic() - placed.placed_at if told is None else told
+        self._learn(placed, seconds, ok)
+
+    def withdraw(self, task_id: str) -> Placed | None:
+        """Give the place back without learning anything."""
+        self.told_seconds.pop(task_id, None)
+        placed = self.open.pop(task_id, None)
+        if placed is None:
+            return None
+        placed.owned.ledger.release(task_id)
+        self.residents.leave(task_id)
+        return placed
+
+    def on_snapshot(self, worker: str, snapshot: dispatch_messages.Snapshot) -> None:
+        """Take in measured sizes, and tasks that an earlier owner started."""
+        for report in snapshot.tasks:
+            if report.state is not dispatch_messages.TaskState.RUNNING:
+                if report.task_id in self.open:
+                    self.told_seconds[report.task_id] = report.seconds
+                continue
+            if report.task_id not in self.residents.works:
+                self.residents.enter(work_of(report))
+        usage = snapshot.usage
+        if usage.measured_at <= self.measured_at.get(worker, 0.0):
+            return
+        self.measured_at[worker] = usage.measured_at
+        for task_id, measured in usage.tasks.items():
+            work = self.residents.works.get(task_id)
+            if work is not None:
+                self.sizes.learn(size_kind(work), measured)
+
+    def on_silence(self, worker: str) -> None:
+        """Keep all places: what was started there may run still."""
+
+    def _final(self, work: messages.Work) -> errors.Reason | None:
+        """Return why `work` can never run, or None."""
+        if not self.sizes.fits_any(work.needs):
+            return errors.Reason.TOO_LARGE
+        if work.job and self.ejection.poisoned(job_of(work)):
+            return errors.Reason.POISONED
+        return None
+
+    def _sized(self, work: messages.Work) -> messages.Work:
+        needs = self.sizes.needs(size_kind(work), work.needs)
+        return dataclasses.replace(work, needs=needs)
+
+    def _within_quota(self, work: messages.Work) -> bool:
+        # Class goes first: a quote is short and is not held back for batch.
+        if work.work_class is messages.WorkClass.QUOTE:
+            return True
+        return self.fair.within(work.team, work.needs)
+
+    def _open_to(self, owned: workers.OwnedWorker, work: messages.Work) -> bool:
+        if self.ejection.ejected(owned.name):
+            # A probe may fail, so it is never work that must not run twice.
+            probes = work.work_class is not messages.WorkClass.TASK
+            idle = not owned.ledger.reserved
+            return probes and idle and self.ejection.may_probe(owned.name)
+        if work.work_class is not messages.WorkClass.BATCH:
+            return True
+        if owned.reserved_for == work.task_id:
+            # The worker was cleared for this task; headroom could keep a task
+            # that needs nearly all of it waiting for ever.
+            return True
+        needs = work.needs + headroom(owned, work.needs)
+        return needs.fits_in(owned.ledger.free())
+
+    def _choose(
+        self, candidates: list[workers.OwnedWorker], work: messages.Work
+    ) -> workers.OwnedWorker:
+        for owned in candidates:
+            if self.ejection.ejected(owned.name):
+                return owned
+        return self.chooser.choose(candidates, work)
+
+    def _in_time(
+        self, work: messages.Work, owned: workers.OwnedWorker, deadline: float
+    ) -> bool:
+        now = self.clock.monotonic()
+        around = learned.around(owned, self.residents)
+        predicted = self.latencies.predict(work.kind, around, now)
+        return self.admission.admits(work.kind, predicted, deadline, now)
+
+    def _reserve(
+        self, work: messages.Work, owned: workers.OwnedWorker
+    ) -> result.Result[Placed, errors.NotPlaced]:
+        around = learned.around(owned, self.residents)
+        if not owned.ledger.reserve(work.task_id, work.needs, is_durable(work)):
+            return self._refuse(errors.Reason.NO_CAPACITY, self._come_back())
+        self.residents.enter(work)
+        placed = Placed(work, owned, around, self.clock.monotonic())
+        self.open[work.task_id] = placed
+        return result.Ok(placed)
+
+    def _learn(self, placed: Placed, seconds: float, ok: bool) -> None:
+        now = self.clock.monotonic()
+        before = placed.around.others
+        after = collections.Counter(
+            work.kind
+            for work in self.residents.on(placed.owned)
+            if work.task_id != placed.work.task_id
+        )
+        # Neighbours come and go while a task runs; the mean of both ends is
+        # nearer to what it felt than either.
+        others = {
+            kind: (before.get(kind, 0) + after[kind]) / 2
+            for kind in set(before) | set(after)
+        }
+        teach = self.latencies.observe if ok else self.latencies.observe_loss
+        teach(
+            placed.work.kind,
+            dataclasses.replace(placed.around, others=others),
+            seconds,
+            now,
+        )
+
+    def _come_back(self, team: str | None = None) -> float:
+        self._drop_lost()
+        running = [
+            (placed.work, placed.placed_at)
+            for placed in self.open.values()
+            if team is None or placed.work.team == team
+        ]
+        return self.admission.come_back(running, self.clock.monotonic())
+
+    def _drop_lost(self) -> None:
+        """Let go of places on workers that were lost with what ran there."""
+        for task_id, placed in list(self.open.items()):
+            if self.owned.get(placed.owned.name) is not placed.owned:
+                self.withdraw(task_id)
+
+    def _refuse(
+        self, reason: errors.Reason, retry_after: float | None
+    ) -> result.Result[t.Any, errors.NotPlaced]:
+        self.counters.count(f"placement.refused.{reason.value}")
+        return result.Err(errors.NotPlaced(reason, retry_after))
+
+    def _chooser(self, policy: choice.Policy, seed: int) -> choice.Chooser:
+        if policy is choice.Policy.LEAST_LOADED:
+            return choice.LeastLoaded(seed)
+        if policy is choice.Policy.TWO_CHOICES:
+            return choice.TwoChoices(seed)
+        if policy is choice.Policy.RANDOM:
+            return choice.Random(seed)
+        return learned.Learned(self.latencies, self.residents, self.clock, seed)
+
+
+def headroom(
+    owned: workers.OwnedWorker, needs: resources.Resources
+) -> resources.Resources:
+    """Return what batch of `needs` has to leave free on a worker for quotes.
+
+    It is never so much that a task which needs a whole worker could not run.
+    """
+    capacity = owned.worker.capacity
+    return resources.Resources(
+        cpus=max(min(capacity.cpus * QUOTE_CPU_SHARE, capacity.cpus - needs.cpus), 0.0),
+        slots=max(min(QUOTE_SLOTS, capacity.slots - needs.slots), 0),
+        connections=QUOTE_SLOTS,
+    )
+
+
+def is_durable(work: messages.Work) -> bool:
+    """Tell whether the work may only be started while the lease holds."""
+    return work.work_class is not messages.WorkClass.QUOTE
+
+
+def batch_id(work: messages.Work) -> str:
+    """Return the id of a batch task, empty for other work."""
+    return work.task_id if work.work_class is messages.WorkClass.BATCH else ""
+
+
+def size_kind(work: messages.Work) -> str:
+    """Return the key of learned sizes: one team's kinds don't size another's."""
+    return f"{work.team}/{work.kind}"
+
+
+def job_of(work: messages.Work) -> str:
+    """Return the key of the work's job, empty if it is of none."""
+    return f"{work.team}/{work.job}" if work.job else ""
+
+
+def work_of(report: dispatch_messages.Report) -> messages.Work:
+    """Return a task that a worker tells of as placement sees it."""
+    return messages.Work(
+        report.task_id,
+        report.team,
+        report.kind,
+        report.needs,
+        messages.WorkClass.TASK,
+    )
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -7,6 +7,8 @@
 import pydantic
 import pydantic_settings
 
+from mangosail.placement import choice
+
 Name = t.Annotated[str, pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
 Digest = t.Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 LogLevel = t.Literal["CRITICAL", "ERROR", "WARNING", "NOTICE", "INFO", "DEBUG"]
@@ -79,3 +81,7 @@
     control: Control = pydantic.Field(
         Control.ON, description="Whether batch tasks are throttled for quotes."
     )
+    chooser: choice.Policy = pydantic.Field(
+        choice.Policy.LEARNED,
+        description="How a worker is chosen; all but the learned one are baselines.",
+    )
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -14,8 +14,9 @@
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.membership import messages as peer_messages
 from mangosail.ownership import session
-from mangosail.placement import choice, workers
 from mangosail.placement import errors as placement_errors
+from mangosail.placement import messages as placement_messages
+from mangosail.placement import placer, workers
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import objects, table
 from mangosail.telemetry import counters as telemetry
@@ -43,6 +44,16 @@
     | placement_errors.NotPlaced
 )
 
+#: Ends that say whether the worker and the job do well.
+TELLING = frozenset(
+    {messages.State.COMPLETED, messages.State.FAILED, messages.State.NOT_RUN}
+)
+
+#: What work is told that finds no room here.
+NO_ROOM = placement_errors.NotPlaced(
+    placement_errors.Reason.NO_CAPACITY, outcomes.ASK_AGAIN
+)
+
 Submitted = result.Result[messages.Outcome, SubmitError]
 
 
@@ -62,7 +73,7 @@
         self,
         claim_rows: claims.Claims,
         owned: workers.Workers,
-        chooser: choice.Chooser,
+        place: placer.Placer,
         lease: session.Session,
         clock: clocks.Clock,
         counters: telemetry.Counters,
@@ -72,7 +83,7 @@
         spawn: cabc.Callable[..., object] = gevent.spawn,
     ) -> None:
         self.owned = owned
-        self.chooser = chooser
+        self.placer = place
         self.forwarding = forward
         self.ctx = context.Context(
             claim_rows,
@@ -85,6 +96,7 @@
             spawn,
             store,
         )
+        self.ctx.on_end.append(self._give_back)
         self.leases = leases.Leases(self.ctx)
         self.ends = ends.Ends(self.ctx)
         self.starts = starts.Starts(self.ctx, self.ends)
@@ -115,10 +127,14 @@
             return result.Ok(outcomes.in_doubt(request.request_id, "claiming"))
         if self.ctx.registry.get(task_id) is not None:
             return self._repeat(request, deadline)
-        if not self._candidates(request) or not self.ctx.lease.valid():
+        if not self.has_room(request) or not self.ctx.lease.valid():
             return self._without_room(request, deadline, forward)
         return self._claim(request, None, deadline)
 
+    def has_room(self, request: messages.Request) -> bool:
+        """Tell whether `request` would be placed, or refused for good, now."""
+        return self.placer.obstacle(work_of(request)) is None
+
     def evict(
         self, task_id: str, reason: str
     ) -> result.Result[messages.Outcome, errors.NotEvicted]:
@@ -214,9 +230,12 @@
         """Claim `request`, anew or resuming from `held`, and start it."""
         task_id = messages.task_id_of(request)
         with self.ctx.registry.claim(task_id):
-            owned = self._reserve(request)
-            if owned is None:
+            if not self.ctx.lease.valid():
                 return self._refuse_for_room(request, held)
+            placed = self.placer.place(work_of(request))
+            if isinstance(placed, result.Err):
+                return self._refuse_for_room(request, held, placed.err_value)
+            owned = placed.ok_value.owned
             row = self._claimed_row(request, held, owned)
             version = held.version if held else table.ABSENT
             written = self.ctx.claims.write(row, version)
@@ -230,22 +249,18 @@
                 task = registry.Task(written.ok_value, owned)
                 self.ctx.registry.add(task)
         if isinstance(written, result.Err):
-            owned.ledger.release(task_id)
+            self.placer.withdraw(task_id)
             return self._unclaimed(request, written.err_value, deadline)
         self.ctx.spawn(self.starts.start, task)
         return result.Ok(self.waiting.for_task(task, deadline))
 
-    def _reserve(self, request: messages.Request) -> workers.OwnedWorker | None:
-        candidates = self._candidates(request)
-        if not candidates or not self.ctx.lease.valid():
-            return None
-        owned = self.chooser.choose(candidates, request.kind)
-        task_id = messages.task_id_of(request)
-        return owned if owned.ledger.reserve(task_id, request.needs) else None
-
-    def _candidates(self, request: messages.Request) -> list[workers.OwnedWorker]:
-        batch = messages.task_id_of(request) if request.job else ""
-        return self.owned.fitting(request.needs, batch=batch, kind=request.kind)
+    def _give_back(self, outcome: messages.Outcome, row: messages.WorkRow) -> None:
+        """Give the place back, and have placement learn from a telling end."""
+        task_id = messages.task_id_of(row.request)
+        if row.state in TELLING:
+            self.placer.ended(task_id, row.state is messages.State.COMPLETED)
+        else:
+            self.placer.withdraw(task_id)
 
     def _claimed_row(
         self,
@@ -330,6 +345,7 @@
         self, request: messages.Request, deadline: float, forward: bool
     ) -> Submitted:
         """Look for an earlier outcome, then for a peer, then refuse."""
+        refused = self.placer.obstacle(work_of(request)) or NO_ROOM
         found = self.waiting.read(request.team, request.request_id)
         if isinstance(found, result.Err):
             return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
@@ -337,24 +353,26 @@
         if held is not None and held.row.state is not messages.State.EVICTED:
             return self._repeat_row(request, held, deadline)
         if not forward or self.forwarding is None:
-            return self._refuse_for_room(request, held)
+            return self._refuse_for_room(request, held, refused)
         answer = self.forwarding.submit(request, deadline)
         if answer is None:
-            return self._refuse_for_room(request, held)
+            return self._refuse_for_room(request, held, refused)
         if isinstance(answer, result.Ok) and answer.ok_value.refused:
-            return self._refuse_for_room(request, held)
+            return self._refuse_for_room(request, held, refused)
         return result.Ok(
             self.waiting.for_row(request.team, request.request_id, deadline)
         )
 
     def _refuse_for_room(
-        self, request: messages.Request, held: claims.Held | None
+        self,
+        request: messages.Request,
+        held: claims.Held | None,
+        refused: placement_errors.NotPlaced = NO_ROOM,
     ) -> Submitted:
-        self.ctx.counters.count("work.refused.no_capacity")
+        self.ctx.counters.count(f"work.refused.{refused.reason.value}")
         if held is not None:
             return result.Ok(outcomes.outcome_of(held.row))
-        reason = placement_errors.Reason.NO_CAPACITY
-        return result.Err(placement_errors.NotPlaced(reason, outcomes.ASK_AGAIN))
+        return result.Err(refused)
 
     def _cancel_at_holder(self, held: claims.Held) -> messages.Outcome:
         request = held.row.request
@@ -384,6 +402,19 @@
         return peer_messages.WorkAnswer(refused=False)
 
 
+def work_of(request: messages.Request) -> placement_messages.Work:
+    """Return the request as placement sees it."""
+    batch, task = placement_messages.WorkClass.BATCH, placement_messages.WorkClass.TASK
+    return placement_messages.Work(
+        messages.task_id_of(request),
+        request.team,
+        request.kind,
+        request.needs,
+        batch if request.job else task,
+        request.job,
+    )
+
+
 def reason_of(error: platform_errors.Unavailable) -> str:
     """Return the reason a caller is told for a table that took nothing."""
     busy = error.reason == "store_busy"
--- a/src/mangosail/work/starts.py
+++ b/src/mangosail/work/starts.py
@@ -70,7 +70,7 @@
             lease_deadline=row.lease_deadline - clocks.CLOCK_SKEW_MARGIN,
             team=row.request.team,
             kind=row.request.kind,
-            needs=row.request.needs,
+            needs=task.owned.ledger.reserved.get(task.task_id, row.request.needs),
             body=row.request.body,
             checkpoint=row.checkpoint,
             start_deadline=self.ctx.lease.start_deadline(),
