--- /dev/null
+++ b/tests/soak/mutations.py
@@ -0,0 +1,201 @@
+"""Breaks each safeguard in turn on a scratch copy: which check notices, and when?
+
+``python -m tests.soak.mutations [name ...]`` prints a table. A safeguard whose
+removal nothing catches needs a better check.
+"""
+
+import dataclasses
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+from tests.support import stage
+
+#: Seconds that one check may take.
+CHECK_TIMEOUT = 240.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutation:
+    """A safeguard taken out: `search` occurs once in `path`."""
+
+    name: str
+    path: str  # under src/mangosail
+    search: str
+    replace: str
+    #: Slices of features, or "soak:" with kinds of faults, tried in turn.
+    checks: tuple
+
+
+MUTATIONS = (
+    Mutation(
+        "lease check before a start",
+        "work/starts.py",
+        "if not self.ctx.may_act(task.owned):",
+        "if False:",
+        ("work", "ownership", "soak:freeze,kill,cut"),
+    ),
+    Mutation(
+        "incarnation check in Session._settle",
+        "ownership/session.py",
+        "or present.incarnation != self.row.incarnation",
+        "or False",
+        ("ownership", "soak:freeze,kill,cut"),
+    ),
+    Mutation(
+        "attempt token read-back",
+        "work/claims.py",
+        "if held is not None and held.row.attempt == row.attempt:",
+        "if held is not None:",
+        ("work", "soak:lose_answers,table_slow"),
+    ),
+    Mutation(
+        "version check on claims",
+        "work/claims.py",
+        "table.Transaction((table.Check(key, version),), tuple(writes))",
+        "table.Transaction((), tuple(writes))",
+        ("work", "soak:lose_answers,kill"),
+    ),
+    Mutation(
+        "own generation in starts",
+        "work/starts.py",
+        "owner_generation=task.owned.generation,",
+        "owner_generation=1 << 30,",
+        ("work", "ownership", "soak:freeze,kill"),
+    ),
+    Mutation(
+        "answer matched to its task",
+        "dispatch/http.py",
+        "if report.task_id != start.task_id:",
+        "if False:",
+        ("dispatch", "soak:black_hole,slow"),
+    ),
+    Mutation(
+        "connection retired after a timeout",
+        "dispatch/http.py",
+        "            pool.retire(connection)\n",
+        "            pool.release(connection)\n",
+        ("dispatch", "soak:black_hole,slow"),
+    ),
+    Mutation(
+        "ledger rebuilt before ready",
+        "instance.py",
+        "            owned.ledger.rebuild(running)\n",
+        "",
+        ("ownership", "soak:kill,freeze"),
+    ),
+    Mutation(
+        "lower settings version never applied",
+        "settings/state.py",
+        "if present is not None and present.version >= version:",
+        "if present is not None and present.version == version:",
+        ("settings", "soak:cut,kill"),
+    ),
+    Mutation(
+        "margin for clocks' rates",
+        "ownership/sightings.py",
+        "RATE_MARGIN = 0.25",
+        "RATE_MARGIN = -2.5",
+        ("ownership", "soak:freeze,cut,table_slow"),
+    ),
+)
+
+
+class Scratch:
+    """A copy of the sources in which one safeguard may be missing."""
+
+    def __init__(self):
+        self.root = pathlib.Path(tempfile.mkdtemp(prefix="mangosail-mutation-"))
+        for name in ("src", "tests", "examples"):
+            shutil.copytree(stage.ROOT / name, self.root / name)
+
+    def apply(self, mutation):
+        """Apply the patch, and tell whether it still fits the source."""
+        path = self.root / "src" / "mangosail" / mutation.path
+        text = path.read_text()
+        if text.count(mutation.search) != 1:
+            return False
+        path.write_text(text.replace(mutation.search, mutation.replace))
+        return True
+
+    def broken_by(self, check):
+        """Run `check` and return the names of what failed."""
+        if check.startswith("soak:"):
+            command = ["tests.soak.run", "--minutes", "0.5", "--seed", "5", "--kinds"]
+            command += check.removeprefix("soak:").split(",")
+            pattern = r"^(.*?)\s+\d+\s+\d+\s+VIOLATED"
+        else:
+            command, pattern = ["tests.run", check], r"^FAILED: (.*)"
+        try:
+            done = subprocess.run(
+                [sys.executable, "-m", *command],
+                cwd=self.root,
+                env={"PYTHONPATH": f"{self.root}/src:{self.root}", "PATH": "/usr/bin"},
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                timeout=CHECK_TIMEOUT,
+                text=True,
+            )
+        except subprocess.TimeoutExpired:
+            return {f"{check}: no end in {CHECK_TIMEOUT:g} s"}
+        found = set(re.findall(pattern, done.stdout, re.MULTILINE))
+        return found or ({f"{check}: no verdict"} if done.returncode else set())
+
+    def close(self):
+        shutil.rmtree(self.root)
+
+
+def exists(check):
+    return check.startswith("soak:") or any((stage.ROOT / "tests" / check).glob("*.f*"))
+
+
+class Baseline:
+    """What each check finds broken with all safeguards in place."""
+
+    def __init__(self):
+        self.broken = {}
+
+    def of(self, check):
+        if check not in self.broken:
+            scratch = Scratch()
+            self.broken[check] = scratch.broken_by(check)
+            scratch.close()
+        return self.broken[check]
+
+
+def catch(mutation, baseline):
+    """Return which check noticed first, what it said, and after how long."""
+    scratch = Scratch()
+    try:
+        if not scratch.apply(mutation):
+            return "does not apply", "", 0.0
+        spent = 0.0
+        for check in filter(exists, mutation.checks):
+            known = baseline.of(check)
+            started = time.monotonic()
+            new = scratch.broken_by(check) - known
+            spent += time.monotonic() - started
+            if new:
+                return check, sorted(new)[0], spent
+        return "NOTHING", "", spent
+    finally:
+        scratch.close()
+
+
+def main():
+    baseline = Baseline()
+    wanted = sys.argv[1:]
+    print(f"{'safeguard':40} {'caught by':28} {'after':>7}  what failed")
+    for mutation in MUTATIONS:
+        if wanted and mutation.name not in wanted:
+            continue
+        check, what, spent = catch(mutation, baseline)
+        print(f"{mutation.name:40} {check:28} {spent:5.0f} s  {what}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
