--- /dev/null
+++ b/tests/soak/soak.feature
@@ -0,0 +1,19 @@
+Feature: All promises together, under mixed faults
+  Callers quote, order, repeat, cancel, watch, submit jobs, change settings,
+  while instances are killed, frozen or cut off, the table is slow or loses its
+  answers, workers die or lose starts. What the callers were told is held
+  against the logs of the stand-ins, which no fault erases. The schedule comes
+  from the seed alone, so that each run meets the same faults.
+
+  Scenario: A short run of real processes keeps the promises to callers
+    Given seed 3 ran for 12 seconds with the faults
+      | kill | freeze | cut | lose_answers | table_slow | lose_starts | kill_worker |
+    Then these promises were exercised, and held
+      | 1 | 2 | 3 | 5 | 7 | 8 | 11 | 12 | 13 |
+    And nothing else was broken but "8b"
+
+  Scenario: A short run of real processes loses no accepted job
+    Given seed 3 ran for 12 seconds with the faults
+      | kill | freeze | cut | lose_answers | table_slow | lose_starts | kill_worker |
+    Then these promises were exercised, and held
+      | 8b |
