--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -179,7 +179,8 @@
     def change(self, number):
         """Write the change straight into the table, and tell whether it stands."""
         key = f"settings/team/{MARKER_TEAM}"
-        text = json.dumps({"tokens": [teams.token(marker(number))]})
+        token = {**teams.token(marker(number)), "name": f"change-{number}"}
+        text = json.dumps({"tokens": [token]})
         try:
             found = self.table("read", {"keys": [key]})
             version = found[0]["version"] if found else 0
@@ -201,12 +202,10 @@
 
     def probe(self, name):
         """Ask an instance which change it has in force, again and again."""
-        highest = 0
         while not self.over.wait(0.3):
-            changes = [change.number for change in self.history.changes[-6:]]
-            for number in changes:
+            # Also those whose answer was lost: they may stand all the same.
+            for number in range(max(self.proposed - 5, 1), self.proposed + 1):
                 if self.has(name, number):
-                    highest = max(highest, number)
                     sighting = histories.Sighting(name, number, time.time())
                     self.history.sightings.append(sighting)
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -66,6 +66,13 @@
         self.by_task = collections.defaultdict(list)
         for run in self.runs:
             self.by_task[run.task_id].append(run)
+        #: The order in which the table took the changes of settings.
+        self.changes = [
+            int(json.loads(write["value"])["tokens"][0]["name"].rpartition("-")[2])
+            for commit in commits
+            for write in commit["writes"]
+            if write["key"] == "settings/team/marker"
+        ]
         self.writes = [
             (commit["version"], write["key"], json.loads(write["value"]))
             for commit in commits
@@ -364,7 +371,7 @@
     for sighting in sorted(history.sightings, key=lambda s: s.at):
         seen[sighting.instance].append(sighting)
     accepted = sorted(history.changes, key=lambda change: change.accepted_at)
-    order = {change.number: place for place, change in enumerate(accepted)}
+    order = {number: place for place, number in enumerate(evidence.changes)}
     delays = []
     for name, sightings in seen.items():
         highest = -1
@@ -372,7 +379,8 @@
             place = order[sighting.number]
             verdict.check(place >= highest, f"{name} went back to {sighting}")
             highest = max(highest, place)
-        for place, change in enumerate(accepted[:-1]):
+        for change in accepted[:-1]:
+            place = order[change.number]
             due = change.accepted_at + IN_FORCE_TERM
             if due > sightings[-1].at or history.disturbed(
                 name, change.accepted_at - 1, due, EXCUSING
