Serve callers and peers over TLS, with keys reloaded in place

Everything was in plain text and any process that reached the peer port could heartbeat and forward as an instance.

The HTTP server's context takes new keys in place; gRPC servers ask for them at each handshake, channels are opened anew. Ruled out: SIGHUP (needs someone to send it) and restarting listeners (cuts connections). The channel checks that the peer's certificate names the instance that is meant, the server that it names the sender of the message or a listed instance.

The platform and workers are still spoken to in plain text by their adapters.

Not measured: what TLS costs a quote.

--- a/src/mangosail/cli/client.py
+++ b/src/mangosail/cli/client.py
@@ -124,12 +124,14 @@
             raise self._broken(exc) from exc
 
     def _open(self) -> geventhttpclient.HTTPClient:
+        authority = os.environ.get("MANGOSAIL_AUTHORITY")
         return geventhttpclient.HTTPClient(
             self.host,
             port=self.port,
             ssl=self.secure,
             connection_timeout=CONNECT_TIMEOUT,
             network_timeout=NETWORK_TIMEOUT,
+            ssl_options={"ca_certs": authority} if authority else None,
             headers={"Authorization": f"Bearer {self.token}"},
         )
 
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,6 +1,7 @@
 """The WSGI server, set up for short answers on kept connections."""
 
 import socket
+import ssl
 import typing as t
 
 from gevent import pywsgi
@@ -19,9 +20,17 @@
         super().__init__(sock, *args, **kwargs)
 
 
-def create(app: t.Any, address: str) -> pywsgi.WSGIServer:
+def create(
+    app: t.Any, address: str, tls: ssl.SSLContext | None = None
+) -> pywsgi.WSGIServer:
     """Return a server for `app` on `address`, an IP number and a port."""
+    secured = {} if tls is None else {"ssl_context": tls}
     host, _, port = address.rpartition(":")
     return pywsgi.WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=Handler
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=Handler,
+        **secured,
     )
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -26,6 +26,7 @@
 from mangosail.platform import http as platform_http
 from mangosail.settings import process, state
 from mangosail.telemetry import counters as telemetry
+from mangosail.tls import keys
 from mangosail.work import claims, forwarding, runner
 
 log = logbook.Logger("instance")
@@ -41,6 +42,7 @@
         self.process = settings
         self.clock = clocks.SystemClock()
         self.counters = make_counters(settings)
+        self.keys = make_keys(settings, self.counters)
         self.invariants = invariants.Invariants(
             self.counters, settings.abort_on_broken_invariant
         )
@@ -61,7 +63,11 @@
         )
         self.settings = state.Settings(self.table, self.clock, self.counters)
         self.peers = membership.Peers(
-            settings.instance, self.heartbeat_message, self.clock, self.counters
+            settings.instance,
+            self.heartbeat_message,
+            self.clock,
+            self.counters,
+            self.keys,
         )
         self.grouped = batching.GroupCommit(
             self.table, self.counters, settings.commit_window
@@ -104,14 +110,20 @@
 
     def run(self) -> None:
         """Serve until the process is stopped."""
-        peer_server = rpc.serve(self, self.process.peer_address)
+        peer_server = rpc.serve(
+            self, self.process.peer_address, self.keys, self.peers.by_name
+        )
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
         gevent.spawn(self.grouped.run)
         gevent.spawn(self._forever, self.runner.sweep, REFRESH_INTERVAL)
         gevent.spawn(self.jobs.place_forever)
         gevent.spawn(self.counters.flush_forever)
-        httpd = server.create(app.create(self.front), self.process.http_address)
+        tls = None
+        if self.keys is not None:
+            tls = self.keys.context
+            gevent.spawn(self.keys.watch_forever)
+        httpd = server.create(app.create(self.front), self.process.http_address, tls)
         log.info("serving", address=self.process.http_address)
         httpd.serve_forever()
         peer_server.stop(grace=0)
@@ -305,6 +317,20 @@
     return "taking" if owned.ready else "rebuilding"
 
 
+def make_keys(
+    settings: process.ProcessSettings, counters: telemetry.Counters
+) -> keys.KeyStore | None:
+    """Return the keys, or None where plain text was asked for."""
+    if settings.plaintext:
+        return None
+    sources = keys.Sources(
+        settings.tls_certificate or "",
+        settings.tls_key or "",
+        settings.tls_authority or "",
+    )
+    return keys.KeyStore(sources, counters)
+
+
 def make_counters(settings: process.ProcessSettings) -> telemetry.StatsdCounters:
     """Return the counters, sent to statsd if an address is set."""
     if settings.statsd_address is None:
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -11,6 +11,7 @@
 from mangosail.membership import messages, rpc
 from mangosail.platform import inventory
 from mangosail.telemetry import counters as telemetry
+from mangosail.tls import keys
 
 log = logbook.Logger("membership")
 
@@ -25,9 +26,11 @@
 class Peer:
     """One other instance, as last heard of."""
 
-    def __init__(self, listed: inventory.EntryInstance) -> None:
+    def __init__(
+        self, listed: inventory.EntryInstance, store: keys.KeyStore | None = None
+    ) -> None:
         self.listed = listed
-        self.channel = rpc.Channel(listed.peer_address)
+        self.channel = rpc.Channel(listed.peer_address, listed.name, store)
         self.state: messages.Heartbeat | None = None
         #: Monotonic time until which the peer counts as reachable.
         self.reachable_deadline = 0.0
@@ -43,11 +46,13 @@
         describe: cabc.Callable[[], messages.Heartbeat],
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        store: keys.KeyStore | None = None,
     ) -> None:
         self.own_name = own_name
         self.describe = describe
         self.clock = clock
         self.counters = counters
+        self.store = store
         self.by_name: dict[str, Peer] = {}
 
     def update(self, listed: cabc.Iterable[inventory.EntryInstance]) -> None:
@@ -59,7 +64,7 @@
                 continue
             if known:
                 self._drop(known)
-            self.by_name[name] = Peer(entry)
+            self.by_name[name] = Peer(entry, self.store)
             gevent.spawn(self._beat, self.by_name[name])
         for name in set(self.by_name) - set(present):
             self._drop(self.by_name.pop(name))
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -4,11 +4,14 @@
 import concurrent.futures
 import typing as t
 
+import gevent
 import grpc
 import result
 
 from mangosail import codec
 from mangosail.membership import messages
+from mangosail.tls import keys
+from mangosail.tls import peers as tls_peers
 
 SERVICE = "mangosail.Peer"
 #: Requests from peers that are served at a time.
@@ -16,6 +19,9 @@
 #: Seconds until a peer that was lost is tried again.
 RECONNECT_MAX_MS = 1000
 
+#: Seconds for which a channel with old keys is kept for the calls under way.
+OLD_CHANNEL_TERM = 30.0
+
 CHANNEL_OPTIONS = (
     ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
@@ -52,13 +58,21 @@
 }
 
 
-def serve(handler: Handler, address: str) -> grpc.Server:
-    """Start a server for peers on `address` and return it."""
+def serve(
+    handler: Handler,
+    address: str,
+    store: keys.KeyStore | None = None,
+    known: cabc.Container[str] = (),
+) -> grpc.Server:
+    """Start a server for peers on `address` and return it.
+
+    With keys in `store`, callers must prove to be one of the `known` instances.
+    """
     pool = concurrent.futures.ThreadPoolExecutor(max_workers=SERVER_TASKS)
     server = grpc.server(pool, options=(("grpc.so_reuseport", 0),))
     methods = {
         name: grpc.unary_unary_rpc_method_handler(
-            _unary(getattr(handler, name)),
+            _unary(getattr(handler, name), None if store is None else known),
             request_deserializer=_decoder(asked),
             response_serializer=codec.to_msgpack,
         )
@@ -66,13 +80,25 @@
     }
     generic = grpc.method_handlers_generic_handler(SERVICE, methods)
     server.add_generic_rpc_handlers((generic,))
-    server.add_insecure_port(address)
+    if store is None:
+        server.add_insecure_port(address)
+    else:
+        server.add_secure_port(address, tls_peers.server_credentials(store))
     server.start()
     return server
 
 
-def _unary(method: cabc.Callable[[t.Any], t.Any]) -> cabc.Callable[..., t.Any]:
-    return lambda message, context: method(message)
+def _unary(
+    method: cabc.Callable[[t.Any], t.Any], known: cabc.Container[str] | None
+) -> cabc.Callable[..., t.Any]:
+    def serve_call(message: t.Any, context: grpc.ServicerContext) -> t.Any:
+        if known is not None:
+            names = tls_peers.proved(context)
+            if not tls_peers.is_sender(message, names, known):
+                context.abort(grpc.StatusCode.PERMISSION_DENIED, "not the sender")
+        return method(message)
+
+    return serve_call
 
 
 def _decoder(kind: type) -> cabc.Callable[[bytes], t.Any]:
@@ -82,8 +108,19 @@
 class Channel:
     """Calls to one peer."""
 
-    def __init__(self, address: str) -> None:
-        self.channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+    def __init__(
+        self, address: str, name: str = "", store: keys.KeyStore | None = None
+    ) -> None:
+        self.address = address
+        self.name = name
+        self.store = store
+        self._open()
+
+    def _open(self) -> None:
+        self.version = self.store.version if self.store else 0
+        self.channel = tls_peers.channel(
+            self.address, self.name, self.store, CHANNEL_OPTIONS
+        )
         self.calls = {
             name: self.channel.unary_unary(
                 f"/{SERVICE}/{name}",
@@ -130,6 +167,10 @@
     def _call(
         self, name: str, message: t.Any, timeout: float
     ) -> result.Result[t.Any, str]:
+        if self.store is not None and self.store.version != self.version:
+            # Calls under way end on the old channel, which is closed after them.
+            gevent.spawn_later(OLD_CHANNEL_TERM, self.channel.close)
+            self._open()
         try:
             return result.Ok(self.calls[name](message, timeout=timeout))
         except grpc.RpcError as exc:
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -48,6 +48,19 @@
     statsd_address: Address | None = pydantic.Field(
         None, description="Where metrics are sent; none are if left out."
     )
+    tls_certificate: str | None = pydantic.Field(
+        None,
+        description="Certificate chain that names this instance: a file or PEM text.",
+    )
+    tls_key: str | None = pydantic.Field(
+        None, description="The certificate's key: a file or, in the variable, PEM text."
+    )
+    tls_authority: str | None = pydantic.Field(
+        None, description="Authority that peers' certificates are from: file or text."
+    )
+    plaintext: bool = pydantic.Field(
+        False, description="Serve callers and peers without TLS."
+    )
     log_level: LogLevel = pydantic.Field(
         "INFO", description="Least level of the log lines that are written."
     )
@@ -58,3 +71,15 @@
         0.01, ge=0, le=1, description="Seconds that a write waits for others."
     )
     seed: int = pydantic.Field(0, description="Seed of random choices; 0 draws one.")
+
+    @pydantic.model_validator(mode="after")
+    def _check_tls(self) -> "ProcessSettings":
+        given = (self.tls_certificate, self.tls_key, self.tls_authority)
+        if self.plaintext and any(given):
+            raise ValueError("expected either --plaintext or the --tls-... flags")
+        if not self.plaintext and not all(given):
+            raise ValueError(
+                "expected --tls-certificate, --tls-key and --tls-authority, or "
+                "--plaintext (MANGOSAIL_PLAINTEXT=true) to serve without TLS"
+            )
+        return self
--- /dev/null
+++ b/src/mangosail/tls/__init__.py
@@ -0,0 +1,1 @@
+"""TLS: this instance's certificate and key, and the authority it trusts."""
--- /dev/null
+++ b/src/mangosail/tls/peers.py
@@ -0,0 +1,59 @@
+"""Mutual TLS between instances: each proves its name to the other by gRPC."""
+
+import typing as t
+
+import grpc
+
+from mangosail.tls import keys
+
+#: What a peer's certificate says it is called, as gRPC names the property.
+NAMES_PROPERTY = "x509_subject_alternative_name"
+
+
+def server_credentials(store: keys.KeyStore) -> grpc.ServerCredentials:
+    """Return credentials that follow `store` and ask peers for a certificate."""
+    return grpc.dynamic_ssl_server_credentials(
+        _configuration(store.current),
+        lambda: _configuration(store.current),
+        require_client_authentication=True,
+    )
+
+
+def _configuration(current: keys.Keys) -> grpc.ServerCertificateConfiguration:
+    pair = (current.key, current.certificate)
+    return grpc.ssl_server_certificate_configuration([pair], current.authority)
+
+
+def channel(
+    address: str,
+    name: str,
+    store: keys.KeyStore | None,
+    options: t.Sequence[tuple[str, t.Any]],
+) -> grpc.Channel:
+    """Return a channel to the peer `name`; in plain text if there is no store."""
+    if store is None:
+        return grpc.insecure_channel(address, options=options)
+    credentials = grpc.ssl_channel_credentials(
+        store.current.authority, store.current.key, store.current.certificate
+    )
+    # Peers are reached by IP number; what is proved is the instance's name.
+    named = (*options, ("grpc.ssl_target_name_override", name))
+    return grpc.secure_channel(address, credentials, options=named)
+
+
+def proved(context: grpc.ServicerContext) -> set[str]:
+    """Return the names that the caller's certificate proves."""
+    found = context.auth_context().get(NAMES_PROPERTY, ())
+    return {name.decode() for name in found}
+
+
+def is_sender(message: t.Any, names: set[str], known: t.Container[str]) -> bool:
+    """Tell whether one of `names` may have sent `message`.
+
+    A message that says whom it is from must be from that instance, any other from
+    some known one.
+    """
+    sender = getattr(message, "instance", None)
+    if sender is not None:
+        return sender in names
+    return any(name in known for name in names)
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -160,7 +160,11 @@
             name, "-m", "mangosail", "serve", "--instance", name,
             "--data-centre", data_centre, "--http-address", http,
             "--peer-address", peer, "--platform-address", self.platform,
-            env={"MANGOSAIL_ABORT_ON_BROKEN_INVARIANT": "true", **(env or {})},
+            env={
+                "MANGOSAIL_ABORT_ON_BROKEN_INVARIANT": "true",
+                "MANGOSAIL_PLAINTEXT": "true",
+                **(env or {}),
+            },
         )  # fmt: skip
 
     def start_balancer(self):
