--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,10 @@
 	touch $(STAMP)
 
 check: install
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
 	$(BIN)/mypy
+	$(BIN)/python -m tests.run style
 
 test: install check
 	$(BIN)/python -m tests.run
@@ -25,9 +26,12 @@
 demo: install
 	$(BIN)/python -m tests.demo
 
+binary: install
+	$(BIN)/python tools/bundle.py dist/mangosail.pyz
+
 format: install
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests tools
+	$(BIN)/ruff check --fix src tests tools
 
 MINUTES ?= 5
 SEED ?= 0
