--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -12,13 +12,16 @@
 
 from mangosail.front import app
 from mangosail.placement import errors
+from mangosail.platform import batching
 
 #: Most of all lines of code that may be tests.
 TEST_SHARE = 1 / 3
 #: Names that a folder at the root of a developer's machine has.
 MACHINE_PATH = re.compile(r"(?<![\w.\-/])/(work|root|home|Users)/\w")
 #: Calls whose second argument is the reason of a refusal.
-REFUSING = ("Refusal", "refuse", "_refuse")
+REFUSING = ("Refusal", "refuse", "_refuse", "StoreUnavailable", "Undecided")
+#: Slices whose errors callers are told.
+TOLD = ("front", "work")
 
 
 @given("the description docs/openapi.json")
@@ -61,9 +64,10 @@
 
 @then("it lists each title that the program can refuse with, and no other")
 def lists_titles(context):
-    sent = {reason.value for reason in errors.Reason}
-    for _, tree in sources.trees(sources.PACKAGE / "front"):
-        sent |= set(titles(tree))
+    sent = {reason.value for reason in errors.Reason} | {batching.STORE_BUSY}
+    for slice_name in TOLD:
+        for _, tree in sources.trees(sources.PACKAGE / slice_name):
+            sent |= set(titles(tree))
     schema = context.description["components"]["schemas"]["Refusal"]
     listed = set(schema["properties"]["title"]["enum"])
     assert sent - listed == set(), f"not in docs/openapi.json: {sent - listed}"
@@ -80,6 +84,8 @@
         if isinstance(node, ast.Dict):
             pairs = zip(node.keys, node.values, strict=True)
             found += [v for k, v in pairs if sources.constant(k) == "title"]
+        if isinstance(node, ast.AnnAssign) and ast.unparse(node.target) == "reason":
+            found.append(node.value)
     return filter(None, map(sources.constant, found))
 
 
