--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -15,6 +15,7 @@
     services,
     settings,
     status,
+    timing,
     watches,
 )
 
@@ -32,6 +33,7 @@
     errors = Errors(front)
     app.add_error_handler(Exception, errors.on_fault)
     app.add_error_handler(falcon.HTTPError, errors.on_refusal)
+    app.add_middleware(timing.Timing(front))
     app.add_route("/v1/services/{service}/{operation}", services.ServiceResource(front))
     app.add_route("/v1/work/{request_id}", outcomes.WorkResource(front))
     app.add_route("/v1/watches/{service}/{operation}", watches.WatchResource(front))
--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -16,6 +16,7 @@
 from mangosail.placement import workers
 from mangosail.settings import state
 from mangosail.telemetry import counters as telemetry
+from mangosail.telemetry import logs
 from mangosail.work import runner
 
 #: Largest body that is read, in bytes.
@@ -112,8 +113,11 @@
             raise falcon.HTTPNotFound(
                 title="unknown_service", description=f"{service}/{operation}"
             )
+        req.context.timed = declared.mode.value
+        request_id = request_id_of(req)
+        logs.REQUEST_ID.set(request_id)
         return messages.ServiceRequest(
-            request_id=request_id_of(req),
+            request_id=request_id,
             team=identity.team,
             service=service,
             operation=operation,
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -2,6 +2,7 @@
 
 import collections.abc as cabc
 import socket
+import ssl
 import typing as t
 
 import gevent
@@ -175,7 +176,11 @@
     """The server, which knows its connections and can end them gracefully."""
 
     def __init__(
-        self, address: tuple[str, int], app: t.Any, counters: telemetry.Counters
+        self,
+        address: tuple[str, int],
+        app: t.Any,
+        counters: telemetry.Counters,
+        **secured: t.Any,
     ) -> None:
         super().__init__(
             address,
@@ -184,6 +189,7 @@
             error_log=None,
             handler_class=Handler,
             spawn=pool.Pool(MOST_CONNECTIONS),
+            **secured,
         )
         self.counters = counters
         self.handlers: set[Handler] = set()
@@ -193,7 +199,13 @@
         return any(handler.busy for handler in self.handlers)
 
 
-def create(app: t.Any, address: str, counters: telemetry.Counters) -> Server:
+def create(
+    app: t.Any,
+    address: str,
+    counters: telemetry.Counters,
+    tls: ssl.SSLContext | None = None,
+) -> Server:
     """Return a server for `app` on `address`, an IP number and a port."""
+    secured = {} if tls is None else {"ssl_context": tls}
     host, _, port = address.rpartition(":")
-    return Server((host, int(port)), app, counters)
+    return Server((host, int(port)), app, counters, **secured)
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -34,6 +34,7 @@
 from mangosail.settings import changes, process, schema, spread, state
 from mangosail.settings import messages as settings_messages
 from mangosail.telemetry import counters as telemetry
+from mangosail.tls import keys
 from mangosail.work import claims, forwarding, runner
 
 log = logbook.Logger("instance")
@@ -49,6 +50,7 @@
         self.process = settings
         self.clock = clocks.SystemClock()
         self.counters = make_counters(settings)
+        self.keys = make_keys(settings, self.counters)
         self.invariants = invariants.Invariants(
             self.counters, settings.abort_on_broken_invariant
         )
@@ -90,6 +92,7 @@
             self.heartbeat_message,
             self.clock,
             self.counters,
+            self.keys,
         )
         self.grouped = batching.GroupCommit(
             self.table, self.counters, settings.commit_window
@@ -182,7 +185,9 @@
     def run(self) -> None:
         """Serve until the process is stopped."""
         # Dropped, the server would be collected and would stop listening.
-        peer_server = rpc.serve(self, self.process.peer_address)
+        peer_server = rpc.serve(
+            self, self.process.peer_address, self.keys, self.peers.by_name
+        )
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
         gevent.spawn(self.grouped.run)
@@ -194,8 +199,13 @@
             gevent.spawn(self._forever, self.control.step, loop.INTERVAL)
         gevent.spawn(self._forever, self.jobs.record, queue.RECORD_INTERVAL)
         gevent.spawn(self._forever, self.takeover.refresh, REFRESH_INTERVAL)
+        gevent.spawn(self.counters.flush_forever)
+        tls = None
+        if self.keys is not None:
+            tls = self.keys.context
+            gevent.spawn(self.keys.watch_forever)
         gate = server.Gate(app.create(self.front, self.administration), self.counters)
-        httpd = server.create(gate, self.process.http_address, self.counters)
+        httpd = server.create(gate, self.process.http_address, self.counters, tls)
         stop = stopping.Drain(
             self.front,
             httpd,
@@ -480,6 +490,20 @@
     return "taking" if owned.ready else "rebuilding"
 
 
+def make_keys(
+    settings: process.ProcessSettings, counters: telemetry.Counters
+) -> keys.KeyStore | None:
+    """Return the keys, or None where plain text was asked for."""
+    if settings.plaintext:
+        return None
+    sources = keys.Sources(
+        settings.tls_certificate or "",
+        settings.tls_key or "",
+        settings.tls_authority or "",
+    )
+    return keys.KeyStore(sources, counters)
+
+
 def make_counters(settings: process.ProcessSettings) -> telemetry.StatsdCounters:
     """Return the counters, sent to statsd if an address is set."""
     if settings.statsd_address is None:
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -18,6 +18,7 @@
 from mangosail.membership import messages, rpc
 from mangosail.platform import inventory
 from mangosail.telemetry import counters as telemetry
+from mangosail.tls import keys
 
 log = logbook.Logger("membership")
 
@@ -36,9 +37,11 @@
 class Peer:
     """One other instance, as last heard of."""
 
-    def __init__(self, listed: inventory.EntryInstance) -> None:
+    def __init__(
+        self, listed: inventory.EntryInstance, store: keys.KeyStore | None = None
+    ) -> None:
         self.listed = listed
-        self.channel = rpc.Channel(listed.peer_address)
+        self.channel = rpc.Channel(listed.peer_address, listed.name, store)
         self.state: messages.Heartbeat | None = None
         #: Monotonic time until which the peer counts as reachable.
         self.reachable_deadline = 0.0
@@ -57,12 +60,14 @@
         describe: cabc.Callable[[bool], messages.Heartbeat],
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        store: keys.KeyStore | None = None,
     ) -> None:
         self.own_name = own_name
         self.data_centre = data_centre
         self.describe = describe
         self.clock = clock
         self.counters = counters
+        self.store = store
         self.by_name: dict[str, Peer] = {}
         #: True once the platform's list was seen: peers are not asked then.
         self.has_list = False
@@ -81,7 +86,7 @@
                 continue
             if known:
                 self._drop(known)
-            self.by_name[name] = Peer(entry)
+            self.by_name[name] = Peer(entry, self.store)
         for name in set(self.by_name) - set(present):
             self._drop(self.by_name.pop(name))
         chosen = self._chosen()
