--- a/tests/settings/machine.py
+++ b/tests/settings/machine.py
@@ -3,8 +3,8 @@
 import collections
 
 import result
+from hypothesis import stateful
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from tests.settings import fakes
 
 from mangosail import codec
@@ -30,7 +30,7 @@
 )
 
 
-class Settings(RuleBasedStateMachine):
+class Settings(stateful.RuleBasedStateMachine):
     """Three instances; operators race, answers get lost, writes come late."""
 
     def __init__(self):
@@ -55,7 +55,7 @@
             self.table, in_force, self.clock, in_force.counters, seed=1
         )
 
-    @rule(
+    @stateful.rule(
         instance=INSTANCES, team=TEAMS, behind=st.sampled_from([0, 0, 1]),
         script=SCRIPTS,
     )  # fmt: skip
@@ -67,7 +67,9 @@
         change = messages.Change(f"c{self.number}", max(present - behind, 0), content)
         self.ask(instance, team, change, script)
 
-    @rule(instance=INSTANCES, script=SCRIPTS, pick=st.randoms(use_true_random=False))
+    @stateful.rule(
+        instance=INSTANCES, script=SCRIPTS, pick=st.randoms(use_true_random=False)
+    )
     def ask_again(self, instance, script, pick):
         if self.undecided:
             change_id = pick.choice(sorted(self.undecided))
@@ -85,30 +87,30 @@
         else:
             self.not_made.add(change.change_id)
 
-    @rule(instance=INSTANCES, script=SCRIPTS)
+    @stateful.rule(instance=INSTANCES, script=SCRIPTS)
     def refresh(self, instance, script):
         self.table.script = list(script)
         self.states[instance].refresh()
         self.table.script = []
 
-    @rule(instance=INSTANCES, peer=INSTANCES)
+    @stateful.rule(instance=INSTANCES, peer=INSTANCES)
     def learn(self, instance, peer):
         held = self.states[instance]
         held.learn(self.states[peer].since(held.sequence))
 
-    @rule(instance=INSTANCES)
+    @stateful.rule(instance=INSTANCES)
     def restart(self, instance):
         self.states[instance] = self.new_state()
         for key in [key for key in self.seen if key[0] == instance]:
             del self.seen[key]
 
-    @rule()
+    @stateful.rule()
     def late_writes_arrive(self):
         for transaction in self.table.late:
             self.table.take_effect(transaction)
         self.table.late = []
 
-    @invariant()
+    @stateful.invariant()
     def never_reverted(self):
         for number, held in enumerate(self.states):
             for team, in_force in held.by_team.items():
--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -4,13 +4,15 @@
 import json
 import re
 import subprocess
+import typing as t
 import unittest.mock
 
 import falcon.inspect
 from behave import given, then, when
 from tests.support import sources, stage, teams
 
-from mangosail.front import app
+from mangosail.dispatch import errors as dispatch_errors
+from mangosail.front import app, server
 from mangosail.placement import errors
 from mangosail.platform import batching
 
@@ -18,10 +20,13 @@
 TEST_SHARE = 1 / 3
 #: Names that a folder at the root of a developer's machine has.
 MACHINE_PATH = re.compile(r"(?<![\w.\-/])/(work|root|home|Users)/\w")
-#: Calls whose second argument is the reason of a refusal.
-REFUSING = ("Refusal", "refuse", "_refuse", "StoreUnavailable", "Undecided")
+#: Calls that are given the reason of a refusal, and at which place.
+REFUSING = {
+    "Refusal": 1, "JobRefusal": 1, "Refused": 0, "refuse": 1, "_refuse": 1,
+    "_write": 2, "StoreUnavailable": 1, "Undecided": 1, "_undecided": 1,
+}  # fmt: skip
 #: Slices whose errors callers are told.
-TOLD = ("front", "work")
+TOLD = ("front", "settings", "work")
 
 
 @given("the description docs/openapi.json")
@@ -65,6 +70,9 @@
 @then("it lists each title that the program can refuse with, and no other")
 def lists_titles(context):
     sent = {reason.value for reason in errors.Reason} | {batching.STORE_BUSY}
+    sent |= {server.OVERLOADED, *app.FALCON_REASONS.values()}
+    kinds = t.get_args(dispatch_errors.DispatchError)
+    sent |= {f"target_{kind.__name__.lower()}" for kind in kinds}
     for slice_name in TOLD:
         for _, tree in sources.trees(sources.PACKAGE / slice_name):
             sent |= set(titles(tree))
@@ -79,13 +87,18 @@
     found = []
     for name, call in sources.calls(tree):
         found += [k.value for k in call.keywords if k.arg == "title"]
-        found += call.args[1:2] if name in REFUSING else []
+        found += call.args[REFUSING[name] :][:1] if name in REFUSING else []
     for node in ast.walk(tree):
         if isinstance(node, ast.Dict):
             pairs = zip(node.keys, node.values, strict=True)
             found += [v for k, v in pairs if sources.constant(k) == "title"]
         if isinstance(node, ast.AnnAssign) and ast.unparse(node.target) == "reason":
             found.append(node.value)
+        if isinstance(node, ast.Assign) and ast.unparse(node.targets[0]) == "reason":
+            chosen = isinstance(node.value, ast.IfExp)
+            found += [node.value.body, node.value.orelse] if chosen else [node.value]
+        if isinstance(node, ast.FunctionDef) and node.name == "refusal":
+            found += [n.value for n in ast.walk(node) if isinstance(n, ast.Return)]
     return filter(None, map(sources.constant, found))
 
 
