Let only the platform's administrator drain an instance

Cause: an operator of any one team could stop an instance that serves all teams. Weighed: operators of every team (as it was; one team could stop the others' quotes), a list of tokens allowed to (one more setting to keep), and the administrator's token that exists already. The last was chosen; where no such token is set nobody may, and SIGTERM does the same.

Change: POST /v1/drain asks settings.Administration; others are refused with not_administrator, in place of not_operator. The administrator's token of the tests is in tests/support/teams.py.

Tests: an operator's drain (cli) is a new row; the row of a plain token stays.

--- a/src/mangosail/cli/status.py
+++ b/src/mangosail/cli/status.py
@@ -71,7 +71,8 @@
 ) -> None:
     """Make the instance at --server do its planned stop.
 
-    Give the instance's own address: a balancer would stop any one of them.
+    Give the instance's own address: a balancer would stop any one of them. Only
+    the platform's administrator may do it, whose token is to be given.
     """
     client = clients.connect(server, token_file)
     answer = clients.ask(client, "POST", "/v1/drain")
--- a/src/mangosail/front/app.py
+++ b/src/mangosail/front/app.py
@@ -42,7 +42,7 @@
     app.add_route("/v1/jobs/{job_id}", jobs, suffix="job")
     app.add_route("/v1/status", status.StatusResource(front))
     app.add_route("/v1/instances", status.InstancesResource(front))
-    app.add_route("/v1/drain", drain.DrainResource(front))
+    app.add_route("/v1/drain", drain.DrainResource(administration))
     settings.add_routes(app, administration)
     app.add_route("/healthz", status.HealthResource())
     app.add_route("/readyz", status.ReadyResource(front))
--- a/src/mangosail/front/drain.py
+++ b/src/mangosail/front/drain.py
@@ -8,7 +8,7 @@
 import logbook
 
 from mangosail import codec
-from mangosail.front import context
+from mangosail.front import settings
 
 log = logbook.Logger("front")
 
@@ -22,17 +22,20 @@
 
 
 class DrainResource:
-    """``POST /v1/drain``: the planned stop, asked for by an operator."""
+    """``POST /v1/drain``: the planned stop, asked for by the administrator.
 
-    def __init__(self, front: context.Front) -> None:
-        self.front = front
+    An instance serves all teams, so no team's operator may stop it.
+    """
+
+    def __init__(self, administration: settings.Administration) -> None:
+        self.administration = administration
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Begin the planned stop; callers other than operators are refused."""
-        identity = self.front.identify(req)
-        if not identity.operator:
-            raise falcon.HTTPForbidden(title="not_operator")
-        log.info("drain asked for", team=identity.team, token=identity.token)
+        """Begin the planned stop; others than the administrator are refused."""
+        if not self.administration.is_administrator(req):
+            self.administration.front.identify(req)
+            raise falcon.HTTPForbidden(title="not_administrator")
+        log.info("drain asked for")
         gevent.spawn_later(ANSWER_TIME, stop_self)
         resp.status = falcon.HTTP_ACCEPTED
         resp.text = codec.to_json({"draining": True})
--- a/tests/cli/cli.feature
+++ b/tests/cli/cli.feature
@@ -98,7 +98,8 @@
     Examples:
       | token           | arguments                        | status | named                |
       | wrong           | status                           | 1      | token_unknown        |
-      | reader-token    | drain                            | 1      | not_operator         |
+      | reader-token    | drain                            | 1      | not_administrator    |
+      | fuel-desk-token | drain                            | 1      | not_administrator    |
       |                 | status                           | 2      | MANGOSAIL_TOKEN      |
       | fuel-desk-token | submit fuel                      | 2      | SERVICE/OPERATION    |
       | fuel-desk-token | status --server nowhere          | 2      | --server             |
@@ -110,8 +111,9 @@
     When the shell completes "mangosail st"
     Then it prints "status" and ""
 
-  Scenario: An operator drains an instance
+  Scenario: The administrator drains an instance
     Given the server is "taraz-0"
+    And the token is "admin-token"
     When "drain" is run
     Then it ends with status 0
     And the process of "taraz-0" ends within 20 seconds
--- a/tests/cli/environment.py
+++ b/tests/cli/environment.py
@@ -11,7 +11,8 @@
     context.stage.write_settings("fuel-desk", settings)
     for data_centre in ("shymkent", "taraz"):
         context.stage.start_workers(data_centre, 1)
-        context.stage.start_instance(f"{data_centre}-0", data_centre)
+        name = f"{data_centre}-0"
+        context.stage.start_instance(name, data_centre, teams.admin_env())
     context.stage.wait_ready()
     for name in context.stage.instances:
         stage.wait_until(lambda n=name: knows_all(context, n), what="peers known")
--- a/tests/settings/environment.py
+++ b/tests/settings/environment.py
@@ -2,8 +2,6 @@
 
 from tests.support import stage, teams
 
-ADMIN = "admin-token"
-
 
 def before_feature(context, feature):
     context.stage = None
@@ -15,8 +13,7 @@
     desk["tokens"].append({**teams.token("old-caller"), "name": "caller"})
     context.stage.write_settings("fuel-desk", desk)
     context.stage.write_settings("plegadora", teams.example("plegadora"))
-    digest = teams.token(ADMIN)["sha256"]
-    context.env = {"MANGOSAIL_ADMIN_TOKEN_SHA256": digest}
+    context.env = teams.admin_env()
     for name in ("shymkent-0", "shymkent-1", "taraz-0"):
         context.stage.start_instance(name, name.split("-")[0], context.env)
     for name in context.stage.instances:
--- a/tests/settings/steps/settings_steps.py
+++ b/tests/settings/steps/settings_steps.py
@@ -9,12 +9,11 @@
 import time
 
 from behave import given, then, when
-from tests.settings import environment
 from tests.support import stage, teams
 
 OPERATOR = teams.token("fuel-desk-token")["name"]
 DESK = teams.bearer("fuel-desk-token")
-ADMIN = teams.bearer(environment.ADMIN)
+ADMIN = teams.bearer(teams.ADMIN_TOKEN)
 PATH = "/v1/settings/fuel-desk"
 
 
@@ -311,7 +310,7 @@
     logs = [path.read_bytes() for path in context.stage.logs.glob("*.log")]
     assert any(b"in force" in log for log in logs)
     secrets = ["fuel-desk-token", "plegadora-token", "old-caller", "new-caller",
-               "guessed-token", environment.ADMIN]  # fmt: skip
+               "guessed-token", teams.ADMIN_TOKEN]  # fmt: skip
     for secret in secrets:
         for text in (secret, teams.token(secret)["sha256"]):
             found = [b for b in (*logs, *context.bodies) if text.encode() in b]
--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -108,7 +108,7 @@
     context.stage.start_platform()
     context.stage.write_settings("fuel-desk", teams.example("fuel-desk"))
     context.stage.start_workers("shymkent", 1)
-    context.stage.start_instance("shymkent-0", "shymkent")
+    context.stage.start_instance("shymkent-0", "shymkent", teams.admin_env())
     context.stage.wait_ready()
 
 
@@ -141,7 +141,9 @@
         if operation.get("security") != []:
             answer = call(context, method, path, operation, {})
             context.bare.append((method, path, answer.status))
-        bearer = teams.bearer("fuel-desk-token")
+        administrator = {"administrator": []} in operation.get("security", [])
+        token = teams.ADMIN_TOKEN if administrator else "fuel-desk-token"
+        bearer = teams.bearer(token)
         answer = call(context, method, path, operation, bearer)
         context.answers.append((method, path, answer, operation["responses"]))
 
--- a/tests/support/teams.py
+++ b/tests/support/teams.py
@@ -5,6 +5,8 @@
 
 from tests.support import stage
 
+#: Token of the platform's administrator in tests.
+ADMIN_TOKEN = "admin-token"
 EXAMPLES = stage.ROOT / "examples"
 
 
@@ -19,6 +21,11 @@
     return {"name": f"test-{digest[:8]}", "sha256": digest, "operator": operator}
 
 
+def admin_env():
+    """Return the variable by which an instance knows the administrator."""
+    return {"MANGOSAIL_ADMIN_TOKEN_SHA256": token(ADMIN_TOKEN)["sha256"]}
+
+
 def bearer(secret, **headers):
     return {
         "Authorization": f"Bearer {secret}",
