--- a/tests/work/faults.feature
+++ b/tests/work/faults.feature
@@ -8,6 +8,13 @@
     Then each of them ends with the same outcome everywhere
     And no release started twice, nor one that was called not_run
 
+  Scenario: Answers of the table are lost after every kind of write
+    Half of all commits lose their answers, those of sessions and of the owners
+    of workers too, so leases lapse and workers change hands under the claims.
+    When 20 releases are each ordered at both instances while all answers are lost
+    Then each of them ends with the same outcome everywhere
+    And no release started twice, nor one that was called not_run
+
   Scenario: The answer of a start is lost
     The worker runs the release but its answer never comes. The instance asks the
     worker instead of starting again, so the caller gets the one run's answer.
@@ -20,6 +27,28 @@
     When a release runs for 6 seconds and its instance is killed
     Then the other instance tells its answer, after one start
 
+  Scenario: The instance that holds a release and a job is frozen past its lease
+    The other instance adopts the release and takes the job over. The first
+    one wakes up with a stale view: it must start nothing and write nothing, and
+    learns the release's end from the row like any other.
+    When a release of 14 seconds and a job "frozen" of 12 tasks run at one instance
+    And that instance is frozen until the other has adopted the release, then wakes
+    Then both instances tell one end of the release, after one start
+    And the job "frozen" ends with each of its 12 tasks completed once
+
+  Scenario: The table is down while releases and a job run
+    What runs goes on and ends; its ends can't be written for 20 seconds, and
+    nothing new is claimed meanwhile. Once the table is back, all is recorded.
+    When 4 releases of 6 seconds and a job "outage" of 12 tasks run
+    And the table is down for 20 seconds, in which the releases end
+    And a release is ordered while the table is down
+    Then it is refused as "store_unavailable" with a time to come back
+    When the table is back
+    Then the same release completes with one start
+    And each of them ends with the same outcome everywhere
+    And no release started twice, nor one that was called not_run
+    And the job "outage" ends with each of its 12 tasks completed once
+
   Scenario: Cancellations come in a burst and race the starts and the ends
     Half of the orders are on their way or short enough to end by themselves.
     Each ends once, and what was called not_run is in no worker's log.
--- a/tests/work/steps/fault_steps.py
+++ b/tests/work/steps/fault_steps.py
@@ -1,6 +1,8 @@
 import collections
 import concurrent.futures
+import json
 import signal
+import time
 
 from behave import then, when
 from tests.support import stage, teams
@@ -59,15 +61,112 @@
 
 
 @when("{count:d} releases are each ordered at both instances while answers are lost")
-def order_twice(context, count):
-    context.ids = [f"lost-{n}" for n in range(count)]
-    context.stage.faults(lose_answers=0.5, lose_under="work/")
+def order_twice(context, count, under="work/"):
+    context.ids = [f"lost-{under}{n}".replace("/", "-") for n in range(count)]
+    context.stage.faults(lose_answers=0.5, lose_under=under)
     context.answers = together(
         [(order, context, i, r) for r in context.ids for i in context.pair]
     )
     context.stage.faults(lose_answers=0.0)
 
 
+@when(
+    "{count:d} releases are each ordered at both instances while all answers are lost"
+)
+def order_twice_under_all(context, count):
+    order_twice(context, count, under="")
+
+
+@when(
+    'a release of {seconds:d} seconds and a job "{job}" of {tasks:d} tasks '
+    "run at one instance"
+)
+def hold(context, seconds, job, tasks):
+    context.ids, context.answers = [job], []
+    submit_job(context, job, tasks)
+    order(context, context.pair[0], job, seconds, timeout=0.5)
+    assert starts(context)[job] == 1
+
+
+@when(
+    '{count:d} releases of {seconds:d} seconds and a job "{job}" of {tasks:d} tasks run'
+)
+def run_all(context, count, seconds, job, tasks):
+    context.ids, context.answers = [f"{job}-{n}" for n in range(count)], []
+    submit_job(context, job, tasks)
+    together(
+        [
+            (order, context, context.pair[n % 2], r, seconds, 0.5)
+            for n, r in enumerate(context.ids)
+        ]
+    )
+    assert all(starts(context)[r] == 1 for r in context.ids), starts(context)
+
+
+def submit_job(context, job, tasks):
+    body = {
+        "job_id": job, "kind": "batch.tabulate", "tasks": tasks,
+        "needs": {"cpus": 4, "memory_gb": 2}, "body": {"work_seconds": 2.0},
+    }  # fmt: skip
+    answer = send(context, context.pair[0], "POST", "/v1/jobs", body)
+    assert answer.status == 201, answer
+
+
+@when("that instance is frozen until the other has adopted the release, then wakes")
+def freeze_holder(context):
+    request_id = context.ids[0]
+    holder = row_of(context, request_id)["holder"]
+    (other,) = set(context.pair) - {holder}
+    context.stage.freeze(holder)
+    stage.wait_until(lambda: row_of(context, request_id)["holder"] == other, 30)
+    context.stage.thaw(holder)
+
+
+def row_of(context, request_id):
+    path = f"/rows?prefix=work/fuel-desk/{request_id}"
+    rows = stage.call(context.stage.platform, "GET", path).json()
+    found = {row["key"].rpartition("/")[2]: row["value"] for row in rows}
+    return json.loads(found[request_id])
+
+
+@then("both instances tell one end of the release, after one start")
+def one_end(context):
+    same_outcome(context)
+    log_agrees(context)
+    assert context.told[context.ids[0]]["outcome"] == "completed", context.told
+
+
+@then('the job "{job}" ends with each of its {tasks:d} tasks completed once')
+def job_ends(context, job, tasks):
+    def state(instance):
+        return send(context, instance, "GET", f"/v1/jobs/{job}").json()
+
+    for instance in context.pair:
+        stage.wait_until(lambda i=instance: state(i)["state"] == "completed", 30, job)
+        assert state(instance)["completed"] == tasks, state(instance)
+    done = collections.Counter(
+        entry["task_id"].split(".")[1]
+        for entry in context.stage.execution_log()
+        if entry["event"] == "end"
+        and entry["state"] == "done"
+        and entry["task_id"].startswith(f"fuel-desk/{job}.")
+    )
+    assert done == {str(n): 1 for n in range(tasks)}, done
+
+
+@when("the table is down for {seconds:d} seconds, in which the releases end")
+def outage(context, seconds):
+    context.stage.faults(table="down")
+    up_at = time.monotonic() + seconds
+
+    def ended():
+        log = context.stage.execution_log()
+        return {e["task_id"].partition("/")[2] for e in log if e["event"] == "end"}
+
+    stage.wait_until(lambda: ended() >= set(context.ids), seconds)
+    time.sleep(max(up_at - time.monotonic(), 0))
+
+
 @when("{count:d} releases are ordered and cancelled at the other instance at once")
 def cancel_burst(context, count):
     context.ids = [f"burst-{n}" for n in range(count)]
