Kill an instance between a checkpoint and the row that names it

Cause: that crash was tried with fakes only, not between processes. Change: a scenario in tests/jobs with a slow table, which makes the window; the step checks that the row is still claimed and names no checkpoint at the kill.

--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -63,3 +63,14 @@
     And every instance sees "bulk" "completed" with 10 of 10 tasks within 40 seconds
     And every index of "bulk" completed exactly once
     And a task of "bulk" was resumed from a checkpoint
+
+  Scenario: The instance dies between a checkpoint and the row that names it
+    As above, but the table is slow, and the instance is killed when its worker
+    has stored a checkpoint and the task's row still says that it runs there.
+    Whoever adopts it finds it stopped, and the checkpoint; each resumes once.
+    When a job "bulk" of 10 tasks of 8 seconds is submitted to "shymkent-0"
+    And 8 tasks of "bulk" run and the table is slow when an urgent job "now" evicts
+    And the instance is killed between a checkpoint and the move of the row
+    Then every instance sees "bulk" "completed" with 10 of 10 tasks within 45 seconds
+    And every index of "bulk" completed exactly once
+    And a task of "bulk" was resumed from a checkpoint
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -1,4 +1,5 @@
 import collections
+import json
 import time
 
 from behave import then, when
@@ -184,6 +185,33 @@
     post(context, "shymkent-0", urgent_job)
 
 
+@when(
+    '{count:d} tasks of "{job_id}" run and the table is slow '
+    'when an urgent job "{urgent}" evicts'
+)
+def evict_slowly(context, count, job_id, urgent):
+    stage.wait_until(lambda: len(entries(context, job_id, "start")) >= count, 20)
+    context.stage.faults(table="slow", slow_seconds=0.4)
+    submit_urgent(context, count, job_id, urgent)
+
+
+@when("the instance is killed between a checkpoint and the move of the row")
+def kill_between(context):
+    stored = stage.wait_until(lambda: entries(context, "bulk", "checkpoint"), 20)
+    task_id = stored[0][1]["task_id"]
+    context.stage.kill(row_of(context, task_id)["holder"])
+    row = row_of(context, task_id)
+    assert (row["state"], row["checkpoint"]) == ("claimed", ""), row
+    context.stage.faults(table="up")
+
+
+def row_of(context, task_id):
+    path = f"/rows?prefix=work/{task_id}"
+    return json.loads(
+        stage.call(context.stage.platform, "GET", path).json()[0]["value"]
+    )
+
+
 @then('the first task of "{job_id}" started within {seconds:g} seconds')
 def started_soon(context, job_id, seconds):
     first = stage.wait_until(lambda: entries(context, job_id, "start"), 20)[0][1]
