Run the control loop and the choosers in one bench

Cause: the choosers and the control loop were measured in two benches on different loads, so nothing said what the product as a whole does. Change: tests.bench.placement also runs the learned chooser with the loop ("product"), with a target for quotes, counts throttles, and can explain the slowest quotes from the workers' logs (--explain). Stand-ins, hedges and processors are not what makes the tail long here.

--- a/tests/bench/placement.py
+++ b/tests/bench/placement.py
@@ -1,12 +1,15 @@
 """Compares the choosers on one seed and schedule, over real processes.
 
-``python -m tests.bench.placement [--seed N] [--seconds S] [policy ...]`` runs
-one data centre of six workers and two instances once for each policy. Quotes
-arrive at random times whose rate shifts; batch jobs come in waves, of kinds
-that disturb different quotes; one worker turns slow for a while. A quote's time
-counts from when it was due, so a stalled system can't hide behind its callers.
-The two quiet runs have the same quotes without batch, with and without the slow
-worker; they say what the quotes take when nothing disturbs them.
+``python -m tests.bench.placement [--seed N] [--seconds S] [--policies P ...]``
+runs one data centre of six workers and two instances once for each policy.
+Quotes arrive at random times whose rate shifts; batch jobs come in waves, of
+kinds that disturb different quotes; one worker turns slow for a while. A quote's
+time counts from when it was due, so a stalled system can't hide behind its
+callers. The two quiet runs have the same quotes without batch, with and without
+the slow worker; they say what the quotes take when nothing disturbs them.
+``product`` is the learned chooser with the control loop; ``--control`` switches
+the loop of the others. ``--explain N`` tells of each run's N slowest quotes
+where they ran, beside what, and how much of their time the worker took.
 """
 
 from gevent import monkey
@@ -26,11 +29,14 @@
 
 #: The quiet runs, with and without the slow worker, then the choosers.
 QUIET = {"quiet": False, "quiet-slow": True}
-POLICIES = (*QUIET, "random", "least-loaded", "two-choices", "learned")
+CHOOSERS = ("random", "least-loaded", "two-choices", "learned")
+POLICIES = (*QUIET, *CHOOSERS, "product")
 WORKERS = 6
 #: Quotes a second by kind of quote, before the shift.
 QUOTE_RATE = {"fuel-desk/fuel/quote": 30.0, "plegadora/tooling/quotation": 20.0}
 QUOTE_SECONDS = 0.02
+#: What the quotes' 99th percentile should stay under: 1.5 times the quiet one.
+TARGET = 0.04
 #: Middle of the run in which quotes come half as often again.
 SHIFT = (0.4, 0.7)
 #: Part of the run in which one worker is slow, and how slow.
@@ -74,10 +80,13 @@
 class Run:
     """One policy's run."""
 
-    def __init__(self, policy, seed, seconds, batch=True, slow=True):
-        self.policy, self.seed, self.seconds = policy, seed, seconds
-        self.slow = slow
-        self.events = schedule(seed, seconds, batch)
+    def __init__(self, policy, args):
+        self.policy, self.seconds = policy, args.seconds
+        self.chooser = policy if policy in CHOOSERS else "learned"
+        self.control = "on" if policy == "product" else args.control
+        self.explained = args.explain
+        self.slow = QUIET.get(policy, True)
+        self.events = schedule(args.seed, args.seconds, policy not in QUIET)
         self.latencies = collections.defaultdict(list)
         self.refused = collections.Counter()
         self.jobs = []
@@ -94,14 +103,18 @@
     def prepare(self, scene):
         scene.start_platform()
         for name in ("fuel-desk", "plegadora"):
-            scene.write_settings(name, teams.example(name))
+            scene.write_settings(name, settings_of(name))
         for _ in range(WORKERS // 2):
             scene.start_workers("shymkent", 2)
         for number in range(2):
             scene.start_instance(
                 f"shymkent-{number}",
                 "shymkent",
-                env={"MANGOSAIL_CHOOSER": self.policy, "MANGOSAIL_SEED": "7"},
+                env={
+                    "MANGOSAIL_CHOOSER": self.chooser,
+                    "MANGOSAIL_CONTROL": self.control,
+                    "MANGOSAIL_SEED": "7",
+                },
             )
         scene.wait_ready()
         stage.wait_until(lambda: owned(scene) == [WORKERS // 2] * 2, 30, "even split")
@@ -136,7 +149,8 @@
         body = {"number": number, "work_seconds": QUOTE_SECONDS}
         status = self.post(instance, path, team, body, f"q-{number}")
         if status == 200:
-            self.latencies[kind].append((due, time.monotonic() - due))
+            seconds = time.monotonic() - due
+            self.latencies[kind].append((due, seconds, f"{team}/q-{number}"))
         else:
             self.refused[status] += 1
 
@@ -171,9 +185,13 @@
             and kinds[entry["task_id"]].startswith("batch.")
         ]
         found = [quote for kind in self.latencies.values() for quote in kind]
-        quotes = sorted(seconds for _, seconds in found)
+        quotes = sorted(seconds for _, seconds, _ in found)
         learned = self.started + LEARNING
-        settled = sorted(seconds for due, seconds in found if due >= learned)
+        settled = sorted(seconds for due, seconds, _ in found if due >= learned)
+        slowest = sorted(found, key=lambda quote: -quote[1])[: self.explained]
+        for due, seconds, task_id in slowest:
+            print(f"{due - self.started:6.2f} s {seconds * 1000:6.1f} ms", end=" ")
+            print(*attempts(log, task_id), sep="; ")
         return {
             "policy": self.policy,
             "quotes": len(quotes),
@@ -182,10 +200,44 @@
             "settled": percentile(settled, 99),
             "batch": len(done) / self.seconds,
             "evictions": sum(entry["event"] == "checkpoint" for entry in log),
+            "throttles": sum(throttles(scene, name) for name in scene.instances),
             "guard": sum(entry["event"] == "guard" for entry in log),
         }
 
 
+def settings_of(team):
+    """Return a team's settings, with a target for its quotes."""
+    settings = teams.example(team)
+    for path in QUOTE_RATE:
+        name, service, operation = path.split("/")
+        if name == team:
+            declared = settings["services"][service][operation]
+            declared["target_p99_seconds"] = TARGET
+    return settings
+
+
+def throttles(scene, instance):
+    return scene.counters(instance, "fuel-desk-token").get("control.throttled", 0)
+
+
+def attempts(log, task_id):
+    """Return for each attempt of a quote where it ran, how long, beside what."""
+    found, running = [], {}
+    for entry in log:
+        task, worker = entry["task_id"], entry["worker"]
+        if entry["event"] == "start":
+            beside = collections.Counter(
+                kind for kind, where, _ in running.values() if where == worker
+            )
+            running[task] = entry["kind"], worker, (entry["at"], dict(beside))
+        elif entry["event"] == "end" and task in running:
+            _, where, (at, beside) = running.pop(task)
+            if task.startswith(task_id) and not task[len(task_id) :][:1].isdigit():
+                took = (entry["at"] - at) * 1000
+                found.append(f"{where} {entry['state']} in {took:.1f} ms, {beside}")
+    return found
+
+
 def percentile(values, share):
     return values[min(int(len(values) * share / 100), len(values) - 1)] * 1000
 
@@ -210,32 +262,30 @@
     print(
         f"{'policy':20}{'quotes':>7}{'refused':>8}"
         + "".join(f"{name + ' ms':>10}" for name in names)
-        + f"{'batch/s':>9}{'evictions':>10}{'guard':>6}"
+        + f"{'batch/s':>9}{'throttles':>10}{'evictions':>10}{'guard':>6}"
     )
     for row in rows:
         print(
             f"{row['policy']:20}{row['quotes']:>7}"
             f"{sum(row['refused'].values()):>8}"
             + "".join(f"{row[name]:>10.1f}" for name in names)
-            + f"{row['batch']:>9.1f}{row['evictions']:>10}{row['guard']:>6}",
+            + f"{row['batch']:>9.1f}{row['throttles']:>10}{row['evictions']:>10}"
+            + f"{row['guard']:>6}",
             flush=True,
         )
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("policies", nargs="*", default=POLICIES)
+    parser.add_argument("--policies", nargs="+", default=POLICIES, choices=POLICIES)
+    parser.add_argument("--control", choices=("on", "off"), default="off")
+    parser.add_argument("--explain", type=int, default=0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     args = parser.parse_args()
     rows = []
     for policy in args.policies:
-        if policy in QUIET:
-            slow = QUIET[policy]
-            run = Run("learned", args.seed, args.seconds, batch=False, slow=slow)
-        else:
-            run = Run(policy, args.seed, args.seconds)
-        rows.append({**run.run(), "policy": policy})
+        rows.append(Run(policy, args).run())
         if rows[-1]["refused"]:
             print(policy, "refused by status:", rows[-1]["refused"])
     print(f"seed {args.seed}, {args.seconds:g} s each")
