Let each slice declare what peers may ask of it

Cause: membership imported the messages of work, jobs and settings to list all calls between instances, so the lowest layer knew all above it, and a new call was written down in four places (a protocol, a table, a method of the channel, a method of the instance).

Ruled out: a plain mapping of methods to handlers, since mypy could not hold a handler against its method there.

Change: `rpc.Method` is declared in `methods.py` of the slice that owns the messages; `rpc.serve` takes methods with their handlers; `Channel.call(method, message, timeout)` is the one way to ask. Names on the wire are as before. The messages moved to front and work. The stand-in for a channel in the settings' feature answers `call` now; its scenario is unchanged.

Conclusion: behaviour is as it was; membership knows heartbeats alone.

--- a/src/mangosail/front/messages.py
+++ b/src/mangosail/front/messages.py
@@ -1,4 +1,4 @@
-"""A caller's request inside the program, and what it is answered."""
+"""A caller's request inside the program and at peers, and what it is answered."""
 
 import dataclasses
 import typing as t
@@ -42,3 +42,45 @@
     retry_after: float | None = None
     #: "unknown" if an attempt was sent whose end nobody saw.
     outcome: str = "not_run"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A request passed on, once, to a peer that has room.
+
+    `timeout` is what was left of the caller's time when it was sent.
+    """
+
+    request_id: str
+    team: str
+    service: str
+    operation: str
+    body: t.Any
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedAnswer:
+    """What the peer answered: an HTTP status, and the answer as JSON text."""
+
+    request_id: str
+    status: int
+    body: str
+    retry_after: float | None = None
+    worker: str = ""
+    data_centre: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DescribeRequest:
+    """Asks an instance for its status; sent only when an operator asks."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """An instance's status as JSON text."""
+
+    instance: str
+    text: str
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -9,8 +9,7 @@
 from mangosail import codec
 from mangosail.control import tails
 from mangosail.dispatch import budget, latency
-from mangosail.front import attempts, messages
-from mangosail.membership import messages as peer_messages
+from mangosail.front import attempts, messages, methods
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
 from mangosail.placement import errors as placement_errors
@@ -135,7 +134,8 @@
                 # A frozen peer never answers: keep time to ask the other.
                 left *= FIRST_PEER_SHARE
             self.counters.count("front.forwarded")
-            answer = peer.channel.forward(forwarded(request, left), left)
+            message = forwarded(request, left)
+            answer = peer.channel.call(methods.FORWARD, message, left)
             if isinstance(answer, result.Err):
                 self.counters.count(f"front.forward_failed.{answer.err_value}")
                 reason = "peer_lost"
@@ -293,11 +293,9 @@
     return frozenset(attempt.owned.name for attempt in tried)
 
 
-def forwarded(
-    request: messages.ServiceRequest, timeout: float
-) -> peer_messages.Forwarded:
+def forwarded(request: messages.ServiceRequest, timeout: float) -> messages.Forwarded:
     """Return `request` as it is passed on, with what is left of its time."""
-    return peer_messages.Forwarded(
+    return messages.Forwarded(
         request.request_id,
         request.team,
         request.service,
@@ -307,7 +305,7 @@
     )
 
 
-def unpack(answer: peer_messages.ForwardedAnswer) -> Answer:
+def unpack(answer: messages.ForwardedAnswer) -> Answer:
     """Return what a peer answered as if it had been answered here."""
     if answer.status == OK:
         served = messages.Served(
--- a/src/mangosail/front/status.py
+++ b/src/mangosail/front/status.py
@@ -7,8 +7,7 @@
 import result
 
 from mangosail import codec
-from mangosail.front import context
-from mangosail.membership import messages as peer_messages
+from mangosail.front import context, messages, methods
 from mangosail.membership import peers as membership
 
 #: Seconds that a peer's description may take.
@@ -52,8 +51,8 @@
         resp.text = codec.to_json({"instances": found})
 
     def _describe(self, peer: membership.Peer) -> dict[str, t.Any]:
-        request = peer_messages.DescribeRequest(self.front.peers.own_name)
-        answer = peer.channel.describe(request, DESCRIBE_TIMEOUT)
+        request = messages.DescribeRequest(self.front.peers.own_name)
+        answer = peer.channel.call(methods.DESCRIBE, request, DESCRIBE_TIMEOUT)
         if isinstance(answer, result.Ok):
             return codec.from_json(answer.ok_value.text, dict)
         self.front.counters.count("front.describe_failed")
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -18,13 +18,14 @@
 from mangosail.dispatch import monitor
 from mangosail.front import app, context, quotes, server, stopping, streams
 from mangosail.front import messages as front_messages
+from mangosail.front import methods as front_methods
 from mangosail.front import settings as administration
-from mangosail.jobs import messages as job_messages
+from mangosail.jobs import methods as job_methods
 from mangosail.jobs import offers, queue, records, room
 from mangosail.jobs import takeover as job_takeover
 from mangosail.membership import messages as peer_messages
+from mangosail.membership import methods, rpc
 from mangosail.membership import peers as membership
-from mangosail.membership import rpc
 from mangosail.ownership import messages as ownership_messages
 from mangosail.ownership import owners, session, sightings, takeover
 from mangosail.placement import placer, workers
@@ -32,10 +33,11 @@
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import http as platform_http
 from mangosail.settings import changes, process, schema, spread, state
-from mangosail.settings import messages as settings_messages
+from mangosail.settings import methods as settings_methods
 from mangosail.telemetry import counters as telemetry
 from mangosail.tls import keys
 from mangosail.work import claims, forwarding, runner
+from mangosail.work import methods as work_methods
 
 log = logbook.Logger("instance")
 
@@ -186,7 +188,7 @@
         """Serve until the process is stopped."""
         # Dropped, the server would be collected and would stop listening.
         peer_server = rpc.serve(
-            self, self.process.peer_address, self.keys, self.peers.by_name
+            self._served(), self.process.peer_address, self.keys, self.peers.by_name
         )
         gevent.spawn(self._forever, self._renew, session.RENEWAL_INTERVAL)
         gevent.spawn(self._forever, self._refresh, REFRESH_INTERVAL)
@@ -220,6 +222,19 @@
         httpd.serve_forever()
         peer_server.stop(grace=0)
 
+    def _served(self) -> tuple[rpc.Served, ...]:
+        """Return what each of the peers' methods is answered by."""
+        return (
+            methods.HEARTBEAT.served_by(self.heartbeat),
+            front_methods.FORWARD.served_by(self.forward),
+            front_methods.DESCRIBE.served_by(self.describe_to),
+            work_methods.SUBMIT.served_by(self.runner.submit_for_peer),
+            work_methods.CANCEL.served_by(self.runner.cancel_for_peer),
+            settings_methods.SINCE.served_by(self.spread.tell),
+            job_methods.OFFER.served_by(self.offers.take),
+            job_methods.TASK_ENDED.served_by(self.jobs.task_ended),
+        )
+
     def heartbeat(self, message: peer_messages.Heartbeat) -> peer_messages.Heartbeat:
         """Take in a peer's state and return our own."""
         self.peers.heard(message)
@@ -229,14 +244,14 @@
         return dataclasses.replace(own, known=self.peers.listed())
 
     def forward(
-        self, message: peer_messages.Forwarded
-    ) -> peer_messages.ForwardedAnswer:
+        self, message: front_messages.Forwarded
+    ) -> front_messages.ForwardedAnswer:
         """Serve a peer's request from our own workers only."""
         declared = self.settings.operation(
             message.team, message.service, message.operation
         )
         if declared is None:
-            return peer_messages.ForwardedAnswer(
+            return front_messages.ForwardedAnswer(
                 message.request_id, 404, "unknown_service"
             )
         request = front_messages.ServiceRequest(
@@ -251,10 +266,10 @@
         served = self.quotes.serve(request, forward=False)
         if isinstance(served, result.Err):
             refusal = served.err_value
-            return peer_messages.ForwardedAnswer(
+            return front_messages.ForwardedAnswer(
                 message.request_id, refusal.status, refusal.reason, refusal.retry_after
             )
-        return peer_messages.ForwardedAnswer(
+        return front_messages.ForwardedAnswer(
             message.request_id,
             200,
             codec.to_json(served.ok_value.answer),
@@ -262,26 +277,6 @@
             data_centre=served.ok_value.data_centre,
         )
 
-    def submit_work(
-        self, message: peer_messages.ForwardedWork
-    ) -> peer_messages.WorkAnswer:
-        """Claim a peer's durable work for our own workers."""
-        return self.runner.submit_for_peer(message)
-
-    def cancel_work(
-        self, message: peer_messages.CancelWork
-    ) -> peer_messages.WorkAnswer:
-        """Cancel durable work that we hold."""
-        return self.runner.cancel_for_peer(message)
-
-    def offer(self, message: job_messages.Offer) -> job_messages.OfferAnswer:
-        """Take a peer's batch task on if there is room."""
-        return self.offers.take(message)
-
-    def task_ended(self, message: job_messages.TaskEnded) -> job_messages.Noted:
-        """Take in what became of a task that the peer took on."""
-        return self.jobs.task_ended(message)
-
     def heartbeat_message(
         self, asks_for_peers: bool = False
     ) -> peer_messages.Heartbeat:
@@ -299,19 +294,13 @@
         )
 
     def describe_to(
-        self, message: peer_messages.DescribeRequest
-    ) -> peer_messages.Description:
+        self, message: front_messages.DescribeRequest
+    ) -> front_messages.Description:
         """Return our status for the operator of a peer."""
-        return peer_messages.Description(
+        return front_messages.Description(
             self.process.instance, codec.to_json(self.describe())
         )
 
-    def settings_since(
-        self, message: settings_messages.Since
-    ) -> settings_messages.Delta:
-        """Return the settings changed past what the peer has in force."""
-        return self.settings.since(message.sequence)
-
     def describe(self) -> dict[str, t.Any]:
         """Return the status that operators see."""
         now = self.clock.monotonic()
--- a/src/mangosail/jobs/offers.py
+++ b/src/mangosail/jobs/offers.py
@@ -5,13 +5,11 @@
 the row tells the same, which the holder reads now and then.
 """
 
-import typing as t
-
 import gevent
 import result
 
 from mangosail import clock as clocks
-from mangosail.jobs import messages, room, work
+from mangosail.jobs import messages, methods, room, work
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
 from mangosail.telemetry import counters as telemetry
@@ -58,7 +56,7 @@
         for peer in self.peers.with_room(request.needs, own.data_centre):
             if now < self.paused.get(peer.listed.name, 0.0):
                 continue
-            answer = peer.channel.offer(message, OFFER_TIMEOUT)
+            answer = peer.channel.call(methods.OFFER, message, OFFER_TIMEOUT)
             if isinstance(answer, result.Err):
                 # It may have been taken: its row will tell.
                 self.paused[peer.listed.name] = now + REFUSED_PAUSE
@@ -103,6 +101,6 @@
         ended = messages.TaskEnded(
             request.team, request.job, request.request_id, outcome
         )
-        told: result.Result[t.Any, str] = peer.channel.task_ended(ended, OFFER_TIMEOUT)
+        told = peer.channel.call(methods.TASK_ENDED, ended, OFFER_TIMEOUT)
         if isinstance(told, result.Err):
             self.counters.count("jobs.offer.end_untold")
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -15,7 +15,7 @@
 
 from mangosail import clock as clocks
 from mangosail import resources
-from mangosail.membership import messages, rpc
+from mangosail.membership import messages, methods, rpc
 from mangosail.platform import inventory
 from mangosail.telemetry import counters as telemetry
 from mangosail.tls import keys
@@ -172,7 +172,7 @@
         now = self.clock.monotonic()
         self.counters.count("membership.heartbeat_sent")
         own = self.describe(not self.has_list)
-        answer = peer.channel.heartbeat(own, HEARTBEAT_TIMEOUT)
+        answer = peer.channel.call(methods.HEARTBEAT, own, HEARTBEAT_TIMEOUT)
         if isinstance(answer, result.Err):
             self.counters.count(f"membership.heartbeat_failed.{answer.err_value}")
             return
--- a/src/mangosail/settings/spread.py
+++ b/src/mangosail/settings/spread.py
@@ -11,7 +11,7 @@
 import result
 
 from mangosail.membership import peers as membership
-from mangosail.settings import state
+from mangosail.settings import messages, methods, state
 from mangosail.telemetry import counters as telemetry
 
 #: Seconds between looks at what peers have in force.
@@ -73,12 +73,17 @@
         for negative, _, peer in ahead[:PEERS_ASKED]:
             if -negative <= self.in_force.sequence:
                 return
-            answer = peer.channel.settings_since(self.in_force.sequence, LEARN_TIMEOUT)
+            since = messages.Since(self.in_force.sequence)
+            answer = peer.channel.call(methods.SINCE, since, LEARN_TIMEOUT)
             if isinstance(answer, result.Ok):
                 self.in_force.learn(answer.ok_value)
             else:
                 self.counters.count(f"settings.learn_failed.{answer.err_value}")
 
+    def tell(self, message: messages.Since) -> messages.Delta:
+        """Return the settings changed past what a peer has in force."""
+        return self.in_force.since(message.sequence)
+
     def rollout(self, team: str, revision: int, sequence: int) -> Rollout:
         """Return where the change numbered `sequence` is in force."""
         holders = [self._own(sequence), *self._peers(sequence)]
--- a/src/mangosail/work/forwarding.py
+++ b/src/mangosail/work/forwarding.py
@@ -1,14 +1,11 @@
 """Passing durable work on, once, to a peer that has room or holds it."""
 
-import typing as t
-
 import result
 
 from mangosail import clock as clocks
-from mangosail.membership import messages as peer_messages
 from mangosail.membership import peers as membership
 from mangosail.telemetry import counters as telemetry
-from mangosail.work import messages
+from mangosail.work import messages, methods
 
 #: Seconds that a peer waits for the end before it answers. Longer waits read
 #: the row instead, so that few of a peer's tasks are bound by other instances.
@@ -34,29 +31,31 @@
 
     def submit(
         self, request: messages.Request, deadline: float
-    ) -> result.Result[peer_messages.WorkAnswer, str] | None:
+    ) -> result.Result[messages.WorkAnswer, str] | None:
         """Have one peer claim `request`; None if no peer has room."""
         for peer in self.peers.with_room(request.needs, self.data_centre)[:1]:
             left = deadline - self.clock.monotonic()
-            message = peer_messages.ForwardedWork(
-                request, min(max(left, 0.0), PEER_WAIT)
-            )
+            message = messages.ForwardedWork(request, min(max(left, 0.0), PEER_WAIT))
             self.counters.count("work.forwarded")
-            return self._counted(peer.channel.submit_work(message, PEER_TIMEOUT))
+            return self._counted(
+                peer.channel.call(methods.SUBMIT, message, PEER_TIMEOUT)
+            )
         return None
 
     def cancel(
         self, holder: str, team: str, request_id: str
-    ) -> result.Result[peer_messages.WorkAnswer, str]:
+    ) -> result.Result[messages.WorkAnswer, str]:
         """Have the instance that holds the work cancel it."""
         peer = self.peers.by_name.get(holder)
         if peer is None:
             return result.Err("unknown_peer")
-        message = peer_messages.CancelWork(team, request_id)
+        message = messages.CancelWork(team, request_id)
         self.counters.count("work.cancel_forwarded")
-        return self._counted(peer.channel.cancel_work(message, PEER_TIMEOUT))
+        return self._counted(peer.channel.call(methods.CANCEL, message, PEER_TIMEOUT))
 
-    def _counted(self, answer: result.Result[t.Any, str]) -> result.Result[t.Any, str]:
+    def _counted(
+        self, answer: result.Result[messages.WorkAnswer, str]
+    ) -> result.Result[messages.WorkAnswer, str]:
         if isinstance(answer, result.Err):
             self.counters.count(f"work.peer_lost.{answer.err_value}")
         return answer
--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -115,6 +115,29 @@
     lease_deadline: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedWork:
+    """Durable work passed on, once; the peer answers within `timeout`."""
+
+    request: Request
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelWork:
+    """A cancellation passed on to the instance that holds the work."""
+
+    team: str
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkAnswer:
+    """Whether the peer refused to claim; all else is in the work's row."""
+
+    refused: bool
+
+
 def task_id_of(request: Request) -> str:
     """Return the task id under which workers know the request."""
     return f"{request.team}/{request.request_id}"
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -12,7 +12,6 @@
 
 from mangosail import clock as clocks
 from mangosail.dispatch import messages as dispatch_messages
-from mangosail.membership import messages as peer_messages
 from mangosail.ownership import session
 from mangosail.placement import errors as placement_errors
 from mangosail.placement import messages as placement_messages
@@ -383,23 +382,19 @@
         now = self.ctx.clock.monotonic()
         return self.waiting.for_row(request.team, request.request_id, now)
 
-    def submit_for_peer(
-        self, message: peer_messages.ForwardedWork
-    ) -> peer_messages.WorkAnswer:
+    def submit_for_peer(self, message: messages.ForwardedWork) -> messages.WorkAnswer:
         """Claim a peer's request here, and answer soon."""
         deadline = self.ctx.clock.monotonic() + message.timeout
         answer = self.submit(message.request, deadline, forward=False)
         refused = isinstance(answer, result.Err) and isinstance(
             answer.err_value, placement_errors.NotPlaced
         )
-        return peer_messages.WorkAnswer(refused)
+        return messages.WorkAnswer(refused)
 
-    def cancel_for_peer(
-        self, message: peer_messages.CancelWork
-    ) -> peer_messages.WorkAnswer:
+    def cancel_for_peer(self, message: messages.CancelWork) -> messages.WorkAnswer:
         """Cancel work that a peer believes to be in hand here."""
         self.cancel(message.team, message.request_id, forward=False)
-        return peer_messages.WorkAnswer(refused=False)
+        return messages.WorkAnswer(refused=False)
 
 
 def work_of(request: messages.Request) -> placement_messages.Work:
--- a/tests/settings/steps/machine_steps.py
+++ b/tests/settings/steps/machine_steps.py
@@ -163,7 +163,7 @@
         state=types.SimpleNamespace(settings_sequence=99),
         listed=types.SimpleNamespace(name="taraz-0"),
         channel=types.SimpleNamespace(
-            settings_since=lambda *_: result.Err("unavailable")
+            call=lambda _method, _message, _timeout: result.Err("unavailable")
         ),
     )
     context.peers = [peer]
