--- a/tests/membership/steps/membership_steps.py
+++ b/tests/membership/steps/membership_steps.py
@@ -70,7 +70,9 @@
 @then("every instance reaches every other and no heartbeat was refused meanwhile")
 def still(context):
     assert all_reachable(context)
-    assert counted(context, "membership.heartbeat_failed.unavailable") == context.earlier
+    assert (
+        counted(context, "membership.heartbeat_failed.unavailable") == context.earlier
+    )
 
 
 @given(
