Leave assembling to the instance

Ruled out: one object that hands clock, counters and lease to every part; it would have shortened the calls but hidden who needs what.

`Front` is a data class given by keyword. `Peers.heartbeat` answers heartbeats.

--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -1,5 +1,7 @@
 """What every resource needs: who asks, what, and until when."""
 
+import collections.abc as cabc
+import dataclasses
 import math
 import re
 import secrets
@@ -10,14 +12,15 @@
 
 from mangosail import clock as clocks
 from mangosail import codec, resources
-from mangosail.front import messages, quotes, streams
+from mangosail.front import description, messages, streams
+from mangosail.front import quotes as quote_service
 from mangosail.jobs import queue
 from mangosail.membership import peers as membership
 from mangosail.placement import workers
 from mangosail.settings import state
 from mangosail.telemetry import counters as telemetry
 from mangosail.telemetry import logs
-from mangosail.work import runner
+from mangosail.work import runner as work_runner
 
 #: Largest body that is read, in bytes.
 BODY_LIMIT = 1024 * 1024
@@ -29,38 +32,29 @@
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 
 
+@dataclasses.dataclass(kw_only=True, eq=False, slots=True)
 class Front:
     """What the resources below need of the instance."""
 
-    def __init__(
-        self,
-        settings: state.Settings,
-        quote_service: quotes.Quotes,
-        run: runner.Runner,
-        jobs: queue.JobQueue,
-        owned: workers.Workers,
-        open_watches: streams.Watches,
-        clock: clocks.Clock,
-        counters: telemetry.Counters,
-        describe: t.Callable[[], dict[str, t.Any]],
-        peers: membership.Peers,
-        capacities: t.Callable[[], list[resources.Resources]],
-    ) -> None:
-        self.settings = settings
-        self.quotes = quote_service
-        self.runner = run
-        self.jobs = jobs
-        self.owned = owned
-        self.watches = open_watches
-        self.clock = clock
-        self.counters = counters
-        self.describe = describe
-        self.peers = peers
-        #: What each listed worker can carry, of all data centres.
-        self.capacities = capacities
-        self.ready = False
-        #: True once a planned stop has begun.
-        self.draining = False
+    settings: state.Settings
+    quotes: quote_service.Quotes
+    runner: work_runner.Runner
+    jobs: queue.JobQueue
+    owned: workers.Workers
+    watches: streams.Watches
+    clock: clocks.Clock
+    counters: telemetry.Counters
+    describer: description.Describer
+    peers: membership.Peers
+    #: What each listed worker can carry, of all data centres.
+    capacities: cabc.Callable[[], list[resources.Resources]]
+    ready: bool = False
+    #: True once a planned stop has begun.
+    draining: bool = False
+
+    def describe(self) -> dict[str, t.Any]:
+        """Return the status that operators see."""
+        return self.describer.describe(ready=self.ready, draining=self.draining)
 
     def identify(self, req: falcon.Request) -> state.Identity:
         """Return whose request this is, or refuse it."""
--- /dev/null
+++ b/src/mangosail/front/peering.py
@@ -0,0 +1,55 @@
+"""What the front door does for peers: their requests, and their operators'."""
+
+import result
+
+from mangosail import codec
+from mangosail.front import context, messages, quotes
+
+
+class Peering:
+    """Answers the methods of `front.methods`."""
+
+    def __init__(self, front: context.Front) -> None:
+        self.front = front
+
+    def forward(self, message: messages.Forwarded) -> messages.ForwardedAnswer:
+        """Serve a peer's request from our own workers only."""
+        declared = self.front.settings.operation(
+            message.team, message.service, message.operation
+        )
+        if declared is None:
+            return messages.ForwardedAnswer(message.request_id, 404, "unknown_service")
+        request = messages.ServiceRequest(
+            message.request_id,
+            message.team,
+            message.service,
+            message.operation,
+            declared,
+            message.body,
+            self.front.clock.monotonic() + message.timeout,
+        )
+        answer = self.front.quotes.serve(request, forward=False)
+        return packed(message.request_id, answer)
+
+    def describe(self, message: messages.DescribeRequest) -> messages.Description:
+        """Return our status for the operator of a peer."""
+        return messages.Description(
+            self.front.peers.own_name, codec.to_json(self.front.describe())
+        )
+
+
+def packed(request_id: str, answer: quotes.Answer) -> messages.ForwardedAnswer:
+    """Return an answer as it goes back to the peer that passed the request on."""
+    if isinstance(answer, result.Err):
+        refusal = answer.err_value
+        return messages.ForwardedAnswer(
+            request_id, refusal.status, refusal.reason, refusal.retry_after
+        )
+    served = answer.ok_value
+    return messages.ForwardedAnswer(
+        request_id,
+        quotes.OK,
+        codec.to_json(served.answer),
+        worker=served.worker,
+        data_centre=served.data_centre,
+    )
--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -1,6 +1,6 @@
 """The planned stop of an instance, which cuts off no request in flight."""
 
-import typing as t
+import collections.abc as cabc
 
 import logbook
 
@@ -32,8 +32,8 @@
         self,
         front: context.Front,
         httpd: server.Server,
-        stop_peers: t.Callable[[float], None],
-        hand_over: t.Callable[[float], None],
+        stop_peers: cabc.Callable[[float], None],
+        hand_over: cabc.Callable[[float], object],
         clock: clocks.Clock,
         counters: telemetry.Counters,
         term: float,
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -131,6 +131,14 @@
         if peer is not None:
             peer.state = message
 
+    def heartbeat(self, message: messages.Heartbeat) -> messages.Heartbeat:
+        """Take in a peer's state and return our own."""
+        self.heard(message)
+        own = self.describe(not self.has_list)
+        if not message.asks_for_peers:
+            return own
+        return dataclasses.replace(own, known=self.listed())
+
     def reachable(self) -> list[Peer]:
         """Return the peers that answered lately."""
         now = self.clock.monotonic()
--- a/src/mangosail/ownership/session.py
+++ b/src/mangosail/ownership/session.py
@@ -16,6 +16,15 @@
 RENEWAL_INTERVAL = 1.0
 
 
+def first_row(
+    instance: str, data_centre: str, peer_address: str
+) -> messages.SessionRow:
+    """Return the row of a new run of `instance`, before its first renewal."""
+    return messages.SessionRow(
+        instance, secrets.token_hex(8), data_centre, peer_address, 0.0
+    )
+
+
 class Session:
     """This run's lease in the table.
 
--- a/src/mangosail/settings/state.py
+++ b/src/mangosail/settings/state.py
@@ -173,12 +173,16 @@
         in_force = self.by_team.get(team)
         return in_force is not None and in_force.settings.urgent
 
+    def declared_quota(self, team: str) -> schema.Quota | None:
+        """Return a team's quota as its settings declare it, if it is known."""
+        in_force = self.by_team.get(team)
+        return in_force.settings.quota if in_force else None
+
     def quota(self, team: str) -> resources.Resources:
         """Return a team's quota; nothing if the team is unknown."""
-        in_force = self.by_team.get(team)
-        if in_force is None:
+        quota = self.declared_quota(team)
+        if quota is None:
             return resources.Resources()
-        quota = in_force.settings.quota
         return resources.Resources(quota.cpus, accelerators=quota.accelerators)
 
     def operation(
--- /dev/null
+++ b/src/mangosail/upkeep.py
@@ -0,0 +1,85 @@
+"""What an instance does again and again while it serves."""
+
+import collections.abc as cabc
+
+import gevent
+import logbook
+import result
+
+from mangosail import clock as clocks
+from mangosail.front import context
+from mangosail.membership import peers as membership
+from mangosail.ownership import owners
+from mangosail.placement import workers
+from mangosail.platform import errors, listed
+from mangosail.telemetry import counters as telemetry
+
+log = logbook.Logger("upkeep")
+
+
+class Loops:
+    """Tasks that repeat a step each, for as long as the process runs."""
+
+    def __init__(self, clock: clocks.Clock, counters: telemetry.Counters) -> None:
+        self.clock = clock
+        self.counters = counters
+
+    def start(self, step: cabc.Callable[[], object], interval: float) -> None:
+        """Take `step` now and again, `interval` seconds after each end of it."""
+        gevent.spawn(self._forever, step, interval)
+
+    def _forever(self, step: cabc.Callable[[], object], interval: float) -> None:
+        while True:
+            try:
+                step()
+            except Exception:
+                # A fault in one round must not end the task that renews the
+                # lease or reads the table; it is counted and tried again.
+                self.counters.count("instance.step_failed")
+                log.exception("step failed")
+            self.clock.sleep(interval)
+
+
+class Upkeep:
+    """Keeps ownership, peers and readiness in step with table and list."""
+
+    def __init__(
+        self,
+        listing: listed.Listed,
+        ownership: owners.Owners,
+        owned: workers.Workers,
+        peers: membership.Peers,
+        front: context.Front,
+    ) -> None:
+        self.listed = listing
+        self.owners = ownership
+        self.owned = owned
+        self.peers = peers
+        self.front = front
+
+    def renew(self) -> None:
+        """Renew the lease; give all workers up if it was taken away."""
+        renewed = self.owners.lease.renew()
+        if isinstance(renewed, result.Err) and isinstance(
+            renewed.err_value, errors.Conflict
+        ):
+            self.owners.give_up_all()
+
+    def refresh(self) -> None:
+        """Read the platform's list, then take and give up workers by it."""
+        if self.listed.refresh():
+            self.peers.update(self.listed.listing.instances)
+            self.owners.absences.see(self.listed.present())
+            self._note_leaving()
+        if self.front.draining:
+            return
+        self.owners.refresh(self.listed.live(self.peers.data_centre))
+        can_serve = any(owned.accepts() for owned in self.owned)
+        self.front.ready = bool(self.front.settings.by_team) and can_serve
+
+    def _note_leaving(self) -> None:
+        """Give workers that the platform lists as leaving no new work."""
+        for worker in self.listed.leaving():
+            owned = self.owned.get(worker.name)
+            if owned is not None:
+                owned.leaving = True
