Split recording, following, cancelling and ends out of the job queue

Cause: jobs/queue.py had 451 lines: declarations, placing, the settling of attempts, the rows, the tasks followed at peers, and cancellations.

Ruled out: splitting by who calls (API, loops, peers), which would have left the settling of an attempt in three places.

Change: ends.py settles an attempt wherever the news come from; following.py reads rows of tasks elsewhere; cancelling.py stops a job and what runs of it; recording.py keeps rows and held jobs in step. The queue declares and places.

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -23,7 +23,7 @@
 from mangosail.front import methods as front_methods
 from mangosail.front import settings as administration
 from mangosail.jobs import methods as job_methods
-from mangosail.jobs import offers, queue, records, room
+from mangosail.jobs import offers, queue, recording, records, room
 from mangosail.jobs import takeover as job_takeover
 from mangosail.membership import messages as peer_messages
 from mangosail.membership import methods, rpc
@@ -274,7 +274,7 @@
         gevent.spawn(self.jobs.place_forever)
         if self.process.control is process.Control.ON:
             loops.start(self.control.step, loop.INTERVAL)
-        loops.start(self.jobs.record, queue.RECORD_INTERVAL)
+        loops.start(self.jobs.recording.record, recording.RECORD_INTERVAL)
         loops.start(self.takeover.refresh, REFRESH_INTERVAL)
         gevent.spawn(self.counters.flush_forever)
         if self.keys is not None:
--- /dev/null
+++ b/src/mangosail/jobs/cancelling.py
@@ -0,0 +1,58 @@
+"""Cancelling the tasks of a job that run."""
+
+import gevent
+import gevent.pool
+import result
+
+from mangosail import clock as clocks
+from mangosail.jobs import ends, held, messages, tally, work
+from mangosail.telemetry import counters as telemetry
+
+#: Most cancellations in hand at a time.
+CANCEL_TASKS = 16
+
+
+class Cancelling:
+    """Cancels a few tasks at a time, without holding up others."""
+
+    def __init__(
+        self,
+        run: work.Work,
+        attempts: ends.Ends,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.run = run
+        self.ends = attempts
+        self.clock = clock
+        self.counters = counters
+        self.pool = gevent.pool.Pool(CANCEL_TASKS)
+
+    def stop(self, job: held.HeldJob) -> None:
+        """Let no waiting task of `job` start, and cancel what runs."""
+        if job.state is not messages.State.RUNNING:
+            return
+        job.stop(messages.State.CANCELLING, "")
+        self.cancel_running(job)
+
+    def cancel_running(self, job: held.HeldJob) -> None:
+        """Begin to cancel what runs of `job`."""
+        gevent.spawn(self._cancel_each, job)
+
+    def _cancel_each(self, job: held.HeldJob) -> None:
+        for index in list(job.tally.indices(tally.Standing.RUNNING)):
+            self.pool.spawn(self._cancel_task, job, index)
+
+    def _cancel_task(self, job: held.HeldJob, index: int) -> None:
+        request = job.request(index)
+        failures = 0
+        while job.tally.standings[index] == tally.Standing.RUNNING:
+            answer = self.run.cancel(request.team, request.request_id)
+            if isinstance(answer, result.Ok):
+                self.ends.settle(job, index, request.request_id, answer.ok_value.state)
+                # Where it runs elsewhere, its row tells of the end.
+                job.follow(index, self.clock.monotonic())
+                return
+            self.counters.count("jobs.retry.cancel")
+            failures += 1
+            self.clock.sleep(ends.backoff(failures))
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -1,28 +1,29 @@
 """The jobs that this instance sees to, and the tasks that wait for a worker."""
 
 import collections.abc as cabc
-import random
 
 import gevent
-import gevent.pool
 import logbook
 import result
 
 from mangosail import clock as clocks
 from mangosail import resources
 from mangosail.jobs import (
+    cancelling,
+    ends,
     errors,
+    following,
     held,
     messages,
     offers,
     order,
+    recording,
     records,
     room,
     tally,
     work,
 )
 from mangosail.ownership import session
-from mangosail.placement import errors as placement_errors
 from mangosail.platform import errors as platform_errors
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
@@ -31,22 +32,12 @@
 
 #: Seconds between attempts to place waiting tasks.
 PLACE_INTERVAL = 0.05
-#: Seconds between writings of jobs' states, and readings of what we follow.
-RECORD_INTERVAL = 1.0
 #: Seconds that one task of a job may take until it is looked at again.
 TASK_PATIENCE = 3600.0
-#: Seconds until a task is tried again, doubled with each failure.
-BACKOFF = 0.25
-#: Longest such time in seconds.
-LONGEST_BACKOFF = 30.0
 #: Seconds in which a peer that was offered a task claims it, or never will.
 FOLLOW_GRACE = 10.0
-#: Most cancellations in hand at a time.
-CANCEL_TASKS = 16
 #: Attempts at a cancellation while the holder writes at the same time.
 CANCEL_ATTEMPTS = 5
-#: Rows read at a time while following tasks.
-READ_ROWS = 500
 
 
 class JobQueue:
@@ -74,9 +65,13 @@
         self.clock = clock
         self.counters = counters
         self.order = arrangement or order.FairOrder()
-        self.random = random.Random(seed)
         self.jobs: dict[str, held.HeldJob] = {}
-        self.cancelling = gevent.pool.Pool(CANCEL_TASKS)
+        self.ends = ends.Ends(rows, places, clock, counters, seed)
+        self.cancelling = cancelling.Cancelling(run, self.ends, clock, counters)
+        followed = following.Following(rows, self.ends, clock, counters)
+        self.recording = recording.Recording(
+            self.jobs, rows, followed, self.cancelling, lease, counters
+        )
 
     def submit(
         self, job: messages.Job
@@ -148,7 +143,7 @@
         own = self.jobs.get(records.keys_of(found.row)[0])
         if own is not None:
             own.found = found
-            self._stop(own, messages.State.CANCELLING, "")
+            self.cancelling.stop(own)
         return self._progress(found)
 
     def waiting(self) -> int:
@@ -160,7 +155,7 @@
         """See to a job from now on."""
         self.jobs[messages.job_key(job.job.team, job.job.job_id)] = job
         if job.state is messages.State.CANCELLING:
-            self._cancel_running(job)
+            self.cancelling.cancel_running(job)
 
     def place_forever(self) -> None:
         """Place waiting tasks again and again."""
@@ -211,88 +206,13 @@
         self, job: held.HeldJob, index: int, request: work_messages.Request
     ) -> None:
         answer = self.run.submit(
-            request, now_and(self.clock, TASK_PATIENCE), forward=False
+            request, self.clock.monotonic() + TASK_PATIENCE, forward=False
         )
         self.room.forget(request)
         if isinstance(answer, result.Err):
-            self._not_run(job, index, answer.err_value)
-            return
-        self.settle(job, index, request.request_id, answer.ok_value.state)
-
-    def settle(
-        self, job: held.HeldJob, index: int, request_id: str, outcome: str
-    ) -> None:
-        """Take in what became of a task's attempt; late news change nothing."""
-        if request_id != job.request(index).request_id:
-            return
-        if job.tally.standings[index] != tally.Standing.RUNNING:
-            return
-        if outcome == work_messages.State.COMPLETED:
-            self._end(job, index, tally.Standing.COMPLETED)
-        elif outcome == work_messages.State.CANCELLED:
-            self._end(job, index, tally.Standing.CANCELLED)
-        elif outcome == work_messages.State.FAILED:
-            self._failed(job, index, request_id)
-        elif outcome == work_messages.State.NOT_RUN:
-            self.counters.count("jobs.retry.not_run")
-            job.tally.attempts[index] += 1
-            self._put_back(job, index, 1)
-        elif outcome == work_messages.State.EVICTED:
-            self.counters.count("jobs.retry.evicted")
-            self._put_back(job, index, 0)
-        else:
-            job.follow(index, self.clock.monotonic())
-
-    def _end(self, job: held.HeldJob, index: int, at: tally.Standing) -> None:
-        job.followed.pop(index, None)
-        job.tally.move(index, at)
-        self.counters.count(f"jobs.task.{at.name.lower()}")
-
-    def _not_run(self, job: held.HeldJob, index: int, error: object) -> None:
-        """Let a task that was not started wait again, unless it never can be."""
-        if isinstance(error, placement_errors.NotPlaced) and error.retry_after is None:
-            self._stop(job, messages.State.FAILED, error.reason.value)
-            self._end(job, index, tally.Standing.FAILED)
-            return
-        self.counters.count(f"jobs.retry.{type(error).__name__.lower()}")
-        self._put_back(job, index, 0)
-
-    def _failed(self, job: held.HeldJob, index: int, request_id: str) -> None:
-        """Try a task that failed again, unless that is of no use."""
-        row = self._row(job.job.team, request_id)
-        if row is not None:
-            job.reason = row.reason
-            job.failed_on.add(row.worker)
-        job.failures += 1
-        job.failed_attempts[index] += 1
-        if job.poisoned(self.room.workers()):
-            self.counters.count("jobs.poisoned")
-            self._stop(job, messages.State.FAILED, f"fails everywhere: {job.reason}")
-        if job.failed_attempts[index] >= tally.MOST_ATTEMPTS:
-            self._end(job, index, tally.Standing.FAILED)
+            self.ends.not_run(job, index, answer.err_value)
             return
-        if job.state is not messages.State.RUNNING:
-            self._end(job, index, tally.Standing.FAILED)
-            return
-        self.counters.count("jobs.retry.failed")
-        job.tally.attempts[index] += 1
-        self._put_back(job, index, job.failed_attempts[index])
-
-    def _put_back(self, job: held.HeldJob, index: int, failures: int) -> None:
-        """Let a task wait again, a while and by chance, so that none march in step."""
-        job.followed.pop(index, None)
-        if job.state is not messages.State.RUNNING:
-            self._end(job, index, tally.Standing.CANCELLED)
-            return
-        longest = min(BACKOFF * 2**failures, LONGEST_BACKOFF)
-        wait = longest * self.random.uniform(0.5, 1.0)
-        job.tally.put_back(index, now_and(self.clock, wait))
-
-    def _row(self, team: str, request_id: str) -> work_messages.WorkRow | None:
-        found = self.records.work([work_messages.work_key(team, request_id)])
-        if isinstance(found, result.Err):
-            return None
-        return next(iter(found.ok_value), None)
+        self.ends.settle(job, index, request.request_id, answer.ok_value.state)
 
     def on_end(
         self, outcome: work_messages.Outcome, row: work_messages.WorkRow
@@ -302,7 +222,7 @@
         job = self.jobs.get(messages.job_key(request.team, request.job))
         task = tally.task_of(job.job, request.request_id) if job else None
         if job is not None and task is not None:
-            self.settle(job, task[0], request.request_id, outcome.state)
+            self.ends.settle(job, task[0], request.request_id, outcome.state)
 
     def task_ended(self, message: messages.TaskEnded) -> messages.Noted:
         """Take in what a peer tells of a task that it took on."""
@@ -312,140 +232,11 @@
         if job is None or task is None:
             return messages.Noted()
         if message.outcome:
-            self.settle(job, task[0], message.request_id, message.outcome)
+            self.ends.settle(job, task[0], message.request_id, message.outcome)
         elif job.request(task[0]).request_id == message.request_id:
             self.counters.count("jobs.retry.offer_failed")
-            self._put_back(job, task[0], 0)
+            self.ends.put_back(job, task[0], 0)
         return messages.Noted()
 
-    def record(self) -> None:
-        """Write what changed of the held jobs, and read of what we follow."""
-        for key, job in list(self.jobs.items()):
-            self._follow(job)
-            if not self.lease.valid():
-                return
-            if job.tally.over():
-                self._record_end(key, job)
-            elif job.next_state() != job.found.state:
-                self._record_change(key, job)
-        self._learn_cancellations()
-
-    def _record_end(self, key: str, job: held.HeldJob) -> None:
-        ended = self.records.end(job.found, job.next_state())
-        if isinstance(ended, result.Ok):
-            del self.jobs[key]
-            self.counters.count(f"jobs.ended.{ended.ok_value.state.state}")
-            return
-        self._unrecorded(key, job, ended.err_value)
-
-    def _record_change(self, key: str, job: held.HeldJob) -> None:
-        written = self.records.write(job.found, job.next_state())
-        if isinstance(written, result.Ok):
-            job.found = written.ok_value
-            return
-        self._unrecorded(key, job, written.err_value)
-
-    def _unrecorded(
-        self, key: str, job: held.HeldJob, error: platform_errors.CommitError
-    ) -> None:
-        self.counters.count(f"jobs.record_failed.{type(error).__name__.lower()}")
-        if isinstance(error, platform_errors.Conflict):
-            self._reread(key, job)
-        elif isinstance(error, platform_errors.Uncertain):
-            self._reread(key, job)
-
-    def _learn_cancellations(self) -> None:
-        """Find what others wrote to our jobs' states: cancelled, or taken over."""
-        rows = [job.found.row for job in self.jobs.values()]
-        found = self.records.states(rows)
-        if isinstance(found, result.Err):
-            return
-        for present in found.ok_value:
-            key = records.keys_of(present.row)[0]
-            job = self.jobs.get(key)
-            if job is not None and present.version > job.found.version:
-                self._accept(key, job, present)
-
-    def _reread(self, key: str, job: held.HeldJob) -> None:
-        found = self.records.find(job.job.team, job.job.job_id)
-        if isinstance(found, result.Ok):
-            self._accept(key, job, found.ok_value)
-
-    def _accept(self, key: str, job: held.HeldJob, present: records.Found) -> None:
-        """Take in a state that this instance did not write."""
-        own = self.lease.row
-        holder = (present.state.holder, present.state.incarnation)
-        if present.row.final or holder != (own.instance, own.incarnation):
-            # Another holder queues the tasks now. Those that run here go on;
-            # their rows keep anybody from starting them a second time.
-            self.jobs.pop(key, None)
-            job.tally.cancel_waiting()
-            self.counters.count("jobs.lost")
-            return
-        job.found = present
-        if present.state.state is messages.State.CANCELLING:
-            self._stop(job, messages.State.CANCELLING, "")
-
-    def _stop(self, job: held.HeldJob, state: messages.State, reason: str) -> None:
-        if job.state is not messages.State.RUNNING:
-            return
-        job.stop(state, reason)
-        if state is messages.State.CANCELLING:
-            self._cancel_running(job)
-
-    def _cancel_running(self, job: held.HeldJob) -> None:
-        """Cancel what runs, a few tasks at a time, without holding up others."""
-        gevent.spawn(self._cancel_each, job)
-
-    def _cancel_each(self, job: held.HeldJob) -> None:
-        for index in list(job.tally.indices(tally.Standing.RUNNING)):
-            self.cancelling.spawn(self._cancel_task, job, index)
-
-    def _cancel_task(self, job: held.HeldJob, index: int) -> None:
-        request = job.request(index)
-        failures = 0
-        while job.tally.standings[index] == tally.Standing.RUNNING:
-            answer = self.run.cancel(request.team, request.request_id)
-            if isinstance(answer, result.Ok):
-                self.settle(job, index, request.request_id, answer.ok_value.state)
-                # Where it runs elsewhere, its row tells of the end.
-                job.follow(index, self.clock.monotonic())
-                return
-            self.counters.count("jobs.retry.cancel")
-            failures += 1
-            self.clock.sleep(min(BACKOFF * 2**failures, LONGEST_BACKOFF))
-
-    def _follow(self, job: held.HeldJob) -> None:
-        """Read the rows of tasks of whose end we would not hear."""
-        now = self.clock.monotonic()
-        indices = [idx for idx, each in job.followed.items() if each.read_at <= now]
-        for first in range(0, len(indices), READ_ROWS):
-            part = indices[first : first + READ_ROWS]
-            requests = {job.request(idx).request_id: idx for idx in part}
-            keys = [work_messages.work_key(job.job.team, rid) for rid in requests]
-            found = self.records.work(keys)
-            if isinstance(found, result.Err):
-                return
-            for row in found.ok_value:
-                request_id = row.request.request_id
-                index = requests.pop(request_id)
-                if index in job.followed:
-                    job.followed[index] = job.followed[index].again(now)
-                self.settle(job, index, request_id, row.state)
-            for index in requests.values():
-                self._missing(job, index)
-
-    def _missing(self, job: held.HeldJob, index: int) -> None:
-        """Queue a task again that was offered but not claimed in time."""
-        if index not in job.followed:
-            return
-        self.counters.count("jobs.retry.offer_lost")
-        self._put_back(job, index, 0)
-
     def _progress(self, found: records.Found) -> messages.Progress:
         return messages.progress_of(found.row.job, found.state)
-
-
-def now_and(clock: clocks.Clock, seconds: float) -> float:
-    """Return the monotonic time in `seconds` from now."""
-    return clock.monotonic() + seconds
