Name and unify what stood twice

Cause: two modules called latency.py held different things; jobs had a COME_BACK for what work calls ASK_AGAIN; two errors of jobs were the same class twice; rebuilding a taken-over job was 30 lines with three things in one loop.

Ruled out: one constant for every Retry-After. The overloaded server, an undecided change and a quote without room wait for different things, and the first two go out as whole numbers.

Change: dispatch/answer_times.py holds the quantile of answers that hedges wait for; placement/latency.py, run times and interference, keeps its name while that slice is worked on. Jobs say outcomes.ASK_AGAIN. Malformed and TooLarge share Misfit. Takeover reads the last attempts first and then enters each task.

Measured: tests.run jobs, path and front pass; mypy and ruff are clean.

Conclusion: behaviour is as it was.

--- a/src/mangosail/dispatch/latency.py
+++ b/src/mangosail/dispatch/answer_times.py
@@ -12,7 +12,7 @@
 UNKNOWN_LATENCY = 0.1
 
 
-class Latencies:
+class AnswerTimes:
     """The learned 95th percentile for each kind of work, in seconds."""
 
     def __init__(self) -> None:
--- a/src/mangosail/front/batch.py
+++ b/src/mangosail/front/batch.py
@@ -89,7 +89,7 @@
         self.front.counters.count(f"front.refused.{refusal.title}")
         resp.status = refusal.status
         body: dict[str, str] = {"title": refusal.title, "outcome": refusal.outcome}
-        if isinstance(error, errors.Malformed | errors.TooLarge):
+        if isinstance(error, errors.Misfit):
             body["description"] = str(error)
         resp.text = codec.to_json(body)
         if isinstance(error, errors.StoreUnavailable | errors.Undecided):
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -8,7 +8,7 @@
 from mangosail import clock as clocks
 from mangosail import codec
 from mangosail.control import tails
-from mangosail.dispatch import budget, latency
+from mangosail.dispatch import answer_times, budget
 from mangosail.front import attempts, messages, methods
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
@@ -73,7 +73,7 @@
         self.clock = clock
         self.counters = counters
         self.attempts = attempts.Attempts(place, lease, clock, counters, seen)
-        self.latencies = latency.Latencies()
+        self.latencies = answer_times.AnswerTimes()
         self.retries = budget.Budget(RETRY_SHARE, RETRY_BURST)
         self.hedges = budget.Budget(HEDGE_SHARE, HEDGE_BURST)
 
--- a/src/mangosail/jobs/errors.py
+++ b/src/mangosail/jobs/errors.py
@@ -5,8 +5,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Malformed:
-    """A field of the declaration is not what it should be."""
+class Misfit:
+    """A field of the declaration, its value, and what was expected there."""
 
     field: str
     value: t.Any
@@ -17,15 +17,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TooLarge:
-    """One task needs more than the largest listed worker has; this is final."""
+class Malformed(Misfit):
+    """A field is not what it should be."""
 
-    field: str
-    value: t.Any
-    expected: str
 
-    def __str__(self) -> str:
-        return f"{self.field}: {self.value!r}: expected {self.expected}"
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooLarge(Misfit):
+    """One task needs more than the largest listed worker has; this is final."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -27,6 +27,7 @@
 from mangosail.platform import errors as platform_errors
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
+from mangosail.work import outcomes
 
 log = logbook.Logger("jobs")
 
@@ -133,10 +134,10 @@
             if isinstance(written, result.Ok):
                 return result.Ok(self._cancelled(written.ok_value))
             if isinstance(written.err_value, platform_errors.Unavailable):
-                return result.Err(errors.StoreUnavailable(records.COME_BACK))
+                return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
             # The holder wrote its progress in between, or the answer was lost.
             self.counters.count("jobs.retry.cancel_conflict")
-        return result.Err(errors.Undecided(records.COME_BACK))
+        return result.Err(errors.Undecided(outcomes.ASK_AGAIN))
 
     def _cancelled(self, found: records.Found) -> messages.Progress:
         self.counters.count("jobs.cancelled")
--- a/src/mangosail/jobs/records.py
+++ b/src/mangosail/jobs/records.py
@@ -9,9 +9,7 @@
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import table
 from mangosail.work import messages as work_messages
-
-#: Seconds after which a caller should come back when the table was no help.
-COME_BACK = 1.0
+from mangosail.work import outcomes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,11 +44,11 @@
         if isinstance(committed, result.Ok):
             return result.Ok(Found(row, state, committed.ok_value))
         if isinstance(committed.err_value, platform_errors.Unavailable):
-            return result.Err(errors.StoreUnavailable(COME_BACK))
+            return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
         found = self.find(job.team, job.job_id)
         if isinstance(found, result.Err):
             # Absent is no proof: the write may still be on its way.
-            return result.Err(errors.Undecided(COME_BACK))
+            return result.Err(errors.Undecided(outcomes.ASK_AGAIN))
         if found.ok_value.row.digest != row.digest:
             return result.Err(errors.Conflict(job.job_id))
         return found
@@ -60,7 +58,7 @@
         key = messages.job_key(team, job_id)
         read = self.rows.read([key])
         if isinstance(read, result.Err):
-            return result.Err(errors.StoreUnavailable(COME_BACK))
+            return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
         if key not in read.ok_value:
             return result.Err(errors.UnknownJob(job_id))
         row = codec.from_json(read.ok_value[key].value, messages.JobRow)
@@ -79,7 +77,7 @@
         prefix = messages.job_key(team, "")
         scanned = self.rows.scan(prefix, prefix + after if after else "", limit)
         if isinstance(scanned, result.Err):
-            return result.Err(errors.StoreUnavailable(COME_BACK))
+            return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
         rows = [codec.from_json(r.value, messages.JobRow) for r in scanned.ok_value]
         return self.states(rows)
 
@@ -92,7 +90,7 @@
         if keys:
             read = self.rows.read(keys)
             if isinstance(read, result.Err):
-                return result.Err(errors.StoreUnavailable(COME_BACK))
+                return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
             present = read.ok_value
         found: list[Found] = []
         for row in rows:
@@ -111,7 +109,7 @@
         """Return the rows of those pieces of work under `keys` that exist."""
         read = self.rows.read(keys)
         if isinstance(read, result.Err):
-            return result.Err(errors.StoreUnavailable(COME_BACK))
+            return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
         rows = read.ok_value.values()
         return result.Ok(
             [codec.from_json(row.value, work_messages.WorkRow) for row in rows]
--- a/src/mangosail/jobs/takeover.py
+++ b/src/mangosail/jobs/takeover.py
@@ -1,5 +1,7 @@
 """Taking over the jobs of holders that are gone."""
 
+import collections.abc as cabc
+
 import logbook
 import result
 
@@ -108,28 +110,41 @@
         found = table.scan_all(self.rows, prefix)
         if isinstance(found, result.Err):
             return False
-        last: dict[int, tuple[int, work_messages.WorkRow]] = {}
-        for each in found.ok_value:
-            row = codec.from_json(each.value, work_messages.WorkRow)
-            task = tally.task_of(job.job, row.request.request_id)
-            if task is None or row.request.job != job.job.job_id:
-                continue
-            index, attempt = task
-            if row.state is work_messages.State.FAILED:
-                job.failed_attempts[index] += 1
-            if index not in last or last[index][0] < attempt:
-                last[index] = (attempt, row)
-        for index, (attempt, row) in last.items():
+        rows = [
+            codec.from_json(row.value, work_messages.WorkRow) for row in found.ok_value
+        ]
+        for index, (attempt, row) in last_attempts(job, rows).items():
             job.tally.attempts[index] = attempt
-            job.tally.move(index, tally.Standing.RUNNING)
-            # Those with an end or an eviction are settled at the next reading.
-            job.follow(index, self.clock.monotonic())
-            if row.state is work_messages.State.COMPLETED:
-                job.followed.pop(index)
-                job.tally.move(index, tally.Standing.COMPLETED)
-            elif row.state is work_messages.State.FAILED:
-                # Counted again when it is settled.
-                job.failed_attempts[index] -= 1
+            self._enter(job, index, row.state)
         if job.state is not messages.State.RUNNING:
             job.tally.cancel_waiting()
         return True
+
+    def _enter(self, job: held.HeldJob, index: int, state: work_messages.State) -> None:
+        """Enter a task whose last attempt is in `state`."""
+        job.tally.move(index, tally.Standing.RUNNING)
+        if state is work_messages.State.COMPLETED:
+            job.tally.move(index, tally.Standing.COMPLETED)
+            return
+        # Those with an end or an eviction are settled at the next reading.
+        job.follow(index, self.clock.monotonic())
+        if state is work_messages.State.FAILED:
+            # Counted again when it is settled.
+            job.failed_attempts[index] -= 1
+
+
+def last_attempts(
+    job: held.HeldJob, rows: cabc.Iterable[work_messages.WorkRow]
+) -> dict[int, tuple[int, work_messages.WorkRow]]:
+    """Return the last attempt of each task and its row; count those that failed."""
+    last: dict[int, tuple[int, work_messages.WorkRow]] = {}
+    for row in rows:
+        task = tally.task_of(job.job, row.request.request_id)
+        if task is None or row.request.job != job.job.job_id:
+            continue
+        index, attempt = task
+        if row.state is work_messages.State.FAILED:
+            job.failed_attempts[index] += 1
+        if index not in last or last[index][0] < attempt:
+            last[index] = (attempt, row)
+    return last
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -5,7 +5,8 @@
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.work import messages
 
-#: Seconds after which a caller should ask again for an outcome.
+#: Seconds after which a caller should ask again: for an outcome that is not known
+#: yet, or for anything while the table is no help.
 ASK_AGAIN = 1.0
 
 #: What each final state is told as.
