Work: a worker that forgot a release proves nothing about it

Cause: a worker's process that was killed comes back without its memory. A release whose start had been answered stayed claimed for good: nobody asked about it.

Ruled out: to trust the time since the claim (a restart takes no known time), and to drop the void (a delayed start could still reach the new process).

The claim records the boot that was known before the start.

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -349,6 +349,7 @@
             return
         owned.reachable = True
         owned.usage = snapshot.usage
+        owned.boot = snapshot.boot
         owned.leaving = owned.leaving or snapshot.leaving
         if not owned.ready:
             owned.ledger.rebuild(takeover.running(snapshot), owned.generation)
