Show all jobs, end with a cancelled job, and show what is withheld

Cause: `jobs` printed the first page (50) only. The status table left out what is withheld on a worker for its earlier owners.

Change: `jobs` asks page by page, `submit job` ends by the job's state and with status 1 unless that is completed, and the table has a column for what is withheld. Queued tasks, the settings' age and the lease were in the table.

Tests: 60 jobs are all listed; a cancelled job ends the command; the column and a worker's line.

--- a/src/mangosail/cli/status.py
+++ b/src/mangosail/cli/status.py
@@ -10,6 +10,9 @@
 from mangosail.cli import client as clients
 from mangosail.cli import work
 
+#: What is withheld on a worker that says nothing of it.
+NOTHING = resources.Resources()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerStatus:
@@ -20,6 +23,8 @@
     used: resources.Resources
     capacity: resources.Resources
     health: str
+    #: What an earlier owner may still have running there, by its lease.
+    withheld: resources.Resources = NOTHING
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +91,11 @@
         f"{'running':>9}{'settings':>10}{'lease':>8}"
     ]
     lines += [instance_line(found) for found in instances]
-    lines += ["", f"{'worker':24}{'owner':24}{'health':10}{'slots':>8}{'cpus':>12}"]
+    lines += [
+        "",
+        f"{'worker':24}{'owner':24}{'health':10}{'slots':>8}{'cpus':>12}"
+        f"{'withheld':>24}",
+    ]
     for found in instances:
         lines += [worker_line(found, owned) for owned in found.workers]
     return lines
@@ -117,4 +126,16 @@
     """Return a worker's line."""
     slots = f"{owned.used.slots}/{owned.capacity.slots}"
     cpus = f"{owned.used.cpus:.1f}/{owned.capacity.cpus:.1f}"
-    return f"{owned.name:24}{found.instance:24}{owned.health:10}{slots:>8}{cpus:>12}"
+    return (
+        f"{owned.name:24}{found.instance:24}{owned.health:10}{slots:>8}{cpus:>12}"
+        f"{withheld_text(owned.withheld):>24}"
+    )
+
+
+def withheld_text(withheld: resources.Resources) -> str:
+    """Return what earlier owners may still use of a worker."""
+    if withheld == NOTHING:
+        return "-"
+    return (
+        f"{withheld.slots} slots, {withheld.cpus:.1f} cpus, {withheld.memory_gb:.0f} GB"
+    )
--- a/src/mangosail/cli/work.py
+++ b/src/mangosail/cli/work.py
@@ -1,5 +1,6 @@
 """``submit``, ``cancel`` and ``jobs``: work, from the command line."""
 
+import collections.abc as cabc
 import dataclasses
 import pathlib
 import secrets
@@ -16,6 +17,8 @@
 
 #: Seconds between two questions how far a job has come.
 POLL_INTERVAL = 0.5
+#: States of a job in which it may still change.
+OPEN_STATES = ("running", "cancelling")
 #: Seconds to wait after a broken connection before the request is sent again.
 RECONNECT_DELAY = 1.0
 
@@ -86,11 +89,21 @@
 ) -> None:
     """Print how far the team's jobs have come, one line of JSON for each."""
     client = clients.connect(server, token_file)
-    path = f"/v1/jobs/{quote(job_id)}" if job_id else "/v1/jobs"
-    answer = clients.ask(client, "GET", path)
-    found = answer.get("jobs", [answer]) if isinstance(answer, dict) else answer
-    for job in found:
+    if job_id:
+        job = clients.ask(client, "GET", f"/v1/jobs/{quote(job_id)}")
         typer.echo(codec.to_json(job))
+        return
+    for job in all_jobs(client):
+        typer.echo(codec.to_json(job))
+
+
+def all_jobs(client: clients.Client) -> cabc.Iterator[dict[str, t.Any]]:
+    """Yield the team's jobs by id, asking for one page after the other."""
+    after: str | None = ""
+    while after is not None:
+        page = clients.ask(client, "GET", f"/v1/jobs?after={quote(after)}")
+        yield from page["jobs"]
+        after = page["after"]
 
 
 def read_body(source: str) -> bytes:
@@ -159,11 +172,11 @@
 
 
 def follow_job(client: clients.Client, body: bytes, deadline: float) -> None:
-    """Submit a job and show its progress until all tasks have ended."""
+    """Submit a job and show its progress until it has ended, in whatever state."""
     progress = clients.ask(client, "POST", "/v1/jobs", body)
     path = f"/v1/jobs/{quote(progress['job_id'])}"
     shown = ""
-    while progress["completed"] + progress["failed"] < progress["tasks"]:
+    while progress["state"] in OPEN_STATES:
         line = progress_line(progress)
         if line != shown:
             typer.echo(line, err=True)
@@ -173,8 +186,8 @@
         time.sleep(POLL_INTERVAL)
         progress = clients.ask(client, "GET", path)
     typer.echo(codec.to_json(progress))
-    if progress["failed"]:
-        exits.leave(exits.FAILED, f"{progress['failed']} tasks failed")
+    if progress["state"] != "completed":
+        exits.leave(exits.FAILED, ending_line(progress))
 
 
 def progress_line(progress: dict[str, t.Any]) -> str:
@@ -186,6 +199,12 @@
     )
 
 
+def ending_line(progress: dict[str, t.Any]) -> str:
+    """Return one line that tells how a job ended that did not complete."""
+    line = f"the job ended: {progress['state']}: {progress['failed']} tasks failed"
+    return f"{line}: {progress['reason']}" if progress["reason"] else line
+
+
 def target_path(target: str) -> str:
     """Return the part of a path that SERVICE/OPERATION stands for."""
     service, slash, operation = target.partition("/")
--- a/tests/cli/cli.feature
+++ b/tests/cli/cli.feature
@@ -31,6 +31,7 @@
     Then it ends with status 0
     And it prints "shymkent-0" and "taraz-0"
     And it prints "shymkent-w0" and "taraz-w1"
+    And it prints "queued" and "withheld"
     When "status --data-centre taraz --json" is run
     Then the JSON lists only "taraz-0" with worker "taraz-w1" "taking" work
 
@@ -76,6 +77,23 @@
     When "jobs c-j" is run
     Then it prints ""completed":3" and "c-j"
 
+  Scenario: All jobs are listed, also those past the first page
+    Given 60 jobs were submitted
+    When "jobs" is run
+    Then it ends with status 0
+    And it prints ""c-p00"" and ""c-p59""
+
+  Scenario: A job that is cancelled ends the command that follows it
+    The tasks of a cancelled job are neither completed nor failed. A command that
+    adds up these two waits for a sum that never comes, until its time is over.
+    Given the job "c-k" will be cancelled when it runs
+    When "submit job --wait 30" is run with the input '{"job_id": "c-k", "kind": "k", "tasks": 3, "needs": {"cpus": 1, "slots": 1}, "body": {"work_seconds": 50}}'
+    Then it ends with status 1
+    And it complains of "the job ended: cancelled"
+
+  Scenario: The status tells what is withheld for an earlier owner of a worker
+    Then the line of a worker with 2 slots and 3 cores withheld tells so
+
   Scenario: Work is cancelled under its id, and never runs from then on
     When "cancel c-9" is run
     Then it ends with status 0
--- a/tests/cli/steps/cli_steps.py
+++ b/tests/cli/steps/cli_steps.py
@@ -4,9 +4,13 @@
 import subprocess
 import sys
 import tempfile
+import threading
 
 from behave import given, then, when
-from tests.support import relay, stage
+from tests.support import relay, stage, teams
+
+from mangosail import resources
+from mangosail.cli import status as status_command
 
 
 def run(context, arguments, text="", command=None):
@@ -63,6 +67,32 @@
     context.variables["MANGOSAIL_SERVER"] = cutting.address
 
 
+def call(context, method, path, body=None):
+    bearer = teams.bearer("fuel-desk-token")
+    return context.stage.call("shymkent-0", method, path, body, bearer)
+
+
+@given("{count:d} jobs were submitted")
+def submit_jobs(context, count):
+    needs = {"cpus": 1, "slots": 1}
+    for number in range(count):
+        job = {"job_id": f"c-p{number:02}", "kind": "k", "tasks": 1, "needs": needs}
+        assert call(context, "POST", "/v1/jobs", job).status == 201
+
+
+@given('the job "{job_id}" will be cancelled when it runs')
+def cancel_later(context, job_id):
+    path = f"/v1/jobs/{job_id}"
+
+    def cancel():
+        stage.wait_until(lambda: call(context, "GET", path).json().get("running"))
+        assert call(context, "DELETE", path).status == 202
+
+    thread = threading.Thread(target=cancel)
+    thread.start()
+    context.add_cleanup(thread.join)
+
+
 @when('"{arguments}" is run')
 def run_plain(context, arguments):
     run(context, arguments)
@@ -145,6 +175,18 @@
     assert numbers == list(range(first, last + 1)), context.done
 
 
+@then("the line of a worker with {slots:d} slots and {cpus:d} cores withheld tells so")
+def withheld_told(context, slots, cpus):
+    capacity = resources.Resources(cpus=32, slots=8)
+    withheld = resources.Resources(cpus=cpus, slots=slots)
+    worker = status_command.WorkerStatus(
+        "w0", 1, status_command.NOTHING, capacity, "taking", withheld
+    )
+    found = status_command.InstanceStatus("a-0", "a")
+    line = status_command.worker_line(found, worker)
+    assert f"{slots} slots, {cpus}.0 cpus" in line, line
+
+
 @then('the process of "{name}" ends within {seconds:d} seconds')
 def process_ends(context, name, seconds):
     process = context.stage.processes[name]
