Keep one clock, one table and one count of starts for the tests

Cause: three clocks and two tables in memory stood in tests/support/fakes.py, tests/support/placing.py, tests/settings/fakes.py and tests/ownership; the steps that count starts and wait for lapsed leases were written twice.

Ruled out: one fake table for all; the settings' faults follow a script and the work's follow a world, so that only their rows and transactions are the same.

Change: tests/support/memory.py holds clock and rows. No scenario and no assertion changed.

--- a/tests/ownership/steps/ownership_steps.py
+++ b/tests/ownership/steps/ownership_steps.py
@@ -247,34 +247,26 @@
     context.stage.faults(cut=[])
 
 
+def wait_for_lapse(context):
+    def lapsed():
+        names = context.stage.instances
+        return not any(status(context, name)["lease_holds"] for name in names)
+
+    stage.wait_until(lapsed, 10, "every lease lapsed")
+
+
 @when("the table is down until every lease has lapsed")
 def table_down(context):
     context.before = owners(context)
     context.stage.faults(table="down")
-    stage.wait_until(
-        lambda: (
-            not any(
-                status(context, name)["lease_holds"] for name in context.stage.instances
-            )
-        ),
-        10,
-        "every lease lapsed",
-    )
+    wait_for_lapse(context)
 
 
 @when("every instance is cut from the platform until every lease has lapsed")
 def all_cut(context):
     context.before = owners(context)
     context.stage.faults(cut=list(context.stage.instances))
-    stage.wait_until(
-        lambda: (
-            not any(
-                status(context, name)["lease_holds"] for name in context.stage.instances
-            )
-        ),
-        10,
-        "every lease lapsed",
-    )
+    wait_for_lapse(context)
 
 
 @then("quotes are answered at every instance")
--- a/tests/ownership/steps/table_steps.py
+++ b/tests/ownership/steps/table_steps.py
@@ -1,7 +1,7 @@
 import json
 
 from behave import given, then, when
-from tests.support import fakes
+from tests.support import fakes, memory
 
 from mangosail import resources
 from mangosail.dispatch import messages as dispatch_messages
@@ -15,19 +15,6 @@
 )
 
 
-class ManualClock:
-    def __init__(self):
-        self.now = 100.0
-
-    def monotonic(self):
-        return self.now
-
-    wall = monotonic
-
-    def sleep(self, seconds):
-        self.now += seconds
-
-
 class Party:
     """One instance: its owners and lease over a shared table."""
 
@@ -72,7 +59,7 @@
 def two(context):
     context.world = fakes.World()
     context.rows = fakes.Table(context.world)
-    context.clock = ManualClock()
+    context.clock = memory.Clock(100.0)
     context.a = Party("a", context.rows, context.clock)
     context.b = Party("b", context.rows, context.clock)
 
--- a/tests/path/steps/path_steps.py
+++ b/tests/path/steps/path_steps.py
@@ -67,11 +67,7 @@
 
 @then('the workers\' logs show one start of "{request_id}"')
 def one_start(context, request_id):
-    starts = [
-        entry
-        for entry in context.stage.execution_log()
-        if entry["event"] == "start" and entry["task_id"] == f"fuel-desk/{request_id}"
-    ]
+    starts = context.stage.starts_of(f"fuel-desk/{request_id}")
     assert len(starts) == 1, starts
 
 
--- a/tests/settings/fakes.py
+++ b/tests/settings/fakes.py
@@ -1,32 +1,18 @@
-"""A table in memory whose calls fail as a script says, and a clock."""
+"""A table in memory whose calls fail as a script says."""
 
 import result
+from tests.support import memory
 
-from mangosail.platform import errors, table
+from mangosail.platform import errors
 
 OK, DOWN, LOST, LATE = "ok", "down", "lost", "late"
 
 
-class Clock:
-    def __init__(self):
-        self.now = 1000.0
-
-    def monotonic(self):
-        self.now += 0.01
-        return self.now
-
-    wall = monotonic
-
-    def sleep(self, seconds):
-        self.now += seconds
-
-
 class Table:
     """`script` holds what the next calls meet; after it all is well."""
 
     def __init__(self):
-        self.rows = {}
-        self.sequence = 0
+        self.rows = memory.Rows()
         self.script = []
         self.late = []
         self.rows_read = 0
@@ -39,14 +25,14 @@
         if self.meets() == DOWN:
             return result.Err(errors.Unavailable("down"))
         self.rows_read += len(keys)
-        return result.Ok({k: self.rows[k] for k in keys if k in self.rows})
+        return result.Ok(self.rows.find(keys))
 
     def scan(self, prefix, after="", limit=1000):
         if self.meets() == DOWN:
             return result.Err(errors.Unavailable("down"))
-        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
-        self.rows_read += len(keys[:limit])
-        return result.Ok([self.rows[k] for k in keys[:limit]])
+        found = self.rows.page(prefix, after, limit)
+        self.rows_read += len(found)
+        return result.Ok(found)
 
     def commit(self, transaction):
         met = self.meets()
@@ -59,14 +45,12 @@
         return result.Err(errors.Uncertain("lost")) if met == LOST else done
 
     def take_effect(self, transaction):
-        for check in transaction.checks:
-            row = self.rows.get(check.key)
-            if (row.version if row else 0) != check.version:
-                return result.Err(errors.Conflict(check.key))
-        self.sequence += 1
-        for write in transaction.writes:
-            self.rows.pop(write.key, None)
-            if write.value is not None:
-                self.rows[write.key] = table.Row(write.key, write.value, self.sequence)
-            self.written.append((write.key, write.value))
-        return result.Ok(self.sequence)
+        done = self.rows.apply(transaction)
+        if isinstance(done, result.Ok):
+            self.written += [(write.key, write.value) for write in transaction.writes]
+        return done
+
+    def put_back(self, rows):
+        """Hold `rows` again, as after a restored backup; versions go on rising."""
+        self.rows.clear()
+        self.rows.update(rows)
--- a/tests/settings/machine.py
+++ b/tests/settings/machine.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 from tests.settings import fakes
+from tests.support import memory
 
 from mangosail import codec
 from mangosail.settings import changes, errors, messages, state
@@ -35,7 +36,7 @@
 
     def __init__(self):
         super().__init__()
-        self.clock = fakes.Clock()
+        self.clock = memory.Clock(tick=0.01)
         self.table = fakes.Table()
         self.states = [self.new_state() for _ in range(3)]
         self.seen = collections.Counter()  # (instance, team) -> sequence
--- a/tests/settings/steps/machine_steps.py
+++ b/tests/settings/steps/machine_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from hypothesis import stateful
 from tests.settings import fakes, machine
-from tests.support import teams
+from tests.support import memory, teams
 
 from mangosail import codec
 from mangosail.platform import table as tables
@@ -15,16 +15,16 @@
 
 def new_state(context):
     return state.Settings(
-        context.store, fakes.Clock(), counters.StatsdCounters(None, 0), seed=1
+        context.store, memory.Clock(tick=0.01), counters.StatsdCounters(None, 0), seed=1
     )
 
 
 def change(context, team, content):
     found = state.read_teams(context.store, [team]).ok_value.get(team)
     asked = messages.Change(
-        f"c{context.store.sequence}", found.revision if found else 0, content
+        f"c{context.store.rows.version}", found.revision if found else 0, content
     )
-    clock, in_force = fakes.Clock(), new_state(context)
+    clock, in_force = memory.Clock(tick=0.01), new_state(context)
     made = changes.Changes(context.store, in_force, clock, in_force.counters)
     made.change(team, asked, "test").unwrap()
 
@@ -130,7 +130,7 @@
 
 def try_change(context, in_force, revision, cores):
     asked = messages.Change(f"t{cores}", revision, {"quota": {"cpus": cores}})
-    clock = fakes.Clock()
+    clock = memory.Clock(tick=0.01)
     made = changes.Changes(context.store, in_force, clock, in_force.counters)
     return made.change("team-0", asked, "test")
 
@@ -139,7 +139,7 @@
 def put_back_and_change(context):
     backup = dict(context.store.rows)
     try_change(context, context.held, 1, 50.0).unwrap()
-    context.store.rows = backup
+    context.store.put_back(backup)
     context.answer = try_change(context, context.held, 1, 60.0)
 
 
@@ -177,7 +177,7 @@
 def put_back_and_look(context, count):
     backup = dict(context.store.rows)
     try_change(context, context.held, 1, 50.0).unwrap()
-    context.store.rows = backup
+    context.store.put_back(backup)
     look_and_learn(context, count)
 
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -13,9 +13,10 @@
 from mangosail.dispatch import messages as dispatch
 from mangosail.ownership import messages as ownership
 from mangosail.placement import choice, placer, workers
-from mangosail.platform import errors, inventory, table
+from mangosail.platform import errors, inventory
 from mangosail.telemetry import counters
 from mangosail.work import claims, messages, runner
+from tests.support import memory
 
 NEEDS = resources.Resources(cpus=1, slots=1)
 CAPACITY = resources.Resources(cpus=8, memory_gb=8, slots=8, connections=64)
@@ -25,19 +26,6 @@
     """The instance dies here."""
 
 
-class Clock:
-    def __init__(self):
-        self.now = 1000.0
-
-    def monotonic(self):
-        return self.now
-
-    wall = monotonic
-
-    def sleep(self, seconds):
-        self.now += seconds
-
-
 class Lease:
     def __init__(self, name, incarnation):
         self.row = ownership.SessionRow(name, incarnation, "dc", "", 0.0)
@@ -52,9 +40,8 @@
 
 class World:
     def __init__(self):
-        self.clock = Clock()
-        self.rows = {}  # key -> Row
-        self.version = 0
+        self.clock = memory.Clock()
+        self.rows = memory.Rows()
         self.objects = {}
         self.workers = {}
         self.late = []  # effects still on their way: functions
@@ -87,38 +74,25 @@
     def read(self, keys):
         if self.world.table_fault == "down":
             return result.Err(errors.Unavailable("down"))
-        found = {k: self.world.rows[k] for k in keys if k in self.world.rows}
-        return result.Ok(found)
+        return result.Ok(self.world.rows.find(keys))
 
     def scan(self, prefix, after="", limit=1000):
-        keys = sorted(k for k in self.world.rows if k.startswith(prefix) and k > after)
-        return self.read(keys[:limit]).map(lambda found: list(found.values()))
+        if self.world.table_fault == "down":
+            return result.Err(errors.Unavailable("down"))
+        return result.Ok(self.world.rows.page(prefix, after, limit))
 
     def commit(self, transaction):
         fault, self.world.table_fault = self.world.table_fault, ""
         if fault == "down":
             return result.Err(errors.Unavailable("down"))
         if fault == "late":
-            self.world.late.append(lambda: self.apply(transaction))
+            self.world.late.append(lambda: self.world.rows.apply(transaction))
             return result.Err(errors.Uncertain("late"))
-        done = self.world.step(lambda: self.apply(transaction))
+        done = self.world.step(lambda: self.world.rows.apply(transaction))
         if fault == "paused":
             self.world.on_pause()
         return result.Err(errors.Uncertain("lost")) if fault == "lost" else done
 
-    def apply(self, transaction):
-        for check in transaction.checks:
-            present = self.world.rows.get(check.key)
-            if (present.version if present else 0) != check.version:
-                return result.Err(errors.Conflict(check.key))
-        self.world.version += 1
-        for write in transaction.writes:
-            self.world.rows.pop(write.key, None)
-            if write.value is not None:
-                row = table.Row(write.key, write.value, self.world.version)
-                self.world.rows[write.key] = row
-        return result.Ok(self.world.version)
-
 
 class Objects:
     def __init__(self, world):
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -6,31 +6,17 @@
 from mangosail.placement import choice, messages, placer, workers
 from mangosail.platform import inventory
 from mangosail.telemetry import counters
+from tests.support import memory
 
 CAPACITY = resources.Resources(32, 125, 2, 8, 64)
 NEEDS = resources.Resources(2, 2, 0, 1, 1)
 
 
-class Clock:
-    """A clock that moves when a test says so."""
-
-    def __init__(self):
-        self.now = 1000.0
-
-    def monotonic(self):
-        return self.now
-
-    wall = monotonic
-
-    def sleep(self, seconds):
-        self.now += seconds
-
-
 class Placing:
     """A placer and the workers that it places on."""
 
     def __init__(self, *names, policy=choice.Policy.LEARNED):
-        self.clock = Clock()
+        self.clock = memory.Clock()
         self.workers = workers.Workers()
         self.counters = counters.StatsdCounters(None, 0)
         self.numbers = itertools.count()
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -231,6 +231,14 @@
             entries += call(address, "GET", "/log").json()["log"]
         return sorted(entries, key=lambda entry: entry["at"])
 
+    def starts_of(self, task_id):
+        """Return each start of a task that the workers' logs show."""
+        return [
+            entry
+            for entry in self.execution_log()
+            if entry["event"] == "start" and entry["task_id"] == task_id
+        ]
+
     def signal(self, name, number):
         self.processes[name].send_signal(number)
 
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -170,7 +170,7 @@
     context.world, context.worker, instance = stage_for_crash(None, False)
     for number in range(count):
         instance.submit(f"t{number}")
-    context.written = context.world.version
+    context.written = context.world.rows.version
     owned = instance.owned.get("w0")
     context.world.clock.now += 200
     instance.runner.leases.renew(owned)
@@ -181,7 +181,7 @@
 
 @then("one row was written, and the worker's lease ends {margin:g} s before the row's")
 def lease_margin(context, margin):
-    assert context.world.version == context.written + 1
+    assert context.world.rows.version == context.written + 1
     row = json.loads(context.world.rows["tasklease/w0"].value)
     assert row["lease_deadline"] == 1200 + 600
     assert context.worker.lease_deadline == row["lease_deadline"] - margin
