Keep the killed instance's write from reaching the table after all

Change: the stand-in looks whether it is down after it was slow, and the scenario takes it down before the kill.

--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -5,6 +5,7 @@
 from behave import then, when
 from tests.support import stage, teams
 
+SLOW_SECONDS = 0.4
 HEADERS = teams.bearer("fuel-desk-token")
 
 
@@ -191,7 +192,7 @@
 )
 def evict_slowly(context, count, job_id, urgent):
     stage.wait_until(lambda: len(entries(context, job_id, "start")) >= count, 20)
-    context.stage.faults(table="slow", slow_seconds=0.4)
+    context.stage.faults(table="slow", slow_seconds=SLOW_SECONDS)
     submit_urgent(context, count, job_id, urgent)
 
 
@@ -199,7 +200,10 @@
 def kill_between(context):
     stored = stage.wait_until(lambda: entries(context, "bulk", "checkpoint"), 20)
     task_id = stored[0][1]["task_id"]
+    context.stage.faults(table="down")
     context.stage.kill(row_of(context, task_id)["holder"])
+    # What the instance had sent to the slow table is refused by then.
+    time.sleep(2 * SLOW_SECONDS)
     row = row_of(context, task_id)
     assert (row["state"], row["checkpoint"]) == ("claimed", ""), row
     context.stage.faults(table="up")
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -53,10 +53,10 @@
         if self.is_cut(req):
             gevent.sleep(5)
             raise falcon.HTTPServiceUnavailable()
-        if self.faults["table"] == "down":
-            raise falcon.HTTPServiceUnavailable()
         if self.faults["table"] == "slow":
             gevent.sleep(self.faults["slow_seconds"])
+        if self.faults["table"] == "down":
+            raise falcon.HTTPServiceUnavailable()
 
     def is_cut(self, req):
         return req.get_header("X-Instance") in self.faults["cut"]
