Move a release whose start certainly never happens to another worker

Cause: a release whose worker refused the connection, or made its start void, ended not_run for good although other workers had room and its caller waited. Weighed: an evicted row, claimed anew by the next request; but an instance that dies between leaves a row that nobody ends, and a caller who only asks waits for ever. So one write moves the row to the next generation and worker. It is done only where the order was never sent or the worker has made the generation void, within the caller's deadline, each worker once; after an adoption it ends not_run. Conclusion: works with fakes; not tried between processes.

--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -13,7 +13,7 @@
 from mangosail.placement import workers as placed
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
-from mangosail.work import runner
+from mangosail.work import placing
 
 log = logbook.Logger("jobs")
 
@@ -66,7 +66,7 @@
         """Tell whether a batch task can be started here now."""
         if self.reservation and not self._stands(self.reservation, urgent=False):
             self.release()
-        wanted = runner.work_of(request)
+        wanted = placing.work_of(request)
         if self.placer.obstacle(wanted) is not None:
             return False
         fitting = self.placer.candidates(wanted)
--- a/src/mangosail/work/claims.py
+++ b/src/mangosail/work/claims.py
@@ -80,10 +80,12 @@
         return self.read_keys(keys)
 
     def write(
-        self, row: messages.WorkRow, version: int
+        self, row: messages.WorkRow, version: int, moved_from: str = ""
     ) -> result.Result[Held, platform_errors.CommitError]:
         """Write the stamped `row` if the present version is `version`.
 
+        A row that was with the worker `moved_from` is no longer listed there.
+
         The same row may be written again when the result was `Uncertain`: once
         it stands, its stamp tells so, and it can't stand twice.
         """
@@ -94,6 +96,9 @@
         writes = [table.Write(key, codec.to_json(row))]
         if row.worker:
             writes.append(table.Write(placed, "{}" if bound else None))
+        if moved_from not in ("", row.worker):
+            left = messages.placed_key(moved_from, request.team, request.request_id)
+            writes.append(table.Write(left, None))
         transaction = table.Transaction((table.Check(key, version),), tuple(writes))
         committed = self.rows.commit(transaction)
         if isinstance(committed, result.Ok):
--- a/src/mangosail/work/ends.py
+++ b/src/mangosail/work/ends.py
@@ -1,5 +1,7 @@
 """Moving a task's row on: its end, or its way back among the waiting."""
 
+import collections.abc as cabc
+
 import result
 
 from mangosail.dispatch import messages as dispatch_messages
@@ -12,6 +14,8 @@
 
     def __init__(self, ctx: context.Context) -> None:
         self.ctx = ctx
+        #: Told of a task whose row now names its next worker.
+        self.on_moved: cabc.Callable[[registry.Task], None] | None = None
 
     def take_in(self, task: registry.Task, report: dispatch_messages.Report) -> None:
         """Record what the worker said of `task`, if it is an end."""
@@ -42,12 +46,16 @@
         """Write the row that waits for the table."""
         if task.pending is None:
             return
-        written = self.ctx.claims.write(task.pending, task.held.version)
+        written = self.ctx.claims.write(
+            task.pending, task.held.version, task.row.worker
+        )
         if isinstance(written, result.Ok):
             task.pending = None
             task.held = written.ok_value
             if task.row.state is not messages.State.CLAIMED:
                 self._leave(task)
+            elif self.on_moved is not None:
+                self.on_moved(task)
             return
         if isinstance(written.err_value, platform_errors.Conflict):
             self.forget(task)
--- /dev/null
+++ b/src/mangosail/work/placing.py
@@ -0,0 +1,17 @@
+"""Durable work as placement sees it."""
+
+from mangosail.placement import messages as placement_messages
+from mangosail.work import messages
+
+
+def work_of(request: messages.Request) -> placement_messages.Work:
+    """Return the request as placement sees it."""
+    batch, task = placement_messages.WorkClass.BATCH, placement_messages.WorkClass.TASK
+    return placement_messages.Work(
+        messages.task_id_of(request),
+        request.team,
+        request.kind,
+        request.needs,
+        batch if request.job else task,
+        request.job,
+    )
--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -18,9 +18,17 @@
 class Task:
     """A claimed piece of work, and where it stands."""
 
-    def __init__(self, held: claims.Held, owned: workers.OwnedWorker) -> None:
+    def __init__(
+        self, held: claims.Held, owned: workers.OwnedWorker, deadline: float = 0.0
+    ) -> None:
         self.held = held
         self.owned = owned
+        #: Monotonic time until which its caller waits here; 0 for nobody.
+        self.deadline = deadline
+        #: Where the pending row, if it is a move, brings the task.
+        self.next_owned: workers.OwnedWorker | None = None
+        #: Workers on which it certainly never started.
+        self.avoided: frozenset[str] = frozenset()
         #: Held by whoever sends the worker an order for this task or writes
         #: its row: start, end, eviction and cancellation come one at a time.
         self.lock = gevent.lock.RLock()
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -14,7 +14,6 @@
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.ownership import session
 from mangosail.placement import errors as placement_errors
-from mangosail.placement import messages as placement_messages
 from mangosail.placement import placer, workers
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import objects, table
@@ -30,7 +29,9 @@
     forwarding,
     leases,
     messages,
+    moves,
     outcomes,
+    placing,
     registry,
     starts,
     waiting,
@@ -98,7 +99,7 @@
         self.ctx.on_end.append(self._give_back)
         self.leases = leases.Leases(self.ctx)
         self.ends = ends.Ends(self.ctx)
-        self.starts = starts.Starts(self.ctx, self.ends)
+        self.starts = starts.Starts(self.ctx, self.ends, moves.Moves(self.ctx, place))
         self.adoption = adoption.Adoption(self.ctx, self.starts, self.ends, self.leases)
         self.waiting = waiting.Waiting(self.ctx, self.adoption)
         self.evictions = evictions.Evictions(self.ctx, self.starts, self.ends)
@@ -132,7 +133,7 @@
 
     def has_room(self, request: messages.Request) -> bool:
         """Tell whether `request` would be placed, or refused for good, now."""
-        return self.placer.obstacle(work_of(request)) is None
+        return self.placer.obstacle(placing.work_of(request)) is None
 
     def evict(
         self, task_id: str, reason: str
@@ -231,7 +232,7 @@
         with self.ctx.registry.claim(task_id):
             if not self.ctx.lease.valid():
                 return self._refuse_for_room(request, held)
-            placed = self.placer.place(work_of(request))
+            placed = self.placer.place(placing.work_of(request))
             if isinstance(placed, result.Err):
                 return self._refuse_for_room(request, held, placed.err_value)
             owned = placed.ok_value.owned
@@ -245,7 +246,7 @@
                 self.ctx.counters.count("work.retry.claim_uncertain")
                 written = self.ctx.claims.write(row, version)
             if isinstance(written, result.Ok):
-                task = registry.Task(written.ok_value, owned)
+                task = registry.Task(written.ok_value, owned, deadline)
                 self.ctx.registry.add(task)
         if isinstance(written, result.Err):
             self.placer.withdraw(task_id)
@@ -344,7 +345,7 @@
         self, request: messages.Request, deadline: float, forward: bool
     ) -> Submitted:
         """Look for an earlier outcome, then for a peer, then refuse."""
-        refused = self.placer.obstacle(work_of(request)) or NO_ROOM
+        refused = self.placer.obstacle(placing.work_of(request)) or NO_ROOM
         found = self.waiting.read(request.team, request.request_id)
         if isinstance(found, result.Err):
             return result.Err(errors.StoreUnavailable(outcomes.ASK_AGAIN))
@@ -397,19 +398,6 @@
         return messages.WorkAnswer(refused=False)
 
 
-def work_of(request: messages.Request) -> placement_messages.Work:
-    """Return the request as placement sees it."""
-    batch, task = placement_messages.WorkClass.BATCH, placement_messages.WorkClass.TASK
-    return placement_messages.Work(
-        messages.task_id_of(request),
-        request.team,
-        request.kind,
-        request.needs,
-        batch if request.job else task,
-        request.job,
-    )
-
-
 def reason_of(error: platform_errors.Unavailable) -> str:
     """Return the reason a caller is told for a table that took nothing."""
     busy = error.reason == "store_busy"
--- a/src/mangosail/work/starts.py
+++ b/src/mangosail/work/starts.py
@@ -6,7 +6,7 @@
 from mangosail import clock as clocks
 from mangosail.dispatch import errors as dispatch_errors
 from mangosail.dispatch import messages as dispatch_messages
-from mangosail.work import context, ends, outcomes, registry
+from mangosail.work import context, ends, moves, outcomes, registry
 
 log = logbook.Logger("work")
 
@@ -17,9 +17,11 @@
 class Starts:
     """Sends each start once."""
 
-    def __init__(self, ctx: context.Context, end: ends.Ends) -> None:
+    def __init__(self, ctx: context.Context, end: ends.Ends, move: moves.Moves) -> None:
         self.ctx = ctx
         self.ends = end
+        self.moves = move
+        end.on_moved = self._moved
 
     def start(self, task: registry.Task) -> None:
         """Start `task`, which is in hand."""
@@ -55,7 +57,11 @@
         if isinstance(voided, result.Err):
             self.ctx.counters.count("work.retry.void_in_doubt")
             return
-        self.ends.take_in(task, voided.ok_value)
+        report = voided.ok_value
+        if report.state is dispatch_messages.TaskState.VOID and task.concerns(report):
+            self._never_started(task, report.reason or "void")
+            return
+        self.ends.take_in(task, report)
 
     def order_deadline(self) -> float:
         """Return when an order sent now counts as lost."""
@@ -84,12 +90,24 @@
         error = answer.err_value
         self.ctx.counters.count(f"work.start_failed.{type(error).__name__.lower()}")
         if isinstance(error, dispatch_errors.NotSent):
-            task.in_doubt = False
-            self.ends.move(task, outcomes.never_ran(row, error.reason))
+            self._never_started(task, error.reason)
             return
         log.warning("start in doubt", task=task.task_id, why=error.reason)
         self.clear_up(task)
 
+    def _never_started(self, task: registry.Task, reason: str) -> None:
+        """Move a task that certainly never ran on, or say so of it."""
+        if task.left.ready() or task.pending is not None:
+            return
+        task.in_doubt = False
+        row = self.moves.next_row(task)
+        self.ends.move(task, row or outcomes.never_ran(task.row, reason))
+
+    def _moved(self, task: registry.Task) -> None:
+        if task.next_owned is not None:
+            task.owned, task.next_owned = task.next_owned, None
+            self.ctx.spawn(self.start, task)
+
 
 def known(report: dispatch_messages.Report) -> bool:
     """Tell whether the worker has, or had, the task that it reports."""
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -255,7 +255,8 @@
         request = messages.Request(
             "team", request_id, "kind", NEEDS, {"id": request_id}, restartable
         )
-        return self.runner.submit(request, self.world.clock.now)
+        # Late enough for a move to another worker, too soon to wait.
+        return self.runner.submit(request, self.world.clock.now + 1e-6)
 
     def hear(self, worker):
         reports = tuple(worker.tasks.values())
--- a/tests/work/promises.feature
+++ b/tests/work/promises.feature
@@ -35,6 +35,12 @@
     When the lease of a worker's 3 tasks is renewed with the table up, then down
     Then one row was written, and the worker's lease ends 0.25 s before the row's
 
+  Scenario: A release whose start certainly never happens runs on another worker
+    A worker refuses the connection, or made a start void whose order was late.
+    The caller still waits, so the release moves on as generation 2, in one write.
+    When releases meet a start that is unreachable, and one that is late
+    Then each started once, as generation 2, and is listed under that worker only
+
   Scenario: A worker that is gone for good is told apart from one that is silent
     When a release and a batch task run on a worker that goes silent
     Then both are unknown, with a time to ask again
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -187,6 +187,30 @@
     assert context.worker.lease_deadline == row["lease_deadline"] - margin
 
 
+@when("releases meet a start that is unreachable, and one that is late")
+def never_started(context):
+    context.world, _, instance = stage_for_crash(None, False)
+    instance.take(fakes.Worker(context.world, "w1"), 1)
+    for fault in ("unreachable", "late"):
+        context.world.order_fault = fault
+        instance.submit(fault)
+    context.world.deliver()
+
+
+@then("each started once, as generation 2, and is listed under that worker only")
+def started_elsewhere(context):
+    for fault in ("unreachable", "late"):
+        found = [e for e in starts(context.world) if e[1] == f"team/{fault}"]
+        assert [entry[2] for entry in found] == [2], found
+        row = json.loads(context.world.rows[f"work/team/{fault}"].value)
+        listed = [k for k in context.world.rows if k.endswith(f"team/{fault}")]
+        placed = f"placed/{row['worker']}/team/{fault}"
+        assert sorted(listed) == [placed, f"work/team/{fault}"], listed
+        assert ("start", f"team/{fault}", 2, "") in (
+            context.world.workers[row["worker"]].log
+        )
+
+
 @when("a release and a batch task run on a worker that goes silent")
 def silent_worker(context):
     context.world, context.worker, context.first = stage_for_crash(None, False)
