Refuse another team's token hash, wait for peers, log malformed once

Cause: one hash entered by two teams was whose subtree each instance read last; a new instance that had heard no peer built a change on a table that was put back; a malformed subtree was logged each second with text that may quote values. Change: a change that enters a hash in force for another team is refused, with what is in force read up to the row of changes that the commit checks; should two teams hold one hash after all, the first by name has it on all instances. No change is made for 3 s after the start while no peer was heard and caught up with (peers_not_heard). Malformed is logged once per change, paths only. Conclusion: an instance that starts cut off from all peers still can't know.

--- a/src/mangosail/settings/changes.py
+++ b/src/mangosail/settings/changes.py
@@ -17,7 +17,7 @@
 from mangosail import codec
 from mangosail.platform import errors as platform_errors
 from mangosail.platform import table
-from mangosail.settings import checks, differences, errors, messages, state
+from mangosail.settings import checks, differences, errors, messages, schema, state
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("settings")
@@ -86,6 +86,13 @@
             done = self._already(team, change, present.ok_value)
             if done is not None:
                 return done
+            if self.clock.monotonic() < self.in_force.peers_deadline:
+                reason = "peers_not_heard"
+                self.clock.sleep(LONGEST_PAUSE)
+                continue
+            if self.in_force.sequence < present.ok_value.changes.sequence:
+                # Whether a token is another team's is told by what is in force.
+                self.in_force.refresh()
             if present.ok_value.changes.sequence < self.in_force.highest:
                 # Read before a change that we know of, or the table lost
                 # changes, which are being written back: this one, based on
@@ -237,6 +244,10 @@
         if isinstance(checked, result.Err):
             self.counters.count("settings.refused.bad_settings")
             return checked
+        taken = self._taken(team, checked.ok_value)
+        if taken:
+            self.counters.count("settings.refused.bad_settings")
+            return result.Err(errors.BadSettings(taken))
         return result.Ok(
             messages.Subtree(
                 team,
@@ -250,6 +261,17 @@
             )
         )
 
+    def _taken(
+        self, team: str, settings: schema.TeamSettings
+    ) -> tuple[errors.Fault, ...]:
+        """Return a fault for each token whose hash is another team's."""
+        known = self.in_force.by_digest
+        return tuple(
+            errors.Fault(f"tokens.{n}.sha256", checks.HIDDEN, "a token of this team")
+            for n, token in enumerate(settings.tokens)
+            if token.sha256 in known and known[token.sha256].team != team
+        )
+
     def _content(
         self, change: messages.Change, present: Present
     ) -> result.Result[t.Any, errors.ChangeError]:
--- a/src/mangosail/settings/spread.py
+++ b/src/mangosail/settings/spread.py
@@ -18,6 +18,9 @@
 LEARN_INTERVAL = 0.5
 #: Seconds that a peer may take to tell its settings.
 LEARN_TIMEOUT = 2.0
+#: Seconds after its start that an instance makes no change while it has heard
+#: of no peer; one that is alone makes changes after them.
+HEARD_TERM = 3.0
 #: Peers that are asked in one look.
 PEERS_ASKED = 3
 
@@ -60,6 +63,7 @@
         self.peers = peers
         self.data_centre = data_centre
         self.counters = counters
+        in_force.peers_deadline = in_force.clock.monotonic() + HEARD_TERM
 
     def learn(self) -> None:
         """Ask the peers that are furthest on for what we lack."""
@@ -70,6 +74,11 @@
         )
         # Of peers reachable now only: one that is gone writes nothing back.
         self.in_force.heard = -ahead[0][0] if ahead else 0
+        self._learn_from(ahead)
+        if ahead and self.in_force.sequence >= self.in_force.heard:
+            self.in_force.peers_deadline = 0.0
+
+    def _learn_from(self, ahead: list[tuple[int, str, membership.Peer]]) -> None:
         for negative, _, peer in ahead[:PEERS_ASKED]:
             if -negative <= self.in_force.sequence:
                 return
--- a/src/mangosail/settings/state.py
+++ b/src/mangosail/settings/state.py
@@ -94,6 +94,11 @@
         #: Monotonic time of the last read that the table answered.
         self.read_at: float | None = None
         self.stale = False
+        #: Monotonic time until which no change is made while no peer was heard:
+        #: the table may have been put back, and only the peers would know.
+        self.peers_deadline = 0.0
+        #: The latest number logged as malformed, by team; by "" of a row.
+        self.malformed: dict[str, int] = {}
 
     def refresh(self) -> result.Result[None, errors.Unavailable]:
         """Learn from the table what has changed and put it in force."""
@@ -140,13 +145,10 @@
             return True
         checked = checks.check(subtree.content)
         if isinstance(checked, result.Err):
-            self.counters.count("settings.malformed")
-            log.error(
-                "malformed",
-                team=subtree.team,
-                revision=subtree.revision,
-                faults=[str(fault) for fault in checked.err_value.faults],
-            )
+            faults = checked.err_value.faults
+            # Values stay out of the log: they may be parts of secrets.
+            why = [f"{fault.path}: expected {fault.expected}" for fault in faults]
+            self._note_malformed(subtree.team, subtree.sequence, why)
             return False
         self.by_team[subtree.team] = InForce(subtree, checked.ok_value)
         self.highest = max(self.highest, subtree.sequence)
@@ -205,8 +207,8 @@
             else:
                 found = read_teams(self.rows, teams)
         except codec.DecodeError as exc:
-            self.counters.count("settings.malformed")
-            log.error("malformed row", why=str(exc))
+            # The decoder's text quotes what it read, which may be a hash.
+            self._note_malformed("", changes.sequence, [type(exc).__name__])
             return result.Ok(None)
         if isinstance(found, result.Err):
             self.counters.count("settings.read_failed")
@@ -277,10 +279,18 @@
         writes.append(table.Write(messages.CHANGES_KEY, codec.to_json(moved)))
         return table.Transaction(tuple(checked), tuple(writes))
 
+    def _note_malformed(self, team: str, sequence: int, why: list[str]) -> None:
+        self.counters.count("settings.malformed")
+        if self.malformed.get(team) == sequence:
+            return
+        self.malformed[team] = sequence
+        log.error("malformed", team=team, sequence=sequence, why=why)
+
     def _index_tokens(self) -> None:
         self.by_digest = {
             token.sha256: Identity(in_force.team, token.name, token.operator)
-            for in_force in self.by_team.values()
+            # In one order everywhere, should two teams hold one hash after all.
+            for _, in_force in sorted(self.by_team.items(), reverse=True)
             for token in in_force.settings.tokens
         }
 
--- a/tests/settings/machine.feature
+++ b/tests/settings/machine.feature
@@ -49,5 +49,22 @@
     When that peer is gone and the instance looks 100 times
     Then the lost change is written back, and can then be built on
 
+  Scenario: A new instance makes no change before it has heard its peers
+    The table is put back to before a change, and an instance starts that knows
+    of nothing else. A change made there would undo the one that peers hold.
+    Given 2 teams' settings in a table
+    And a peer that says to be further on but can't be asked
+    When the instance is asked for a change before it has heard of that peer
+    Then it made none before 3 seconds were over
+
+  Scenario: A token belongs to one team
+    When a second team enters the hash of the first one's token
+    Then it is refused, naming "tokens.0.sha256" and no hash
+
+  Scenario: A subtree that stays malformed is logged once and without its values
+    Given 2 teams' settings in a table
+    When a bad token hash is in the table and the instance looks 5 times
+    Then one line is logged, without the hash
+
   Scenario: The example files of both users start instances
     Then each of 8 and 9 process settings is whole, with an address of its own
--- a/tests/settings/steps/machine_steps.py
+++ b/tests/settings/steps/machine_steps.py
@@ -1,6 +1,7 @@
 import types
 
 import hypothesis
+import logbook
 import result
 from behave import given, then, when
 from hypothesis import stateful
@@ -199,6 +200,59 @@
     look_and_learn(context, count)
 
 
+@when("the instance is asked for a change before it has heard of that peer")
+def change_unheard(context):
+    context.started = context.held.clock.now
+    made = changes.Changes(
+        context.store, context.held, context.held.clock, context.held.counters
+    )
+    asked = messages.Change("early", 1, {"quota": {"cpus": 9.0}})
+    made.change("team-0", asked, "test").unwrap()
+
+
+@then("it made none before {seconds:d} seconds were over")
+def waited(context, seconds):
+    changed = context.held.by_team["team-0"].subtree.changed_at
+    assert changed >= context.started + seconds - 0.1, (context.started, changed)
+
+
+@when("a second team enters the hash of the first one's token")
+def enter_hash(context):
+    context.store, context.hash = fakes.Table(), teams.token("secret")
+    change(context, "one", {"tokens": [context.hash]})
+    asked = messages.Change("taken", 0, {"tokens": [context.hash]})
+    in_force = new_state(context)
+    made = changes.Changes(context.store, in_force, fakes.Clock(), in_force.counters)
+    context.answer = made.change("two", asked, "test")
+
+
+@then('it is refused, naming "{path}" and no hash')
+def hash_refused(context, path):
+    (fault,) = context.answer.unwrap_err().faults
+    assert fault.path == path and context.hash["sha256"] not in str(fault), fault
+
+
+@when("a bad token hash is in the table and the instance looks {count:d} times")
+def bad_hash(context, count):
+    content = {"tokens": [{"name": "t", "sha256": "secret-hash"}]}
+    subtree = messages.Subtree("team-1", 2, 3, "c", "test", 0.0, content)
+    rows = {
+        messages.team_key("team-1"): subtree,
+        messages.CHANGES_KEY: messages.Changes(3, (messages.Recent(3, "team-1"),)),
+    }
+    writes = tuple(tables.Write(k, codec.to_json(row)) for k, row in rows.items())
+    context.store.take_effect(tables.Transaction((), writes))
+    with logbook.TestHandler() as context.logged:
+        for _ in range(count):
+            context.held.refresh().unwrap()
+
+
+@then("one line is logged, without the hash")
+def logged_once(context):
+    lines = [(r.message, r.args, r.kwargs) for r in context.logged.records]
+    assert len(lines) == 1 and "secret-hash" not in str(lines), lines
+
+
 @then(
     "each of {desk:d} and {plegadora:d} process settings is whole, with an address "
     "of its own"
