Prove that an instance that joins adopts what runs on its workers

Cause: the handover of workers with durable tasks was not tried between processes. Renewal of the tasks' leases after such a handover (120 s and more) is not tried between processes.

--- a/tests/work/faults.feature
+++ b/tests/work/faults.feature
@@ -72,3 +72,11 @@
     The instance has no worker of its own. It passes the release on once.
     When a release is ordered at an instance without workers
     Then it completes with one start
+
+  Scenario: An instance joins while releases run, and takes workers over
+    Six workers are shared by two instances, all of them busy. The third gets its
+    share with what runs there: it adopts the releases and records their ends.
+    When releases run on 6 workers and an instance joins
+    Then it adopts some of the releases
+    And each of them ends with the same outcome everywhere
+    And no release started twice, nor one that was called not_run
--- a/tests/work/steps/fault_steps.py
+++ b/tests/work/steps/fault_steps.py
@@ -180,8 +180,8 @@
 def same_outcome(context):
     context.told = {}
     for request_id in context.ids:
-        one, other = [outcome_at(context, i, request_id) for i in context.pair]
-        assert one == other, (one, other)
+        one, *others = [outcome_at(context, i, request_id) for i in context.pair]
+        assert all(one == other for other in others), (one, others)
         context.told[request_id] = one
     for answer in context.answers:
         told = answer.json()
@@ -284,3 +284,34 @@
         return context.answer.status == 200
 
     stage.wait_until(answered, 20, "release through a peer")
+
+
+@when("releases run on {count:d} workers and an instance joins")
+def join(context, count):
+    context.stage.start_workers("shymkent", count - len(context.stage.workers))
+    context.ids, context.answers = [f"join-{n}" for n in range(4 * count)], []
+
+    def busy():
+        log = context.stage.execution_log()
+        return {e["worker"] for e in log if e["task_id"].startswith("fuel-desk/join-")}
+
+    def spread():
+        left = [r for r in context.ids if not starts(context)[r]]
+        for number, request_id in enumerate(left):
+            instance = context.pair[number % 2]
+            order(context, instance, request_id, 15, timeout=0.2)
+        return not left and len(busy()) == count
+
+    stage.wait_until(spread, 15, "releases on all workers")
+    context.stage.start_instance("shymkent-2", "shymkent")
+    context.stage.wait_ready("shymkent-2")
+    context.pair.append("shymkent-2")
+
+
+@then("it adopts some of the releases")
+def adopts(context):
+    def held():
+        rows = [row_of(context, request_id) for request_id in context.ids]
+        return [r for r in rows if r["holder"] == "shymkent-2"]
+
+    stage.wait_until(held, 15, "adoption by the instance that joined")
