Have the platform's list sent only when it has changed

Cause: the list of 650 workers came whole each second: 106 KB/s at each instance, where control may take 14. Ruled out: asking less often, as a worker that is leaving must get nothing new after 3 s. Change: the adapter names the version it has (ETag, If-None-Match) and keeps its list on a 304; a platform that tells no version is asked as before.

--- a/src/mangosail/platform/http.py
+++ b/src/mangosail/platform/http.py
@@ -19,6 +19,7 @@
 CALL_TIMEOUT = 1.0
 
 OK = 200
+NOT_MODIFIED = 304
 CONFLICT = 409
 UNAVAILABLE = 503
 NOT_FOUND = 404
@@ -30,6 +31,8 @@
 
     status: int
     body: bytes
+    #: The version that the answer says its content has; empty if it says none.
+    etag: str = ""
 
 
 class Caller:
@@ -42,14 +45,20 @@
         self.client = self._connect()
 
     def call(
-        self, method: str, path: str, body: bytes = b""
+        self, method: str, path: str, body: bytes = b"", known_etag: str = ""
     ) -> result.Result[Reply, errors.Uncertain]:
-        """Send one request; an Err means that no whole answer came."""
+        """Send one request; an Err means that no whole answer came.
+
+        With `known_etag` the platform may answer that nothing has changed.
+        """
+        headers = {"If-None-Match": known_etag} if known_etag else {}
         client = self.client
         try:
             with gevent.Timeout(CALL_TIMEOUT):
-                response = client.request(method, path, body=body)
-                return result.Ok(Reply(response.status_code, bytes(response.read())))
+                response = client.request(method, path, body=body, headers=headers)
+                etag = str(response.get("ETag") or "")
+                content = bytes(response.read())
+                return result.Ok(Reply(response.status_code, content, etag))
         except (OSError, http_response.HTTPParseError, gevent.Timeout) as exc:
             self._replace(client)
             return result.Err(errors.Uncertain(str(exc)))
@@ -160,15 +169,27 @@
 
 
 class HttpInventory:
-    """The list of instances and workers over HTTP."""
+    """The list of instances and workers over HTTP.
+
+    The list is long and seldom changes, so only a changed one is sent, where
+    the platform tells its version in an ETag.
+    """
 
     def __init__(self, caller: Caller) -> None:
         self.caller = caller
+        self.etag = ""
+        self.listing = inventory.Listing()
 
     def fetch(self) -> result.Result[inventory.Listing, errors.Unavailable]:
         """Return the present list."""
-        answer = self.caller.call("GET", "/inventory")
-        if isinstance(answer, result.Ok) and answer.ok_value.status == OK:
-            listing = codec.from_json(answer.ok_value.body, inventory.Listing)
-            return result.Ok(listing)
-        return result.Err(unavailable(answer))
+        answer = self.caller.call("GET", "/inventory", known_etag=self.etag)
+        if isinstance(answer, result.Err):
+            return result.Err(unavailable(answer))
+        reply = answer.ok_value
+        if reply.status == NOT_MODIFIED and self.etag:
+            return result.Ok(self.listing)
+        if reply.status != OK:
+            return result.Err(unavailable(answer))
+        self.listing = codec.from_json(reply.body, inventory.Listing)
+        self.etag = reply.etag
+        return result.Ok(self.listing)
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -12,3 +12,15 @@
     Then each of them is uncertain
     When the platform answers again
     Then 12 reads sent at once are answered
+
+  Scenario: A list that has not changed is not sent again
+    The list of 650 workers is long, and each instance asks for it each second:
+    sent whole, it alone is more than an instance may send and receive. The
+    second answer has no content, and the instance still knows the workers. A
+    worker that leaves changes the list, which is sent again.
+
+    Given a platform that lists the worker "w1"
+    When the list is fetched twice
+    Then both times it has "w1" live, and the second time it was not sent
+    When "w1" is leaving
+    Then the list that is fetched says so
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -1,6 +1,7 @@
 import gevent
 import result
 from behave import given, then, when
+from tests.support import stage
 
 from mangosail.platform import errors, http, table
 
@@ -40,3 +41,50 @@
     for greenlet in reads:
         assert greenlet.ready(), "a read never came back"
         assert isinstance(greenlet.get(), result.Ok), greenlet.get()
+
+
+@given('a platform that lists the worker "{name}"')
+def list_worker(context, name):
+    entry = {"name": name, "data_centre": "dc", "rack": "r", "address": "127.0.0.1:9"}
+    entry["capacity"] = {"cpus": 8}
+    stage.call(context.stage.platform, "PUT", f"/inventory/workers/{name}", entry)
+    caller = http.Caller(context.stage.platform, "tester")
+    context.sent = []
+    call = caller.call
+
+    def noted(*args, **options):
+        answer = call(*args, **options)
+        context.sent.append(len(answer.ok_value.body))
+        return answer
+
+    caller.call = noted
+    context.inventory = http.HttpInventory(caller)
+    stage.wait_until(lambda: standings(context) == {name: "live"}, what="listed")
+
+
+def standings(context):
+    return {w.name: w.standing for w in context.inventory.fetch().ok_value.workers}
+
+
+@when("the list is fetched twice")
+def fetch_twice(context):
+    context.sent.clear()
+    context.inventory.etag = ""
+    context.fetched = [standings(context), standings(context)]
+
+
+@then('both times it has "{name}" live, and the second time it was not sent')
+def second_not_sent(context, name):
+    assert context.fetched == [{name: "live"}] * 2, context.fetched
+    assert context.sent[0] > 0 and context.sent[1] == 0, context.sent
+
+
+@when('"{name}" is leaving')
+def leave(context, name):
+    path = f"/inventory/workers/{name}"
+    stage.call(context.stage.platform, "PUT", path, {"standing": "leaving"})
+
+
+@then("the list that is fetched says so")
+def fetched_leaving(context):
+    stage.wait_until(lambda: "leaving" in standings(context).values(), what="leaving")
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -15,6 +15,7 @@
 
 import argparse  # noqa: E402
 import bisect  # noqa: E402
+import hashlib  # noqa: E402
 import json  # noqa: E402
 import random  # noqa: E402
 
@@ -186,6 +187,10 @@
             for entry in published["instances"]
         ]
         resp.media = {"instances": instances, "workers": published["workers"]}
+        etag = hashlib.sha256(json.dumps(resp.media).encode()).hexdigest()
+        resp.etag = etag
+        if etag in (req.if_none_match or ()):
+            resp.status, resp.media = 304, None
 
     def on_put(self, req, resp, kind, name):
         """Enter or change an entry: kind is `instances` or `workers`."""
