--- a/tests/bench/capacity.py
+++ b/tests/bench/capacity.py
@@ -12,7 +12,6 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
-import collections  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import re  # noqa: E402
@@ -27,8 +26,6 @@
 #: Seconds for which a case is left alone before it is measured.
 SETTLING = 4.0
 DESK = teams.bearer("fuel-desk-token")
-QUOTES_PER_SECOND = 50
-CHANGES_PER_SECOND = 5
 #: Workers and teams that are planned for, and tasks and jobs held in a case.
 LISTED, TEAMS, HELD, JOBS = 650, 150, 200, 100
 #: Each case: instances, workers, and what is done before and while it is measured.
@@ -42,8 +39,9 @@
     "teams": (1, 1, "write_teams", None),
     "tasks": (1, 1, "hold_tasks", None),
     "jobs": (1, 1, "hold_jobs", None),
-    "quotes": (1, 1, None, "quotes"),
-    "changes": (1, 1, None, "changes"),
+    "quotes": (1, 1, None, ("ask", "quote", 50)),
+    "starts": (1, 1, None, ("ask", "release", 20)),
+    "changes": (1, 1, None, ("change", 5)),
 }
 COLUMNS = (
     "cpu ms/s | MB | peers B/s | platform B/s | workers B/s | callers B/s"
@@ -53,13 +51,11 @@
 
 def list_workers(scene):
     """List workers of another data centre, as the platform would all of them."""
+    own = stage.call(scene.platform, "GET", "/inventory").json()["workers"][0]
     for number in range(LISTED):
-        entry = {"name": f"far-w{number}", "data_centre": "far", "rack": "r1",
-                 "address": f"127.9.{number // 250}.{number % 250 + 1}:9",
-                 "capacity": {"cpus": 32, "memory_gb": 125, "slots": 8,
-                              "connections": 64}}  # fmt: skip
-        path = f"/inventory/workers/{entry['name']}"
-        stage.call(scene.platform, "PUT", path, entry)
+        name = f"far-w{number}"
+        entry = {**own, "name": name, "data_centre": "far"}
+        stage.call(scene.platform, "PUT", f"/inventory/workers/{name}", entry)
 
 
 def write_teams(scene):
@@ -68,53 +64,50 @@
 
 
 def hold_tasks(scene):
-    post(scene, "/v1/jobs", job("held", HELD, 600.0, 0.01))
+    submit(scene, "held", HELD, 0.01)
 
 
 def hold_jobs(scene):
     for number in range(JOBS):
-        post(scene, "/v1/jobs", job(f"waits-{number}", 10, 600.0, 16))
+        submit(scene, f"waits-{number}", 10, 16)
 
 
-def job(name, tasks, seconds, cpus):
-    return {"job_id": name, "kind": "batch.held", "tasks": tasks,
-            "needs": {"cpus": cpus, "memory_gb": 0.01},
-            "body": {"work_seconds": seconds}}  # fmt: skip
-
-
-def post(scene, path, body):
-    answer = scene.call("dc-0", "POST", path, body, DESK)
+def submit(scene, name, tasks, cpus):
+    needs, body = {"cpus": cpus, "memory_gb": 0.01}, {"work_seconds": 600.0}
+    job = {"job_id": name, "kind": "batch.held", "tasks": tasks, "needs": needs}
+    answer = scene.call("dc-0", "POST", "/v1/jobs", {**job, "body": body}, DESK)
     assert answer.status < 300, answer
 
 
-def quotes(scene, ends):
+def ask(scene, ends, operation, rate):
+    """Ask at `rate` a second, and return how many were answered well."""
     host, _, port = scene.instances["dc-0"].rpartition(":")
     client = geventhttpclient.HTTPClient(host, port=int(port), concurrency=16)
     scene.client = client  # Kept open: its bytes are read after this returns.
-    headers = {**DESK, "Content-Type": "application/json"}
     body, statuses = json.dumps({"work_seconds": 0.01}), []
+    headers = {**DESK, "Content-Type": "application/json"}
 
-    def ask():
-        response = client.post("/v1/services/fuel/quote", body=body, headers=headers)
+    def one(number):
+        named = {**headers, "Request-Id": f"c-{number}"}
+        response = client.post(f"/v1/services/fuel/{operation}", body, named)
         response.read()
         statuses.append(response.status_code)
 
-    asked = pace(QUOTES_PER_SECOND, ends, lambda _: gevent.spawn(ask))
-    gevent.joinall(asked, timeout=5)
+    gevent.joinall(pace(rate, ends, lambda n: gevent.spawn(one, n)), timeout=5)
     return statuses.count(200)
 
 
-def changes(scene, ends):
+def change(scene, ends, rate):
     content, revision = teams.example("fuel-desk"), 1
 
-    def change(number):
+    def one(number):
         nonlocal revision
         content["quota"] = {"cpus": 100 + number}
         body = {"change_id": f"c-{number}", "revision": revision, "content": content}
         answer = scene.call("dc-0", "PUT", "/v1/settings/fuel-desk", body, DESK)
         revision = answer.json()["revision"]
 
-    return len(pace(CHANGES_PER_SECOND, ends, change))
+    return len(pace(rate, ends, one))
 
 
 def pace(rate, ends, step):
@@ -163,15 +156,14 @@
     seconds, count = after[0] - before[0], len(after[2])
     cpu = sum(after[2][n][0] - before[2][n][0] for n in after[2])
     memory = sum(resident for _, resident in after[2].values())
-    passed = collections.Counter()
+    passed = dict.fromkeys(("peers", "platform", "workers", "callers"), 0)
     for name, found in after[3].items():
         for key, (kind, total) in found.items():
             passed[kind] += total - before[3][name].get(key, (kind, 0))[1]
-    rates = [cpu / seconds, memory * 1.0]
-    rates += [passed[k] / seconds for k in ("peers", "platform", "workers", "callers")]
-    for key in ("reads", "read_rows", "commits", "written_rows"):
-        rates.append((after[1][key] - before[1][key]) / seconds)
-    return [rate / count for rate in rates]
+    calls = ("reads", "read_rows", "commits", "written_rows")
+    asked = [after[1][key] - before[1][key] for key in calls]
+    rates = [total / seconds for total in (cpu, *passed.values(), *asked)]
+    return [each / count for each in (rates[0], memory, *rates[1:])]
 
 
 def measure(case, seconds):
@@ -190,7 +182,7 @@
         before = sample(scene)
         ends, done = time.monotonic() + seconds, 0
         if load:
-            done = globals()[load](scene, ends)
+            done = globals()[load[0]](scene, ends, *load[1:])
         time.sleep(max(ends - time.monotonic(), 0))
         return figures(before, sample(scene)), done / seconds
     finally:
