--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -3,6 +3,7 @@
 import collections.abc as cabc
 
 import gevent
+import gevent.event
 import logbook
 import result
 
@@ -31,8 +32,11 @@
 
 log = logbook.Logger("jobs")
 
-#: Seconds between attempts to place waiting tasks.
+#: Seconds between attempts to place waiting tasks while things change.
 PLACE_INTERVAL = 0.05
+#: Seconds between them while nothing does. Each attempt looks at every held job,
+#: so that a few dozen that wait cost more than all else if tried all the time.
+QUIET_INTERVAL = 0.25
 #: Seconds that one task of a job may take until it is looked at again.
 TASK_PATIENCE = 3600.0
 #: Seconds in which a peer that was offered a task claims it, or never will.
@@ -73,6 +77,8 @@
         self.recording = recording.Recording(
             self.jobs, rows, followed, self.cancelling, lease, counters
         )
+        #: Set when a task may fit that did not: work ended, or a job came.
+        self.changed = gevent.event.Event()
 
     def submit(
         self, job: messages.Job
@@ -155,12 +161,14 @@
     def hold(self, job: held.HeldJob) -> None:
         """See to a job from now on."""
         self.jobs[messages.job_key(job.job.team, job.job.job_id)] = job
+        self.changed.set()
         if job.state is messages.State.CANCELLING:
             self.cancelling.cancel_running(job)
 
     def place_forever(self) -> None:
         """Place waiting tasks again and again."""
         while True:
+            self.changed.clear()
             try:
                 self.place()
             except Exception:
@@ -168,6 +176,7 @@
                 self.counters.count("jobs.place_failed")
                 log.exception("place failed")
             self.clock.sleep(PLACE_INTERVAL)
+            self.changed.wait(QUIET_INTERVAL - PLACE_INTERVAL)
 
     def place(self) -> None:
         """Start waiting tasks while one of them fits somewhere."""
@@ -219,6 +228,7 @@
         self, outcome: work_messages.Outcome, row: work_messages.WorkRow
     ) -> None:
         """Take in the end of work that ran here, adopted work among it."""
+        self.changed.set()
         request = row.request
         job = self.jobs.get(messages.job_key(request.team, request.job))
         task = tally.task_of(job.job, request.request_id) if job else None
