Wait for places that extra attempts hold; tell a lost race from silence

Cause: with 30 callers on 32 slots, hedges in flight took the last slots, and first attempts that came next were refused though the places came free within milliseconds. Each hedge that lost was voided before its order had arrived, was taken for a silent connection, and cost the idle connections of a sound worker, all of which were opened anew.

Ruled out: places kept by cancelled attempts for long (all were settled by the worker's answer, none by the end of a lease), and headroom (quotes have none).

Change: while an extra attempt is open, a first one that finds no place looks again for 50 ms. An attempt given up within the learned patience tells nothing of its connection (dispatch.settled.unseen).

--- a/src/mangosail/front/attempts.py
+++ b/src/mangosail/front/attempts.py
@@ -43,6 +43,10 @@
     target_seconds: float | None
     greenlet: gevent.Greenlet | None = None
     answer: Answer | None = None
+    #: Monotonic time until which an attempt that is not seen may be on its way.
+    suspect_at: float = 0.0
+    #: Monotonic time at which it was given up, if it was.
+    given_up_at: float | None = None
     #: True once the loss of the attempt was held against its worker.
     blamed: bool = False
 
@@ -66,6 +70,8 @@
         #: Makes task ids unique among the instances and runs that own a worker.
         self.prefix = secrets.token_hex(4)
         self.numbers = itertools.count(1)
+        #: Attempts beside another one, and those given up but not settled.
+        self.extra: set[Attempt] = set()
 
     def begin(
         self,
@@ -73,11 +79,13 @@
         avoid: frozenset[str],
         answers: "gevent.queue.SimpleQueue[Attempt]",
         fresh: bool = False,
+        patience: float = 0.0,
     ) -> result.Result[Attempt, placement_errors.NotPlaced]:
         """Start an attempt whose end is put into `answers`, or tell why not.
 
         It goes to none of the workers to `avoid`, and over a new connection if
-        `fresh`.
+        `fresh`. Given up within `patience` seconds, it tells nothing of its
+        connection.
         """
         # A worker refuses a task id that it has seen, also in a repeated request.
         suffix = f"~{self.prefix}-{next(self.numbers)}"
@@ -102,6 +110,9 @@
         if fresh:
             owned.target.retire_idle()
         attempt = Attempt(owned, start, now, request.declared.target_p99_seconds)
+        attempt.suspect_at = now + patience
+        if avoid:
+            self.extra.add(attempt)
         attempt.greenlet = gevent.spawn(self._run, attempt, request.deadline, answers)
         return result.Ok(attempt)
 
@@ -110,6 +121,8 @@
         if attempt.answer is not None or attempt.greenlet is None:
             return
         attempt.greenlet.kill(block=False)
+        attempt.given_up_at = self.clock.monotonic()
+        self.extra.add(attempt)
         self._observe(attempt)
         self.counters.count("front.attempt_cancelled")
         gevent.spawn(self._settle, attempt)
@@ -128,6 +141,7 @@
             self._settle(attempt)
         else:
             self.placer.ended(task_id, ok=isinstance(attempt.answer, result.Ok))
+            self.extra.discard(attempt)
 
     def _observe(self, attempt: Attempt) -> None:
         """Note the latency; one that was given up took at least as long."""
@@ -162,12 +176,19 @@
         else:
             self.counters.count("dispatch.settled.lease_over")
         self.placer.withdraw(start.task_id)
+        self.extra.discard(attempt)
 
     def _note(self, attempt: Attempt, state: dispatch_messages.TaskState) -> None:
         if state is not dispatch_messages.TaskState.VOID:
             self.counters.count("dispatch.settled.slow_worker")
             self._blame(attempt)
             return
+        given_up_at = attempt.given_up_at
+        if given_up_at is not None and given_up_at < attempt.suspect_at:
+            # The other attempt won before this one's order had arrived; taken
+            # for silence, it would cost the idle connections of a sound worker.
+            self.counters.count("dispatch.settled.unseen")
+            return
         # The worker never saw the order: held against it, the loss would keep
         # quotes off a sound worker for seconds, as its ejection would.
         self.counters.count("dispatch.settled.silent_connection")
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -27,6 +27,10 @@
 #: Share of a worker's slots that must be free for a hedge: extra attempts must
 #: not take the room that first attempts need, which would then be refused.
 HEDGE_ROOM = 0.25
+#: Seconds that a first attempt waits at most for places that extra ones hold,
+#: and between looks; those end within milliseconds, a refusal costs a caller more.
+ROOM_WAIT = 0.05
+ROOM_INTERVAL = 0.005
 #: Seconds that a hedge waits at least, however fast answers are.
 SHORTEST_PATIENCE = 0.01
 #: Share of the caller's time after which a silent first attempt counts as lost.
@@ -188,12 +192,13 @@
         #: Why the last attempt found no place.
         self.refused = NO_ROOM
         now = quotes.clock.monotonic()
-        patience = max(quotes.latencies.high(request.kind), SHORTEST_PATIENCE)
-        self.hedge_at = now + patience
+        self.patience = max(quotes.latencies.high(request.kind), SHORTEST_PATIENCE)
+        self.hedge_at = now + self.patience
         self.lost_at = now + (request.deadline - now) * LOST_SHARE
 
     def run(self) -> Answer | None:
         """Return the answer; None if none can be had from own workers."""
+        self._await_extra()
         try:
             if not self._begin(again=False):
                 return None
@@ -202,6 +207,16 @@
             for attempt in self.tried:
                 self.quotes.attempts.cancel(attempt)
 
+    def _await_extra(self) -> None:
+        """Wait for a place while extra attempts hold what this one needs."""
+        clock = self.quotes.clock
+        until = min(clock.monotonic() + ROOM_WAIT, self.request.deadline)
+        while self.quotes.attempts.extra and clock.monotonic() < until:
+            if self.quotes.candidates(self.request, ()):
+                return
+            self.quotes.counters.count("front.waited.extra_attempts")
+            clock.sleep(ROOM_INTERVAL)
+
     def _wait(self) -> Answer | None:
         waiting = 1
         while True:
@@ -289,7 +304,9 @@
     def _attempt(
         self, avoid: frozenset[str], fresh: bool
     ) -> result.Result[attempts.Attempt, placement_errors.NotPlaced]:
-        return self.quotes.attempts.begin(self.request, avoid, self.answers, fresh)
+        return self.quotes.attempts.begin(
+            self.request, avoid, self.answers, fresh, self.patience
+        )
 
     def _served(self, ended: attempts.Attempt, answer: object) -> messages.Served:
         now = self.quotes.clock.monotonic()
--- a/tests/dispatch/dispatch.feature
+++ b/tests/dispatch/dispatch.feature
@@ -26,6 +26,17 @@
     And the counter "dispatch.settled.silent_connection" has not grown
     And nothing stays reserved
 
+  Scenario: Extra attempts neither take first ones' room nor cost connections
+    Callers come nearly as many as there are slots, and a worker is slow. Hedges
+    take the last slots; a first attempt waits for one rather than being refused.
+    A hedge that loses before its order has arrived tells nothing of silence.
+    Given 12 quotes asked at a time
+    When worker 0 runs everything 10 times slower
+    Then 30 quotes at a time, 8 times over, are all answered
+    And the counter "front.hedge.slow" has grown
+    And the counter "dispatch.settled.silent_connection" has not grown
+    And nothing stays reserved
+
   Scenario Outline: Half an answer or a stranger's never reaches a caller
     The worker's answers are <answers>. A caller gets another worker's whole
     answer if there is one, else a refusal; and as every attempt fails, the
@@ -78,5 +89,11 @@
       | worker   | 2      |
       | platform | 3      |
 
+  Scenario: An instance that owns no worker serves through its peers
+    There are more instances than workers, so one owns none. It used to stay out
+    of the balancer for ever, though its peers had room for what callers sent it.
+    When an instance starts where there is no worker
+    Then it becomes ready and a quote there is answered
+
   Scenario: No worker ever held more connections than it has
     Then no worker held more than 64 connections
--- a/tests/dispatch/steps/dispatch_steps.py
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -13,10 +13,10 @@
 NUMBERS = itertools.count()
 
 
-def quote(context, request_id=None, timeout=1.0):
+def quote(context, request_id=None, timeout=1.0, instance="shymkent-0"):
     number = next(NUMBERS)
     answer = context.stage.call(
-        "shymkent-0",
+        instance,
         "POST",
         "/v1/services/fuel/quote",
         {"tail": f"UP-{number}"},
@@ -162,6 +162,13 @@
     assert [answer.status for answer in answers] == [200] * count, answers
 
 
+@then("{count:d} quotes at a time, {times:d} times over, are all answered")
+def all_answered(context, count, times):
+    for _ in range(times):
+        answers = at_a_time(lambda: quote(context), count)
+        assert [answer.status for answer in answers] == [200] * count, answers
+
+
 @then("any sequence of requests and failures keeps extra attempts in budget")
 def in_budget(context):
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
@@ -214,6 +221,17 @@
     assert not failed, failed
 
 
+@when("an instance starts where there is no worker")
+def start_without(context):
+    context.stage.start_instance("taraz-0", "taraz")
+
+
+@then("it becomes ready and a quote there is answered")
+def serves_through_peers(context):
+    context.stage.wait_ready()
+    assert quote(context, instance="taraz-0").status == 200
+
+
 @then("no worker held more than {most:d} connections")
 def connections(context, most):
     for worker in context.stage.workers:
