Let an instance without workers be ready when a peer has room

Cause: readiness asked for an own worker that takes work, so with more instances than workers some stayed out of the balancer for ever, though they pass quotes on. Now a reachable peer with a free slot is enough.

--- a/src/mangosail/upkeep.py
+++ b/src/mangosail/upkeep.py
@@ -7,6 +7,7 @@
 import result
 
 from mangosail import clock as clocks
+from mangosail import resources
 from mangosail.front import context
 from mangosail.membership import peers as membership
 from mangosail.ownership import owners
@@ -16,6 +17,9 @@
 
 log = logbook.Logger("upkeep")
 
+#: What a peer must have free for an instance without workers to be ready.
+LEAST_ROOM = resources.Resources(slots=1)
+
 
 class Loops:
     """Tasks that repeat a step each, for as long as the process runs."""
@@ -74,8 +78,17 @@
         if self.front.draining:
             return
         self.owners.refresh(self.listed.live(self.peers.data_centre))
-        can_serve = any(owned.accepts() for owned in self.owned)
-        self.front.ready = bool(self.front.settings.by_team) and can_serve
+        self.front.ready = bool(self.front.settings.by_team) and self._can_serve()
+
+    def _can_serve(self) -> bool:
+        """Tell whether own workers, or else a peer's, take new work.
+
+        Where there are more instances than workers, some own none: they pass
+        on what callers send them.
+        """
+        if any(owned.accepts() for owned in self.owned):
+            return True
+        return bool(self.peers.with_room(LEAST_ROOM, self.peers.data_centre))
 
     def _note_leaving(self) -> None:
         """Give workers that the platform lists as leaving no new work."""
