Test the answer to a fault of the program and the bound on requests

Both paths were untested. One scenario drives the application behind its gate: a fault is a 500 with outcome "unknown", counted, and shows nothing of the inside; past the bound a request is a 503 "overloaded" with Retry-After, and /healthz is answered.

--- a/tests/front/front.feature
+++ b/tests/front/front.feature
@@ -80,3 +80,11 @@
     When each instance in turn is stopped and replaced under load
     Then no request failed and no event of the watch was lost or doubled
     And each stopped instance exited with 0 within 10 s
+
+  Scenario: A fault of the program and too many requests get an answer each
+    A caller whose request meets a fault is told that its outcome is unknown and
+    nothing of the program's inside. Past the bound of requests in hand the
+    next is refused; the balancer's look is not.
+    Given an application whose settings can't be asked
+    Then a request is answered 500 "internal_error" with outcome "unknown"
+    And with all requests in hand one more is answered 503 "overloaded"
--- a/tests/front/steps/front_steps.py
+++ b/tests/front/steps/front_steps.py
@@ -6,10 +6,15 @@
 import threading
 import time
 import urllib.request
+from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
+from falcon import testing
 from tests.support import stage, teams
 
+from mangosail.front import app, server
+from mangosail.telemetry import counters
+
 TOKEN = "fuel-desk-token"
 QUOTE = "/v1/services/fuel/quote"
 NUMBERS = itertools.count()
@@ -353,3 +358,37 @@
 @then("each stopped instance exited with {code:d} within {seconds:d} s")
 def exited(context, code, seconds):
     assert all(c == code and s < seconds for c, s in context.exits), context.exits
+
+
+@given("an application whose settings can't be asked")
+def broken_application(context):
+    front = mock.MagicMock()
+    front.counters = context.counted = counters.StatsdCounters(None, 0)
+    front.clock.monotonic = time.monotonic
+    front.read.side_effect = ZeroDivisionError("inner workings")
+    context.gate = server.Gate(app.create(front, mock.MagicMock()), front.counters)
+
+
+def refused_inside(context, status, title, outcome):
+    answer = testing.TestClient(context.gate).simulate_post(QUOTE, json={})
+    told = (answer.status_code, answer.json["title"], answer.json["outcome"])
+    assert told == (status, title, outcome), answer.text
+    assert "inner workings" not in answer.text and "Traceback" not in answer.text
+    return answer
+
+
+@then('a request is answered {status:d} "{title}" with outcome "{outcome}"')
+def fault(context, status, title, outcome):
+    refused_inside(context, status, title, outcome)
+    assert context.counted.snapshot() == {"front.internal_error": 1}
+    assert context.gate.in_hand == 0
+
+
+@then('with all requests in hand one more is answered {status:d} "{title}"')
+def overloaded(context, status, title):
+    context.gate.in_hand = server.MOST_REQUESTS
+    answer = refused_inside(context, status, title, "not_run")
+    assert answer.headers["retry-after"] == str(server.COME_BACK)
+    assert context.counted.snapshot()["front.refused.overloaded"] == 1
+    looked = testing.TestClient(context.gate).simulate_get("/healthz")
+    assert looked.status_code == 200
