Test that new watches are opened while the lease has lapsed

In the table outage, each instance takes a new watch and tells its events to the last, on the half that it keeps. It held already: streams reserve as idempotent work.

--- a/tests/ownership/ownership.feature
+++ b/tests/ownership/ownership.feature
@@ -80,6 +80,7 @@
     When the table is down until every lease has lapsed
     Then quotes are answered at every instance
     And a release is refused with "store_unavailable" at every instance
+    And a new watch is told its events to the last at every instance
     When the table is up again
     Then all leases hold within 5 seconds and no worker changed its owner
     And no worker was ever given more than it can carry
--- a/tests/ownership/steps/ownership_steps.py
+++ b/tests/ownership/steps/ownership_steps.py
@@ -1,3 +1,4 @@
+import json
 import time
 
 import hypothesis
@@ -293,6 +294,16 @@
         assert answer.status == 503 and answer.json()["title"] == reason, answer
 
 
+@then("a new watch is told its events to the last at every instance")
+def new_watches(context):
+    headers = teams.bearer("fuel-desk-token")
+    for name in context.stage.instances:
+        path = f"/v1/watches/fuel/tail-watch?subject=UP-{name}:2&after=0"
+        answer = context.stage.call(name, "GET", path, headers=headers)
+        lines = [json.loads(line) for line in answer.body.splitlines() if line.strip()]
+        assert [line.get("sequence") for line in lines] == [1, 2], answer
+
+
 @when("the table is up again")
 def table_up(context):
     context.stage.faults(table="up")
