Work: a worker that forgot a release proves nothing about it

Cause: a worker's process that was killed comes back without its memory. A release whose start had been answered stayed claimed for good: nobody asked about it.

Ruled out: to trust the time since the claim (a restart takes no known time), and to drop the void (a delayed start could still reach the new process).

The claim records the boot that was known before the start. Void from another boot moves the row as for a worker that is gone: unknown, worker_lost, or back among the waiting if restartable. Counter work.worker_restarted. A worker without a boot id must remember its promises over restarts.

--- a/src/mangosail/dispatch/messages.py
+++ b/src/mangosail/dispatch/messages.py
@@ -63,6 +63,9 @@
     #: From the task's start: who ordered it, and whether it may run twice.
     owner_generation: int = 0
     idempotent: bool = False
+    #: The run of the worker that says so; told with `void` and `unknown`, which
+    #: prove nothing about what an earlier run did.
+    boot: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,3 +88,6 @@
     usage: Usage = dataclasses.field(default_factory=Usage)
     #: True once the worker has said that it is leaving.
     leaving: bool = False
+    #: Drawn anew each time that the worker starts without its memory; a worker
+    #: that remembers its tasks and promises for good may leave it empty.
+    boot: str = ""
--- a/src/mangosail/ownership/following.py
+++ b/src/mangosail/ownership/following.py
@@ -62,6 +62,7 @@
             return
         owned.reachable = True
         owned.usage = snapshot.usage
+        owned.boot = snapshot.boot
         owned.leaving = owned.leaving or snapshot.leaving
         reports = takeover.running(snapshot)
         if not owned.ready:
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -40,6 +40,8 @@
         self.reachable = True
         #: The last usage measurement, which lags.
         self.usage = dispatch_messages.Usage()
+        #: The run of the worker that its last report came from.
+        self.boot = ""
 
     @property
     def name(self) -> str:
--- a/src/mangosail/work/cancellations.py
+++ b/src/mangosail/work/cancellations.py
@@ -77,7 +77,8 @@
     def _record(self, task: registry.Task, report: dispatch_messages.Report) -> None:
         state = report.state
         started = state is dispatch_messages.TaskState.STOPPED
-        if not started and state is not dispatch_messages.TaskState.VOID:
+        void = state is dispatch_messages.TaskState.VOID
+        if not started and (not void or task.forgotten(report)):
             self.ends.take_in(task, report)
             return
         task.in_doubt = False
--- a/src/mangosail/work/ends.py
+++ b/src/mangosail/work/ends.py
@@ -21,6 +21,10 @@
         if report.state is dispatch_messages.TaskState.RUNNING:
             return
         task.owned.ledger.release(task.task_id)
+        if task.forgotten(report):
+            self.ctx.counters.count("work.worker_restarted")
+            self.move(task, outcomes.worker_gone(task.row))
+            return
         checkpoint = ""
         if report.state is dispatch_messages.TaskState.STOPPED:
             checkpoint = self._stored_checkpoint(task.row)
--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -71,6 +71,9 @@
     checkpoint: str = ""
     #: Whether any generation of it may have run.
     started: bool = False
+    #: The run of the worker that was known before the claim. A start reaches
+    #: that run or a later one; only the same run can promise that none did.
+    boot: str = ""
 
 
 class Told(enum.StrEnum):
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -84,7 +84,7 @@
 
 
 def worker_gone(row: messages.WorkRow) -> messages.WorkRow:
-    """Return the row of claimed work whose worker the platform calls gone."""
+    """Return the row of claimed work whose worker is gone, or has forgotten it."""
     if row.request.restartable:
         return waiting(row, "worker_lost")
     return dataclasses.replace(
--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -45,6 +45,15 @@
         """Tell whether `report` is of the generation in hand."""
         return report.generation == self.row.generation
 
+    def forgotten(self, report: dispatch_messages.Report) -> bool:
+        """Tell whether `void` comes from another run of the worker than the start.
+
+        A worker that was killed comes back without its memory and makes void what
+        it ran before: taken for `not_run`, a release would be pumped twice.
+        """
+        void = report.state is dispatch_messages.TaskState.VOID
+        return void and report.boot != self.row.boot
+
 
 class Registry:
     """Tasks in hand by id, and those being claimed just now."""
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -187,6 +187,11 @@
             ended = report.state is not dispatch_messages.TaskState.RUNNING
             if task is not None and ended and task.owned.name == worker:
                 self.ctx.spawn(self._take_in, task, report)
+        for task in self.ctx.registry.on_worker(worker):
+            if task.row.boot != snapshot.boot:
+                # Its worker started again without its memory. The claim may
+                # also be newer than the snapshot: the worker is asked.
+                task.in_doubt = True
 
     def sweep(self) -> None:
         """Take up what is still open; call once a second."""
@@ -281,6 +286,7 @@
                 lease_deadline=self.ctx.clock.wall() + leases.TASK_TERM,
                 checkpoint=held.row.checkpoint if held else "",
                 started=held.row.started if held else False,
+                boot=owned.boot,
             )
         )
 
--- a/src/mangosail/work/starts.py
+++ b/src/mangosail/work/starts.py
@@ -36,7 +36,8 @@
         """Find out what the worker made of a start, and make it certain.
 
         A start that the worker does not know of may still be on its way, so it
-        is made void there before the row says that it never ran.
+        is made void there before the row says that it never ran. If the worker
+        was started again since the claim, the row says that nobody will know.
         """
         target = task.owned.target
         generation = task.row.generation
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -24,6 +24,7 @@
 
 import argparse  # noqa: E402
 import json  # noqa: E402
+import secrets  # noqa: E402
 import time  # noqa: E402
 
 import gevent  # noqa: E402
@@ -101,6 +102,8 @@
     def __init__(self, name, capacity, fetch_object=None, store_object=None):
         self.name = name
         self.capacity = capacity
+        #: Tells this run of the worker from an earlier one, which it forgot.
+        self.boot = secrets.token_hex(8)
         self.tasks = {}
         self.voided = {}  # task id -> highest generation never to be run
         self.owner_generation = 0
@@ -293,6 +296,7 @@
             "tasks": listed,
             "usage": self.usage,
             "leaving": self.faults["leaving"],
+            "boot": self.boot,
         }
 
 
@@ -346,7 +350,8 @@
         task = self.worker.tasks.get(task_id)
         if task is not None:
             return task.report()
-        return {"task_id": task_id, "generation": 0, "state": "unknown"}
+        boot = self.worker.boot
+        return {"task_id": task_id, "generation": 0, "state": "unknown", "boot": boot}
 
     def on_post_void(self, req, resp):
         self.gate()
@@ -360,6 +365,7 @@
                 "task_id": task_id,
                 "generation": generation,
                 "state": "void",
+                "boot": self.worker.boot,
             }
             return
         if task.start["generation"] == generation:
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import types
 
 import result
 
@@ -259,7 +258,7 @@
 
     def hear(self, worker):
         reports = tuple(worker.tasks.values())
-        self.runner.on_snapshot(worker.name, types.SimpleNamespace(tasks=reports))
+        self.runner.on_snapshot(worker.name, dispatch.Snapshot(1, tuple(reports)))
 
     def sweep(self):
         self.world.clock.now += 11.0
--- a/tests/work/steps/fault_steps.py
+++ b/tests/work/steps/fault_steps.py
@@ -230,6 +230,29 @@
     completes(context)
 
 
+@when("a release is ordered whose start's answer {comes}, and its worker forgets it")
+def forget(context, comes):
+    context.request_id = f"forgotten-{comes[0:2]}"
+    faults = {"lose_starts": comes == "is lost"}
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, **faults)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        pool.submit(order, context, context.pair[0], context.request_id, 20, 0.5)
+        started = stage.wait_until(lambda: starts(context)[context.request_id], 10)
+    assert started == 1
+    process = next(iter(context.stage.worker_hosts.values()))
+    context.stage.kill(process)
+    context.stage.restart(process)
+
+
+@then('it is told "{outcome}" everywhere for good, after one start')
+def told_for_good(context, outcome):
+    told = [outcome_at(context, i, context.request_id) for i in context.pair]
+    assert {(t["outcome"], t["reason"]) for t in told} == {(outcome, "worker_lost")}
+    # The log is the new process's: nothing started there a second time.
+    assert starts(context)[context.request_id] == 0
+
+
 @when('the unused id "{request_id}" is cancelled, then ordered')
 def cancel_early(context, request_id):
     context.request_id = request_id
