--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -62,6 +62,12 @@
         if scheme.lower() != "bearer" or not token:
             raise falcon.HTTPUnauthorized(title="token_missing")
         identity = self.settings.identify(token)
+        if identity is None and not self.settings.were_read():
+            # The token may well be good: to call it unknown would send an
+            # operator looking for a revoked one.
+            raise falcon.HTTPServiceUnavailable(
+                title="starting", retry_after=int(quotes.COME_BACK)
+            )
         if identity is None:
             raise falcon.HTTPUnauthorized(title="token_unknown")
         return identity
--- a/src/mangosail/settings/state.py
+++ b/src/mangosail/settings/state.py
@@ -154,6 +154,10 @@
         log.info("in force", team=subtree.team, revision=subtree.revision)
         return True
 
+    def were_read(self) -> bool:
+        """Tell whether this process has read the teams' settings from the table."""
+        return self.read_at is not None and bool(self.by_team)
+
     def age(self) -> float | None:
         """Return the seconds since the table last answered; None if never."""
         if self.read_at is None:
--- a/tests/front/front.feature
+++ b/tests/front/front.feature
@@ -54,6 +54,19 @@
     When an instance without workers is asked for a watch
     Then it is refused 503 "no_capacity" with Retry-After
 
+  Scenario: A quote that failed at a peer is not called not_run
+    The instance owns no worker and passes the quote on. It runs at the peer's
+    workers and fails there; the caller must not be told that nothing ran.
+    When a quote that fails everywhere is sent to an instance without workers
+    Then it is refused 503 "target_failed" with Retry-After
+    And its outcome is "unknown"
+
+  Scenario: An instance that has not read the settings calls no token unknown
+    The table is down while an instance starts. It can't tell a good token from
+    a revoked one; 401 would send an operator looking for a revoked token.
+    When a token is sent to an instance that started while the table is down
+    Then it is refused 503 "starting" with Retry-After
+
   Scenario: A quote is forwarded past a peer that froze
     The caller's instance owns no worker. The first peer that it asks is frozen
     for good; the other one is asked within the caller's time.
--- a/tests/front/steps/front_steps.py
+++ b/tests/front/steps/front_steps.py
@@ -221,6 +221,36 @@
     ).json()
 
 
+@when("a quote that fails everywhere is sent to an instance without workers")
+def failing_quote(context):
+    start_bare(context)
+    context.refused = context.stage.call(
+        "taraz-0", "POST", QUOTE, {"fail": True}, teams.bearer(TOKEN)
+    )
+
+
+@then('its outcome is "{outcome}"')
+def has_outcome(context, outcome):
+    assert context.refused.json()["outcome"] == outcome, context.refused
+
+
+@when("a token is sent to an instance that started while the table is down")
+def token_too_early(context):
+    context.stage.faults(table="down")
+    try:
+        context.stage.start_instance("taraz-1", "taraz")
+        stage.wait_until(
+            lambda: context.stage.call("taraz-1", "GET", "/healthz").status == 200,
+            what="server",
+        )
+        context.refused = context.stage.call(
+            "taraz-1", "POST", QUOTE, {}, teams.bearer("good-or-revoked")
+        )
+    finally:
+        context.stage.faults(table="up")
+        context.stage.wait_ready("shymkent-0", "shymkent-1", "shymkent-2")
+
+
 @when("a peer of an instance without workers is frozen")
 def freeze_peer(context):
     start_bare(context)
