--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -22,6 +22,8 @@
 from mangosail.telemetry import logs
 from mangosail.work import runner as work_runner
 
+#: Seconds after which a caller that came before the settings should come back.
+COME_BACK = 1
 #: Largest body that is read, in bytes.
 BODY_LIMIT = 1024 * 1024
 #: Longest time in seconds that a caller may ask to wait.
@@ -65,9 +67,7 @@
         if identity is None and not self.settings.were_read():
             # The token may well be good: to call it unknown would send an
             # operator looking for a revoked one.
-            raise falcon.HTTPServiceUnavailable(
-                title="starting", retry_after=int(quotes.COME_BACK)
-            )
+            raise falcon.HTTPServiceUnavailable(title="starting", retry_after=COME_BACK)
         if identity is None:
             raise falcon.HTTPUnauthorized(title="token_unknown")
         return identity
