Follow a replaced peer to its new address without the platform's list

Cause: an instance cut off from the platform keeps the list it had. Ruled out: asking peers for their lists, since none is reached. Change: a heartbeat that names another address than the one known moves the peer there; over TLS its certificate has proved the sender's name.

--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -125,9 +125,10 @@
 
     def heard(self, message: messages.Heartbeat) -> None:
         """Take in a heartbeat that a peer sent us."""
-        if message.instance not in self.by_name and not self.has_list:
-            self._learn([entry_of(message)])
         peer = self.by_name.get(message.instance)
+        if self._is_news(message, peer):
+            self._replace([*self.listed(), entry_of(message)])
+            peer = self.by_name.get(message.instance)
         if peer is not None:
             peer.state = message
 
@@ -139,6 +140,16 @@
             return own
         return dataclasses.replace(own, known=self.listed())
 
+    def _is_news(self, message: messages.Heartbeat, peer: Peer | None) -> bool:
+        """Tell whether `message` is from a peer, or an address, that we lack.
+
+        The platform's list can't say where a replaced peer listens while we are
+        cut off from it: calls to the old address would fail for as long.
+        """
+        if peer is None:
+            return not self.has_list
+        return message.peer_address not in ("", peer.listed.peer_address)
+
     def reachable(self) -> list[Peer]:
         """Return the peers that answered lately."""
         now = self.clock.monotonic()
--- a/tests/membership/membership.feature
+++ b/tests/membership/membership.feature
@@ -18,3 +18,13 @@
     Given 2 instances in "shymkent" and 1 in "taraz" that found each other
     When "shymkent-9" starts cut from the platform
     Then "shymkent-9" reaches every other instance
+
+  Scenario: A peer replaced while the platform is out of reach is found again
+    An instance is cut off from the platform, so its list stays as it was. Its
+    peers are replaced one by one, under their names and at other addresses. It
+    went on calling the old ones, learned no settings any more and forwarded
+    nothing, though each new one sent it heartbeats that say where it listens.
+
+    Given an instance that is told of 2 peers at home and 1 in each of 1 others
+    When "n0" is replaced and beats from "127.0.0.1:10"
+    Then it beats "n0" at "127.0.0.1:10", and knows 3 peers as before
--- a/tests/membership/steps/membership_steps.py
+++ b/tests/membership/steps/membership_steps.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 from tests.support import stage, teams
 
-from mangosail import clock
-from mangosail.membership import peers
+from mangosail import clock, resources
+from mangosail.membership import messages, peers
 from mangosail.platform import inventory
 from mangosail.telemetry import counters
 
@@ -122,3 +122,18 @@
         return {e.get("peer") for e in lines if e.get("event") == "peer reached"}
 
     stage.wait_until(lambda: found() == others(context, name), 15, "all peers")
+
+
+@when('"{name}" is replaced and beats from "{address}"')
+def replaced(context, name, address):
+    free = resources.Resources()
+    context.peers.heard(
+        messages.Heartbeat(name, "later", "dc0", free, peer_address=address)
+    )
+
+
+@then('it beats "{name}" at "{address}", and knows {count:d} peers as before')
+def beats_at(context, name, address, count):
+    peer = context.peers.by_name[name]
+    assert (peer.listed.peer_address, peer.beating) == (address, True), peer.listed
+    assert len(context.peers.by_name) == count
