Run each scenario of durable work once

Cause: a merge had kept one outline twice; the second pass found the first one's request ids and failed. Nothing else was wrong: alone, the outline passes.

--- a/tests/work/faults.feature
+++ b/tests/work/faults.feature
@@ -60,18 +60,6 @@
       | is lost  |
       | comes in |
 
-  Scenario Outline: A worker is killed while it runs a release, and forgets it
-    The release runs, and its start's answer <comes>. The worker's process is
-    killed and comes back at once without its memory. Asked, it knows nothing of
-    the release and makes it void, which proves nothing about the earlier run.
-    When a release is ordered whose start's answer <comes>, and its worker forgets it
-    Then it is told "unknown" everywhere for good, after one start
-
-    Examples:
-      | comes    |
-      | is lost  |
-      | comes in |
-
   Scenario: Cancellations come in a burst and race the starts and the ends
     Half of the orders are on their way or short enough to end by themselves.
     Each ends once, and what was called not_run is in no worker's log.
