Take an unknown neighbour for a noisy one until it is known

Cause: the slowest quotes of the first wave met six tasks of a kind of which nothing had been learned. At 0.05 each such a worker passed for quiet.

Ruled out: the stand-ins' clock and processors (a quiet quote takes 25 ms on the same); hedges and transit (3 to 5 ms of 150).

Change: the prior slowdown of a pair is 0.3 instead of 0.05.

--- a/src/mangosail/placement/latency.py
+++ b/src/mangosail/placement/latency.py
@@ -18,8 +18,10 @@
 
 #: Bands of load, from an idle worker to a full one.
 LOAD_BANDS = 4
-#: What an unknown neighbour is taken to add, as a share of the time alone.
-PRIOR_SLOWDOWN = 0.05
+#: What an unknown neighbour is taken to add, as a share of the time alone. Taken
+#: for nearly harmless, a first wave fills the workers that quotes need before
+#: anything is learned of it.
+PRIOR_SLOWDOWN = 0.3
 #: How far one observation moves an estimate towards itself.
 LEARNING_RATE = 0.15
 #: Largest error, in times alone, that one observation may teach.
