--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -104,8 +104,8 @@
         busy = self.busy(task.step, tail)
         load = self.load.get(task.name)
         if load is None or not shares:
-            if not shares:
-                self.load[task.name] = min(max(busy, LEAST_LOAD), MOST_LOAD)
+            load = busy / (1 + self.pressed(image, shares))
+            self.load[task.name] = min(max(load, LEAST_LOAD), MOST_LOAD)
             return
         error = busy - min(load * (1 + self.pressed(image, shares)), 1.0)
         total = sum(share * share for share in shares.values()) + 0.002
@@ -224,6 +224,8 @@
         slow = [task for task in filling if task.pace < FULL]
         if not slow:
             return []
+        if not worker.serving:
+            return [Pace(task, FULL) for task in slow]
         least = min(slow, key=lambda task: task.step.need.cpus)
         return [Pace(least, FULL)]
 
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -92,6 +92,8 @@
         #: Elapsed time at which the latest transaction that took effect was sent.
         self.confirmed_at = clock.elapsed()
         self.deposed = False
+        #: True once the lease is to be given up.
+        self.releasing = False
 
     @property
     def token(self) -> int:
@@ -131,6 +133,10 @@
             chain_version=version,
             lease_version=version if wrote_lease else held.lease_version,
         )
+        if self.releasing and wrote_lease and not self.changed:
+            log.info("lease given up", token=self.token)
+            self.deposed = True
+            raise errors.DeposedError
         if self.changed:
             # More changed than one transaction takes: what waits for them all
             # must wait on.
@@ -141,15 +147,13 @@
             callback()
 
     def give_up(self) -> None:
-        """Give the lease up, so that another instance takes it without waiting."""
-        lease = dataclasses.replace(self.held.lease, released=True)
-        transaction = table.Transaction(
-            (table.Check(keys.LEASE, self.held.lease_version),),
-            (table.Write(keys.LEASE, codec.to_json(lease)),),
-        )
-        self.deposed = True
-        given = self.rows.commit(transaction)
-        log.info("lease given up", token=self.token, done=isinstance(given, result.Ok))
+        """Give the lease up with the next transaction, so that another may take it.
+
+        What was recorded goes with it. Without this the next leader would wait
+        until the lease is old.
+        """
+        self.releasing = True
+        self.wanted.set()
 
     def _take(self) -> list[progress.JobProgress]:
         names = list(self.changed)[:MOST_ROWS]
@@ -160,12 +164,13 @@
         self.links += 1
         writes = [table.Write(keys.CHAIN, self._link())]
         now = self.clock.elapsed()
-        if now >= self.renew_at:
+        if now >= self.renew_at or self.releasing:
             lease = dataclasses.replace(
                 held.lease,
                 renewals=held.lease.renewals + 1,
                 pending=self.pending(),
                 lasting_bound=self.lasting_bound(),
+                released=self.releasing and not self.changed,
             )
             self.held = dataclasses.replace(held, lease=lease)
             self.renew_at = now + RENEWAL_INTERVAL
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -160,6 +160,9 @@
         while task.phase is progress.Phase.STOPPING and task.run == run:
             if worker.gone:
                 return
+            if not worker.entry.address:
+                self.clock.sleep(STOP_INTERVAL)
+                continue
             answer = self.calls.stop(worker.entry, task.name, run, self.token)
             if isinstance(answer, result.Ok):
                 if task.run == run:
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -55,16 +55,36 @@
             return self._place_gang(step_run, tasks, candidates)
         return self._place_each(step_run, tasks, candidates)
 
+    def place_one(
+        self,
+        step_run: progress.StepRun,
+        tasks: list[progress.Task],
+        service: str,
+        now: float,
+    ) -> list[Choice]:
+        """Choose a worker for one task, even if it may disturb those beside it."""
+        chosen = self.place(step_run, tasks, service, now)
+        if chosen or not step_run.step.fills:
+            return chosen
+        able = [
+            worker
+            for worker in self.workers
+            if allowed(step_run.step, worker, service, now)
+            and fleet.reserved(step_run.step).fits_in(worker.free)
+        ]
+        if not able:
+            return []
+        best = max(able, key=lambda worker: self.model.room_for(step_run.step, worker))
+        best.reserve(tasks[0])
+        return [Choice(tasks[0], best)]
+
     def _candidates(
         self, step: messages.Step, service: str, now: float
     ) -> list[fleet.Worker]:
         return [
             worker
             for worker in self.workers
-            if worker.entry.service == service
-            and worker.usable(now)
-            and (not step.label or step.label in worker.entry.labels)
-            and fits(step, worker)
+            if allowed(step, worker, service, now) and fits(step, worker)
         ]
 
     def _place_each(
@@ -135,6 +155,15 @@
         return []
 
 
+def allowed(
+    step: messages.Step, worker: fleet.Worker, service: str, now: float
+) -> bool:
+    """Tell whether tasks of the step may run on the worker at all."""
+    if worker.entry.service != service or not worker.usable(now):
+        return False
+    return not step.label or step.label in worker.entry.labels
+
+
 def fits(step: messages.Step, worker: fleet.Worker) -> bool:
     """Tell whether a task of the step fits into what the worker has free."""
     if not fleet.reserved(step).fits_in(worker.free):
--- a/src/mangosail/scheduler/preemption.py
+++ b/src/mangosail/scheduler/preemption.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from mangosail import resources
-from mangosail.scheduler import fleet, progress
+from mangosail.scheduler import fleet, placing, progress
 
 #: Seconds that a short task waits for room until others are stopped for it: longer
 #: than most tasks beside it have left to run.
@@ -41,11 +41,7 @@
         return []
     found: list[Victim] = []
     candidates = [
-        worker
-        for worker in workers
-        if worker.entry.service == service
-        and worker.usable(now)
-        and (not step.label or step.label in worker.entry.labels)
+        worker for worker in workers if placing.allowed(step, worker, service, now)
     ]
     candidates.sort(key=lambda worker: worker.free.cpus, reverse=True)
     for worker in candidates:
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -5,7 +5,7 @@
 import logbook
 
 from mangosail import clock as clocks
-from mangosail.scheduler import fleet, health, messages, orders, progress
+from mangosail.scheduler import fleet, health, interference, messages, orders, progress
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("reports")
@@ -151,6 +151,9 @@
             return
         now = self.clock.elapsed()
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
+            if task.phase is progress.Phase.DOUBTFUL:
+                # An earlier leader may have slowed it down; looks don't say.
+                task.pace = 0 if task.step.fills else interference.FULL
             task.phase = progress.Phase.RUNNING
             task.started_at = task.moved_at = now
         if row.checkpoint:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -47,6 +47,9 @@
 KEEP_MARGIN = 30.0
 #: Starts that are on their way at a time, at most.
 MOST_STARTS = 256
+#: Seconds after which one task of a job with nothing running is placed although it
+#: may disturb others; such a job may not stand still for 3 s.
+STARVING_TERM = 1.2
 #: Seconds between looks at whether leases of unlisted workers are over.
 EXPIRE_INTERVAL = 0.25
 #: Seconds between attempts to read everything after the lease was won.
@@ -113,6 +116,10 @@
         self.greenlets = gevent.pool.Group()
         self.starts = gevent.pool.Pool(MOST_STARTS)
         self.began_at = clock.elapsed()
+        #: True once a planned stop has begun.
+        self.stopping = False
+        #: True once all jobs are known, so that workers can be looked at.
+        self.attending = False
 
     def run(self) -> None:
         """Schedule until another instance leads."""
@@ -131,8 +138,8 @@
 
     def stop(self) -> None:
         """Start nothing more, and hand the lease over."""
+        self.stopping = True
         self.journal.give_up()
-        self.greenlets.kill(block=False)
 
     def find(self, name: str) -> progress.Task | None:
         """Return the task of that name, or None if no job has it."""
@@ -162,19 +169,25 @@
 
     def _read_everything(self) -> None:
         """Read jobs, their states and the workers; the lease is ours by now."""
-        states = self._read_states()
-        jobs = following.Follower(
-            self.rows, keys.JOBS, self._take_jobs, self.clock, self.counters
-        )
-        self.states = states
         workers = following.Follower(
             self.rows, self.worker_prefix, self._take_workers, self.clock, self.counters
         )
+        jobs = following.Follower(
+            self.rows, keys.JOBS, self._take_jobs, self.clock, self.counters
+        )
+        # Workers first: a job that was cancelled meanwhile stops its runs at once,
+        # and needs to know where they are.
+        while not workers.step(0):
+            self.clock.sleep(READ_INTERVAL)
+        self.states = self._read_states()
         while not jobs.step(0):
             self.clock.sleep(READ_INTERVAL)
         self.states = {}
-        while not workers.step(0):
-            self.clock.sleep(READ_INTERVAL)
+        # A look before all jobs are known would take their runs for unwanted ones.
+        self.attending = True
+        for worker in self.workers:
+            if worker.entry.address:
+                self._attend(worker)
         log.info(
             "took over", jobs=len(self.jobs), workers=len(self.workers),
             token=self.journal.token,
@@ -301,6 +314,8 @@
         return worker
 
     def _attend(self, worker: fleet.Worker) -> None:
+        if not self.attending:
+            return
         log.info(
             "worker seen", worker=worker.name, address=worker.entry.address,
             data_centre=worker.entry.data_centre, labels=sorted(worker.entry.labels),
@@ -378,6 +393,8 @@
         while True:
             self.changed.wait(QUIET_INTERVAL)
             self.changed.clear()
+            if self.stopping:
+                return
             try:
                 self.place()
             except Exception:
@@ -407,10 +424,12 @@
     ) -> None:
         service = self.service_of(step_run.job.job)
         step = step_run.step
-        if any(hopeless(step, service, seen) for seen in full):
-            self._blocked(step_run, len(tasks), service, now)
-            return
-        chosen = self.placer.place(step_run, tasks, service, now)
+        if starves(step_run, now):
+            chosen = self.placer.place_one(step_run, tasks, service, now)
+        elif any(hopeless(step, service, seen) for seen in full):
+            chosen = []
+        else:
+            chosen = self.placer.place(step_run, tasks, service, now)
         if len(chosen) < len(tasks):
             self._blocked(step_run, len(tasks) - len(chosen), service, now)
         else:
@@ -476,6 +495,14 @@
     return (job.priority, lasting, job.due(step_run.occurrence), step_run.number)
 
 
+def starves(step_run: progress.StepRun, now: float) -> bool:
+    """Tell whether a job has waited long with nothing running."""
+    since = step_run.blocked_since
+    if since is None or now < since + STARVING_TERM:
+        return False
+    return not any(task.live for task in step_run.job.tasks())
+
+
 def hopeless(
     step: messages.Step, service: str, seen: tuple[str, str, messages.Step]
 ) -> bool:
