--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -106,7 +106,9 @@
 
     def _deadline(self, worker: fleet.Worker, now: float) -> int | None:
         """Return the lease's next end, or None if it must not be extended."""
-        if not worker.heard_at:
+        if not worker.reachable:
+            # A look that is not answered may still extend the lease. If each did,
+            # the lease of a lost worker would never be over for us.
             return None
         if now > self.journal.confirmed_at + UNCONFIRMED_TERM:
             self.counters.count("workers.not_extended")
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -47,6 +47,8 @@
 KEEP_MARGIN = 30.0
 #: Starts that are on their way at a time, at most.
 MOST_STARTS = 256
+#: Seconds between the lines that say how much waits.
+REPORT_INTERVAL = 2.0
 #: Seconds after which one task of a job with nothing running is placed although it
 #: may disturb others; such a job may not stand still for 3 s.
 STARVING_TERM = 1.2
@@ -130,6 +132,7 @@
             self.greenlets.spawn(self._check_fence)
             self.greenlets.spawn(self._expire_forever)
             self.greenlets.spawn(self.returns.run)
+            self.greenlets.spawn(self._report_forever)
             writing.get()
         except errors.DeposedError:
             log.warning("no longer leading", token=self.journal.token)
@@ -389,6 +392,36 @@
 
     # Placing.
 
+    def _report_forever(self) -> None:
+        """Log how much waits and how much room there is, now and again."""
+        while True:
+            self.clock.sleep(REPORT_INTERVAL)
+            now = self.clock.elapsed()
+            usable = [worker for worker in self.workers if worker.usable(now)]
+            waiting = [
+                task
+                for job in self.jobs.values()
+                for step_run in job.ready(self.clock.wall())
+                for task in step_run.waiting()
+            ]
+            log.info(
+                "state",
+                jobs=len(self.jobs),
+                waiting_filling=sum(task.step.fills for task in waiting),
+                waiting_lasting=sum(task.step.lasting for task in waiting),
+                waiting=len(waiting),
+                workers=len(self.workers),
+                usable=len(usable),
+                serving=sum(bool(worker.serving) for worker in usable),
+                free_cores=round(sum(worker.free.cpus for worker in usable)),
+                unused_cores=round(sum(worker.unused for worker in usable)),
+                slowed=sum(
+                    task.pace < interference.FULL
+                    for worker in usable
+                    for task in worker.tasks.values()
+                ),
+            )
+
     def _place_forever(self) -> None:
         while True:
             self.changed.wait(QUIET_INTERVAL)
