Test the scheduler's safeguards with a store and workers in memory

Nineteen scenarios drive a leader by hand over rows and workers that lose answers, carry orders out late, fall silent, come back as others, and a store that is down, late or forgetful. Reading everything is public now, so tests follow by hand.

--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -131,7 +131,11 @@
         """Schedule until another instance leads."""
         try:
             writing = self.greenlets.spawn(self.journal.run)
-            self._read_everything()
+            for feed in self.read_everything():
+                self.greenlets.spawn(feed.run)
+            self.attending = True
+            for worker in self.workers:
+                self._attend(worker)
             self.greenlets.spawn(self._place_forever)
             self.greenlets.spawn(self._check_fence)
             self.greenlets.spawn(self._expire_forever)
@@ -174,8 +178,11 @@
 
     # What the store holds.
 
-    def _read_everything(self) -> None:
-        """Read jobs, their states and the workers; the lease is ours by now."""
+    def read_everything(self) -> tuple[following.Follower, ...]:
+        """Read jobs, their states and the workers; the lease is ours by now.
+
+        Returns what goes on to follow them.
+        """
         workers = following.Follower(
             self.rows, self.worker_prefix, self._take_workers, self.clock, self.counters
         )
@@ -190,18 +197,12 @@
         while not jobs.step(0):
             self.clock.sleep(READ_INTERVAL)
         self.states = {}
-        # A look before all jobs are known would take their runs for unwanted ones.
-        self.attending = True
-        for worker in self.workers:
-            if worker.entry.address:
-                self._attend(worker)
         log.info(
             "took over", jobs=len(self.jobs), workers=len(self.workers),
             token=self.journal.token,
             seconds=round(self.clock.elapsed() - self.began_at, 3),
         )  # fmt: skip
-        self.greenlets.spawn(jobs.run)
-        self.greenlets.spawn(workers.run)
+        return workers, jobs
 
     def _read_states(self) -> dict[str, progress.JobRecord]:
         while True:
@@ -321,7 +322,8 @@
         return worker
 
     def _attend(self, worker: fleet.Worker) -> None:
-        if not self.attending:
+        # A look before all jobs are known would take their runs for unwanted ones.
+        if not self.attending or not worker.entry.address:
             return
         log.info(
             "worker seen", worker=worker.name, address=worker.entry.address,
--- /dev/null
+++ b/tests/scheduler/fakes.py
@@ -0,0 +1,332 @@
+"""A store and workers in memory, and an instance that leads, driven by hand.
+
+Nothing happens by itself: `Leader.round` looks at every worker, places, writes and
+sends, and time passes only when a test says so.
+"""
+
+import gevent
+import result
+from tests.support import memory
+
+from mangosail import codec, resources
+from mangosail.platform import errors as store_errors
+from mangosail.platform import table
+from mangosail.scheduler import (
+    attendance,
+    errors,
+    fleet,
+    journal,
+    keys,
+    leadership,
+    messages,
+    ports,
+    scheduler,
+)
+from mangosail.telemetry import counters
+
+WORKERS_PREFIX = "workers//"
+CAPACITY = resources.Resources(cpus=8, memory_gb=32)
+NEED = resources.Resources(cpus=2, memory_gb=1)
+MINUTE = 60.0
+
+
+class Rows:
+    """The store; faults are armed on it and last until they are taken away."""
+
+    def __init__(self):
+        self.kept = memory.Rows()
+        self.history = []
+        #: "", "down" (says so), "lost" (done, not answered), "late" (done later).
+        self.fault = ""
+        self.late = []
+
+    def read(self, wanted):
+        if self.fault == "down":
+            return result.Err(store_errors.Unavailable("down"))
+        return result.Ok(self.kept.find(wanted))
+
+    def scan(self, prefix, after="", limit=1000):
+        return result.Ok(self.kept.page(prefix, after, limit))
+
+    def commit(self, transaction):
+        if self.fault == "down":
+            return result.Err(store_errors.Unavailable("down"))
+        if self.fault == "late":
+            self.late.append(transaction)
+            return result.Err(store_errors.Uncertain("late"))
+        done = self._apply(transaction)
+        if self.fault == "lost":
+            return result.Err(store_errors.Uncertain("lost"))
+        return done
+
+    def deliver_late(self):
+        late, self.late = self.late, []
+        return [self._apply(transaction) for transaction in late]
+
+    def _apply(self, transaction):
+        done = self.kept.apply(transaction)
+        if isinstance(done, result.Ok):
+            self.history += [(done.ok_value, write.key) for write in transaction.writes]
+        return done
+
+    def read_all(self, prefix):
+        if self.fault == "down":
+            return result.Err(store_errors.Unavailable("down"))
+        rows = tuple(self.kept.page(prefix, "", 10**6))
+        return result.Ok(ports.Changes(rows, (), self.kept.version))
+
+    def changes(self, prefix, after, wait):
+        if self.fault == "down":
+            return result.Err(store_errors.Unavailable("down"))
+        names = {k for v, k in self.history if v > after and k.startswith(prefix)}
+        rows = tuple(self.kept[name] for name in sorted(names) if name in self.kept)
+        removed = tuple(name for name in names if name not in self.kept)
+        return result.Ok(ports.Changes(rows, removed, self.kept.version))
+
+    def put(self, key, value):
+        write = table.Write(key, codec.to_json(value))
+        return self._apply(table.Transaction((), (write,)))
+
+    def state(self, job_id):
+        row = self.kept.get(keys.state(job_id))
+        return codec.from_json(row.value, dict)["state"] if row else None
+
+
+class Worker:
+    """One life of a worker, which keeps to what the platform promises of it."""
+
+    def __init__(self, name, clock, capacity=CAPACITY, labels=("r1",), guarded=True):
+        self.entry = messages.WorkerEntry(
+            name, "pool", f"{name}:1", "dc", capacity, frozenset(labels)
+        )
+        self.time = clock
+        self.guarded = guarded
+        self.token = 0
+        self.running = {}
+        self.ended = []
+        self.barred = {}
+        self.count = 0
+        self.deadline = 0
+        #: "", "silent", "replaced"; for orders "lost" (done, not answered), "late".
+        self.fault = ""
+        self.late = []
+        self.starts = []
+        self.paces = {}
+        self.tails = {}
+        self.last_seen = 0
+
+    @property
+    def clock(self):
+        return int(self.time.now * 1000)
+
+    def end(self, task, outcome="done", checkpoint=""):
+        run = self.running.pop(task)
+        self.count += 1
+        how = messages.Outcome(outcome)
+        self.ended.append(messages.End(self.count, task, run, how, checkpoint))
+        self.barred[task] = run
+
+    def expire(self):
+        if self.running and self.clock > self.deadline:
+            for task in list(self.running):
+                self.end(task, "lapsed")
+
+
+class Calls:
+    """Carries orders to the workers in memory."""
+
+    def __init__(self):
+        self.workers = {}
+
+    def _call(self, entry, effect, order=True):
+        worker = self.workers[entry.name]
+        worker.expire()
+        if worker.fault == "silent":
+            return result.Err(errors.Silent("silent"))
+        if worker.fault == "replaced":
+            return result.Err(errors.Replaced())
+        if worker.fault == "late" and order:
+            worker.late.append(effect)
+            return result.Err(errors.Silent("late"))
+        done = effect(worker)
+        if worker.fault == "lost" and order:
+            return result.Err(errors.Silent("lost"))
+        return done
+
+    def start(self, entry, order):
+        def effect(worker):
+            reason = self._why_not(worker, order)
+            if reason is not None:
+                return result.Err(errors.Rejected(reason))
+            if worker.running.get(order.task) != order.run:
+                worker.starts.append((order.task, order.run, order.checkpoint))
+            worker.running[order.task] = order.run
+            worker.deadline = max(worker.deadline, order.deadline)
+            return result.Ok(worker.clock)
+
+        return self._call(entry, effect)
+
+    def _why_not(self, worker, order):
+        if order.token < worker.token:
+            return errors.Reason.FENCED
+        worker.token = order.token
+        if order.run <= worker.barred.get(order.task, 0):
+            return errors.Reason.SUPERSEDED
+        if worker.clock > order.deadline:
+            return errors.Reason.EXPIRED
+        return None
+
+    def stop(self, entry, task, run, token):
+        def effect(worker):
+            if token < worker.token:
+                return result.Err(errors.Rejected(errors.Reason.FENCED))
+            worker.token = token
+            if worker.running.get(task) == run:
+                worker.end(task, "stopped", "saved")
+            worker.barred[task] = max(worker.barred.get(task, 0), run)
+            return result.Ok(worker.clock)
+
+        return self._call(entry, effect)
+
+    def pace(self, entry, task, run, percent, token):
+        def effect(worker):
+            worker.paces[task] = percent
+            return result.Ok(worker.clock)
+
+        return self._call(entry, effect)
+
+    def look(self, entry, token, last_seen, deadline, wait):
+        def effect(worker):
+            if token < worker.token:
+                return result.Err(errors.Rejected(errors.Reason.FENCED))
+            worker.token = token
+            worker.last_seen = max(worker.last_seen, last_seen)
+            worker.ended = [e for e in worker.ended if e.number > last_seen]
+            worker.deadline = max(worker.deadline, deadline or 0)
+            running = tuple(
+                messages.Running(task, run, "", 1, worker.tails.get(task, 0.0))
+                for task, run in worker.running.items()
+            )
+            return result.Ok(messages.Look(worker.clock, running, tuple(worker.ended)))
+
+        return self._call(entry, effect, order=False)
+
+    def deliver_late(self):
+        for worker in self.workers.values():
+            late, worker.late = worker.late, []
+            for effect in late:
+                effect(worker)
+
+
+class Leader:
+    """An instance that leads, taking one step when it is told to."""
+
+    def __init__(self, world, name):
+        self.world = world
+        lead = leadership.Leadership(
+            world.rows, name, "", world.clock, world.counters, world.rand
+        )
+        held = None
+        for _ in range(20):
+            held = lead.watch()
+            if held is not None:
+                break
+            world.clock.now += 0.3
+        assert held is not None, "the lease was not won"
+        self.scheduler = scheduler.Scheduler(
+            world.rows,
+            world.calls,
+            held,
+            lambda: None,
+            lambda name, text: world.calls.workers[name].entry,
+            WORKERS_PREFIX,
+            MINUTE,
+            world.clock,
+            world.counters,
+        )
+        self.feeds = self.scheduler.read_everything()
+
+    @property
+    def journal(self) -> journal.Journal:
+        return self.scheduler.journal
+
+    def round(self, times=1):
+        for _ in range(times):
+            for feed in self.feeds:
+                feed.step(0)
+            looks = [
+                gevent.spawn(self._look, worker)
+                for worker in self.scheduler.workers
+                if worker.entry.address
+            ]
+            gevent.sleep(0)
+            self.scheduler.place()
+            self.write()
+            gevent.joinall(looks)
+            self.write()
+            gevent.sleep(0)
+            gevent.sleep(0)
+            self.world.clock.now += 0.05
+
+    def _look(self, worker):
+        self.scheduler.attendance.look(worker)
+
+    def write(self):
+        if self.world.rows.fault != "down":
+            self.journal.write()
+        gevent.sleep(0)
+
+    def task(self, name):
+        return self.scheduler.find(name)
+
+    def worker(self, name) -> fleet.Worker:
+        return self.scheduler.workers.get(name)
+
+
+class World:
+    """What outlives an instance."""
+
+    def __init__(self, rand):
+        self.clock = memory.Clock(now=1000.0)
+        self.rows = Rows()
+        self.calls = Calls()
+        self.counters = counters.StatsdCounters(None, 0)
+        self.rand = rand
+        self.leader = None
+
+    def add_worker(self, name, **facts):
+        worker = Worker(name, self.clock, **facts)
+        self.calls.workers[name] = worker
+        self.rows.put(WORKERS_PREFIX + name, {"name": name})
+        return worker
+
+    def lead(self, name):
+        self.leader = Leader(self, name)
+        self.leader.round()
+        return self.leader
+
+    def runs(self, task):
+        """Return on which workers a task runs now."""
+        for worker in self.calls.workers.values():
+            worker.expire()
+        return [w.entry.name for w in self.calls.workers.values() if task in w.running]
+
+    def starts(self, task):
+        return [
+            start
+            for worker in self.calls.workers.values()
+            for start in worker.starts
+            if start[0] == task
+        ]
+
+
+def job(job_id, *steps, **facts):
+    facts = {"attempts": 2, **facts}
+    return messages.Job(job_id, "q", "pool", "spec", steps, 0.0, **facts)
+
+
+def step(count=1, need=NEED, **facts):
+    return messages.Step(count, need, estimate=1.0, **facts)
+
+
+__all__ = ["World", "attendance", "job", "step"]
--- /dev/null
+++ b/tests/scheduler/scheduler.feature
@@ -0,0 +1,217 @@
+Feature: One leader runs jobs of steps on workers that fail in every way
+
+  Scenario: Steps run in order and the job completes
+    Given workers "w1 w2" and a leader
+    And a job of 2 tasks, then 1 task
+    When 2 rounds pass
+    Then 2 tasks of the first step run and none of the second
+    When the first step's tasks end done
+    And 3 rounds pass
+    Then the second step's task runs
+    When the second step's task ends done
+    And 2 rounds pass
+    Then the job is shown as completed
+
+  Scenario: A start whose answer is lost is not repeated elsewhere
+    # The caller sees its order carried out once. The start is carried out, its
+    # answer is lost; a second start at once would run the task twice.
+    Given workers "w1 w2" and a leader
+    And all workers lose their answers
+    And a job of 1 task
+    When 2 rounds pass
+    Then the task was started once
+    When the workers answer again
+    And 3 rounds pass
+    Then the task was started once
+    And the task runs on one worker
+
+  Scenario: A start that is carried out late does not run beside the next one
+    # The caller sees its order carried out once. The start gets no answer, the task
+    # is stopped there, which bars the run, and starts elsewhere; then the first
+    # start arrives after all.
+    Given workers "w1 w2" and a leader
+    And all workers carry orders out late
+    And a job of 1 task
+    When 1 round passes
+    And the workers answer again
+    And 6 rounds pass
+    Then the task runs on one worker
+    When what was late arrives
+    Then the task runs on one worker
+
+  Scenario: Ends are noted only once they are durable
+    # The caller sees its order carried out once. The task ends while the store is
+    # down, the leader dies; had the worker forgotten the end, the next leader
+    # would start the task again.
+    Given workers "w1" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the store goes down
+    And the task ends done
+    And 2 rounds pass
+    Then the worker was not told to forget the end
+    When the store is back
+    And another instance leads
+    And 3 rounds pass
+    Then the task was started once
+    And the job is shown as completed
+
+  Scenario: The tasks of a silent worker run elsewhere once its lease is over
+    # The caller waits no longer than the lease. A worker falls silent for good; each
+    # unanswered look used to extend its lease in our reckoning, so that its tasks
+    # waited for ever.
+    Given workers "w1 w2" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the task's worker falls silent
+    And 3 seconds pass
+    Then the task was started once
+    When 3 seconds pass
+    Then the task was started twice
+    And the task runs on one worker
+
+  Scenario: The tasks of a worker that came back as another run elsewhere at once
+    Given workers "w1 w2" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the task's worker is replaced
+    And 3 rounds pass
+    Then the task was started twice
+
+  Scenario: A new leader stops the runs of a job that was cancelled meanwhile
+    # The caller cancels while nobody leads. The next leader used to send the stops
+    # before it knew where the workers were, and the job ran on.
+    Given workers "w1 w2" and a leader
+    And a job of 2 tasks
+    When 2 rounds pass
+    And the job is cancelled
+    And another instance leads
+    And 4 rounds pass
+    Then no task runs
+    And the job is shown as cancelled
+
+  Scenario: A new leader lets tasks work again that an earlier one slowed down
+    # The caller's order would stand still for good: looks don't tell a task's speed,
+    # so the new leader took it for full.
+    Given workers "w1" and a leader
+    And a job of 1 task that fills
+    When 2 rounds pass
+    And the task is slowed down to 0
+    And another instance leads
+    And 30 rounds pass
+    Then the task works at full speed
+
+  Scenario: A deposed leader writes nothing more, and its starts are refused
+    # The caller sees its order carried out once. The leader is suspended with a
+    # start on its way, another leads meanwhile, the first wakes up and goes on.
+    Given workers "w1 w2" and a leader
+    And a job of 1 task
+    When another instance leads beside it
+    And 3 rounds pass
+    Then the task was started once
+    When the first leader goes on
+    Then the first leader is deposed
+    And the task was started once
+
+  Scenario: A transaction that takes effect late does not undo a later one
+    # The caller would see a completed job run again. The store carries a write out
+    # after its leader has sent it again and written more.
+    Given workers "w1" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the store carries one write out late
+    And the task ends done
+    And 3 rounds pass
+    And the late write arrives
+    Then the late write was refused
+    And the job is shown as completed
+
+  Scenario: A write whose answer was lost is found in the store
+    Given workers "w1" and a leader
+    And the store loses the answer to one write
+    And a job of 1 task
+    When 3 rounds pass
+    Then the task was started once
+    And the leader still leads
+
+  Scenario: A planned stop hands the lease over with all that was recorded
+    # The caller's order goes on at once: the next leader does not wait until the
+    # lease is old.
+    Given workers "w1" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the leader stops as planned
+    Then the next instance leads at its first look
+    And the task was started once
+
+  Scenario: A job fails after its attempts, each counted once
+    # The caller sees the job fail after two attempts, not one. The end is listed
+    # again to a new leader, because the first died before it was acknowledged.
+    Given workers "w1 w2" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the task ends failed
+    And its end is recorded but not acknowledged
+    And another instance leads
+    And 3 rounds pass
+    Then the task runs on one worker
+    And the job is shown as running
+    When the task ends failed
+    And 3 rounds pass
+    Then the job is shown as failed
+
+  Scenario: Tasks that last are started again however they end
+    Given workers "w1 w2" and a leader
+    And a job of 1 task that lasts
+    When 2 rounds pass
+    And the task ends failed
+    And 4 rounds pass
+    Then the task runs on one worker
+    And the job is shown as running
+
+  Scenario: Labels and spreading are kept to
+    Given workers "w1 w2" and a leader
+    And worker "gpu" with the label "fast"
+    And a job of 3 tasks that need the label "fast", at most 1 on a worker
+    When 3 rounds pass
+    Then 1 task runs, on "gpu"
+
+  Scenario: An occurrence does not start before it is due
+    Given workers "w1" and a leader
+    And a job of 2 occurrences, 10 seconds apart, due in 5 seconds
+    When 3 rounds pass
+    Then no task runs
+    When 6 seconds pass
+    Then 1 task runs
+    When 5 seconds pass
+    Then no more than 1 task runs
+    When 6 seconds pass
+    Then both occurrences have been started
+
+  Scenario: A short task finds room where tasks that last took all
+    # The caller of a quote used to wait until a job that lasts was cancelled.
+    Given workers "w1" and a leader
+    And a job of 4 tasks that last
+    When 3 rounds pass
+    And an urgent job of 1 task comes
+    And 10 rounds pass
+    Then the urgent task runs
+
+  Scenario: A job with nothing running is not kept waiting for the tails beside it
+    # The caller's release used to wait for ever on workers that all serve.
+    Given workers "w1" and a leader
+    And a job of 2 tasks that serve
+    When 3 rounds pass
+    And their tails are too high
+    And a job of 3 tasks that fill comes
+    And 30 rounds pass
+    Then 1 of the tasks that fill runs
+
+  Scenario: What fills beside a high tail is stopped, and the others go on
+    Given workers "w1" and a leader
+    And a job of 1 task that serves
+    And a job of 1 task that fills
+    When 4 rounds pass
+    And their tails are too high
+    And 30 rounds pass
+    Then the task that fills works at 0 percent
--- /dev/null
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -0,0 +1,368 @@
+import random
+
+from behave import given, then, when
+from tests.scheduler import fakes
+
+from mangosail import codec
+from mangosail.scheduler import errors, keys, progress
+
+ID = "00000000000000aa"
+URGENT = "00000000000000bb"
+SERVING = "00000000000000cc"
+TASK = f"{ID}.0.0.0"
+PLENTY = 6
+
+
+def submit(context, job):
+    world = context.world
+    world.rows.put(keys.state(job.job_id), progress.JobRecord())
+    world.rows.put(keys.job(job.job_id), job)
+    context.job = job
+
+
+def workers(context):
+    return context.world.calls.workers.values()
+
+
+def all_running(context):
+    for worker in workers(context):
+        worker.expire()
+    return [task for worker in workers(context) for task in worker.running]
+
+
+def end_all(context, prefix, outcome):
+    for worker in workers(context):
+        for task in [t for t in worker.running if t.startswith(prefix)]:
+            worker.end(task, outcome)
+
+
+@given('workers "{names}" and a leader')
+def step_world(context, names):
+    context.world = fakes.World(random.Random(7))
+    for name in names.split():
+        context.world.add_worker(name)
+    context.first = context.world.lead("a")
+
+
+@given('worker "{name}" with the label "{label}"')
+def step_labelled(context, name, label):
+    context.world.add_worker(name, labels=("r2", label))
+
+
+@given("a job of {first:d} tasks, then {second:d} task")
+def step_two_steps(context, first, second):
+    steps = (fakes.step(first), fakes.step(second, after=(0,)))
+    submit(context, fakes.job(ID, *steps))
+
+
+@given("a job of {count:d} task")
+@given("a job of {count:d} tasks")
+def step_job(context, count):
+    submit(context, fakes.job(ID, fakes.step(count)))
+
+
+@given("a job of {count:d} task that fills")
+@given("a job of {count:d} tasks that fill comes")
+@when("a job of {count:d} tasks that fill comes")
+def step_filling(context, count):
+    step = fakes.step(count, fills=True, image="filler", checkpointing=True)
+    submit(context, fakes.job(ID, step, priority=2))
+
+
+@given("a job of {count:d} task that lasts")
+@given("a job of {count:d} tasks that last")
+def step_lasting(context, count):
+    submit(context, fakes.job(ID, fakes.step(count, lasting=True)))
+
+
+@given("a job of {count:d} task that serves")
+@given("a job of {count:d} tasks that serve")
+def step_serving(context, count):
+    step = fakes.step(count, lasting=True, image="server", tail_target=18.0)
+    submit(context, fakes.job(SERVING, step))
+
+
+@given('a job of {count:d} tasks that need the label "{label}", at most 1 on a worker')
+def step_constrained(context, count, label):
+    submit(context, fakes.job(ID, fakes.step(count, label=label, most_per_worker=1)))
+
+
+@given("a job of 2 occurrences, {gap:d} seconds apart, due in {wait:d} seconds")
+def step_occurrences(context, gap, wait):
+    due = context.world.clock.now + wait
+    job = fakes.job(ID, fakes.step(), occurrences=2, first_due=due, interval=gap)
+    submit(context, job)
+
+
+@when("an urgent job of 1 task comes")
+def step_urgent(context):
+    submit(context, fakes.job(URGENT, fakes.step()))
+
+
+@given("all workers lose their answers")
+def step_lose(context):
+    for worker in workers(context):
+        worker.fault = "lost"
+
+
+@given("all workers carry orders out late")
+def step_late(context):
+    for worker in workers(context):
+        worker.fault = "late"
+
+
+@when("the workers answer again")
+def step_answer(context):
+    for worker in workers(context):
+        worker.fault = ""
+
+
+@when("what was late arrives")
+def step_arrives(context):
+    context.world.calls.deliver_late()
+
+
+@given("the store loses the answer to one write")
+def step_lost_write(context):
+    step_one_fault(context, "lost")
+
+
+@when("the store carries one write out late")
+def step_late_write(context):
+    step_one_fault(context, "late")
+
+
+def step_one_fault(context, fault):
+    rows = context.world.rows
+    commit = rows.commit
+
+    def once(transaction):
+        rows.fault = fault
+        done = commit(transaction)
+        rows.fault = ""
+        rows.commit = commit
+        return done
+
+    rows.commit = once
+
+
+@when("the late write arrives")
+def step_late_write_arrives(context):
+    context.late = context.world.rows.deliver_late()
+
+
+@then("the late write was refused")
+def step_late_refused(context):
+    assert context.late, "nothing was late"
+    assert all(done.is_err() for done in context.late), context.late
+
+
+@when("{count:d} round passes")
+@when("{count:d} rounds pass")
+def step_rounds(context, count):
+    context.world.leader.round(count)
+
+
+@when("{count:d} seconds pass")
+def step_seconds(context, count):
+    until = context.world.clock.now + count
+    while context.world.clock.now < until:
+        context.world.leader.round()
+        context.world.clock.now += 0.1
+
+
+@when("the first step's tasks end done")
+def step_end_first(context):
+    end_all(context, f"{ID}.0.0.", "done")
+
+
+@when("the second step's task ends done")
+def step_end_second(context):
+    end_all(context, f"{ID}.0.1.", "done")
+
+
+@when("the task ends {outcome}")
+def step_end(context, outcome):
+    end_all(context, ID, outcome)
+
+
+@when("its end is recorded but not acknowledged")
+def step_unacknowledged(context):
+    leader = context.world.leader
+    kept = {w.entry.name: list(w.ended) for w in workers(context)}
+    leader.round()
+    for worker in workers(context):
+        # As if the leader had died before its next look.
+        worker.ended = kept[worker.entry.name]
+        worker.running.clear()
+
+
+@when("the store goes down")
+def step_down(context):
+    context.world.rows.fault = "down"
+
+
+@when("the store is back")
+def step_back(context):
+    context.world.rows.fault = ""
+
+
+@when("the task's worker falls silent")
+def step_silent(context):
+    name = context.world.runs(TASK)[0]
+    context.world.calls.workers[name].fault = "silent"
+
+
+@when("the task's worker is replaced")
+def step_replaced(context):
+    name = context.world.runs(TASK)[0]
+    context.world.calls.workers[name].fault = "replaced"
+
+
+@when("another instance leads")
+@when("another instance leads beside it")
+def step_other(context):
+    context.world.clock.now += 1.0
+    context.world.lead("b")
+
+
+@when("the first leader goes on")
+def step_goes_on(context):
+    context.deposed = False
+    job = context.first.scheduler.jobs.get(ID)
+    if job is not None:
+        context.first.journal.record(job)
+    try:
+        context.first.write()
+    except errors.DeposedError:
+        context.deposed = True
+
+
+@then("the first leader is deposed")
+def step_deposed(context):
+    assert context.deposed
+
+
+@then("the leader still leads")
+def step_leads(context):
+    assert not context.first.journal.deposed
+
+
+@when("the leader stops as planned")
+def step_planned(context):
+    context.first.scheduler.stop()
+    try:
+        context.first.write()
+    except errors.DeposedError:
+        return
+    raise AssertionError("the lease was not given up")
+
+
+@then("the next instance leads at its first look")
+def step_at_once(context):
+    before = context.world.clock.now
+    context.world.lead("b")
+    assert context.world.clock.now - before < 0.2
+
+
+@when("the job is cancelled")
+def step_cancel(context):
+    context.world.rows.put(keys.cancellation(ID), "1")
+
+
+@when("the task is slowed down to 0")
+def step_slow(context):
+    for worker in workers(context):
+        worker.paces[TASK] = 0
+
+
+@when("their tails are too high")
+def step_tails(context):
+    for worker in workers(context):
+        for task in worker.running:
+            if task.startswith(SERVING):
+                worker.tails[task] = 60.0
+
+
+@then("the task works at full speed")
+def step_full(context):
+    paces = [w.paces[TASK] for w in workers(context) if TASK in w.paces]
+    assert paces == [100], paces
+
+
+@then("the task that fills works at 0 percent")
+def step_stopped(context):
+    paces = [w.paces.get(TASK) for w in workers(context)]
+    assert paces == [0], paces
+
+
+@then("{count:d} tasks of the first step run and none of the second")
+def step_first_runs(context, count):
+    running = all_running(context)
+    assert sum(t.startswith(f"{ID}.0.0.") for t in running) == count, running
+    assert not any(t.startswith(f"{ID}.0.1.") for t in running), running
+
+
+@then("the second step's task runs")
+def step_second_runs(context):
+    assert f"{ID}.0.1.0" in all_running(context)
+
+
+@then("the job is shown as {state}")
+def step_shown(context, state):
+    assert context.world.rows.state(ID) == state, context.world.rows.state(ID)
+
+
+@then("the task was started once")
+def step_once(context):
+    assert len(context.world.starts(TASK)) == 1, context.world.starts(TASK)
+
+
+@then("the task was started twice")
+def step_twice(context):
+    assert len(context.world.starts(TASK)) == 2, context.world.starts(TASK)
+
+
+@then("the task runs on one worker")
+def step_one_worker(context):
+    assert len(context.world.runs(TASK)) == 1, context.world.runs(TASK)
+
+
+@then("the worker was not told to forget the end")
+def step_not_forgotten(context):
+    assert all(worker.last_seen == 0 for worker in workers(context))
+
+
+@then("no task runs")
+def step_none(context):
+    assert all_running(context) == []
+
+
+@then("{count:d} task runs")
+@then("no more than {count:d} task runs")
+@then("{count:d} of the tasks that fill runs")
+def step_count(context, count):
+    running = [task for task in all_running(context) if task.startswith(ID)]
+    assert len(running) == count, running
+
+
+@then('{count:d} task runs, on "{name}"')
+def step_on(context, count, name):
+    running = all_running(context)
+    assert len(running) == count, running
+    assert len(context.world.calls.workers[name].running) == count
+
+
+@then("both occurrences have been started")
+def step_both(context):
+    assert context.world.starts(f"{ID}.0.0.0")
+    assert context.world.starts(f"{ID}.1.0.0")
+
+
+@then("the urgent task runs")
+def step_urgent_runs(context):
+    assert f"{URGENT}.0.0.0" in all_running(context), all_running(context)
+
+
+def decode(row):
+    return codec.from_json(row.value, dict)
