Store handed-in jobs in 16 shards, and refuse at once while the store is away

An instance cut off from the store kept each caller 2.5 s and then could not say whether the job was stored. Change: a job's row is in one of 16 parts by the last digit of its id, apart from the leader's; rows of jobs that are over are cleared in the background; with no word from the store for 2.6 s a hand-in is refused without being sent. A lasting job whose earlier attempt may be stored is never called refused.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -10,6 +10,10 @@
 
 log = logbook.Logger("catalog")
 
+#: Seconds without a word from the store after which it counts as out of reach: a
+#: following request waits 1 s, and is given 1.3 s more.
+STALE_TERM = 2.6
+
 
 class Catalogs:
     """Holds the newest catalog that was read; it never goes back.
@@ -45,6 +49,13 @@
                 return queue
         return None
 
+    def stale(self) -> bool:
+        """Tell whether the store has been silent for longer than it may be."""
+        fresh_at = self.follower.fresh_at
+        if fresh_at is None:
+            return True
+        return self.clock.elapsed() - fresh_at > STALE_TERM
+
     def refresh(self) -> bool:
         """Read what has changed now, and tell whether that went well.
 
--- a/src/mangosail/intake/desk.py
+++ b/src/mangosail/intake/desk.py
@@ -53,9 +53,15 @@
     """Hands jobs in, looks them up and cancels them, all in the store."""
 
     def __init__(
-        self, rows: ports.Rows, clock: clocks.Clock, counters: telemetry.Counters
+        self,
+        rows: ports.Rows,
+        away: cabc.Callable[[], bool],
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
     ) -> None:
         self.rows = rows
+        #: Tells whether the store has been out of reach for a while.
+        self.away = away
         self.clock = clock
         self.counters = counters
         self.counts = Counts({}, 0.0)
@@ -67,7 +73,11 @@
         began_at = self.clock.elapsed()
         deadline = began_at + DECIDE_TERM
         cores = admission.lasting_cores(job)
-        if cores:
+        if self.away():
+            # Nothing is sent, so the refusal is true; trying would keep the caller
+            # for seconds and end without a certain answer.
+            done: Decision = result.Err(errors.Refused("store_away", COME_BACK))
+        elif cores:
             done = self._admit(job, cores, deadline)
         else:
             done = self._decide(storing(job), deadline)
@@ -83,9 +93,12 @@
 
     def _admit(self, job: messages.Job, cores: float, deadline: float) -> Decision:
         """Store a job that lasts, within the bound on all that do."""
+        attempted = False
         while True:
             found = self.rows.read_all(keys.LEADERSHIP)
             if isinstance(found, result.Err):
+                if attempted:
+                    return result.Err(errors.Undecided("store_away"))
                 return result.Err(errors.Refused("store_away", COME_BACK))
             rows = {row.key: row for row in found.ok_value.rows}
             place = places_of(rows)
@@ -99,6 +112,7 @@
                 (*plain.writes, table.Write(keys.LASTING, taken)),
             )
             done = self._decide(transaction, deadline)
+            attempted = True
             if isinstance(done, result.Ok) or self.clock.elapsed() >= deadline:
                 return done
             if done.err_value != store_errors.Conflict(keys.LASTING):
@@ -107,7 +121,7 @@
 
     def _refuse_lasting(self, job: messages.Job, place: "Place") -> Decision:
         """Refuse a job that lasts, unless an attempt before this one stored it."""
-        key = keys.state(job.job_id)
+        key = keys.lasting_job(job.job_id)
         found = self.rows.read([key])
         if isinstance(found, result.Err):
             return result.Err(errors.Undecided("store_away"))
@@ -120,25 +134,39 @@
         self, job_id: str
     ) -> result.Result[messages.State, errors.UnknownJob | errors.Refused]:
         """Return what a job is shown as."""
-        key = keys.state(job_id)
         known = self.remembered.get(job_id)
         if known in messages.FINAL and known is not None:
             return result.Ok(known)
-        found = self.rows.read([key])
+        found = self._read_state(job_id)
         if isinstance(found, result.Err):
+            if isinstance(found.err_value, errors.UnknownJob):
+                return found
             self.counters.count("intake.state_from_memory")
             if known is None:
-                return result.Err(errors.Refused("store_away", COME_BACK))
+                return found
             return result.Ok(known)
-        row = found.ok_value.get(key)
-        if row is None:
-            return result.Err(errors.UnknownJob())
-        state = progress.decode(row.value).state
+        state = found.ok_value
         if len(self.remembered) >= MOST_REMEMBERED:
             self.remembered.clear()
         self.remembered[job_id] = state
         return result.Ok(state)
 
+    def _read_state(
+        self, job_id: str
+    ) -> result.Result[messages.State, errors.UnknownJob | errors.Refused]:
+        """Read a job's state; one that the leader has not recorded yet waits."""
+        for key in (keys.state(job_id), keys.job(job_id), keys.lasting_job(job_id)):
+            found = self.rows.read([key])
+            if isinstance(found, result.Err):
+                return result.Err(errors.Refused("store_away", COME_BACK))
+            row = found.ok_value.get(key)
+            if row is None:
+                continue
+            if key == keys.state(job_id):
+                return result.Ok(progress.decode(row.value).state)
+            return result.Ok(messages.State.QUEUED)
+        return result.Err(errors.UnknownJob())
+
     def cancel(self, job_id: str) -> result.Result[None, ChangeError]:
         """Ask for a job to be cancelled; durable once this returns Ok."""
         began_at = self.clock.elapsed()
@@ -214,13 +242,12 @@
 
 def storing(job: messages.Job) -> table.Transaction:
     """Return the transaction that stores a job, if no such job is stored."""
-    queued = progress.encode(progress.JobRecord())
+    key = keys.job(job.job_id)
+    if admission.lasting_cores(job):
+        key = keys.lasting_job(job.job_id)
     return table.Transaction(
-        (table.Check(keys.state(job.job_id), table.ABSENT),),
-        (
-            table.Write(keys.job(job.job_id), codec.to_json(job)),
-            table.Write(keys.state(job.job_id), queued),
-        ),
+        (table.Check(key, table.ABSENT),),
+        (table.Write(key, codec.to_json(job)),),
     )
 
 
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -19,9 +19,6 @@
 BODY_TERM = 3.0
 #: Seconds after which a caller should come back to an instance without a catalog.
 COME_BACK = 0.5
-#: Seconds for which the store may have been silent until this instance asks the
-#: balancer for no more callers: a following request's wait and its time limit.
-STALE_TERM = 2.6
 
 #: Answers a request about a job of a queue, whose id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
@@ -187,9 +184,8 @@
 class Readiness:
     """Answers the balancer's checks; `app` is its WSGI application."""
 
-    def __init__(self, catalog: catalogs.Catalogs, clock: clocks.Clock) -> None:
+    def __init__(self, catalog: catalogs.Catalogs) -> None:
         self.catalog = catalog
-        self.clock = clock
         #: True once a planned stop has begun.
         self.draining = False
         self.app: t.Any = falcon.App()
@@ -197,10 +193,9 @@
 
     def ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        fresh_at = self.catalog.follower.fresh_at
-        if self.draining or fresh_at is None or self.catalog.current() is None:
+        if self.draining or self.catalog.current() is None:
             return False
-        return self.clock.elapsed() - fresh_at <= STALE_TERM
+        return not self.catalog.stale()
 
     def check(self, req: falcon.Request, resp: falcon.Response, **_: t.Any) -> None:
         """Answer one check."""
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -54,11 +54,11 @@
         self.catalog = catalogs.Catalogs(
             self.store, CONFIG_KEY, decoding.catalog_of, self.clock, self.counters
         )
-        self.desk = desk.Desk(self.store, self.clock, self.counters)
+        self.desk = desk.Desk(self.store, self.catalog.stale, self.clock, self.counters)
         self.ingress = ingress.Ingress(
             self.catalog, self.desk, self.clock, self.counters
         )
-        self.readiness = ingress.Readiness(self.catalog, self.clock)
+        self.readiness = ingress.Readiness(self.catalog)
         self.leadership = leadership.Leadership(
             self.store,
             settings.node_name,
--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -8,6 +8,7 @@
 import typing as t
 import urllib.parse
 
+import gevent
 import logbook
 import result
 
@@ -18,6 +19,8 @@
 
 log = logbook.Logger("store")
 
+T = t.TypeVar("T")
+
 #: Seconds after which a write is given up, and then sent again on a new
 #: connection; three slow answers of the store.
 WRITE_TIMEOUT = 1.3
@@ -76,10 +79,45 @@
     def read_all(self, prefix: str) -> result.Result[ports.Changes, errors.Unavailable]:
         """Return every row under `prefix` and a version to follow changes from.
 
-        The version is that of the first page: what changes between two pages is
-        found again by following from there.
+        A prefix without a shard stands for all of them. The version is that of the
+        first page: what changes between two pages is found again by following from
+        there.
         """
-        kind, shard, _ = split(prefix)
+        kind, _, shard = prefix.rstrip("/").partition("/")
+        if shard or prefix.endswith("//"):
+            return self._read_shard(kind, shard)
+        return self._read_shards(kind)
+
+    def _read_shards(
+        self, kind: str
+    ) -> result.Result[ports.Changes, errors.Unavailable]:
+        """Return the rows of all shards, which are read at the same time."""
+        found = self._shards(kind)
+        if isinstance(found, result.Err):
+            return found
+        readers = [
+            gevent.spawn(self._read_shard, kind, shard)
+            for shard in found.ok_value.parts
+        ]
+        gevent.joinall(readers)
+        rows: list[table.Row] = []
+        # Rows of shards that came up since the list was read are found by following.
+        version = found.ok_value.ver
+        for reader in readers:
+            page = reader.get()
+            if isinstance(page, result.Err):
+                return page
+            rows.extend(page.ok_value.rows)
+        return result.Ok(ports.Changes(tuple(rows), (), version))
+
+    def _shards(self, kind: str) -> result.Result[wire.Parts, errors.Unavailable]:
+        query = urllib.parse.urlencode({"table": kind})
+        answer = self.caller.call("GET", "/-/rows-parts?" + query, timeout=READ_TIMEOUT)
+        return decoded(answer, wire.Parts)
+
+    def _read_shard(
+        self, kind: str, shard: str
+    ) -> result.Result[ports.Changes, errors.Unavailable]:
         query = {"table": kind, "part": shard, "limit": str(PAGE)}
         rows: list[table.Row] = []
         version = None
@@ -98,17 +136,18 @@
         self, prefix: str, after: int, wait: float
     ) -> result.Result[ports.Changes, errors.Unavailable | ports.HistoryLost]:
         """Return what changed under `prefix` after a version, waiting for a change."""
-        kind, shard, _ = split(prefix)
+        kind, _, shard = prefix.rstrip("/").partition("/")
+        every = not shard and not prefix.endswith("//")
         query = {"table": kind, "after": str(after), "wait_ms": str(int(wait * 1000))}
         path = "/-/rows-feed?" + urllib.parse.urlencode(query)
         caller = self.feeds if wait else self.caller
         answer = caller.call("GET", path, timeout=wait + READ_TIMEOUT)
         if isinstance(answer, result.Ok) and answer.ok_value.status == HISTORY_LOST:
             return result.Err(ports.HistoryLost())
-        page = decoded(answer)
+        page = decoded(answer, wire.Page)
         if isinstance(page, result.Err):
             return page
-        rows = [row for row in page.ok_value.rows if row.part == shard]
+        rows = [row for row in page.ok_value.rows if every or row.part == shard]
         return result.Ok(
             ports.Changes(
                 tuple(row_of(row) for row in rows if not row.tombstone),
@@ -147,20 +186,20 @@
         self, query: dict[str, str]
     ) -> result.Result[wire.Page, errors.Unavailable]:
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
-        return decoded(self.caller.call("GET", path, timeout=READ_TIMEOUT))
+        return decoded(self.caller.call("GET", path, timeout=READ_TIMEOUT), wire.Page)
 
 
 def decoded(
-    answer: result.Result[http_caller.Reply, http_caller.CallError],
-) -> result.Result[wire.Page, errors.Unavailable]:
-    """Return the rows in an answer, or why there are none."""
+    answer: result.Result[http_caller.Reply, http_caller.CallError], kind: type[T]
+) -> result.Result[T, errors.Unavailable]:
+    """Return what is in an answer, or why there is nothing."""
     if isinstance(answer, result.Err):
         return result.Err(errors.Unavailable(answer.err_value.reason))
     reply = answer.ok_value
     if reply.status != OK:
         return result.Err(errors.Unavailable(f"status {reply.status}"))
     try:
-        return result.Ok(codec.from_json(reply.body, wire.Page))
+        return result.Ok(codec.from_json(reply.body, kind))
     except codec.DecodeError as exc:
         log.error("answer of the store unreadable", error=str(exc))
         return result.Err(errors.Unavailable("unreadable"))
--- a/src/mangosail/platform/wire.py
+++ b/src/mangosail/platform/wire.py
@@ -29,6 +29,14 @@
     more_pages: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """The parts of a table, and the newest version in the store."""
+
+    parts: list[str] = dataclasses.field(default_factory=list)
+    ver: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Committed:
     """The version that a transaction got."""
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -11,7 +11,6 @@
 
 import collections.abc as cabc
 import dataclasses
-import typing as t
 
 import gevent
 import gevent.event
@@ -175,8 +174,7 @@
             self.held = dataclasses.replace(held, lease=lease)
             self.renew_at = now + RENEWAL_INTERVAL
             writes.append(table.Write(keys.LEASE, codec.to_json(lease)))
-        for job in batch:
-            writes.extend(rows_of(job))
+        writes.extend(write_of(job) for job in batch)
         checks = (
             table.Check(keys.LEASE, held.lease_version),
             table.Check(keys.CHAIN, held.chain_version),
@@ -223,14 +221,9 @@
         raise errors.DeposedError
 
 
-def rows_of(job: progress.JobProgress) -> t.Iterator[table.Write]:
-    """Yield the writes that keep a job's progress."""
-    job_id = job.job.job_id
-    yield table.Write(keys.state(job_id), progress.encode(job.record()))
-    if job.over:
-        # Its end is all that is still asked for.
-        yield table.Write(keys.job(job_id), None)
-        yield table.Write(keys.cancellation(job_id), None)
+def write_of(job: progress.JobProgress) -> table.Write:
+    """Return the write that keeps a job's progress."""
+    return table.Write(keys.state(job.job.job_id), progress.encode(job.record()))
 
 
 def claim(
--- a/src/mangosail/scheduler/keys.py
+++ b/src/mangosail/scheduler/keys.py
@@ -1,14 +1,17 @@
 """Names of the rows in which the scheduler keeps what must last.
 
-A key's first part is the kind of row, its second the shard. Rows of one shard can
-be changed together in one transaction.
+A key's first part is the kind of row, its second the shard. Rows of one shard are
+changed together in one transaction, one after the other; those of different shards
+at the same time. So what callers hand in goes to many shards and never waits for
+the leader's own writes: with a slow store one shard took two transactions a second
+and refused the rest.
 """
 
-#: The only shard so far: one leader sees to all jobs and workers.
+#: The leader's shard: its lease, the states of all jobs, and the jobs that last.
 SHARD = "s0"
 
-#: Rows of jobs that are not over, and of requests to cancel them.
-JOBS = f"job/{SHARD}/"
+#: Rows of jobs as they were handed in, and of requests to cancel them.
+JOBS = "job/"
 #: Rows of what has become of each job.
 STATES = f"state/{SHARD}/"
 #: Rows that say who leads, and order what the leader writes.
@@ -20,16 +23,26 @@
 
 #: Ends the key of a request to cancel the job that the key begins with.
 CANCEL_SUFFIX = "~"
+#: Text of the row of a job that is over.
+OVER = "null"
 
 
 def job(job_id: str) -> str:
-    """Return the key of the row that holds a job as it was accepted."""
-    return JOBS + job_id
+    """Return the key of the row that holds a job as it was handed in.
+
+    The last digit of its id says in which of 16 shards it is.
+    """
+    return f"{JOBS}{job_id[-1].lower()}/{job_id}"
+
+
+def lasting_job(job_id: str) -> str:
+    """Return the key of a job that lasts, which is stored with the room it takes."""
+    return f"{JOBS}{SHARD}/{job_id}"
 
 
 def cancellation(job_id: str) -> str:
     """Return the key of the row that asks for a job to be cancelled."""
-    return JOBS + job_id + CANCEL_SUFFIX
+    return job(job_id) + CANCEL_SUFFIX
 
 
 def state(job_id: str) -> str:
@@ -45,3 +58,8 @@
 def job_id(key: str) -> str:
     """Return the job that a row of jobs or states is about."""
     return key.rpartition("/")[2].removesuffix(CANCEL_SUFFIX)
+
+
+def shard_of(key: str) -> str:
+    """Return the shard of a row."""
+    return key.split("/", 2)[1]
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -159,8 +159,10 @@
 class JobProgress:
     """A job that is not over, or whose last runs have yet to end."""
 
-    def __init__(self, job: messages.Job) -> None:
+    def __init__(self, job: messages.Job, key: str = "") -> None:
         self.job = job
+        #: Key of the row that holds the job.
+        self.key = key
         self.state = messages.State.QUEUED
         self.cancelled = False
         self.steps = {
@@ -170,6 +172,8 @@
         }
         #: Wall time from which the record may be dropped, once the job is over.
         self.drop_at = 0.0
+        #: True once its row was given to be cleared.
+        self.swept = False
 
     @property
     def over(self) -> bool:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -33,6 +33,7 @@
     preemption,
     progress,
     reports,
+    sweeping,
 )
 from mangosail.telemetry import counters as telemetry
 
@@ -92,6 +93,7 @@
         self.judge = health.Health()
         self.journal = journal.Journal(rows, held, clock, counters)
         self.journal.pending = self.pending
+        self.sweeper = sweeping.Sweeper(rows, clock, counters)
         self.journal.lasting_bound = self.lasting_bound
         self.returns = admission.Returns(rows, self.jobs, clock, counters)
         self.orders = orders.Orders(
@@ -140,6 +142,7 @@
             self.greenlets.spawn(self._check_fence)
             self.greenlets.spawn(self._expire_forever)
             self.greenlets.spawn(self.returns.run)
+            self.greenlets.spawn(self.sweeper.run)
             self.greenlets.spawn(self._report_forever)
             writing.get()
         except errors.DeposedError:
@@ -217,23 +220,24 @@
 
     def _take_jobs(self, changes: ports.Changes, whole: bool) -> None:
         """Take in new jobs and requests to cancel."""
+        for row in changes.rows:
+            if not keys.is_cancellation(row.key):
+                self._accept(row.key, row.value)
         for row in changes.rows:
             if keys.is_cancellation(row.key):
                 self._cancel(keys.job_id(row.key))
-            else:
-                self._accept(row.value)
-        # Cancellations sort behind their jobs, but a feed may bring them first.
         self.changed.set()
 
-    def _accept(self, text: str) -> None:
-        job = codec.from_json(text, messages.Job)
-        if job.job_id in self.jobs:
+    def _accept(self, key: str, text: str) -> None:
+        if text == keys.OVER or keys.job_id(key) in self.jobs:
             return
-        held = progress.JobProgress(job)
+        job = codec.from_json(text, messages.Job)
+        held = progress.JobProgress(job, key)
         record = self.states.get(job.job_id)
         if record is not None:
             held.restore(record)
         if held.over:
+            self.sweeper.finished(key, held.drop_at)
             return
         self.jobs[job.job_id] = held
         self.counters.count("scheduler.jobs_taken")
@@ -391,6 +395,9 @@
 
     def _forget(self, job: progress.JobProgress) -> None:
         """Drop a job whose end is durable, once nothing of it runs."""
+        if not job.swept:
+            job.swept = True
+            self.sweeper.finished(job.key, job.drop_at)
         if any(task.live for task in job.tasks()):
             gevent.spawn_later(1.0, self._forget, job)
             return
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -4,7 +4,7 @@
 from tests.scheduler import fakes
 
 from mangosail import codec
-from mangosail.scheduler import errors, keys, progress
+from mangosail.scheduler import errors, keys
 
 ID = "00000000000000aa"
 URGENT = "00000000000000bb"
@@ -15,7 +15,6 @@
 
 def submit(context, job):
     world = context.world
-    world.rows.put(keys.state(job.job_id), progress.JobRecord())
     world.rows.put(keys.job(job.job_id), job)
     context.job = job
 
