Keep what is learned of images when the leader changes

Change: pressures and bases go into a row with each fifth renewal of the lease (about 1 KB each 2 s, no call more); a new leader reads it.

--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -61,6 +61,15 @@
     percent: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Learned:
+    """What is worth keeping of a model when another instance leads."""
+
+    #: Image that serves, image that fills, and the pressure.
+    pressures: tuple[tuple[str, str, float], ...] = ()
+    bases: tuple[tuple[str, float], ...] = ()
+
+
 class Model:
     """What is known of loads, pressures and the tails that follow from them."""
 
@@ -72,6 +81,18 @@
         #: Load by name of the serving task.
         self.load: dict[str, float] = {}
 
+    def learned(self) -> Learned:
+        """Return what is to be kept."""
+        return Learned(
+            tuple((*pair, round(p, 2)) for pair, p in self.pressure.items()),
+            tuple(self.base.items()),
+        )
+
+    def restore(self, learned: Learned) -> None:
+        """Go on with what an earlier leader has learned."""
+        self.pressure = {(first, second): p for first, second, p in learned.pressures}
+        self.base = dict(learned.bases)
+
     def busy(self, step: messages.Step, tail: float) -> float:
         """Return the share of time that a task with this tail is busy."""
         base = self.base.get(step.image, step.tail_target * GUESSED_BASE)
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -30,6 +30,8 @@
 MOST_ROWS = 80
 #: Seconds between renewals of the lease; a quarter of what standbys wait.
 RENEWAL_INTERVAL = 0.45
+#: Renewals of the lease between writes of what is kept now and again.
+EXTRA_RENEWALS = 5
 #: Seconds before a transaction that was refused is sent again.
 RETRY_INTERVAL = 0.05
 #: Seconds for which further changes are gathered once one waits. A transaction
@@ -83,6 +85,8 @@
         #: Return what the lease's row tells all instances.
         self.pending: cabc.Callable[[], dict[str, int]] = dict
         self.lasting_bound: cabc.Callable[[], float | None] = lambda: None
+        #: Returns rows that are kept now and again, with a renewal of the lease.
+        self.now_and_again: cabc.Callable[[], tuple[table.Write, ...]] = tuple
         self.changed: dict[str, progress.JobProgress] = {}
         self.callbacks: list[cabc.Callable[[], None]] = []
         self.wanted = gevent.event.Event()
@@ -174,6 +178,8 @@
             self.held = dataclasses.replace(held, lease=lease)
             self.renew_at = now + RENEWAL_INTERVAL
             writes.append(table.Write(keys.LEASE, codec.to_json(lease)))
+            if lease.renewals % EXTRA_RENEWALS == 0:
+                writes.extend(self.now_and_again())
         writes.extend(write_of(job) for job in batch)
         checks = (
             table.Check(keys.LEASE, held.lease_version),
--- a/src/mangosail/scheduler/keys.py
+++ b/src/mangosail/scheduler/keys.py
@@ -18,6 +18,8 @@
 LEADERSHIP = f"leader/{SHARD}/"
 LEASE = LEADERSHIP + "lease"
 CHAIN = LEADERSHIP + "chain"
+#: Row with what the leader has learned of how images disturb each other.
+LEARNED = LEADERSHIP + "learned"
 #: Row with the room that accepted jobs which last have taken.
 LASTING = LEADERSHIP + "lasting"
 
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -16,6 +16,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec
+from mangosail.platform import table
 from mangosail.scheduler import (
     admission,
     attendance,
@@ -93,6 +94,7 @@
         self.judge = health.Health()
         self.journal = journal.Journal(rows, held, clock, counters)
         self.journal.pending = self.pending
+        self.journal.now_and_again = self._kept_now_and_again
         self.sweeper = sweeping.Sweeper(rows, clock, counters)
         self.journal.lasting_bound = self.lasting_bound
         self.returns = admission.Returns(rows, self.jobs, clock, counters)
@@ -179,6 +181,10 @@
         """Return the cores that jobs which last may take; None if no worker is."""
         return admission.bound(self.workers) or None
 
+    def _kept_now_and_again(self) -> tuple[table.Write, ...]:
+        text = codec.to_json(self.model.learned())
+        return (table.Write(keys.LEARNED, text),)
+
     # What the store holds.
 
     def read_everything(self) -> tuple[following.Follower, ...]:
@@ -197,6 +203,7 @@
         while not workers.step(0):
             self.clock.sleep(READ_INTERVAL)
         self.states = self._read_states()
+        self._read_learned()
         while not jobs.step(0):
             self.clock.sleep(READ_INTERVAL)
         self.states = {}
@@ -207,6 +214,15 @@
         )  # fmt: skip
         return workers, jobs
 
+    def _read_learned(self) -> None:
+        """Take over what was learned; without it the tails would suffer anew."""
+        found = self.rows.read([keys.LEARNED])
+        row = found.ok_value.get(keys.LEARNED) if isinstance(found, result.Ok) else None
+        if row is None:
+            log.info("nothing learned yet", read=isinstance(found, result.Ok))
+            return
+        self.model.restore(codec.from_json(row.value, interference.Learned))
+
     def _read_states(self) -> dict[str, progress.JobRecord]:
         while True:
             found = self.rows.read_all(keys.STATES)
