Run gangs, ask for advice, move tasks that stand still; never run an ended job again

The leader remembers what is over until nothing of it is kept. Ruled out: the moves (the break came without them too). The scenario with a dropped history failed before and passes now. Also: gangs start whole, share run and checkpoint, and end by one member's end; a refused member ends the wait of the others; queues with advice place on the workers named and send their tickets; a worker on which nothing moves loses its tasks.

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -11,6 +11,7 @@
 from mangosail.front import server
 from mangosail.intake import catalogs, desk
 from mangosail.platform import (
+    advisor,
     caller,
     decoding,
     deployment,
@@ -18,7 +19,7 @@
     store,
     workers,
 )
-from mangosail.scheduler import journal, leadership, scheduler
+from mangosail.scheduler import advice, journal, leadership, scheduler
 from mangosail.telemetry import counters as telemetry
 from mangosail.telemetry import exposition, logs
 
@@ -70,6 +71,9 @@
             random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}"),
         )
         self.workers = workers.HttpWorkers()
+        self.advisor: advice.Advisor = advice.NoAdvisor()
+        if settings.advice:
+            self.advisor = advisor.HttpAdvisor(settings.advice)
         self.scheduler: scheduler.Scheduler | None = None
         self.stopping = False
 
@@ -115,6 +119,7 @@
             decoding.entry_of,
             WORKERS_PREFIX,
             self.settings.bounds.status_s,
+            self.advisor,
             self.clock,
             self.counters,
         )
--- a/src/mangosail/platform/wire.py
+++ b/src/mangosail/platform/wire.py
@@ -228,6 +228,22 @@
     ended: list[list] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class Advise:
+    """A question which of the workers may run a step."""
+
+    step: str
+    workers: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Advised:
+    """Workers that may run the step, each with its ticket."""
+
+    good: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    valid_ms: float = 0
+
+
 @dataclasses.dataclass(slots=True)
 class StatePage:
     """A job's state as its caller is told."""
--- /dev/null
+++ b/src/mangosail/scheduler/advice.py
@@ -0,0 +1,130 @@
+"""Asking which workers may run a step, where a queue's policy says so.
+
+The service names the workers that may run a step, each with a ticket that a start
+has to carry. Which workers may does not change, the tickets expire. One call for a
+step is on its way at a time; the service takes one call of an instance after the
+other, so workers with the most room are asked about first.
+"""
+
+import dataclasses
+import typing as t
+
+import gevent
+import gevent.event
+import logbook
+import result
+
+from mangosail import clock as clocks
+from mangosail.scheduler import fleet, messages, placing, progress
+from mangosail.telemetry import counters as telemetry
+
+log = logbook.Logger("advice")
+
+#: Workers that one call asks about; each costs the service time.
+MOST_ASKED = 30
+#: Share of a ticket's term after which it is not used any more.
+USABLE_SHARE = 0.8
+#: Seconds before a call that failed, or named no worker, is made again.
+RETRY_INTERVAL = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tickets:
+    """Tickets by name of the worker, and the seconds for which they hold."""
+
+    by_worker: dict[str, str]
+    term: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The service did not answer the question."""
+
+    reason: str
+
+
+class Advisor(t.Protocol):
+    """The service that says which workers may run a step."""
+
+    def ask(self, step: str, workers: list[str]) -> result.Result[Tickets, Refused]:
+        """Return tickets for those of the workers that may run the step."""
+
+
+class Advice:
+    """Tickets of the steps that need them."""
+
+    def __init__(
+        self,
+        advisor: Advisor,
+        workers: fleet.Fleet,
+        changed: gevent.event.Event,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.advisor = advisor
+        self.workers = workers
+        self.changed = changed
+        self.clock = clock
+        self.counters = counters
+
+    def usable(self, step_run: progress.StepRun, now: float) -> dict[str, str]:
+        """Return the tickets that can be used now, and ask for more if none can."""
+        if step_run.tickets and now < step_run.tickets_until:
+            return step_run.tickets
+        if not step_run.asking and now >= step_run.ask_at:
+            step_run.asking = True
+            gevent.spawn(self._ask, step_run, now)
+        return {}
+
+    def _ask(self, step_run: progress.StepRun, now: float) -> None:
+        names = self._candidates(step_run, now)
+        asked_at = self.clock.elapsed()
+        answer = self.advisor.ask(step_run.name, names)
+        self.counters.time("advice.asked", self.clock.elapsed() - asked_at)
+        step_run.asking = False
+        if isinstance(answer, result.Err):
+            self.counters.count("advice.failed")
+            log.info("no advice", step=step_run.name, reason=answer.err_value.reason)
+            step_run.ask_at = self.clock.elapsed() + RETRY_INTERVAL
+            return
+        tickets = answer.ok_value
+        step_run.advised |= set(tickets.by_worker)
+        step_run.refused |= set(names) - set(tickets.by_worker)
+        step_run.tickets = dict(tickets.by_worker)
+        step_run.tickets_until = asked_at + tickets.term * USABLE_SHARE
+        if not tickets.by_worker:
+            step_run.ask_at = self.clock.elapsed() + RETRY_INTERVAL
+        log.info(
+            "advised", step=step_run.name, asked=len(names), may=len(tickets.by_worker)
+        )
+        self.changed.set()
+
+    def _candidates(self, step_run: progress.StepRun, now: float) -> list[str]:
+        """Return workers to ask about: those that may, then those not asked yet."""
+        service = step_run.job.job.service
+        able = [
+            worker
+            for worker in self.workers
+            if placing.allowed(step_run.step, worker, service, now)
+            and worker.name not in step_run.refused
+        ]
+        able.sort(
+            key=lambda worker: (worker.name in step_run.advised, worker.free.cpus),
+            reverse=True,
+        )
+        return [worker.name for worker in able[:MOST_ASKED]]
+
+
+class NoAdvisor:
+    """Stands in where no such service is set: nobody may run an advised step."""
+
+    def ask(self, step: str, workers: list[str]) -> result.Result[Tickets, Refused]:
+        """Say that there is no advice."""
+        return result.Err(Refused("no service is set"))
+
+
+def advised(catalog: messages.Catalog | None, queue: str) -> bool:
+    """Tell whether the queue's policy asks for advice."""
+    if catalog is None:
+        return False
+    return any(each.advised for each in catalog.queues if each.name == queue)
--- a/src/mangosail/scheduler/messages.py
+++ b/src/mangosail/scheduler/messages.py
@@ -211,10 +211,15 @@
     limits: Limits = Limits()
 
 
+def step_name(job_id: str, occurrence: int, step: int) -> str:
+    """Return the name of a step in one occurrence of its job."""
+    return f"{job_id}.{occurrence}.{step}"
+
+
 def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
     """Return the name of a task, which is the same in every run.
 
     >>> task_name("5c0e7a21d94b36f8", 0, 1, 17)
     '5c0e7a21d94b36f8.0.1.17'
     """
-    return f"{job_id}.{occurrence}.{step}.{index}"
+    return f"{step_name(job_id, occurrence, step)}.{index}"
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -38,12 +38,14 @@
         self,
         calls: ports.Workers,
         token: int,
+        workers: fleet.Fleet,
         changed: gevent.event.Event,
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
         self.calls = calls
         self.token = token
+        self.workers = workers
         self.changed = changed
         self.clock = clock
         self.counters = counters
@@ -62,7 +64,13 @@
         deadline = int(worker.clock_at(now) + START_TERM * 1000)
         worker.deadline = max(worker.deadline, deadline)
         order = messages.StartOrder(
-            task.name, run, task.job.job.spec, task.checkpoint, deadline, self.token
+            task.name,
+            run,
+            task.job.job.spec,
+            task.checkpoint,
+            deadline,
+            self.token,
+            task.step_run.tickets.get(worker.name, ""),
         )
         answer = self.calls.start(worker.entry, order)
         self.counters.time("orders.start", self.clock.elapsed() - now)
@@ -116,6 +124,8 @@
             worker.avoid_until = max(worker.avoid_until, now + FULL_TERM)
         elif reason is errors.Reason.FENCED:
             self.fenced.set()
+        elif reason is errors.Reason.TICKET:
+            task.step_run.tickets.pop(worker.name, None)
         elif reason is errors.Reason.INVALID:
             task.not_before = now + INVALID_TERM
             return
@@ -124,6 +134,8 @@
     def _void(self, task: progress.Task, worker: fleet.Worker, reason: str) -> None:
         """Take note that the run does not exist and never will."""
         worker.release(task)
+        if task.step.gang:
+            self.stop_gang(task, reason)
         task.worker = ""
         task.phase = progress.Phase.WAITING
         self.counters.count(f"orders.not_started.{reason}")
@@ -140,6 +152,8 @@
         """Stop the task's present run, in the background and until answered."""
         if task.phase in (progress.Phase.STOPPING, progress.Phase.DONE):
             return
+        if task.phase is progress.Phase.WAITING:
+            return
         task.phase = progress.Phase.STOPPING
         task.barred_at = None
         self.counters.count(f"orders.stop.{why}")
@@ -148,6 +162,13 @@
         )
         gevent.spawn(self._stop, task, worker, task.run)
 
+    def stop_gang(self, task: progress.Task, why: str) -> None:
+        """Stop the other members of a gang, which wait for one that will not come."""
+        for other in task.step_run.tasks:
+            holder = self.workers.get(other.worker)
+            if other is not task and holder is not None and other.run == task.run:
+                self.stop(other, holder, "gang")
+
     def stop_unknown(self, worker: fleet.Worker, row: messages.Running) -> None:
         """Stop a run that nobody wants, in the background."""
         self.counters.count("orders.stop.unknown")
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -78,6 +78,7 @@
             for worker in self.workers
             if allowed(step_run.step, worker, service, now)
             and fleet.reserved(step_run.step).fits_in(worker.free)
+            and (step_run.only is None or worker.name in step_run.only)
         ]
         if not able:
             return []
@@ -121,6 +122,8 @@
         step = step_run.step
         if not fits(step, worker):
             return None
+        if step_run.only is not None and worker.name not in step_run.only:
+            return None
         most = step.most_per_worker
         if most and worker.same_step(step_run) >= most:
             return None
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -68,6 +68,7 @@
         "index",
         "job",
         "moved_at",
+        "moves",
         "name",
         "not_before",
         "pace",
@@ -98,6 +99,8 @@
         self.percent = 0
         self.moved_at = 0.0
         self.started_at = 0.0
+        #: How often it was moved for standing still.
+        self.moves = 0
         #: Share of its speed in percent that the run was last allowed.
         self.pace = 100
         #: Elapsed time at which its speed was last changed.
@@ -126,13 +129,20 @@
     """The tasks of a step in one occurrence of its job."""
 
     __slots__ = (
+        "advised",
+        "ask_at",
+        "asking",
         "blocked_since",
         "done",
         "job",
         "number",
         "occurrence",
+        "only",
+        "refused",
         "step",
         "tasks",
+        "tickets",
+        "tickets_until",
     )
 
     def __init__(self, job: "JobProgress", occurrence: int, number: int) -> None:
@@ -145,6 +155,28 @@
         self.done = 0
         #: Elapsed time since when some of the tasks have found no room.
         self.blocked_since: float | None = None
+        #: Tickets by worker, where the queue needs them, and until when they hold.
+        self.tickets: dict[str, str] = {}
+        self.tickets_until = 0.0
+        #: Workers that may run it now; None if any may.
+        self.only: frozenset[str] | None = None
+        #: Workers that may, and may not, run the step; this does not change.
+        self.advised: set[str] = set()
+        self.refused: set[str] = set()
+        #: True while a call for advice is on its way; elapsed time of the next one.
+        self.asking = False
+        self.ask_at = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the step's name."""
+        return messages.step_name(self.job.job.job_id, self.occurrence, self.number)
+
+    @property
+    def failures(self) -> int:
+        """Return the most failed runs that count against one task, or the gang."""
+        failures = [task.failures for task in self.tasks]
+        return sum(failures) if self.step.gang else max(failures)
 
     @property
     def finished(self) -> bool:
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -98,8 +98,18 @@
             if task.live:
                 self._discard_run(task)
         task.job.mark_done(task)
+        if task.step.gang:
+            self._gang_done(task)
         self.on_change(task.job)
 
+    def _gang_done(self, task: progress.Task) -> None:
+        """Take the end of one member of a gang for that of all."""
+        for other in task.step_run.tasks:
+            holder = self.holder_of(other)
+            if holder is not None:
+                holder.release(other)
+            task.job.mark_done(other)
+
     def _discard_run(self, task: progress.Task) -> None:
         holder = self.holder_of(task)
         if holder is not None:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -19,6 +19,7 @@
 from mangosail.platform import table
 from mangosail.scheduler import (
     admission,
+    advice,
     attendance,
     errors,
     fleet,
@@ -34,6 +35,7 @@
     preemption,
     progress,
     reports,
+    stragglers,
     sweeping,
 )
 from mangosail.telemetry import counters as telemetry
@@ -74,6 +76,7 @@
         entry_of: cabc.Callable[[str, str], messages.WorkerEntry | None],
         worker_prefix: str,
         keep_term: float,
+        advisor: advice.Advisor,
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
@@ -88,6 +91,9 @@
         self.jobs: dict[str, progress.JobProgress] = {}
         #: States of jobs as read at the takeover, until the jobs are read.
         self.states: dict[str, progress.JobRecord] = {}
+        #: Jobs that are over and whose rows may still be there. When all rows are
+        #: read again, they would be taken for new ones and run once more.
+        self.ended: set[str] = set()
         self.workers = fleet.Fleet()
         self.model = interference.Model()
         self.placer = placing.Placer(self.workers, self.model)
@@ -95,11 +101,14 @@
         self.journal = journal.Journal(rows, held, clock, counters)
         self.journal.pending = self.pending
         self.journal.now_and_again = self._kept_now_and_again
-        self.sweeper = sweeping.Sweeper(rows, clock, counters)
+        self.sweeper = sweeping.Sweeper(rows, self.ended.discard, clock, counters)
         self.journal.lasting_bound = self.lasting_bound
         self.returns = admission.Returns(rows, self.jobs, clock, counters)
         self.orders = orders.Orders(
-            calls, held.lease.token, self.changed, clock, counters
+            calls, held.lease.token, self.workers, self.changed, clock, counters
+        )
+        self.advice = advice.Advice(
+            advisor, self.workers, self.changed, clock, counters
         )
         self.reports = reports.Reports(
             self.find,
@@ -245,7 +254,8 @@
         self.changed.set()
 
     def _accept(self, key: str, text: str) -> None:
-        if text == keys.OVER or keys.job_id(key) in self.jobs:
+        job_id = keys.job_id(key)
+        if text == keys.OVER or job_id in self.jobs or job_id in self.ended:
             return
         job = codec.from_json(text, messages.Job)
         held = progress.JobProgress(job, key)
@@ -253,6 +263,7 @@
         if record is not None:
             held.restore(record)
         if held.over:
+            self.ended.add(job.job_id)
             self.sweeper.finished(key, held.drop_at)
             return
         self.jobs[job.job_id] = held
@@ -389,13 +400,14 @@
         if job.finished():
             self._end(job, messages.State.COMPLETED)
             return
-        for task in job.tasks():
-            if task.failures >= job.job.attempts and not task.step.lasting:
+        for step_run in job.steps.values():
+            if step_run.failures >= job.job.attempts and not step_run.step.lasting:
                 self._end(job, messages.State.FAILED)
                 return
 
     def _end(self, job: progress.JobProgress, state: messages.State) -> None:
         job.state = state
+        self.ended.add(job.job.job_id)
         job.drop_at = self.clock.wall() + self.keep_term + KEEP_MARGIN
         self.counters.count(f"scheduler.jobs_ended.{state.value}")
         took = round(self.clock.wall() - job.job.accepted_at, 3)
@@ -476,25 +488,41 @@
         wall = self.clock.wall()
         ready = [step_run for job in self.jobs.values() for step_run in job.ready(wall)]
         ready.sort(key=order_of)
-        self._move_stuck(now)
+        self._move_slow(now)
         full: list[tuple[str, str, messages.Step]] = []
         for step_run in ready:
             tasks = [t for t in step_run.waiting() if t.not_before <= now]
             if tasks:
                 self._place_step(step_run, tasks, full, now)
 
-    def _move_stuck(self, now: float) -> None:
-        """Stop tasks that stand still where another worker has room for them."""
+    def _move_slow(self, now: float) -> None:
+        """Stop tasks that stand still where other workers have room for them."""
         if now < self.move_at:
             return
         self.move_at = now + MOVE_INTERVAL
         for worker in self.workers:
+            if not worker.reachable:
+                continue
             for task in list(worker.tasks.values()):
-                if not self.model.stuck(task, now):
-                    continue
-                service = self.service_of(task.job.job)
-                if self.placer.has_room(task.step_run, service, now):
+                if self.model.stuck(task, now) and self._elsewhere(task, now):
                     self.orders.stop(task, worker, "moved")
+            for straggler in stragglers.find(worker, now):
+                self._move_straggler(straggler, now)
+
+    def _elsewhere(self, task: progress.Task, now: float) -> bool:
+        service = self.service_of(task.job.job)
+        return self.placer.has_room(task.step_run, service, now)
+
+    def _move_straggler(self, straggler: stragglers.Straggler, now: float) -> None:
+        task, worker = straggler.task, straggler.worker
+        before = worker.avoid_until
+        worker.avoid_until = now + stragglers.SET_ASIDE
+        if not self._elsewhere(task, now):
+            worker.avoid_until = before
+            return
+        task.moves += 1
+        task.avoid = worker.name
+        self.orders.stop(task, worker, "stalled")
 
     def _place_step(
         self,
@@ -505,6 +533,11 @@
     ) -> None:
         service = self.service_of(step_run.job.job)
         step = step_run.step
+        if advice.advised(self.catalog(), step_run.job.job.queue):
+            allowed = self.advice.usable(step_run, now)
+            if not allowed:
+                return
+            step_run.only = frozenset(allowed)
         if starves(step_run, now):
             chosen = self.placer.place_one(step_run, tasks, service, now)
         elif any(hopeless(step, service, seen) for seen in full):
@@ -522,10 +555,14 @@
         job = step_run.job
         if job.state is messages.State.QUEUED:
             job.state = messages.State.RUNNING
+        together = max(choice.task.run for choice in chosen) + 1
+        saved = next((c.task.checkpoint for c in chosen if c.task.checkpoint), "")
         for choice in chosen:
             task = choice.task
             task.phase = progress.Phase.STARTING
-            task.run += 1
+            # The members of a gang share run and checkpoint.
+            task.run = together if step.gang else task.run + 1
+            task.checkpoint = saved if step.gang else task.checkpoint
             task.worker = choice.worker.name
             task.barred_at = None
         self.journal.record(job)
--- a/src/mangosail/scheduler/sweeping.py
+++ b/src/mangosail/scheduler/sweeping.py
@@ -28,15 +28,23 @@
     """Clears rows of jobs that are over; for the leader."""
 
     def __init__(
-        self, rows: table.Table, clock: clocks.Clock, counters: telemetry.Counters
+        self,
+        rows: table.Table,
+        dropped: cabc.Callable[[str], None],
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
     ) -> None:
         self.rows = rows
+        #: Told of each job of which nothing is kept any more.
+        self.dropped = dropped
         self.clock = clock
         self.counters = counters
         #: Keys of jobs' rows whose text is not needed any more.
         self.over: list[str] = []
         #: Wall times from which rows may be dropped, with their keys.
         self.due: list[tuple[float, str]] = []
+        #: Writes that failed, for the next sweep.
+        self.failed: list[table.Write] = []
 
     def finished(self, job_key: str, drop_at: float) -> None:
         """Clear a job's row soon, and drop all that is kept of it after `drop_at`."""
@@ -56,7 +64,8 @@
     def sweep(self) -> None:
         """Clear and drop what is due; what fails is left for the next sweep."""
         over, self.over = self.over, []
-        writes = [table.Write(key, keys.OVER) for key in over]
+        writes, self.failed = self.failed, []
+        writes += [table.Write(key, keys.OVER) for key in over]
         while self.due and self.due[0][0] <= self.clock.wall():
             _, key = heapq.heappop(self.due)
             job_id = keys.job_id(key)
@@ -67,6 +76,11 @@
             done = self.rows.commit(table.Transaction((), tuple(group)))
             if isinstance(done, result.Err):
                 self.counters.count("sweeping.failed")
+                self.failed += group
+                continue
+            for write in group:
+                if write.value is None:
+                    self.dropped(keys.job_id(write.key))
 
 
 def by_shard(writes: cabc.Iterable[table.Write]) -> list[list[table.Write]]:
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -12,6 +12,7 @@
 from mangosail.platform import errors as store_errors
 from mangosail.platform import table
 from mangosail.scheduler import (
+    advice,
     attendance,
     errors,
     fleet,
@@ -39,6 +40,8 @@
         #: "", "down" (says so), "lost" (done, not answered), "late" (done later).
         self.fault = ""
         self.late = []
+        #: Versions up to which the history was dropped.
+        self.forgotten = 0
 
     def read(self, wanted):
         if self.fault == "down":
@@ -78,6 +81,8 @@
     def changes(self, prefix, after, wait):
         if self.fault == "down":
             return result.Err(store_errors.Unavailable("down"))
+        if after <= self.forgotten:
+            return result.Err(ports.HistoryLost())
         names = {k for v, k in self.history if v > after and k.startswith(prefix)}
         rows = tuple(self.kept[name] for name in sorted(names) if name in self.kept)
         removed = tuple(name for name in names if name not in self.kept)
@@ -114,6 +119,10 @@
         self.paces = {}
         self.tails = {}
         self.last_seen = 0
+        self.progress = 0
+        self.standing_still = False
+        self.refusals = 0
+        self.tickets = []
 
     @property
     def clock(self):
@@ -132,6 +141,10 @@
                 self.end(task, "lapsed")
 
 
+def tail(worker, task):
+    return worker.tails.get(task, 0.0)
+
+
 class Calls:
     """Carries orders to the workers in memory."""
 
@@ -156,11 +169,15 @@
     def start(self, entry, order):
         def effect(worker):
             reason = self._why_not(worker, order)
+            if worker.refusals:
+                worker.refusals -= 1
+                reason = errors.Reason.NO_ROOM
             if reason is not None:
                 return result.Err(errors.Rejected(reason))
             if worker.running.get(order.task) != order.run:
                 worker.starts.append((order.task, order.run, order.checkpoint))
             worker.running[order.task] = order.run
+            worker.tickets.append(order.ticket)
             worker.deadline = max(worker.deadline, order.deadline)
             return result.Ok(worker.clock)
 
@@ -203,8 +220,11 @@
             worker.last_seen = max(worker.last_seen, last_seen)
             worker.ended = [e for e in worker.ended if e.number > last_seen]
             worker.deadline = max(worker.deadline, deadline or 0)
+            worker.progress += not worker.standing_still
             running = tuple(
-                messages.Running(task, run, "", 1, worker.tails.get(task, 0.0))
+                messages.Running(
+                    task, run, "", worker.progress % 100, worker.tails.get(task, 0.0)
+                )
                 for task, run in worker.running.items()
             )
             return result.Ok(messages.Look(worker.clock, running, tuple(worker.ended)))
@@ -237,10 +257,11 @@
             world.rows,
             world.calls,
             held,
-            lambda: None,
+            lambda: world.catalog,
             lambda name, text: world.calls.workers[name].entry,
             WORKERS_PREFIX,
             MINUTE,
+            world.advisor,
             world.clock,
             world.counters,
         )
@@ -283,6 +304,19 @@
         return self.scheduler.workers.get(name)
 
 
+class Advisor:
+    """Names the workers that may run a step, with a ticket each."""
+
+    def __init__(self):
+        self.may = set()
+        self.asked = []
+
+    def ask(self, step, workers):
+        self.asked.append((step, list(workers)))
+        tickets = {name: f"ticket-{name}" for name in workers if name in self.may}
+        return result.Ok(advice.Tickets(tickets, 3.0))
+
+
 class World:
     """What outlives an instance."""
 
@@ -293,6 +327,8 @@
         self.counters = counters.StatsdCounters(None, 0)
         self.rand = rand
         self.leader = None
+        self.catalog = None
+        self.advisor = Advisor()
 
     def add_worker(self, name, **facts):
         worker = Worker(name, self.clock, **facts)
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -215,3 +215,57 @@
     And their tails are too high
     And 30 rounds pass
     Then the task that fills works at 0 percent
+
+  Scenario: Tasks that stand still go on elsewhere
+    # The caller waits about two seconds, not until the worker recovers. The worker
+    # answers every call and makes no progress.
+    Given workers "w1 w2" and a leader
+    And a job of 2 tasks
+    When 2 rounds pass
+    And the task's worker stands still
+    And 2 seconds pass
+    Then the task was started twice
+    And the task runs on one worker
+
+  Scenario: A gang starts whole or not at all
+    Given workers "w1" and a leader
+    And a gang of 5 tasks
+    When 3 rounds pass
+    Then no task runs
+    When worker "w2" comes
+    And 3 rounds pass
+    Then 5 tasks run, with one number of the run
+    When one member ends done
+    And 3 rounds pass
+    Then the job is shown as completed
+
+  Scenario: A gang of which one member was refused does not wait in vain
+    # The caller would see the gang end for want of a member: the others would wait
+    # for it until their time is over.
+    Given workers "w1 w2" and a leader
+    And worker "w2" refuses the next start
+    And a gang of 5 tasks
+    When 8 rounds pass
+    Then 5 tasks run, with one number of the run
+    And no run waited in vain
+
+  Scenario: Only workers that the advice names run an advised step
+    Given workers "w1 w2 w3" and a leader
+    And a queue that asks for advice, which names "w2"
+    And a job of 3 tasks
+    When 4 rounds pass
+    Then 3 tasks run, on "w2"
+    And each start carried the ticket of its worker
+
+  Scenario: A job that is over does not begin again when the history is lost
+    # The caller would see its order carried out twice. The job is over and forgotten,
+    # its row not cleared yet; the store drops its history, so all rows are read anew.
+    Given workers "w1" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And the task ends done
+    And 4 rounds pass
+    And the store drops its history
+    And 3 rounds pass
+    Then the task was started once
+    And the job is shown as completed
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -4,7 +4,7 @@
 from tests.scheduler import fakes
 
 from mangosail import codec
-from mangosail.scheduler import errors, keys
+from mangosail.scheduler import errors, keys, messages
 
 ID = "00000000000000aa"
 URGENT = "00000000000000bb"
@@ -346,6 +346,7 @@
 
 
 @then('{count:d} task runs, on "{name}"')
+@then('{count:d} tasks run, on "{name}"')
 def step_on(context, count, name):
     running = all_running(context)
     assert len(running) == count, running
@@ -365,3 +366,66 @@
 
 def decode(row):
     return codec.from_json(row.value, dict)
+
+
+@when("the task's worker stands still")
+def step_still(context):
+    for worker in workers(context):
+        worker.standing_still = worker.entry.name == context.world.runs(TASK)[0]
+
+
+@given("a gang of {count:d} tasks")
+def step_gang(context, count):
+    submit(context, fakes.job(ID, fakes.step(count, gang=True)))
+
+
+@when('worker "{name}" comes')
+def step_comes(context, name):
+    context.world.add_worker(name)
+
+
+@given('worker "{name}" refuses the next start')
+def step_refuses(context, name):
+    context.world.calls.workers[name].refusals = 1
+
+
+@then("{count:d} tasks run, with one number of the run")
+def step_gang_runs(context, count):
+    runs = [run for worker in workers(context) for run in worker.running.values()]
+    assert len(runs) == count, runs
+    assert len(set(runs)) == 1, runs
+
+
+@when("one member ends done")
+def step_member_done(context):
+    for worker in workers(context):
+        for task in list(worker.running):
+            worker.end(task, "done")
+            for other in workers(context):
+                other.running.clear()
+            return
+
+
+@then("no run waited in vain")
+def step_not_alone(context):
+    ends = [end.outcome for worker in workers(context) for end in worker.ended]
+    assert "alone" not in ends, ends
+
+
+@given('a queue that asks for advice, which names "{name}"')
+def step_advised(context, name):
+    queue = messages.Queue("q", "h", "/", "pool", 0, 2, 3.0, advised=True)
+    context.world.catalog = messages.Catalog(1, (queue,))
+    context.world.advisor.may = {name}
+
+
+@then("each start carried the ticket of its worker")
+def step_tickets(context):
+    carried = [t for worker in workers(context) for t in worker.tickets]
+    assert carried, "nothing was started"
+    assert set(carried) == {"ticket-w2"}, carried
+
+
+@when("the store drops its history")
+def step_history(context):
+    context.world.rows.forgotten = context.world.rows.kept.version
