Keep the bound on what lasts in force while leaders change

Change: the lease that is claimed carries bound and counts of the one before. Ruled out: placing and moves (the same workers, 22 serving before and 32 after). Tests: eleven scenarios of handing in, cancelling and following the configuration; the one of the bound failed before.

--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -104,7 +104,16 @@
         if seen is None:
             return None
         token = seen.lease.token + 1 if seen.lease else 1
-        lease = journal.Lease(self.name, self.incarnation, token, address=self.address)
+        lease = journal.Lease(
+            self.name,
+            self.incarnation,
+            token,
+            address=self.address,
+            # What all instances go by stays in force until this one knows better.
+            # Without the bound, all that lasts was let in between two leaders.
+            lasting_bound=seen.lease.lasting_bound if seen.lease else None,
+            pending=seen.lease.pending if seen.lease else {},
+        )
         link = codec.to_json(f"{token}.0.{self.incarnation}")
         version = journal.claim(
             self.rows, lease, link, seen.lease_version, seen.chain_version
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -187,7 +187,9 @@
         return counts
 
     def lasting_bound(self) -> float | None:
-        """Return the cores that jobs which last may take; None if no worker is."""
+        """Return the cores that jobs which last may take; None if not known yet."""
+        if not self.attending:
+            return self.journal.held.lease.lasting_bound
         return admission.bound(self.workers) or None
 
     def _kept_now_and_again(self) -> tuple[table.Write, ...]:
--- /dev/null
+++ b/tests/intake/steps/intake_steps.py
@@ -0,0 +1,233 @@
+import random
+
+import result
+from behave import given, then, when
+from tests.scheduler import fakes
+from tests.support import memory
+
+from mangosail import codec
+from mangosail.intake import catalogs, desk, errors
+from mangosail.scheduler import admission, journal, keys, leadership, messages
+from mangosail.telemetry import counters
+
+ID = "00000000000000aa"
+OTHER = "00000000000000bb"
+
+
+def new_desk(context):
+    return desk.Desk(
+        context.rows,
+        lambda: context.away,
+        context.clock,
+        counters.StatsdCounters(None, 0),
+    )
+
+
+def lasting(job_id, cores):
+    need = fakes.resources.Resources(cpus=cores)
+    return fakes.job(job_id, fakes.step(need=need, lasting=True))
+
+
+@given("an instance at the store")
+def step_instance(context):
+    context.clock = memory.Clock()
+    context.rows = fakes.Rows()
+    context.away = False
+    context.desk = new_desk(context)
+
+
+@given("the store refuses")
+def step_refuses(context):
+    context.rows.fault = "down"
+
+
+@given("the store carries writes out late")
+def step_late(context):
+    context.rows.fault = "late"
+
+
+@given("the store loses the answer to one write")
+def step_lost(context):
+    commit = context.rows.commit
+
+    def once(transaction):
+        context.rows.fault = "lost"
+        done = commit(transaction)
+        context.rows.fault = ""
+        context.rows.commit = commit
+        return done
+
+    context.rows.commit = once
+
+
+@given("the instance has not heard of the store for long")
+def step_away(context):
+    context.away = True
+
+
+@given("jobs that last may take {cores:d} cores")
+def step_bound(context, cores):
+    lease = journal.Lease("a", "1", 1, lasting_bound=float(cores))
+    context.rows.put(keys.LEASE, lease)
+    context.rows.put(keys.CHAIN, "1.0")
+
+
+@when("a job is handed in")
+def step_hand_in(context):
+    context.answers = [context.desk.hand_in(fakes.job(ID, fakes.step()))]
+
+
+@when("the same job is handed in at another instance")
+def step_again(context):
+    context.answers.append(new_desk(context).hand_in(fakes.job(ID, fakes.step())))
+
+
+@when(
+    "jobs that last and take {cores:d} cores each are handed in at {count:d} instances"
+)
+def step_lasting(context, cores, count):
+    context.answers = [
+        new_desk(context).hand_in(lasting(f"{number:016x}", cores))
+        for number in range(count)
+    ]
+
+
+@when("a job that lasts and takes {cores:d} cores is handed in twice")
+def step_lasting_twice(context, cores):
+    context.answers = [new_desk(context).hand_in(lasting(ID, cores)) for _ in range(2)]
+
+
+@when("another instance takes the lease")
+def step_takes(context):
+    lead = leadership.Leadership(
+        context.rows,
+        "b",
+        "",
+        context.clock,
+        counters.StatsdCounters(None, 0),
+        random.Random(1),
+    )
+    while lead.watch() is None:
+        context.clock.now += 0.5
+
+
+@when("the job is cancelled by its caller")
+def step_cancel(context):
+    assert context.desk.cancel(ID).is_ok()
+
+
+@when("the late writes arrive")
+def step_arrive(context):
+    context.rows.deliver_late()
+
+
+@then("both callers are told that it was accepted")
+def step_both(context):
+    assert [a.is_ok() for a in context.answers] == [True, True], context.answers
+
+
+@then("the caller is told that it was accepted")
+def step_accepted(context):
+    assert context.answers[0].is_ok(), context.answers
+
+
+@then("the caller is told that it was refused, and when to come back")
+def step_refused(context):
+    error = context.answers[0].err_value
+    assert isinstance(error, errors.Refused), error
+    assert error.retry_after > 0
+
+
+@then("the caller is told that the outcome is not known")
+def step_unknown(context):
+    assert isinstance(context.answers[0].err_value, errors.Undecided), context.answers
+
+
+@then("the store holds {count} job")
+def step_holds(context, count):
+    found = context.rows.kept.page(keys.JOBS, "", 10)
+    assert len(found) == {"one": 1, "no": 0}[count], found
+
+
+@then("its state is queued")
+def step_queued(context):
+    assert context.desk.state(ID) == result.Ok(messages.State.QUEUED)
+
+
+@then("another job is not known")
+def step_not_known(context):
+    assert isinstance(context.desk.state(OTHER).err_value, errors.UnknownJob)
+
+
+@then("nothing was sent to the store")
+def step_nothing(context):
+    assert context.rows.kept.version == 0
+
+
+@then("{good:d} of them are accepted and {bad:d} are refused")
+def step_split(context, good, bad):
+    accepted = sum(answer.is_ok() for answer in context.answers)
+    assert (accepted, len(context.answers) - accepted) == (good, bad), context.answers
+    taken = codec.from_json(context.rows.kept[keys.LASTING].value, admission.Taken)
+    assert taken.cores == 16
+
+
+@then("jobs that last may still take {cores:d} cores")
+def step_still(context, cores):
+    lease = codec.from_json(context.rows.kept[keys.LEASE].value, journal.Lease)
+    assert (lease.holder, lease.lasting_bound) == ("b", cores), lease
+
+
+@then("the store holds the request to cancel it")
+def step_request(context):
+    assert keys.cancellation(ID) in context.rows.kept
+
+
+@then("a job that nobody knows can't be cancelled")
+def step_unknown_cancel(context):
+    assert isinstance(context.desk.cancel(OTHER).err_value, errors.UnknownJob)
+
+
+@given("an instance that follows the configuration")
+def step_follows(context):
+    context.clock = memory.Clock()
+    context.rows = fakes.Rows()
+    context.versions = {}
+    context.catalogs = catalogs.Catalogs(
+        context.rows,
+        "settings//all",
+        lambda text: context.versions[codec.from_json(text, int)],
+        context.clock,
+        counters.StatsdCounters(None, 0),
+    )
+
+
+def read(context, version, *prefixes):
+    queues = tuple(
+        messages.Queue(name, "host", prefix, "pool", 0, 1, 3.0)
+        for name, prefix in prefixes
+    )
+    context.versions[version] = messages.Catalog(version, queues)
+    context.rows.put("settings//all", version)
+    assert context.catalogs.refresh()
+
+
+@when('version {version:d} with a queue "{name}" is read')
+def step_read(context, version, name):
+    read(context, version, ("old", "/a/"), (name, "/a/b/"))
+
+
+@when("version {version:d} without it is read")
+def step_read_without(context, version):
+    read(context, version, ("old", "/a/"))
+
+
+@then('the queue "{name}" is found')
+def step_found(context, name):
+    assert context.catalogs.find("host", "/a/b/c").name == name
+
+
+@then("the longest prefix of a path decides")
+def step_longest(context):
+    assert context.catalogs.find("host", "/a/c").name == "old"
+    assert context.catalogs.find("host", "/c") is None
