Tell a job's story from the logs; test the adapter against the published protocol

`mangosail explain ID` reads logs of any instances, from files or standard input, and prints what touched the job in order of time, with `--around` also what instances came to believe meanwhile.

--- /dev/null
+++ b/src/mangosail/cli/explain.py
@@ -0,0 +1,128 @@
+"""``mangosail explain``: the story of one job, from the logs of all instances."""
+
+import collections.abc as cabc
+import dataclasses
+import pathlib
+import sys
+import typing as t
+
+import msgspec
+import typer
+
+from mangosail.cli import exits
+
+#: Fields that every line has, or that say which job it is about.
+COMMON = frozenset(
+    {"time", "level", "slice", "event", "instance", "data_centre", "job", "exception"}
+)
+
+Job = t.Annotated[str, typer.Argument(help="The job's id, or that of a request.")]
+Files = t.Annotated[
+    list[pathlib.Path] | None,
+    typer.Argument(help="Logs of instances; standard input if none is named."),
+]
+Around = t.Annotated[
+    bool,
+    typer.Option(
+        "--around/--alone",
+        help="Also what instances came to believe meanwhile: leases, workers, "
+        "the configuration.",
+    ),
+]
+
+#: Slices whose lines tell what an instance believes, whatever the job.
+BELIEFS = frozenset({"leadership", "journal", "catalog", "process", "following"})
+#: Events of other slices that do.
+BELIEF_EVENTS = frozenset(
+    {
+        "worker unreachable", "worker reached", "worker lost", "worker set aside",
+        "worker unlisted", "worker drains", "took over", "no longer leading", "state",
+    }
+)  # fmt: skip
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """A line of a log, as it was written."""
+
+    time: str
+    instance: str
+    event: str
+    slice: str
+    fields: dict[str, t.Any]
+
+    def about(self, request_id: str) -> bool:
+        """Tell whether the line is about a job or request."""
+        for name in ("job", "task", "step", "request_id"):
+            value = self.fields.get(name)
+            if isinstance(value, str) and value.partition(".")[0] == request_id:
+                return True
+        return False
+
+    def belief(self) -> bool:
+        """Tell whether the line says what an instance came to believe."""
+        return self.slice in BELIEFS or self.event in BELIEF_EVENTS
+
+    def shown(self, mark: str) -> str:
+        """Return the line for a person to read."""
+        details = " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if name not in COMMON
+        )
+        return (
+            f"{self.time[11:23]} {mark} {self.instance:<16} {self.event:<16} {details}"
+        )
+
+
+def explain(request_id: Job, files: Files = None, around: Around = False) -> None:
+    """Tell what became of a job, in order of time, from logs of any instances.
+
+    Lines that are not JSON are passed over, and text before a line's JSON is cut
+    off, so that output gathered by other tools can be read as it is.
+    """
+    lines = sorted(parsed(texts(files or [])), key=lambda line: line.time)
+    own = [line for line in lines if line.about(request_id)]
+    if not own:
+        exits.leave(exits.USAGE, f"{request_id}: no line of the logs is about it")
+    first, last = own[0].time, own[-1].time
+    for line in lines:
+        if line.about(request_id):
+            typer.echo(line.shown("*"))
+        elif around and first <= line.time <= last and line.belief():
+            typer.echo(line.shown(" "))
+
+
+def texts(files: cabc.Sequence[pathlib.Path]) -> cabc.Iterator[str]:
+    """Yield the lines of the files, or of standard input."""
+    if not files:
+        yield from sys.stdin
+        return
+    for path in files:
+        try:
+            with path.open(errors="replace") as file:
+                yield from file
+        except OSError as exc:
+            exits.leave(
+                exits.USAGE, f"{path}: expected a readable file: {exc.strerror}"
+            )
+
+
+def parsed(lines: cabc.Iterable[str]) -> cabc.Iterator[Line]:
+    """Yield the lines that are an instance's."""
+    for text in lines:
+        start = text.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(text[start:])
+        except msgspec.DecodeError:
+            # Cut off by whoever gathered it.
+            continue
+        yield Line(
+            str(fields.get("time", "")),
+            str(fields.get("instance", "")),
+            str(fields.get("event", "")),
+            str(fields.get("slice", "")),
+            fields,
+        )
--- a/src/mangosail/cli/main.py
+++ b/src/mangosail/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 import mangosail
-from mangosail.cli import serve, settings, status, watch, work
+from mangosail.cli import explain, serve, settings, status, watch, work
 
 #: Gives each flag without a variable of its own one: MANGOSAIL_SUBMIT_REQUEST_ID.
 CONTEXT = {"auto_envvar_prefix": "MANGOSAIL"}
@@ -37,6 +37,7 @@
     work.cancel,
     work.jobs,
     watch.watch,
+    explain.explain,
 ):
     app.command()(command)
 
--- /dev/null
+++ b/tests/adapter/steps/adapter_steps.py
@@ -0,0 +1,334 @@
+import json
+import tempfile
+
+import result
+from behave import given, then, when
+from falcon import testing
+from tests.standins import metadata
+from tests.support import memory
+
+from mangosail import errors as program_errors
+from mangosail import resources
+from mangosail.intake import catalogs, desk
+from mangosail.platform import (
+    caller,
+    decoding,
+    deployment,
+    errors,
+    ingress,
+    store,
+    table,
+    workers,
+)
+from mangosail.scheduler import errors as order_errors
+from mangosail.scheduler import messages, ports
+from mangosail.telemetry import counters
+
+JOB = "5c0e7a21d94b36f8"
+ENTRY_NAME = "i-1"
+KEY = "kind/s0/row"
+
+
+@given("the platform's store")
+def step_store(context):
+    context.platform = metadata.Platform()
+    context.add_cleanup(context.platform.close)
+    address = context.platform.address
+    context.store = store.Store(caller.Caller(address), caller.Caller(address))
+
+
+def write(context, *checks):
+    writes = (table.Write(KEY, '"text"'),)
+    return context.store.commit(table.Transaction(checks, writes))
+
+
+@when("a row is written, read, and dropped while its kind is followed")
+def step_round(context):
+    before = context.store.read_all("kind/").ok_value.version
+    context.version = write(context).ok_value
+    context.read = context.store.read([KEY]).ok_value
+    context.seen = [context.store.changes("kind/", before, 0).ok_value]
+    drop = table.Transaction((), (table.Write(KEY, None),))
+    assert context.store.commit(drop).is_ok()
+    context.seen.append(context.store.changes("kind/s0/", context.version, 0).ok_value)
+
+
+@then("the row was read as written, and following told of both")
+def step_round_read(context):
+    row = table.Row(KEY, '"text"', context.version)
+    assert context.read == {KEY: row}, context.read
+    assert context.seen[0].rows == (row,), context.seen
+    assert context.seen[1].removed == (KEY,), context.seen
+
+
+@given("{count:d} rows in {shards:d} shards")
+def step_many(context, count, shards):
+    for number in range(count):
+        context.platform.put("kind", f"s{number % shards}", f"k{number:05}", "1")
+
+
+@when("all rows of their kind are read")
+def step_read_all(context):
+    context.found = context.store.read_all("kind/").ok_value.rows
+
+
+@then("{count:d} rows are found")
+def step_found(context, count):
+    assert len({row.key for row in context.found}) == count
+
+
+@given("the store answers a write with {status:d}")
+def step_armed(context, status):
+    context.platform.armed["/-/rows-tx"] = [(status, {})]
+
+
+@given("the store has dropped its history")
+def step_dropped(context):
+    context.platform.armed["/-/rows-feed"] = [(410, {})]
+
+
+@given("the store never answers the next write")
+def step_silent(context):
+    context.platform.silent.add("/-/rows-tx")
+
+
+@when("a row is written")
+def step_write(context):
+    context.done = write(context)
+
+
+@when("a row is written that must not exist, and does")
+def step_conflict(context):
+    write(context)
+    context.done = write(context, table.Check(KEY, table.ABSENT))
+
+
+@when("its rows are followed")
+def step_follow(context):
+    context.done = context.store.changes("kind/", 1, 0)
+
+
+@then("the write is {meaning}")
+def step_meaning(context, meaning):
+    kinds = {
+        "unavailable": errors.Unavailable,
+        "uncertain": errors.Uncertain,
+        "a conflict on that row": errors.Conflict,
+    }
+    if meaning == "done":
+        assert context.done.is_ok(), context.done
+        return
+    assert isinstance(context.done.err_value, kinds[meaning]), context.done
+    if meaning.startswith("a conflict"):
+        assert context.done.err_value.key == KEY
+
+
+@then("following says that the history is lost")
+def step_lost(context):
+    assert isinstance(context.done.err_value, ports.HistoryLost), context.done
+
+
+@given("a worker")
+def step_worker(context):
+    context.platform = metadata.Platform()
+    context.add_cleanup(context.platform.close)
+    context.entry = entry(context.platform.address)
+    context.workers = workers.HttpWorkers()
+
+
+@given("a worker whose port is closed")
+def step_closed(context):
+    step_worker(context)
+    context.platform.close()
+
+
+def entry(address):
+    capacity = resources.Resources(cpus=8)
+    return messages.WorkerEntry(
+        ENTRY_NAME, "pool", address, "dc", capacity, frozenset()
+    )
+
+
+@given("it answers a start with {status:d} {reason}")
+def step_answers(context, status, reason):
+    reply = {"clock_ms": 7} if reason == "-" else {"clock_ms": 7, "reason": reason}
+    context.platform.armed["/-/run-start"] = [(status, reply)]
+
+
+@given("it lists a run with a tail of {tail:d} ms and the end of another")
+def step_lists(context, tail):
+    reply = {
+        "clock_ms": 482113,
+        "running": [[f"{JOB}.0.0.1", 2, "saved", 41, tail]],
+        "ended": [[58, f"{JOB}.0.0.2", 1, "done", ""]],
+    }
+    context.platform.armed["/-/hold"] = [(200, reply)]
+
+
+@when("a run is started there")
+def step_start(context):
+    order = messages.StartOrder(f"{JOB}.0.0.1", 1, "spec", "", 500, 3)
+    context.done = context.workers.start(context.entry, order)
+
+
+@when("it is looked at")
+def step_look(context):
+    context.done = context.workers.look(context.entry, 3, 57, 486000, 1.0)
+
+
+@then("the start is {meaning}")
+def step_start_meaning(context, meaning):
+    error = context.done.err_value
+    if isinstance(error, order_errors.Rejected):
+        assert error.reason.value == meaning, error
+    else:
+        assert type(error).__name__.lower() == meaning, error
+
+
+@then("the look has both, and named the life of the worker that it meant")
+def step_look_has(context):
+    run = messages.Running(f"{JOB}.0.0.1", 2, "saved", 41, 14.0)
+    end = messages.End(58, f"{JOB}.0.0.2", 1, messages.Outcome.DONE, "")
+    look = messages.Look(482113, (run,), (end,))
+    assert context.done == result.Ok(look), context.done
+    _, _, body, headers = context.platform.calls[0]
+    assert json.loads(body) == {
+        "fencing_token": 3, "last_seen": 57, "deadline_ms": 486000, "wait_ms": 1000,
+    }  # fmt: skip
+    assert headers["EXPECT-INSTANCE"] == ENTRY_NAME, headers
+
+
+QUEUE = messages.Queue("q", "q.example", "/fast/", "pool", 0, 2, 3.0)
+
+
+@when("a caller hands in {body}")
+def step_body(context, body):
+    if body.startswith("a step of"):
+        body = '{"steps":[{"count":1,"cpu":2500,"mem_mb":2048}]}'
+    context.job = decoding.job_of(body.encode(), JOB, QUEUE, 1000.0)
+
+
+@then('it is refused for "{fault}"')
+def step_fault(context, fault):
+    assert fault in context.job.err_value.fault, context.job
+
+
+@then("the step needs 2.5 cores and 2 GB")
+def step_units(context):
+    need = context.job.ok_value.steps[0].need
+    assert need == resources.Resources(cpus=2.5, memory_gb=2.0), need
+
+
+@given('an instance on the platform, with a queue at "{host}" "{prefix}"')
+def step_instance(context, host, prefix):
+    step_store(context)
+    route = {"name": "q", "host": host, "path_prefix": prefix, "service": "pool"}
+    config = {"version": 1, "routes": [route], "services": [{"name": "pool"}]}
+    context.platform.put("op", "", "config", json.dumps(config))
+    context.clock = memory.Clock()
+    counted = counters.StatsdCounters(None, 0)
+    catalog = catalogs.Catalogs(
+        context.store, "op//config", decoding.catalog_of, context.clock, counted
+    )
+    assert catalog.refresh()
+    jobs = desk.Desk(context.store, catalog.stale, context.clock, counted)
+    context.ingress = ingress.Ingress(catalog, jobs, context.clock, counted)
+    context.readiness = ingress.Readiness(catalog)
+    context.client = testing.TestClient(context.ingress.app)
+    context.host = {"Host": host}
+
+
+def post(context, path):
+    body = '{"spec":"s","steps":[{"count":1,"cpu":100,"mem_mb":1}]}'
+    return context.client.simulate_post(path, body=body, headers=context.host)
+
+
+@when("a job is posted, asked for, counted, cancelled, and posted to nowhere")
+def step_calls(context):
+    path = f"/fast/{JOB}"
+    context.replies = [
+        post(context, path),
+        context.client.simulate_get(path, headers=context.host),
+        context.client.simulate_get("/fast/", headers=context.host),
+        context.client.simulate_delete(path, headers=context.host),
+        post(context, f"/slow/{JOB}"),
+    ]
+
+
+@then("the answers are 200, 200, 200, 200 and 404")
+def step_replies(context):
+    statuses = [reply.status_code for reply in context.replies]
+    assert statuses == [200, 200, 200, 200, 404], statuses
+    assert context.replies[1].json == {"state": "queued"}
+    assert context.replies[2].json == {"pending": 0}
+
+
+@when("it has not heard of the store for {seconds:d} seconds")
+def step_unheard(context, seconds):
+    context.clock.now += seconds
+
+
+def readiness(context):
+    return testing.TestClient(context.readiness.app).simulate_get("/").status_code
+
+
+@then("it is ready")
+def step_ready(context):
+    assert (
+        testing.TestClient(context.readiness.app).simulate_get("/").status_code == 200
+    )
+
+
+@then("it is not ready")
+def step_not_ready(context):
+    assert (
+        testing.TestClient(context.readiness.app).simulate_get("/").status_code == 503
+    )
+
+
+@then("a job is refused with the time to come back")
+def step_refused(context):
+    reply = post(context, f"/fast/{JOB}")
+    assert reply.status_code == 503, reply.status_code
+    assert reply.headers["Retry-After"] == "1", reply.headers
+
+
+def settings_file(context, content):
+    with tempfile.NamedTemporaryFile("w", delete=False, suffix=".json") as file:
+        json.dump(content, file)
+    context.path = file.name
+
+
+SETTINGS = {
+    "node_name": "edge-1",
+    "zone": "dc",
+    "ip": "10.0.0.1",
+    "listen_addrs": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"},
+    "platform": {"address": "10.0.0.9:1", "form": "table"},
+}
+
+
+@given("a settings file of the platform with an unknown field")
+def step_settings(context):
+    settings_file(context, {**SETTINGS, "brand_new": [1]})
+
+
+@given("a settings file of the platform without the store")
+def step_bad_settings(context):
+    settings_file(context, {k: v for k, v in SETTINGS.items() if k != "platform"})
+
+
+@then("the settings name the instance and the store")
+def step_settings_read(context):
+    found = deployment.read(context.path)
+    assert (found.node_name, found.platform.address) == ("edge-1", "10.0.0.9:1")
+
+
+@then('reading it fails and names "{name}"')
+def step_settings_fail(context, name):
+    try:
+        deployment.read(context.path)
+    except program_errors.ConfigurationError as exc:
+        assert name in str(exc), exc
+        return
+    raise AssertionError("it was read")
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -3,13 +3,13 @@
 from behave import given, then, when
 from tests.support import stage
 
-from mangosail.platform import errors, http, table
+from mangosail.platform import caller, errors, http, table
 
 
 @given("a platform that loses every answer of the table")
 def lose_answers(context):
     context.stage.faults(lose_answers=1.0)
-    context.rows = http.HttpTable(http.Caller(context.stage.platform, "tester"))
+    context.rows = http.HttpTable(caller.Caller(context.stage.platform))
 
 
 @when("{count:d} commits are sent at once")
@@ -48,17 +48,17 @@
     entry = {"name": name, "data_centre": "dc", "rack": "r", "address": "127.0.0.1:9"}
     entry["capacity"] = {"cpus": 8}
     stage.call(context.stage.platform, "PUT", f"/inventory/workers/{name}", entry)
-    caller = http.Caller(context.stage.platform, "tester")
+    calls = caller.Caller(context.stage.platform)
     context.sent = []
-    call = caller.call
+    call = calls.call
 
     def noted(*args, **options):
         answer = call(*args, **options)
         context.sent.append(len(answer.ok_value.body))
         return answer
 
-    caller.call = noted
-    context.inventory = http.HttpInventory(caller)
+    calls.call = noted
+    context.inventory = http.HttpInventory(calls)
     stage.wait_until(lambda: standings(context) == {name: "live"}, what="listed")
 
 
--- /dev/null
+++ b/tests/standins/metadata.py
@@ -0,0 +1,112 @@
+"""A stand-in of the users' platform in one process: store, worker, advice.
+
+It answers as the platform's pages say, and as a test arms it to.
+"""
+
+import base64
+import json
+
+import falcon
+import gevent
+from gevent import pywsgi
+
+from tests.standins import server
+
+
+class Platform:
+    """Rows of the store, one worker, and the advice service, on one address."""
+
+    def __init__(self):
+        self.rows = {}
+        self.ver = 0
+        self.history = []
+        #: Statuses that the next calls of a path are answered with.
+        self.armed = {}
+        #: Paths whose next answer never comes, though the call is done.
+        self.silent = set()
+        self.calls = []
+        app = falcon.App()
+        app.add_sink(self.answer, prefix="/")
+        self.httpd = pywsgi.WSGIServer(
+            ("127.0.0.1", 0), app, log=None, error_log=None,
+            handler_class=server.Handler,
+        )  # fmt: skip
+        self.httpd.start()
+        self.address = f"127.0.0.1:{self.httpd.server_port}"
+
+    def close(self):
+        self.httpd.stop(timeout=0)
+
+    def answer(self, req, resp, **_):
+        body = req.bounded_stream.read()
+        self.calls.append((req.method, req.path, body, dict(req.headers)))
+        statuses = self.armed.get(req.path)
+        if statuses:
+            status, reply = statuses.pop(0)
+        else:
+            status, reply = self.serve(req, body)
+        if req.path in self.silent:
+            self.silent.discard(req.path)
+            gevent.sleep(30)
+        resp.status = status
+        resp.text = json.dumps(reply)
+
+    def serve(self, req, body):
+        if req.path == "/-/rows-tx":
+            return self.transact(json.loads(body))
+        if req.path == "/-/rows-get":
+            return 200, self.page(req)
+        if req.path == "/-/rows-parts":
+            table = req.get_param("table")
+            parts = sorted({part for t, part, _ in self.rows if t == table})
+            return 200, {"parts": parts, "ver": self.ver}
+        if req.path == "/-/rows-feed":
+            return self.feed(req)
+        return 404, {}
+
+    def transact(self, message):
+        places = {
+            (e["table"], e["part"], e["key"]) for kind in message for e in message[kind]
+        }
+        if len({part for _, part, _ in places}) > 1:
+            return 400, {"reason": "parts"}
+        for entry in message["expected_revision"]:
+            row = self.rows.get((entry["table"], entry["part"], entry["key"]))
+            if (row["ver"] if row else 0) != entry["ver"]:
+                wanted = message["expected_revision"]
+                return 412, {"rows": self.present(wanted), "ver": self.ver}
+        self.ver += 1
+        for entry in message["puts"]:
+            place = (entry["table"], entry["part"], entry["key"])
+            self.rows[place] = dict(entry, ver=self.ver)
+            self.history.append(self.rows[place])
+        for entry in message["remove"]:
+            self.rows.pop((entry["table"], entry["part"], entry["key"]), None)
+            self.history.append(dict(entry, ver=self.ver, tombstone=True))
+        return 200, {"ver": self.ver, "now_ms": 1}
+
+    def present(self, wanted):
+        places = [(e["table"], e["part"], e["key"]) for e in wanted]
+        return [self.rows[place] for place in places if place in self.rows]
+
+    def page(self, req):
+        first, past = req.get_param("from") or "", req.get_param("target")
+        limit = int(req.get_param("limit") or 500)
+        table, part = req.get_param("table"), req.get_param("part") or ""
+        names = sorted(
+            key
+            for t, p, key in self.rows
+            if (t, p) == (table, part) and key >= first and (not past or key < past)
+        )
+        rows = [self.rows[table, part, key] for key in names[:limit]]
+        return {"rows": rows, "more_pages": len(names) > limit, "ver": self.ver}
+
+    def feed(self, req):
+        after, table = int(req.get_param("after")), req.get_param("table")
+        rows = [r for r in self.history if r["ver"] > after and r["table"] == table]
+        return 200, {"rows": rows, "ver": self.ver}
+
+    def put(self, table, part, key, text):
+        value = base64.b64encode(text.encode()).decode()
+        put = {"table": table, "part": part, "key": key, "value": value}
+        self.transact({"expected_revision": [], "puts": [put], "remove": []})
--- a/tests/telemetry/steps/telemetry_steps.py
+++ b/tests/telemetry/steps/telemetry_steps.py
@@ -7,7 +7,9 @@
 import logbook
 from behave import given, then, when
 from tests.support import sources, stage, teams
+from typer import testing
 
+from mangosail.cli import main as commands
 from mangosail.telemetry import counters, exposition, logs
 
 #: Names of methods that send, and their kind in docs/METRICS.md.
@@ -253,3 +255,58 @@
     while not {first, second} <= seen:
         lines = context.server.recv(65536).decode().splitlines()
         seen |= {line.partition(":")[0] for line in lines}
+
+
+STORY = """\
+ 12.5 edge-2 {"time":"2026-01-01T00:00:02","instance":"edge-2","event":"ended",\
+"slice":"reports","task":"aa.0.0.1","outcome":"done"}
+{"time":"2026-01-01T00:00:00","instance":"edge-1","event":"handed in",\
+"slice":"intake","job":"aa","outcome":"accepted"}
+{"time":"2026-01-01T00:00:00.5","instance":"edge-2","event":"job taken",\
+"slice":"scheduler","job":"bb"}
+{"time":"2026-01-01T00:00:01","instance":"edge-2","event":"worker lost",\
+"slice":"reports","worker":"w"}
+{"time":"2026-01-01T00:00:01.5","instance":"edge-2","event":"started",\
+"slice":"orders","task":"aa.0.0.1"}
+{"time":"cut off
+"""
+
+
+@given('logs of two instances about the jobs "aa" and "bb"')
+def story(context):
+    context.story = STORY
+
+
+@when('the job "{job_id}" is explained')
+def explained(context, job_id, *options):
+    arguments = ["explain", job_id, *options]
+    context.done = testing.CliRunner().invoke(
+        commands.app, arguments, input=context.story
+    )
+
+
+@when('the job "{job_id}" is explained with what happened around it')
+def explained_around(context, job_id):
+    explained(context, job_id, "--around")
+
+
+@then("its three lines come in order of time, and none of the other job")
+def three_lines(context):
+    events = [line.split("edge-")[1][2:].strip() for line in told(context)]
+    assert [e.split()[0] for e in events] == ["handed", "started", "ended"], events
+
+
+def told(context):
+    assert context.done.exit_code == 0, context.done.output
+    return context.done.output.splitlines()
+
+
+@then("the lost worker stands between them")
+def lost_between(context):
+    assert "worker lost" in told(context)[1], told(context)
+
+
+@then("the command fails and says that no line is about it")
+def no_line(context):
+    assert context.done.exit_code == 2, context.done
+    assert "no line of the logs" in context.done.output, context.done.output
--- a/tests/telemetry/telemetry.feature
+++ b/tests/telemetry/telemetry.feature
@@ -45,3 +45,13 @@
   Scenario: Counters and times stand on the metrics address
     Given a process that has counted and timed
     Then the metrics address shows 3 refusals and 3 times
+
+  Scenario: The story of a job is told from the logs of several instances
+    # Someone on call has an id and the logs, gathered with a prefix before each line.
+    Given logs of two instances about the jobs "aa" and "bb"
+    When the job "aa" is explained
+    Then its three lines come in order of time, and none of the other job
+    When the job "aa" is explained with what happened around it
+    Then the lost worker stands between them
+    When the job "cc" is explained
+    Then the command fails and says that no line is about it
