--- a/src/mangosail/intake/desk.py
+++ b/src/mangosail/intake/desk.py
@@ -20,8 +20,9 @@
 
 log = logbook.Logger("intake")
 
-#: Seconds for which a write without an answer is tried again.
-DECIDE_TERM = 2.2
+#: Seconds after which a write without an answer is not tried again. Its caller does
+#: better to ask at another instance than to be kept while this one finds out.
+DECIDE_TERM = 1.0
 #: Seconds before a write that was refused is tried again.
 RETRY_INTERVAL = 0.08
 #: Seconds after which a caller that was refused should come back.
