Fewer looks, calls and vain placements for a leader of many workers

Change: looks wait 1.2 s where no tail has to be watched; a pass gives up after six steps that fill in vain, the next goes on behind them; standbys look each 0.3 to 0.9 s; instances with less than a core wait up to 0.3 s longer for the lease.

--- a/src/mangosail/platform/deployment.py
+++ b/src/mangosail/platform/deployment.py
@@ -31,6 +31,15 @@
     hold_max_ms: float = 6000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine gives this process."""
+
+    #: Share of each core, and how many cores there are.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorePlace:
     """Where the platform's store is."""
@@ -49,6 +58,7 @@
     platform: StorePlace
     internal_ports: tuple[int, ...] = ()
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     #: Address of the service that says which workers may run a step, if there is one.
     advice: str | None = None
 
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -38,6 +38,8 @@
 NOTICE_TERM = 2.3
 #: Seconds before the kill by which a planned stop must be over.
 STOP_MARGIN = 0.8
+#: Seconds between looks at a lease that nobody holds.
+CLAIM_INTERVAL = 0.1
 #: Seconds between looks at what is in flight.
 POLL_INTERVAL = 0.02
 
@@ -69,6 +71,7 @@
             self.clock,
             self.counters,
             random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}"),
+            settings.limits.cpu_share * settings.limits.cores,
         )
         self.workers = workers.HttpWorkers()
         self.advisor: advice.Advisor = advice.NoAdvisor()
@@ -106,10 +109,17 @@
         while not self.stopping:
             held = self.leadership.watch()
             if held is None:
-                self.clock.sleep(leadership.WATCH_INTERVAL)
+                self.clock.sleep(self._watch_interval())
                 continue
             self._lead(held)
 
+    def _watch_interval(self) -> float:
+        """Return the seconds until the next look; short while a claim is due."""
+        seen = self.leadership.seen
+        if seen is not None and (seen.lease is None or seen.lease.released):
+            return CLAIM_INTERVAL
+        return self.leadership.interval
+
     def _lead(self, held: journal.Held) -> None:
         self.scheduler = scheduler.Scheduler(
             self.store,
--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -29,8 +29,10 @@
 #: leases. It bounds what a leader that was cut off keeps alive, and bridges an
 #: outage of the store together with `HOLD_TERM`.
 UNCONFIRMED_TERM = 3.2
-#: Seconds for which a look waits for an end.
+#: Seconds for which a look waits for an end, where tails have to be watched and
+#: elsewhere. Of a leader's time on 246 workers looks without news took the most.
 LOOK_WAIT = 0.6
+QUIET_WAIT = 1.2
 #: Seconds between looks at a worker that does not answer.
 SILENT_INTERVAL = 0.25
 #: Seconds between looks at a worker whose ends are not durable yet.
@@ -74,7 +76,9 @@
         """Look once, and wait as long as the next look should."""
         now = self.clock.elapsed()
         unseen = worker.taken_in > worker.last_seen
-        wait = LOOK_WAIT if worker.known and worker.reachable and not unseen else 0.0
+        wait = 0.0
+        if worker.known and worker.reachable and not unseen:
+            wait = LOOK_WAIT if worker.serving and worker.filling else QUIET_WAIT
         answer = self.calls.look(
             worker.entry,
             self.journal.token,
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -22,11 +22,16 @@
 #: A holder that is deposed too soon costs a takeover of about 0.1 s; a lost one
 #: costs all of this.
 TERM = 1.5
-#: Seconds between a standby's looks at the lease.
-WATCH_INTERVAL = 0.35
+#: Seconds between a standby's looks at the lease, drawn for each instance between
+#: these: a few quick ones are enough, and each look is a call to the store.
+LEAST_WATCH_INTERVAL = 0.3
+MOST_WATCH_INTERVAL = 0.9
 #: Most seconds that standbys wait on top, drawn at random, so that they do not
 #: all claim at once.
 STAGGER = 0.25
+#: Seconds that an instance without any processor time would wait on top, so that one
+#: with a whole core leads where there is one.
+HANDICAP = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +56,7 @@
         clock: clocks.Clock,
         counters: telemetry.Counters,
         rand: random.Random,
+        cores: float = 1.0,
     ) -> None:
         self.rows = rows
         self.name = name
@@ -60,7 +66,9 @@
         self.rand = rand
         self.incarnation = f"{rand.getrandbits(64):016x}"
         self.seen: Seen | None = None
-        self.patience = rand.uniform(0, STAGGER)
+        self.handicap = HANDICAP * max(1.0 - cores, 0.0)
+        self.patience = rand.uniform(0, STAGGER) + self.handicap
+        self.interval = rand.uniform(LEAST_WATCH_INTERVAL, MOST_WATCH_INTERVAL)
 
     def watch(self) -> journal.Held | None:
         """Look at the lease once; return it if it was taken."""
@@ -93,7 +101,7 @@
         if seen is None:
             return False
         if seen.lease is None or seen.lease.released:
-            return True
+            return now - seen.since >= self.handicap
         if seen.lease.holder == self.name:
             # An earlier run of this very instance: it has ended.
             return True
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -44,6 +44,9 @@
 
 #: Seconds between placements, so that what comes together is placed together.
 PLACE_INTERVAL = 0.004
+#: Steps that fill which one pass looks at in vain. With 250 of them waiting for 246
+#: workers a pass took over 0.1 s of processor time, and starts waited for it.
+MOST_FAILURES = 6
 #: Seconds after which placing is tried without a change, for tasks that become
 #: due and workers that are used again.
 QUIET_INTERVAL = 0.1
@@ -135,6 +138,8 @@
         self.began_at = clock.elapsed()
         #: Elapsed time from which tasks that stand still are looked for again.
         self.move_at = 0.0
+        #: Name of the step at which the last pass was cut off; empty if it was not.
+        self.turn = ""
         #: True once a planned stop has begun.
         self.stopping = False
         #: True once all jobs are known, so that workers can be looked at.
@@ -492,10 +497,36 @@
         ready.sort(key=order_of)
         self._move_slow(now)
         full: list[tuple[str, str, messages.Step]] = []
-        for step_run in ready:
+        failures = 0
+        last = ""
+        for step_run in self._in_turn(ready):
             tasks = [t for t in step_run.waiting() if t.not_before <= now]
-            if tasks:
-                self._place_step(step_run, tasks, full, now)
+            if not tasks:
+                continue
+            fills = step_run.step.fills
+            if fills and failures >= MOST_FAILURES and not starves(step_run, now):
+                self.turn = last
+                continue
+            last = step_run.name if fills else last
+            placed = self._place_step(step_run, tasks, full, now)
+            failures += fills and not placed
+
+    def _in_turn(
+        self, ready: list[progress.StepRun]
+    ) -> cabc.Iterator[progress.StepRun]:
+        """Yield steps in order, those that fill from where the last pass was cut off.
+
+        A pass looks at few steps in vain, as each costs a look at every worker; the
+        next one goes on behind them, so that smaller steps behind large ones get on.
+        """
+        turn, self.turn = self.turn, ""
+        filling = [each for each in ready if each.step.fills]
+        yield from (each for each in ready if not each.step.fills)
+        names = [each.name for each in filling]
+        first = names.index(turn) + 1 if turn in names else 0
+        if first < len(filling):
+            yield from filling[first:]
+        yield from filling[:first]
 
     def _move_slow(self, now: float) -> None:
         """Stop tasks that stand still where other workers have room for them."""
@@ -532,13 +563,14 @@
         tasks: list[progress.Task],
         full: list[tuple[str, str, messages.Step]],
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Place tasks of a step, and tell whether any was."""
         service = self.service_of(step_run.job.job)
         step = step_run.step
         if advice.advised(self.catalog(), step_run.job.job.queue):
             allowed = self.advice.usable(step_run, now)
             if not allowed:
-                return
+                return False
             step_run.only = frozenset(allowed)
         if starves(step_run, now):
             chosen = self.placer.place_one(step_run, tasks, service, now)
@@ -553,7 +585,7 @@
         if len(chosen) < len(tasks) and not step.most_per_worker and not step.gang:
             full.append((service, step.label, step))
         if not chosen:
-            return
+            return False
         job = step_run.job
         if job.state is messages.State.QUEUED:
             job.state = messages.State.RUNNING
@@ -569,6 +601,7 @@
             task.barred_at = None
         self.journal.record(job)
         self.journal.then(lambda: self._send(chosen))
+        return True
 
     def _blocked(
         self, step_run: progress.StepRun, missing: int, service: str, now: float
