Split the rounds of placing from the scheduler; don't give up on lighter images

Cause of the one change of behaviour: a step that fills and found no room made all steps that need as much count as hopeless in that round, also of images that disturb nothing. Advised, spread and gang steps don't stand for others any more either. A deposed leader ends its writing without a traceback.

--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -17,7 +17,7 @@
 class Worker:
     """One life of a worker, and what runs there as far as the leader knows."""
 
-    def __init__(self, entry: messages.WorkerEntry, now: float) -> None:
+    def __init__(self, entry: messages.WorkerEntry) -> None:
         self.entry = entry
         self.name = entry.name
         #: Runs that may exist there, by the name of their task.
@@ -46,16 +46,10 @@
         #: True once the platform no longer lists it.
         self.unlisted = False
         self.gone = False
-        self.first_seen = now
         #: Images that filled at the last look, and when speeds were last changed.
         self.filling_images: frozenset[str] = frozenset()
         self.paced_at = 0.0
 
-    @property
-    def rack(self) -> frozenset[str]:
-        """Return the worker's labels, its rack among them."""
-        return self.entry.labels
-
     def heard(self, clock: int, now: float) -> None:
         """Take in the worker's clock as it stood at the elapsed time `now`."""
         self.clock = float(clock)
@@ -142,9 +136,9 @@
         """Return a worker, or None if it is not known."""
         return self.workers.get(name)
 
-    def add(self, entry: messages.WorkerEntry, now: float) -> Worker:
+    def add(self, entry: messages.WorkerEntry) -> Worker:
         """Begin to know a worker."""
-        worker = Worker(entry, now)
+        worker = Worker(entry)
         self.workers[entry.name] = worker
         return worker
 
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -114,13 +114,16 @@
         self.wanted.set()
 
     def run(self) -> None:
-        """Write until deposed, and raise `DeposedError` then."""
-        while True:
+        """Write until another instance leads, or the lease is given up."""
+        while not self.deposed:
             due = self.renew_at - self.clock.elapsed()
             if not self.wanted.wait(max(due, 0.0)) and due > 0:
                 continue
             gevent.sleep(GATHER_TERM)
-            self.write()
+            try:
+                self.write()
+            except errors.DeposedError:
+                log.warning("no longer leading", token=self.token)
 
     def write(self) -> None:
         """Write what waits in one transaction, however often it must be sent."""
--- /dev/null
+++ b/src/mangosail/scheduler/rounds.py
@@ -0,0 +1,317 @@
+"""Rounds of placing: what waits, in order, onto workers that have room.
+
+A round looks at all steps whose turn has come, chooses workers, records the runs, and
+sends the starts once the record is durable.
+"""
+
+import collections.abc as cabc
+
+import gevent.event
+import gevent.pool
+import logbook
+
+from mangosail import clock as clocks
+from mangosail.scheduler import (
+    advice,
+    fleet,
+    interference,
+    journal,
+    messages,
+    orders,
+    placing,
+    preemption,
+    progress,
+    stragglers,
+)
+from mangosail.telemetry import counters as telemetry
+
+log = logbook.Logger("rounds")
+
+#: Seconds between placements, so that what comes together is placed together.
+PLACE_INTERVAL = 0.004
+#: Steps that fill which one pass looks at in vain. With 250 of them waiting for 246
+#: workers a pass took over 0.1 s of processor time, and starts waited for it.
+MOST_FAILURES = 6
+#: Pauses between placements, in multiples of what the last one took.
+PLACE_PAUSES = 3
+#: Seconds after which placing is tried without a change, for tasks that become
+#: due and workers that are used again.
+QUIET_INTERVAL = 0.1
+#: Starts that are on their way at a time, at most.
+MOST_STARTS = 256
+#: Seconds between looks for tasks that stand still beside serving ones.
+MOVE_INTERVAL = 0.25
+#: Seconds between the lines that say how much waits.
+REPORT_INTERVAL = 2.0
+#: Seconds after which one task of a job with nothing running is placed although it
+#: may disturb others; such a job may not stand still for 3 s.
+STARVING_TERM = 1.2
+
+
+class Rounds:
+    """Places the tasks of `jobs` on `workers`, round after round."""
+
+    def __init__(
+        self,
+        jobs: cabc.Mapping[str, progress.JobProgress],
+        workers: fleet.Fleet,
+        model: interference.Model,
+        writer: journal.Journal,
+        sender: orders.Orders,
+        advisor: advice.Advice,
+        catalog: cabc.Callable[[], messages.Catalog | None],
+        changed: gevent.event.Event,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.jobs = jobs
+        self.workers = workers
+        self.model = model
+        self.placer = placing.Placer(workers, model)
+        self.journal = writer
+        self.orders = sender
+        self.advice = advisor
+        self.catalog = catalog
+        self.changed = changed
+        self.clock = clock
+        self.counters = counters
+        self.starts = gevent.pool.Pool(MOST_STARTS)
+        #: Elapsed time from which tasks that stand still are looked for again.
+        self.move_at = 0.0
+        #: Name of the step at which the last round was cut off; empty if it was not.
+        self.turn = ""
+        #: True once a planned stop has begun.
+        self.stopping = False
+
+    def report_forever(self) -> None:
+        """Log how much waits and how much room there is, now and again."""
+        while True:
+            self.clock.sleep(REPORT_INTERVAL)
+            now = self.clock.elapsed()
+            usable = [worker for worker in self.workers if worker.usable(now)]
+            waiting = [
+                task
+                for job in self.jobs.values()
+                for step_run in job.ready(self.clock.wall())
+                for task in step_run.waiting()
+            ]
+            log.info(
+                "state",
+                jobs=len(self.jobs),
+                waiting_filling=sum(task.step.fills for task in waiting),
+                waiting_lasting=sum(task.step.lasting for task in waiting),
+                waiting=len(waiting),
+                workers=len(self.workers),
+                usable=len(usable),
+                serving=sum(bool(worker.serving) for worker in usable),
+                free_cores=round(sum(worker.free.cpus for worker in usable)),
+                unused_cores=round(sum(worker.unused for worker in usable)),
+                slowed=sum(
+                    task.pace < interference.FULL
+                    for worker in usable
+                    for task in worker.tasks.values()
+                ),
+            )
+
+    def run(self) -> None:
+        """Place whenever something has changed, until the planned stop."""
+        while True:
+            self.changed.wait(QUIET_INTERVAL)
+            self.changed.clear()
+            if self.stopping:
+                return
+            began_at = self.clock.elapsed()
+            try:
+                self.place()
+            except Exception:
+                # A fault with one job must not stop the others for good.
+                self.counters.count("rounds.place_failed")
+                log.exception("place failed")
+            # A quarter of the processor at most goes into placing; what was placed has
+            # to be written and sent.
+            took = self.clock.elapsed() - began_at
+            self.counters.time("rounds.place", took)
+            self.clock.sleep(max(PLACE_INTERVAL, PLACE_PAUSES * took))
+
+    def place(self) -> None:
+        """Place what waits, in order, as far as there is room."""
+        now = self.clock.elapsed()
+        wall = self.clock.wall()
+        ready = [step_run for job in self.jobs.values() for step_run in job.ready(wall)]
+        ready.sort(key=order_of)
+        self._move_slow(now)
+        full: list[tuple[str, progress.StepRun]] = []
+        failures = 0
+        last = ""
+        for step_run in self._in_turn(ready):
+            tasks = [t for t in step_run.waiting() if t.not_before <= now]
+            if not tasks:
+                continue
+            fills = step_run.step.fills
+            if fills and failures >= MOST_FAILURES and not starves(step_run, now):
+                self.turn = last
+                continue
+            last = step_run.name if fills else last
+            placed = self._place_step(step_run, tasks, full, now)
+            failures += fills and not placed
+
+    def _in_turn(
+        self, ready: list[progress.StepRun]
+    ) -> cabc.Iterator[progress.StepRun]:
+        """Yield steps in order, those that fill from where the last pass was cut off.
+
+        A pass looks at few steps in vain, as each costs a look at every worker; the
+        next one goes on behind them, so that smaller steps behind large ones get on.
+        """
+        turn, self.turn = self.turn, ""
+        filling = [each for each in ready if each.step.fills]
+        yield from (each for each in ready if not each.step.fills)
+        names = [each.name for each in filling]
+        first = names.index(turn) + 1 if turn in names else 0
+        if first < len(filling):
+            yield from filling[first:]
+        yield from filling[:first]
+
+    def _move_slow(self, now: float) -> None:
+        """Stop tasks that stand still where other workers have room for them."""
+        if now < self.move_at:
+            return
+        self.move_at = now + MOVE_INTERVAL
+        for worker in self.workers:
+            if not worker.reachable:
+                continue
+            for task in list(worker.tasks.values()):
+                if self.model.stuck(task, now) and self._elsewhere(task, now):
+                    self.orders.stop(task, worker, "moved")
+            for straggler in stragglers.find(worker, now):
+                self._move_straggler(straggler, now)
+
+    def _elsewhere(self, task: progress.Task, now: float) -> bool:
+        service = self.service_of(task.job.job)
+        return self.placer.has_room(task.step_run, service, now)
+
+    def _move_straggler(self, straggler: stragglers.Straggler, now: float) -> None:
+        task, worker = straggler.task, straggler.worker
+        before = worker.avoid_until
+        worker.avoid_until = now + stragglers.SET_ASIDE
+        if not self._elsewhere(task, now):
+            worker.avoid_until = before
+            return
+        task.moves += 1
+        task.avoid = worker.name
+        self.orders.stop(task, worker, "stalled")
+
+    def _place_step(
+        self,
+        step_run: progress.StepRun,
+        tasks: list[progress.Task],
+        full: list[tuple[str, progress.StepRun]],
+        now: float,
+    ) -> bool:
+        """Place tasks of a step, and tell whether any was."""
+        if not self._advised(step_run, now):
+            return False
+        service = self.service_of(step_run.job.job)
+        if starves(step_run, now):
+            chosen = self.placer.place_one(step_run, tasks, service, now)
+        elif any(hopeless(step_run, service, seen) for seen in full):
+            chosen = []
+        else:
+            chosen = self.placer.place(step_run, tasks, service, now)
+        missing = len(tasks) - len(chosen)
+        if missing:
+            self._blocked(step_run, missing, service, now)
+            full.append((service, step_run))
+        else:
+            step_run.blocked_since = None
+        if chosen:
+            self._begin(step_run, chosen)
+        return bool(chosen)
+
+    def _advised(self, step_run: progress.StepRun, now: float) -> bool:
+        """Tell whether a step may be placed, after advice if its queue needs any."""
+        if not advice.advised(self.catalog(), step_run.job.job.queue):
+            return True
+        allowed = self.advice.usable(step_run, now)
+        step_run.only = frozenset(allowed)
+        return bool(allowed)
+
+    def _begin(self, step_run: progress.StepRun, chosen: list[placing.Choice]) -> None:
+        """Record new runs of the tasks, and send their starts after that."""
+        job = step_run.job
+        if job.state is messages.State.QUEUED:
+            job.state = messages.State.RUNNING
+        gang = step_run.step.gang
+        together = max(choice.task.run for choice in chosen) + 1
+        saved = next((c.task.checkpoint for c in chosen if c.task.checkpoint), "")
+        for choice in chosen:
+            task = choice.task
+            task.phase = progress.Phase.STARTING
+            # The members of a gang share run and checkpoint.
+            task.run = together if gang else task.run + 1
+            task.checkpoint = saved if gang else task.checkpoint
+            task.worker = choice.worker.name
+            task.barred_at = None
+        self.journal.record(job)
+        self.journal.then(lambda: self._send(chosen))
+
+    def _blocked(
+        self, step_run: progress.StepRun, missing: int, service: str, now: float
+    ) -> None:
+        """Make room for a step that has waited long enough."""
+        if step_run.blocked_since is None:
+            step_run.blocked_since = now
+        if now < step_run.blocked_since + preemption.PATIENCE:
+            return
+        found = preemption.victims(step_run, missing, service, self.workers, now)
+        for victim in found:
+            victim.task.not_before = now + preemption.AWAY_TERM
+            self.orders.stop(victim.task, victim.worker, "preempted")
+
+    def _send(self, chosen: list[placing.Choice]) -> None:
+        for choice in chosen:
+            self.starts.spawn(self.orders.start, choice.task, choice.worker)
+
+    def service_of(self, job: messages.Job) -> str:
+        """Return the workers' pool that the configuration in force names."""
+        catalog = self.catalog()
+        if catalog is not None:
+            for queue in catalog.queues:
+                if queue.name == job.queue:
+                    return queue.service
+        return job.service
+
+
+def order_of(step_run: progress.StepRun) -> tuple[int, bool, float, int]:
+    """Return where a step stands in the order of placing: smaller first."""
+    job = step_run.job.job
+    # What lasts takes all room that it finds; what is short goes before it.
+    lasting = step_run.step.lasting
+    return (job.priority, lasting, job.due(step_run.occurrence), step_run.number)
+
+
+def starves(step_run: progress.StepRun, now: float) -> bool:
+    """Tell whether a job has waited long with nothing running."""
+    since = step_run.blocked_since
+    if since is None or now < since + STARVING_TERM:
+        return False
+    return not any(task.live for task in step_run.job.tasks())
+
+
+def hopeless(
+    step_run: progress.StepRun, service: str, seen: tuple[str, progress.StepRun]
+) -> bool:
+    """Tell whether a step can't fit since one that is no harder to place did not."""
+    other_service, other_run = seen
+    step, other = step_run.step, other_run.step
+    if service != other_service or step.fills != other.fills:
+        return False
+    if other.gang or other.most_per_worker or other_run.only is not None:
+        # It may have failed for what does not bind this one.
+        return False
+    if step.fills and step.image != other.image:
+        # Which tails it would disturb depends on the image.
+        return False
+    if other.label and other.label != step.label:
+        return False
+    return other.need.fits_in(step.need)
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -1,7 +1,7 @@
 """The scheduler of the instance that leads: jobs in, starts out.
 
 It is made anew with each lease that is won and reads all it knows from the store
-and the workers. It ends with `DeposedError` once another instance leads::
+and the workers. It ends once another instance leads::
 
     Scheduler(rows, calls, held, catalog, clock, counters).run()
 """
@@ -21,7 +21,6 @@
     admission,
     advice,
     attendance,
-    errors,
     fleet,
     following,
     health,
@@ -30,39 +29,18 @@
     keys,
     messages,
     orders,
-    placing,
     ports,
-    preemption,
     progress,
     reports,
-    stragglers,
+    rounds,
     sweeping,
 )
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("scheduler")
 
-#: Seconds between placements, so that what comes together is placed together.
-PLACE_INTERVAL = 0.004
-#: Steps that fill which one pass looks at in vain. With 250 of them waiting for 246
-#: workers a pass took over 0.1 s of processor time, and starts waited for it.
-MOST_FAILURES = 6
-#: Pauses between placements, in multiples of what the last one took.
-PLACE_PAUSES = 3
-#: Seconds after which placing is tried without a change, for tasks that become
-#: due and workers that are used again.
-QUIET_INTERVAL = 0.1
 #: Seconds for which a job's last state is kept beyond what is promised.
 KEEP_MARGIN = 30.0
-#: Starts that are on their way at a time, at most.
-MOST_STARTS = 256
-#: Seconds between looks for tasks that stand still beside serving ones.
-MOVE_INTERVAL = 0.25
-#: Seconds between the lines that say how much waits.
-REPORT_INTERVAL = 2.0
-#: Seconds after which one task of a job with nothing running is placed although it
-#: may disturb others; such a job may not stand still for 3 s.
-STARVING_TERM = 1.2
 #: Seconds between looks at whether leases of unlisted workers are over.
 EXPIRE_INTERVAL = 0.25
 #: Seconds between attempts to read everything after the lease was won.
@@ -86,7 +64,6 @@
         counters: telemetry.Counters,
     ) -> None:
         self.rows = rows
-        self.catalog = catalog
         self.entry_of = entry_of
         self.worker_prefix = worker_prefix
         self.keep_term = keep_term
@@ -101,7 +78,6 @@
         self.ended: set[str] = set()
         self.workers = fleet.Fleet()
         self.model = interference.Model()
-        self.placer = placing.Placer(self.workers, self.model)
         self.judge = health.Health()
         self.journal = journal.Journal(rows, held, clock, counters)
         self.journal.pending = self.pending
@@ -112,8 +88,17 @@
         self.orders = orders.Orders(
             calls, held.lease.token, self.workers, self.changed, clock, counters
         )
-        self.advice = advice.Advice(
-            advisor, self.workers, self.changed, clock, counters
+        self.rounds = rounds.Rounds(
+            self.jobs,
+            self.workers,
+            self.model,
+            self.journal,
+            self.orders,
+            advice.Advice(advisor, self.workers, self.changed, clock, counters),
+            catalog,
+            self.changed,
+            clock,
+            counters,
         )
         self.reports = reports.Reports(
             self.find,
@@ -136,14 +121,7 @@
             counters,
         )
         self.greenlets = gevent.pool.Group()
-        self.starts = gevent.pool.Pool(MOST_STARTS)
         self.began_at = clock.elapsed()
-        #: Elapsed time from which tasks that stand still are looked for again.
-        self.move_at = 0.0
-        #: Name of the step at which the last pass was cut off; empty if it was not.
-        self.turn = ""
-        #: True once a planned stop has begun.
-        self.stopping = False
         #: True once all jobs are known, so that workers can be looked at.
         self.attending = False
 
@@ -156,21 +134,19 @@
             self.attending = True
             for worker in self.workers:
                 self._attend(worker)
-            self.greenlets.spawn(self._place_forever)
+            self.greenlets.spawn(self.rounds.run)
             self.greenlets.spawn(self._check_fence)
             self.greenlets.spawn(self._expire_forever)
             self.greenlets.spawn(self.returns.run)
             self.greenlets.spawn(self.sweeper.run)
-            self.greenlets.spawn(self._report_forever)
+            self.greenlets.spawn(self.rounds.report_forever)
             writing.get()
-        except errors.DeposedError:
-            log.warning("no longer leading", token=self.journal.token)
         finally:
             self.greenlets.kill(block=False)
 
     def stop(self) -> None:
         """Start nothing more, and hand the lease over."""
-        self.stopping = True
+        self.rounds.stopping = True
         self.journal.give_up()
 
     def find(self, name: str) -> progress.Task | None:
@@ -351,8 +327,7 @@
                 self._gone(worker, "replaced")
 
     def _add(self, entry: messages.WorkerEntry) -> fleet.Worker:
-        now = self.clock.elapsed()
-        worker = self.workers.add(entry, now)
+        worker = self.workers.add(entry)
         worker.inherited_until = (
             self.began_at
             + (attendance.HOLD_TERM + attendance.UNCONFIRMED_TERM)
@@ -440,197 +415,6 @@
             return
         self.jobs.pop(job.job.job_id, None)
 
-    # Placing.
-
-    def _report_forever(self) -> None:
-        """Log how much waits and how much room there is, now and again."""
-        while True:
-            self.clock.sleep(REPORT_INTERVAL)
-            now = self.clock.elapsed()
-            usable = [worker for worker in self.workers if worker.usable(now)]
-            waiting = [
-                task
-                for job in self.jobs.values()
-                for step_run in job.ready(self.clock.wall())
-                for task in step_run.waiting()
-            ]
-            log.info(
-                "state",
-                jobs=len(self.jobs),
-                waiting_filling=sum(task.step.fills for task in waiting),
-                waiting_lasting=sum(task.step.lasting for task in waiting),
-                waiting=len(waiting),
-                workers=len(self.workers),
-                usable=len(usable),
-                serving=sum(bool(worker.serving) for worker in usable),
-                free_cores=round(sum(worker.free.cpus for worker in usable)),
-                unused_cores=round(sum(worker.unused for worker in usable)),
-                slowed=sum(
-                    task.pace < interference.FULL
-                    for worker in usable
-                    for task in worker.tasks.values()
-                ),
-            )
-
-    def _place_forever(self) -> None:
-        while True:
-            self.changed.wait(QUIET_INTERVAL)
-            self.changed.clear()
-            if self.stopping:
-                return
-            began_at = self.clock.elapsed()
-            try:
-                self.place()
-            except Exception:
-                # A fault with one job must not stop the others for good.
-                self.counters.count("scheduler.place_failed")
-                log.exception("place failed")
-            # A quarter of the processor at most goes into placing; what was placed has
-            # to be written and sent.
-            took = self.clock.elapsed() - began_at
-            self.counters.time("scheduler.place", took)
-            self.clock.sleep(max(PLACE_INTERVAL, PLACE_PAUSES * took))
-
-    def place(self) -> None:
-        """Place what waits, in order, as far as there is room."""
-        now = self.clock.elapsed()
-        wall = self.clock.wall()
-        ready = [step_run for job in self.jobs.values() for step_run in job.ready(wall)]
-        ready.sort(key=order_of)
-        self._move_slow(now)
-        full: list[tuple[str, str, messages.Step]] = []
-        failures = 0
-        last = ""
-        for step_run in self._in_turn(ready):
-            tasks = [t for t in step_run.waiting() if t.not_before <= now]
-            if not tasks:
-                continue
-            fills = step_run.step.fills
-            if fills and failures >= MOST_FAILURES and not starves(step_run, now):
-                self.turn = last
-                continue
-            last = step_run.name if fills else last
-            placed = self._place_step(step_run, tasks, full, now)
-            failures += fills and not placed
-
-    def _in_turn(
-        self, ready: list[progress.StepRun]
-    ) -> cabc.Iterator[progress.StepRun]:
-        """Yield steps in order, those that fill from where the last pass was cut off.
-
-        A pass looks at few steps in vain, as each costs a look at every worker; the
-        next one goes on behind them, so that smaller steps behind large ones get on.
-        """
-        turn, self.turn = self.turn, ""
-        filling = [each for each in ready if each.step.fills]
-        yield from (each for each in ready if not each.step.fills)
-        names = [each.name for each in filling]
-        first = names.index(turn) + 1 if turn in names else 0
-        if first < len(filling):
-            yield from filling[first:]
-        yield from filling[:first]
-
-    def _move_slow(self, now: float) -> None:
-        """Stop tasks that stand still where other workers have room for them."""
-        if now < self.move_at:
-            return
-        self.move_at = now + MOVE_INTERVAL
-        for worker in self.workers:
-            if not worker.reachable:
-                continue
-            for task in list(worker.tasks.values()):
-                if self.model.stuck(task, now) and self._elsewhere(task, now):
-                    self.orders.stop(task, worker, "moved")
-            for straggler in stragglers.find(worker, now):
-                self._move_straggler(straggler, now)
-
-    def _elsewhere(self, task: progress.Task, now: float) -> bool:
-        service = self.service_of(task.job.job)
-        return self.placer.has_room(task.step_run, service, now)
-
-    def _move_straggler(self, straggler: stragglers.Straggler, now: float) -> None:
-        task, worker = straggler.task, straggler.worker
-        before = worker.avoid_until
-        worker.avoid_until = now + stragglers.SET_ASIDE
-        if not self._elsewhere(task, now):
-            worker.avoid_until = before
-            return
-        task.moves += 1
-        task.avoid = worker.name
-        self.orders.stop(task, worker, "stalled")
-
-    def _place_step(
-        self,
-        step_run: progress.StepRun,
-        tasks: list[progress.Task],
-        full: list[tuple[str, str, messages.Step]],
-        now: float,
-    ) -> bool:
-        """Place tasks of a step, and tell whether any was."""
-        service = self.service_of(step_run.job.job)
-        step = step_run.step
-        if advice.advised(self.catalog(), step_run.job.job.queue):
-            allowed = self.advice.usable(step_run, now)
-            if not allowed:
-                return False
-            step_run.only = frozenset(allowed)
-        if starves(step_run, now):
-            chosen = self.placer.place_one(step_run, tasks, service, now)
-        elif any(hopeless(step, service, seen) for seen in full):
-            chosen = []
-        else:
-            chosen = self.placer.place(step_run, tasks, service, now)
-        if len(chosen) < len(tasks):
-            self._blocked(step_run, len(tasks) - len(chosen), service, now)
-        else:
-            step_run.blocked_since = None
-        if len(chosen) < len(tasks) and not step.most_per_worker and not step.gang:
-            full.append((service, step.label, step))
-        if not chosen:
-            return False
-        job = step_run.job
-        if job.state is messages.State.QUEUED:
-            job.state = messages.State.RUNNING
-        together = max(choice.task.run for choice in chosen) + 1
-        saved = next((c.task.checkpoint for c in chosen if c.task.checkpoint), "")
-        for choice in chosen:
-            task = choice.task
-            task.phase = progress.Phase.STARTING
-            # The members of a gang share run and checkpoint.
-            task.run = together if step.gang else task.run + 1
-            task.checkpoint = saved if step.gang else task.checkpoint
-            task.worker = choice.worker.name
-            task.barred_at = None
-        self.journal.record(job)
-        self.journal.then(lambda: self._send(chosen))
-        return True
-
-    def _blocked(
-        self, step_run: progress.StepRun, missing: int, service: str, now: float
-    ) -> None:
-        """Make room for a step that has waited long enough."""
-        if step_run.blocked_since is None:
-            step_run.blocked_since = now
-        if now < step_run.blocked_since + preemption.PATIENCE:
-            return
-        found = preemption.victims(step_run, missing, service, self.workers, now)
-        for victim in found:
-            victim.task.not_before = now + preemption.AWAY_TERM
-            self.orders.stop(victim.task, victim.worker, "preempted")
-
-    def _send(self, chosen: list[placing.Choice]) -> None:
-        for choice in chosen:
-            self.starts.spawn(self.orders.start, choice.task, choice.worker)
-
-    def service_of(self, job: messages.Job) -> str:
-        """Return the workers' pool that the configuration in force names."""
-        catalog = self.catalog()
-        if catalog is not None:
-            for queue in catalog.queues:
-                if queue.name == job.queue:
-                    return queue.service
-        return job.service
-
     def _check_fence(self) -> None:
         """See at the store whether a worker that has a higher token is right."""
         while True:
@@ -640,32 +424,3 @@
             self.journal.wanted.set()
             self.clock.sleep(READ_INTERVAL)
             self.orders.fenced.clear()
-
-
-def order_of(step_run: progress.StepRun) -> tuple[int, bool, float, int]:
-    """Return where a step stands in the order of placing: smaller first."""
-    job = step_run.job.job
-    # What lasts takes all room that it finds; what is short goes before it.
-    lasting = step_run.step.lasting
-    return (job.priority, lasting, job.due(step_run.occurrence), step_run.number)
-
-
-def starves(step_run: progress.StepRun, now: float) -> bool:
-    """Tell whether a job has waited long with nothing running."""
-    since = step_run.blocked_since
-    if since is None or now < since + STARVING_TERM:
-        return False
-    return not any(task.live for task in step_run.job.tasks())
-
-
-def hopeless(
-    step: messages.Step, service: str, seen: tuple[str, str, messages.Step]
-) -> bool:
-    """Tell whether a step can't fit since another one that needs no more did not."""
-    other_service, label, other = seen
-    return (
-        service == other_service
-        and step.fills == other.fills
-        and (not label or label == step.label)
-        and other.need.fits_in(step.need)
-    )
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -281,7 +281,7 @@
                 if worker.entry.address
             ]
             gevent.sleep(0)
-            self.scheduler.place()
+            self.scheduler.rounds.place()
             self.write()
             gevent.joinall(looks)
             self.write()
