Find a job's queue by name in a table

Cause (reading the change): each round went through all queues of the configuration for each step, which grows to hundreds of routes; a table made once a version serves.

--- a/src/mangosail/scheduler/advice.py
+++ b/src/mangosail/scheduler/advice.py
@@ -15,7 +15,7 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail.scheduler import fleet, messages, placing, progress
+from mangosail.scheduler import fleet, placing, progress
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("advice")
@@ -121,10 +121,3 @@
     def ask(self, step: str, workers: list[str]) -> result.Result[Tickets, Refused]:
         """Say that there is no advice."""
         return result.Err(Refused("no service is set"))
-
-
-def advised(catalog: messages.Catalog | None, queue: str) -> bool:
-    """Tell whether the queue's policy asks for advice."""
-    if catalog is None:
-        return False
-    return any(each.advised for each in catalog.queues if each.name == queue)
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -80,6 +80,9 @@
         self.move_at = 0.0
         #: Name of the step at which the last round was cut off; empty if it was not.
         self.turn = ""
+        #: The configuration in force, and its queues by name.
+        self.known: messages.Catalog | None = None
+        self.queues: dict[str, messages.Queue] = {}
         #: True once a planned stop has begun.
         self.stopping = False
 
@@ -230,7 +233,8 @@
 
     def _advised(self, step_run: progress.StepRun, now: float) -> bool:
         """Tell whether a step may be placed, after advice if its queue needs any."""
-        if not advice.advised(self.catalog(), step_run.job.job.queue):
+        queue = self._queue(step_run.job.job.queue)
+        if queue is None or not queue.advised:
             return True
         allowed = self.advice.usable(step_run, now)
         step_run.only = frozenset(allowed)
@@ -274,12 +278,21 @@
 
     def service_of(self, job: messages.Job) -> str:
         """Return the workers' pool that the configuration in force names."""
+        queue = self._queue(job.queue)
+        return queue.service if queue else job.service
+
+    def _queue(self, name: str) -> messages.Queue | None:
+        """Return a queue of the configuration in force; None if it is gone.
+
+        Found by name in a table, which is made once a version: the configuration
+        can have hundreds of queues, and each round asks for every step.
+        """
         catalog = self.catalog()
-        if catalog is not None:
-            for queue in catalog.queues:
-                if queue.name == job.queue:
-                    return queue.service
-        return job.service
+        if catalog is not self.known:
+            self.known = catalog
+            queues = catalog.queues if catalog else ()
+            self.queues = {queue.name: queue for queue in queues}
+        return self.queues.get(name)
 
 
 def order_of(step_run: progress.StepRun) -> tuple[int, bool, float, int]:
