--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -269,3 +269,28 @@
     And 3 rounds pass
     Then the task was started once
     And the job is shown as completed
+
+  Scenario: A look from before a stop's answer does not prove that a run is over
+    # The caller would see its order carried out twice. A start is in doubt, its run
+    # ends done, the stop is answered; a look that was sent before arrives only now and
+    # lists neither. A later look lists the end.
+    Given workers "w1 w2" and a leader
+    And all workers lose their answers
+    And a job of 1 task
+    When 1 round passes
+    And the workers answer again
+    And the task ends done
+    And its stop is answered, and then a look from before arrives
+    And 3 rounds pass
+    Then the task was started once
+    And the job is shown as completed
+
+  Scenario: What was learned of images survives a change of leader
+    # Callers of serving tasks would suffer anew with each leader.
+    Given workers "w1" and a leader
+    And a job of 1 task that serves
+    When 2 rounds pass
+    And the leader has learned that "filler" presses on "server"
+    And 60 rounds pass
+    And another instance leads
+    Then the new leader knows that "filler" presses on "server"
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -1,5 +1,6 @@
 import random
 
+import gevent
 from behave import given, then, when
 from tests.scheduler import fakes
 
@@ -429,3 +430,31 @@
 @when("the store drops its history")
 def step_history(context):
     context.world.rows.forgotten = context.world.rows.kept.version
+
+
+@when("its stop is answered, and then a look from before arrives")
+def step_old_look(context):
+    leader = context.world.leader
+    task = leader.task(TASK)
+    worker = leader.worker(task.worker)
+    before = context.world.clock.now
+    context.world.clock.now += 0.1
+    leader.scheduler.orders.stop(task, worker, "doubt")
+    gevent.sleep(0)
+    assert task.barred_at is not None, "the stop was not answered"
+    old = messages.Look(int(before * 1000), (), ())
+    leader.scheduler.reports.take_in(worker, old, before)
+    leader.scheduler.rounds.place()
+    leader.write()
+    gevent.sleep(0)
+
+
+@when('the leader has learned that "{filling}" presses on "{serving}"')
+def step_learned(context, filling, serving):
+    context.world.leader.scheduler.model.pressure[serving, filling] = 9.0
+
+
+@then('the new leader knows that "{filling}" presses on "{serving}"')
+def step_knows(context, filling, serving):
+    known = context.world.leader.scheduler.model.pressure
+    assert known == {(serving, filling): 9.0}, known
