Don't take a listed life of a worker for dead because an entry names its address

Change: an entry ends nobody's life; workers at the same address are asked at once, and only another life's answer there says that one is over. The scenario fails without the change.

--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -108,6 +108,15 @@
         elif unseen:
             self.clock.sleep(UNSEEN_INTERVAL)
 
+    def ask(self, worker: fleet.Worker) -> None:
+        """Find out at once whether another life answers at a worker's address."""
+        answer = self.calls.look(
+            worker.entry, self.journal.token, worker.last_seen, None, 0.0
+        )
+        if isinstance(answer, result.Err):
+            if isinstance(answer.err_value, errors.Replaced):
+                self.on_gone(worker, "replaced")
+
     def _deadline(self, worker: fleet.Worker, now: float) -> int | None:
         """Return the lease's next end, or None if it must not be extended."""
         if not worker.reachable:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -304,7 +304,7 @@
     def _listed(self, entry: messages.WorkerEntry) -> None:
         worker = self.workers.get(entry.name)
         if worker is None:
-            self._replace(entry)
+            self._ask_namesakes(entry)
             self._attend(self._add(entry))
             return
         if entry.draining and not worker.entry.draining:
@@ -320,11 +320,16 @@
         if entry.draining:
             self._evacuate(worker)
 
-    def _replace(self, entry: messages.WorkerEntry) -> None:
-        """End the life of a worker whose address another one has now."""
+    def _ask_namesakes(self, entry: messages.WorkerEntry) -> None:
+        """Ask workers whose address an entry names whether their life is over.
+
+        The entry itself does not say which of the two is the earlier one: that of
+        an earlier life can be written once more after the later one's. To take the
+        later one for dead would let its tasks run twice.
+        """
         for worker in self.workers:
             if worker.entry.address == entry.address:
-                self._gone(worker, "replaced")
+                self.greenlets.spawn(self.attendance.ask, worker)
 
     def _add(self, entry: messages.WorkerEntry) -> fleet.Worker:
         worker = self.workers.add(entry)
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -100,12 +100,11 @@
 class Worker:
     """One life of a worker, which keeps to what the platform promises of it."""
 
-    def __init__(self, name, clock, capacity=CAPACITY, labels=("r1",), guarded=True):
+    def __init__(self, name, clock, capacity=CAPACITY, labels=("r1",), address=None):
         self.entry = messages.WorkerEntry(
-            name, "pool", f"{name}:1", "dc", capacity, frozenset(labels)
+            name, "pool", address or f"{name}:1", "dc", capacity, frozenset(labels)
         )
         self.time = clock
-        self.guarded = guarded
         self.token = 0
         self.running = {}
         self.ended = []
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -294,3 +294,26 @@
     And 60 rounds pass
     And another instance leads
     Then the new leader knows that "filler" presses on "server"
+
+  Scenario: A late entry of an earlier life does not end the present one
+    # The caller would see its order carried out twice. A worker crashes while it is cut
+    # off and comes back as another at its address; the entry of the earlier life is
+    # written once more after that, as the store keeps no order among them.
+    Given workers "w1 w3" and a leader
+    When "w1" comes back as "w2" at its address
+    And 4 rounds pass
+    And a job of 4 tasks comes
+    And 2 rounds pass
+    And the entry of "w1" is written once more
+    And 6 rounds pass
+    Then each of 4 tasks was started once, and runs
+
+  Scenario: A worker whose address another life has is asked at once
+    # The caller does not wait until the silent worker's lease is over.
+    Given workers "w1" and a leader
+    And a job of 1 task
+    When 2 rounds pass
+    And "w1" comes back as "w2" at its address
+    And 3 rounds pass
+    Then the task was started twice
+    And the task runs on one worker
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -458,3 +458,30 @@
 def step_knows(context, filling, serving):
     known = context.world.leader.scheduler.model.pressure
     assert known == {(serving, filling): 9.0}, known
+
+
+@when("a job of {count:d} tasks comes")
+def step_job_comes(context, count):
+    step_job(context, count)
+
+
+@when('"{old}" comes back as "{new}" at its address')
+def step_reborn(context, old, new):
+    earlier = context.world.calls.workers[old]
+    earlier.fault = "replaced"
+    earlier.running.clear()
+    later = context.world.add_worker(new, address=earlier.entry.address)
+    assert later.entry.address == earlier.entry.address
+
+
+@when('the entry of "{name}" is written once more')
+def step_entry_again(context, name):
+    context.world.rows.put(fakes.WORKERS_PREFIX + name, {"name": name})
+
+
+@then("each of {count:d} tasks was started once, and runs")
+def step_each_once(context, count):
+    names = [f"{ID}.0.0.{index}" for index in range(count)]
+    starts = {name: len(context.world.starts(name)) for name in names}
+    assert set(starts.values()) == {1}, starts
+    assert sorted(all_running(context)) == names, all_running(context)
