--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -317,3 +317,16 @@
     And 3 rounds pass
     Then the task was started twice
     And the task runs on one worker
+
+  Scenario: Each decision about a job leaves its line, and none shows the job's text
+    # On-call engineers have only logs. The job's text may hold what callers keep secret.
+    Given workers "w1 w2" and a leader
+    And the log is kept
+    And a job of 1 task with the text "s3cret"
+    When 2 rounds pass
+    And the task ends failed
+    And 3 rounds pass
+    And the job is cancelled
+    And 4 rounds pass
+    Then the log tells "job taken, started, ended, waiting again, started, cancelling, job ended, stopping, ended, waiting again" of the job
+    And no line holds "s3cret"
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -1,11 +1,14 @@
+import dataclasses
 import random
 
 import gevent
+import logbook
 from behave import given, then, when
 from tests.scheduler import fakes
 
 from mangosail import codec
 from mangosail.scheduler import errors, keys, messages
+from mangosail.telemetry import logs
 
 ID = "00000000000000aa"
 URGENT = "00000000000000bb"
@@ -485,3 +488,32 @@
     starts = {name: len(context.world.starts(name)) for name in names}
     assert set(starts.values()) == {1}, starts
     assert sorted(all_running(context)) == names, all_running(context)
+
+
+@given("the log is kept")
+def step_log(context):
+    context.log = logbook.TestHandler()
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
+
+
+@given('a job of 1 task with the text "{text}"')
+def step_text(context, text):
+    job = fakes.job(ID, fakes.step())
+    submit(context, dataclasses.replace(job, spec=text))
+
+
+@then('the log tells "{events}" of the job')
+def step_told(context, events):
+    told = [
+        record.message
+        for record in context.log.records
+        if str(record.kwargs.get("job") or record.kwargs.get("task")).startswith(ID)
+    ]
+    assert told == events.split(", "), told
+
+
+@then('no line holds "{text}"')
+def step_secret(context, text):
+    lines = [logs.format_record(record, None) for record in context.log.records]
+    assert lines and not any(text in line for line in lines)
