Call the ends that a worker may forget acknowledged, and check the word

The platform's name for them had slipped out of its folder into five lines; the check of its words knows it now. The formatter and the linter cover deploy as well.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	touch $(STAMP)
 
 check: install
-	$(BIN)/ruff format --check src tests tools
-	$(BIN)/ruff check src tests tools
+	$(BIN)/ruff format --check src tests tools deploy
+	$(BIN)/ruff check src tests tools deploy
 	$(BIN)/mypy
 	$(BIN)/python -m tests.run style
 
@@ -30,8 +30,8 @@
 	$(BIN)/python tools/bundle.py dist/mangosail.pyz
 
 format: install
-	$(BIN)/ruff format src tests tools
-	$(BIN)/ruff check --fix src tests tools
+	$(BIN)/ruff format src tests tools deploy
+	$(BIN)/ruff check --fix src tests tools deploy
 
 MINUTES ?= 5
 SEED ?= 0
--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -92,12 +92,12 @@
         self,
         worker: messages.WorkerEntry,
         token: int,
-        last_seen: int,
+        acknowledged: int,
         deadline: int | None,
         wait: float,
     ) -> result.Result[messages.Look, errors.OrderError]:
         """Extend the lease to `deadline` and return what runs and what ended."""
-        body: dict[str, t.Any] = {"fencing_token": token, "last_seen": last_seen}
+        body: dict[str, t.Any] = {"fencing_token": token, "last_seen": acknowledged}
         if deadline is not None:
             body["deadline_ms"] = deadline
         if wait:
--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -75,14 +75,14 @@
     def look(self, worker: fleet.Worker) -> None:
         """Look once, and wait as long as the next look should."""
         now = self.clock.elapsed()
-        unseen = worker.taken_in > worker.last_seen
+        unseen = worker.taken_in > worker.acknowledged
         wait = 0.0
         if worker.known and worker.reachable and not unseen:
             wait = LOOK_WAIT if worker.serving and worker.filling else QUIET_WAIT
         answer = self.calls.look(
             worker.entry,
             self.journal.token,
-            worker.last_seen,
+            worker.acknowledged,
             self._deadline(worker, now),
             wait,
         )
@@ -111,7 +111,7 @@
     def ask(self, worker: fleet.Worker) -> None:
         """Find out at once whether another life answers at a worker's address."""
         answer = self.calls.look(
-            worker.entry, self.journal.token, worker.last_seen, None, 0.0
+            worker.entry, self.journal.token, worker.acknowledged, None, 0.0
         )
         if isinstance(answer, result.Err):
             if isinstance(answer.err_value, errors.Replaced):
@@ -136,7 +136,7 @@
         durable = gevent.event.Event()
 
         def seen() -> None:
-            worker.last_seen = max(worker.last_seen, number)
+            worker.acknowledged = max(worker.acknowledged, number)
             durable.set()
 
         self.journal.then(seen)
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -42,7 +42,7 @@
         self.avoid_until = 0.0
         #: Number of the latest end taken in, and of the latest that is durable.
         self.taken_in = 0
-        self.last_seen = 0
+        self.acknowledged = 0
         #: True once the platform no longer lists it.
         self.unlisted = False
         self.gone = False
--- a/src/mangosail/scheduler/ports.py
+++ b/src/mangosail/scheduler/ports.py
@@ -37,13 +37,13 @@
         self,
         worker: messages.WorkerEntry,
         token: int,
-        last_seen: int,
+        acknowledged: int,
         deadline: int | None,
         wait: float,
     ) -> result.Result[messages.Look, errors.OrderError]:
         """Extend the lease to `deadline` and return what runs and what ended.
 
-        Ends up to `last_seen` are forgotten by the worker. The answer waits for
+        Ends up to `acknowledged` are forgotten by the worker. The answer waits for
         an end, at most `wait` seconds.
         """
 
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -117,7 +117,7 @@
         self.starts = []
         self.paces = {}
         self.tails = {}
-        self.last_seen = 0
+        self.acknowledged = 0
         self.progress = 0
         self.standing_still = False
         self.refusals = 0
@@ -211,13 +211,13 @@
 
         return self._call(entry, effect)
 
-    def look(self, entry, token, last_seen, deadline, wait):
+    def look(self, entry, token, acknowledged, deadline, wait):
         def effect(worker):
             if token < worker.token:
                 return result.Err(errors.Rejected(errors.Reason.FENCED))
             worker.token = token
-            worker.last_seen = max(worker.last_seen, last_seen)
-            worker.ended = [e for e in worker.ended if e.number > last_seen]
+            worker.acknowledged = max(worker.acknowledged, acknowledged)
+            worker.ended = [e for e in worker.ended if e.number > acknowledged]
             worker.deadline = max(worker.deadline, deadline or 0)
             worker.progress += not worker.standing_still
             running = tuple(
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -333,7 +333,7 @@
 
 @then("the worker was not told to forget the end")
 def step_not_forgotten(context):
-    assert all(worker.last_seen == 0 for worker in workers(context))
+    assert all(worker.acknowledged == 0 for worker in workers(context))
 
 
 @then("no task runs")
--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -22,7 +22,8 @@
 PLATFORM_WORDS = (
     "rows-tx", "rows-feed", "rows-get", "run-start", "run-stop", "expected_revision",
     "long_running", "allow_duplicates", "anti_affinity", "fencing_token",
-    "deadline_ms", "clock_ms", "mem_mb", "admission_check", "target_duration_ms",
+    "deadline_ms", "clock_ms", "mem_mb", "last_seen", "wait_ms", "admission_check",
+    "target_duration_ms",
 )  # fmt: skip
 #: Names that a folder at the root of a developer's machine has.
 MACHINE_PATH = re.compile(r"(?<![\w.\-/])/(work|root|home|Users)/\w")
