Let starts wait for the writes of their own jobs alone

Each callback now waits for the jobs that were recorded before it, counted from the one that waited longest. Tests: one failed before; the other holds the order.

--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -68,6 +68,14 @@
     chain_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A callback, and how many of the jobs that wait longest it waits for."""
+
+    callback: cabc.Callable[[], None]
+    jobs: int
+
+
 class Journal:
     """Writes what must last, in order, for as long as this instance leads."""
 
@@ -87,8 +95,9 @@
         self.lasting_bound: cabc.Callable[[], float | None] = lambda: None
         #: Returns rows that are kept now and again, with a renewal of the lease.
         self.now_and_again: cabc.Callable[[], tuple[table.Write, ...]] = tuple
+        #: Jobs to write, the one that has waited longest first.
         self.changed: dict[str, progress.JobProgress] = {}
-        self.callbacks: list[cabc.Callable[[], None]] = []
+        self.waiting: list[Waiting] = []
         self.wanted = gevent.event.Event()
         self.links = 0
         self.renew_at = 0.0
@@ -110,7 +119,7 @@
 
     def then(self, callback: cabc.Callable[[], None]) -> None:
         """Call back once all that was recorded so far is durable."""
-        self.callbacks.append(callback)
+        self.waiting.append(Waiting(callback, len(self.changed)))
         self.wanted.set()
 
     def run(self) -> None:
@@ -129,7 +138,7 @@
         """Write what waits in one transaction, however often it must be sent."""
         self.wanted.clear()
         batch = self._take()
-        callbacks, self.callbacks = self.callbacks, []
+        callbacks = self._due(len(batch))
         transaction = self._transaction(batch)
         version = self._commit(transaction)
         held = self.held
@@ -144,11 +153,7 @@
             self.deposed = True
             raise errors.DeposedError
         if self.changed:
-            # More changed than one transaction takes: what waits for them all
-            # must wait on.
-            self.callbacks = callbacks + self.callbacks
             self.wanted.set()
-            return
         for callback in callbacks:
             callback()
 
@@ -165,6 +170,21 @@
         names = list(self.changed)[:MOST_ROWS]
         return [self.changed.pop(name) for name in names]
 
+    def _due(self, written: int) -> list[cabc.Callable[[], None]]:
+        """Return what waits for no more than the next `written` jobs.
+
+        What changes while a transaction is on its way holds back nothing that was
+        recorded before: when callbacks waited until no change was left, starts
+        came 3 s late where changes never ceased.
+        """
+        due = [each.callback for each in self.waiting if each.jobs <= written]
+        self.waiting = [
+            Waiting(each.callback, each.jobs - written)
+            for each in self.waiting
+            if each.jobs > written
+        ]
+        return due
+
     def _transaction(self, batch: list[progress.JobProgress]) -> table.Transaction:
         held = self.held
         self.links += 1
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -134,6 +134,27 @@
     Then the task was started once
     And the leader still leads
 
+  Scenario: Starts are not held back by what changes during each write
+    # The caller's job starts at once, however busy the leader is. Another job changes
+    # while each transaction is on its way, so some change always waits; a start
+    # that waited for none to be left would wait for seconds.
+    Given workers "w1 w2" and a leader
+    And another job changes during each write
+    And a job of 1 task
+    When 2 rounds pass
+    Then the task was started once
+
+  Scenario: A start waits until its own job is written
+    # The task runs once though the leader dies. More jobs changed than one
+    # transaction takes; a start that was sent with the first one would not be known
+    # to the next leader.
+    Given workers "w1 w2" and a leader
+    And 90 other jobs that change before the job does
+    When the job's start is recorded and one transaction is written
+    Then no task was started
+    When one more transaction is written
+    Then the task was started once
+
   Scenario: A planned stop hands the lease over with all that was recorded
     # The caller's order goes on at once: the next leader does not wait until the
     # lease is old.
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from tests.scheduler import fakes
 
-from mangosail.scheduler import errors, keys, messages
+from mangosail.scheduler import errors, keys, messages, progress
 from mangosail.telemetry import logs
 
 ID = "00000000000000aa"
@@ -134,6 +134,54 @@
     step_one_fault(context, "late")
 
 
+def others(count):
+    return [
+        progress.JobProgress(fakes.job(f"{number:016x}", fakes.step()))
+        for number in range(count)
+    ]
+
+
+@given("another job changes during each write")
+def step_changes_during(context):
+    rows, leader = context.world.rows, context.first
+    commit = rows.commit
+    (other,) = others(1)
+
+    def commit_and_change(transaction):
+        leader.journal.record(other)
+        return commit(transaction)
+
+    rows.commit = commit_and_change
+
+
+@given("{count:d} other jobs that change before the job does")
+def step_change_before(context, count):
+    step_job(context, 1)
+    leader = context.first
+    for feed in leader.feeds:
+        feed.step(0)
+    for worker in leader.scheduler.workers:
+        leader.scheduler.attendance.look(worker)
+    for other in others(count):
+        leader.journal.record(other)
+
+
+@when("the job's start is recorded and one transaction is written")
+def step_one_transaction(context):
+    context.first.scheduler.rounds.place()
+    context.first.write()
+
+
+@when("one more transaction is written")
+def step_one_more(context):
+    context.first.write()
+
+
+@then("no task was started")
+def step_none_started(context):
+    assert not any(worker.starts for worker in workers(context))
+
+
 def step_one_fault(context, fault):
     rows = context.world.rows
     commit = rows.commit
