Write logs in pieces that a pipe takes whole

Cause: with writes of 64 KB the readers of a busy leader's log lost the rest of many of them: 224 of 12,735 lines were torn and about half missing, counted nowhere. Ruled out: our own bounds, whose losses are counted in lines of their own.

--- a/src/mangosail/telemetry/logs.py
+++ b/src/mangosail/telemetry/logs.py
@@ -31,8 +31,9 @@
 MOST_A_SECOND = 400
 #: Seconds between writings.
 FLUSH_INTERVAL = 0.2
-#: Bytes that one system call writes at most, so that others have their turn.
-CHUNK = 65536
+#: Bytes that one system call writes at most. A pipe takes this much whole or not at
+#: all; of larger writes some readers lost the rest, and lines were torn.
+CHUNK = 4096
 
 
 class BoundedHandler(logbook.Handler):
