Count a job as waiting until something of it has begun

Cause: a job was counted as running from the record of its first run on, before any start was answered. Ruled out: leases without counts (the next renewal has them, 0.45 s later) and stale readings. Test: a start in doubt, failed before.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -197,6 +197,9 @@
         self.key = key
         self.state = messages.State.QUEUED
         self.cancelled = False
+        #: True once a worker has said that a task of it runs or has ended. It comes
+        #: later than `RUNNING`, which is recorded before the first start is sent.
+        self.begun = False
         self.steps = {
             (occurrence, number): StepRun(self, occurrence, number)
             for occurrence in range(job.occurrences)
@@ -299,6 +302,7 @@
             task.run = kept.run
             task.failures = kept.failures
             task.checkpoint = kept.checkpoint
+            self.begun |= kept.done or kept.failures > 0 or bool(kept.checkpoint)
             if kept.done:
                 self.mark_done(task)
             elif kept.worker >= 0:
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -69,6 +69,7 @@
         )  # fmt: skip
         if task is None:
             return
+        task.job.begun = True
         present = task.worker == worker.name and task.run == end.run and task.live
         if end.outcome is messages.Outcome.DONE and not task.step.lasting:
             self._done(worker, task, end, present)
@@ -165,6 +166,7 @@
                 # An earlier leader may have slowed it down; looks don't say.
                 task.pace = 0 if task.step.fills else interference.FULL
             task.phase = progress.Phase.RUNNING
+            task.job.begun = True
             task.started_at = task.moved_at = now
         if row.checkpoint:
             task.checkpoint = row.checkpoint
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -102,6 +102,7 @@
             log.info(
                 "state",
                 jobs=len(self.jobs),
+                not_begun=sum(not job.begun for job in self.jobs.values()),
                 waiting_filling=sum(task.step.fills for task in waiting),
                 waiting_lasting=sum(task.step.lasting for task in waiting),
                 waiting=len(waiting),
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -162,10 +162,13 @@
         return job.find(occurrence, step, index)
 
     def pending(self) -> dict[str, int]:
-        """Return how many accepted jobs of each queue have not begun."""
+        """Return how many accepted jobs of each queue have not begun.
+
+        A job whose starts are on their way, in doubt or were refused has not begun.
+        """
         counts: dict[str, int] = {}
         for job in self.jobs.values():
-            if job.state is messages.State.QUEUED:
+            if not job.begun and not job.over:
                 counts[job.job.queue] = counts.get(job.job.queue, 0) + 1
         return counts
 
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -155,6 +155,19 @@
     When one more transaction is written
     Then the task was started once
 
+  Scenario: A job whose starts are in doubt is still counted as waiting
+    # The caller asks how many jobs wait. The job's starts are on their way to workers
+    # that do not answer, so that nothing of it has begun.
+    Given workers "w1 w2" and a leader
+    And all workers carry orders out late
+    And a job of 1 task
+    When 1 round passes
+    Then 1 job is counted as waiting
+    When the workers answer again
+    And what was late arrives
+    And 2 rounds pass
+    Then 0 jobs are counted as waiting
+
   Scenario: A planned stop hands the lease over with all that was recorded
     # The caller's order goes on at once: the next leader does not wait until the
     # lease is old.
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -177,6 +177,12 @@
     context.first.write()
 
 
+@then("{count:d} job is counted as waiting")
+@then("{count:d} jobs are counted as waiting")
+def step_counted(context, count):
+    assert sum(context.world.leader.scheduler.pending().values()) == count
+
+
 @then("no task was started")
 def step_none_started(context):
     assert not any(worker.starts for worker in workers(context))
