--- a/tests/bench/leading.py
+++ b/tests/bench/leading.py
@@ -33,8 +33,8 @@
     scheduler,
 )
 from mangosail.telemetry import counters, logs  # noqa: E402
-from tests.bench import fleet  # noqa: E402
 from tests.scheduler import fakes  # noqa: E402
+from tests.standins import pool  # noqa: E402
 
 CAPACITY = resources.Resources(cpus=32, memory_gb=125)
 #: Seconds for which the leader runs before it is measured.
@@ -121,7 +121,7 @@
     def hand_in(self, kind):
         priority = next(p for k, _, p in KINDS if k is kind)
         self.count += 1
-        text = fleet.FOREVER if kind is lasting else "text" * 50
+        text = pool.FOREVER if kind is lasting else "text" * 50
         job = messages.Job(
             f"{self.count:016x}", "queue", "pool", text, kind(self.rand),
             time.time(), priority, 4,
@@ -169,7 +169,8 @@
     logs.setup("bench", "dc")
     servers = [
         subprocess.Popen(
-            [sys.executable, "-m", "tests.bench.fleet"], stdout=subprocess.PIPE
+            [sys.executable, "-m", "tests.standins.pool", "--many"],
+            stdout=subprocess.PIPE,
         )
         for _ in range(PROCESSES)
     ]
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -16,7 +16,8 @@
 class Platform:
     """Rows of the store, one worker, and the advice service, on one address."""
 
-    def __init__(self):
+    def __init__(self, address="127.0.0.1:0"):
+        host, _, port = address.rpartition(":")
         self.rows = {}
         self.ver = 0
         self.history = []
@@ -28,7 +29,7 @@
         app = falcon.App()
         app.add_sink(self.answer, prefix="/")
         self.httpd = pywsgi.WSGIServer(
-            ("127.0.0.1", 0), app, log=None, error_log=None,
+            (host, int(port)), app, log=None, error_log=None,
             handler_class=server.Handler,
         )  # fmt: skip
         self.httpd.start()
--- /dev/null
+++ b/tests/standins/pool.py
@@ -0,0 +1,231 @@
+"""Workers of the users' platform: they run what they are told, and keep a log.
+
+``python -m tests.standins.pool --address A --store B --log FILE`` is one life of one
+worker in a process of its own, which may be paused and killed; another life at the
+same address has another name. ``--many`` answers for every worker that an order names,
+for measurements of a leader. A job's text says how long its tasks take: "0.4" is
+seconds, "lasts" is for ever, "fails" ends failed at once.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import heapq  # noqa: E402
+import json  # noqa: E402
+import os  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+import gevent.event  # noqa: E402
+import geventhttpclient  # noqa: E402
+from gevent import pywsgi  # noqa: E402
+
+from tests.standins import server  # noqa: E402
+
+#: Seconds that a task takes whose job does not say.
+TERM = 1.5
+FOREVER = "lasts"
+FAILS = "fails"
+#: Longest lease in milliseconds.
+MOST_HOLD = 6000
+#: Seconds between looks at what is due, and between the worker's own entries.
+INTERVAL = 0.01
+BEAT_INTERVAL = 0.7
+#: Milliseconds of a serving task's tail, and what each task that ends adds to it.
+BASE_TAIL = 6.0
+TAIL_SLOPE = 1.5
+
+
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+class Worker:
+    """One worker: what runs there, and the ends that nobody has seen yet."""
+
+    def __init__(self, name, note=lambda **facts: None):
+        self.name = name
+        self.note = note
+        self.token = 0
+        self.deadline = 0
+        #: True while a lease runs.
+        self.held = False
+        self.running = {}
+        self.due = []
+        self.ended = []
+        self.barred = {}
+        self.count = 0
+        self.news = gevent.event.Event()
+
+    def answer(self, path, order):
+        """Return status and body for a call."""
+        token = order.get("fencing_token", 0)
+        if token < self.token:
+            return 409, {"reason": "fence"}
+        self.token = token
+        if path == "/-/hold":
+            return 200, self.hold(order)
+        if path == "/-/run-start":
+            return self.start(order)
+        if path == "/-/run-stop":
+            return self.stop(order)
+        return 200, {}
+
+    def start(self, order):
+        task, run = order["task"], order["run"]
+        if self.running.get(task) == run:
+            return 200, {}
+        if run <= self.barred.get(task, 0):
+            return 409, {"reason": "old"}
+        if order["deadline_ms"] < now_ms():
+            return 409, {"reason": "late"}
+        self.extend(order)
+        self.running[task] = run
+        self.note(event="start", task=task, run=run)
+        if order["spec"] != FOREVER:
+            heapq.heappush(self.due, (time.monotonic() + term_of(order), task, run))
+        if order["spec"] == FAILS:
+            self.end(task, "failed")
+        return 200, {}
+
+    def extend(self, order):
+        if not order.get("deadline_ms"):
+            return
+        self.held = True
+        deadline = min(order.get("deadline_ms", 0), now_ms() + MOST_HOLD)
+        self.deadline = max(self.deadline, deadline)
+
+    def stop(self, order):
+        task, run = order["task"], order["run"]
+        if self.running.get(task) == run:
+            self.end(task, "stopped")
+        self.barred[task] = max(self.barred.get(task, 0), run)
+        return 200, {}
+
+    def end(self, task, how, late=0.0):
+        run = self.running.pop(task)
+        self.count += 1
+        self.barred[task] = max(self.barred.get(task, 0), run)
+        self.ended.append([self.count, task, run, how, ""])
+        self.note(event="end", task=task, run=run, how=how, at=time.time() - late)
+        self.news.set()
+
+    def step(self, now):
+        late = (now_ms() - self.deadline) / 1000
+        if late > 0 and self.held:
+            # A process that was paused comes to this late; nothing ran meanwhile.
+            self.held = False
+            self.note(event="lease_over", at=time.time() - late)
+            for task in list(self.running):
+                self.end(task, "lapsed", late)
+        while self.due and self.due[0][0] <= now:
+            _, task, run = heapq.heappop(self.due)
+            if self.running.get(task) == run:
+                self.end(task, "done")
+
+    def hold(self, order):
+        seen = order["last_seen"]
+        self.extend(order)
+        self.ended = [row for row in self.ended if row[0] > seen]
+        if not self.ended and order.get("wait_ms"):
+            self.news.clear()
+            self.news.wait(order["wait_ms"] / 1000)
+        tail = BASE_TAIL + TAIL_SLOPE * len(self.due)
+        rows = [[task, run, "", 40, tail] for task, run in self.running.items()]
+        return {"running": rows, "ended": self.ended}
+
+
+def term_of(order):
+    try:
+        return float(order["spec"])
+    except ValueError:
+        return TERM
+
+
+class Pool:
+    """Answers for its workers by the name that an order is meant for."""
+
+    def __init__(self, many=False):
+        self.workers = {}
+        self.many = many
+
+    def __call__(self, environ, start_response):
+        order = json.loads(environ["wsgi.input"].read())
+        name = environ["HTTP_EXPECT_INSTANCE"]
+        if self.many:
+            self.workers.setdefault(name, Worker(name))
+        worker = self.workers.get(name)
+        status, reply = 421, {}
+        if worker is not None:
+            status, reply = worker.answer(environ["PATH_INFO"], order)
+        reply["clock_ms"] = now_ms()
+        start_response(f"{status} -", [("Content-Type", "application/json")])
+        return [json.dumps(reply).encode()]
+
+    def run(self):
+        while True:
+            gevent.sleep(INTERVAL)
+            now = time.monotonic()
+            for worker in self.workers.values():
+                worker.step(now)
+
+
+def beat(store, entry):
+    """Keep the worker's entry in the store, as long as this process runs."""
+    client = geventhttpclient.HTTPClient.from_url(f"http://{store}")
+    while True:
+        try:
+            client.request("POST", "/beat", body=json.dumps(entry)).read()
+        except OSError:
+            pass
+        gevent.sleep(BEAT_INTERVAL)
+
+
+def begin_life(pool, args):
+    """Begin a life under a new name, and list it at the store."""
+    name = f"w-{os.getpid()}-{now_ms()}"
+    log = open(args.log, "a", buffering=1)
+
+    def note(**facts):
+        line = {"at": time.time(), "worker": name, **facts}
+        log.write(json.dumps(line) + "\n")
+
+    pool.workers[name] = Worker(name, note)
+    note(event="born", address=args.listed or args.address)
+    entry = {
+        "id": name,
+        "service": "pool",
+        "address": args.listed or args.address,
+        "zone": "dc",
+        "state": "ready",
+        "capacity": {"cpu": args.cores * 1000, "mem_mb": 65536, "gpu": 0},
+        "labels": ["a", "rack-1"],
+    }
+    gevent.spawn(beat, args.store, entry)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--address", default="127.0.0.1:0")
+    parser.add_argument("--listed", help="address that the entry gives instead")
+    parser.add_argument("--store")
+    parser.add_argument("--log")
+    parser.add_argument("--cores", type=int, default=16)
+    parser.add_argument("--many", action="store_true")
+    args = parser.parse_args()
+    pool = Pool(args.many)
+    host, _, port = args.address.rpartition(":")
+    httpd = pywsgi.WSGIServer(
+        (host, int(port)), pool, log=None, error_log=None, handler_class=server.Handler
+    )
+    httpd.start()
+    print(httpd.server_port, flush=True)
+    if not args.many:
+        begin_life(pool, args)
+    pool.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 import threading
 
 
@@ -16,8 +17,17 @@
         self.flowing.set()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.open = set()
         threading.Thread(target=self.accept, daemon=True).start()
 
+    def reset(self):
+        """Reset all open connections."""
+        for sock in list(self.open):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            sock.close()
+
     def cut(self):
         self.flowing.clear()
 
@@ -27,6 +37,7 @@
     def accept(self):
         while True:
             near, _ = self.listener.accept()
+            self.open.add(near)
             threading.Thread(target=self.connect, args=(near,), daemon=True).start()
 
     def connect(self, near):
@@ -51,3 +62,4 @@
             pass
         source.close()
         sink.close()
+        self.open -= {source, sink}
--- /dev/null
+++ b/tests/support/deployed.py
@@ -0,0 +1,121 @@
+"""Starts instances on the users' platform: real processes, and its stand-ins.
+
+The store, each worker and each instance are processes of their own; each instance
+reaches the store, and all reach each worker, by way of a relay. `close` ends what was
+started, by process id, and nothing else.
+"""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from tests.standins import relay
+from tests.support import stage
+
+INSTANCES = 4
+WORKERS = 5
+CORES = 16
+#: Seconds that a planned stop may take.
+GRACE = 6.0
+HOST = "jobs.example"
+PREFIX = "/q/"
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {"name": "q", "host": HOST, "path_prefix": PREFIX, "service": "pool",
+         "timeout_ms": 3000, "attempts": 2}
+    ],
+    "services": [{"name": "pool", "admission_check": False}],
+}  # fmt: skip
+
+
+class Deployment:
+    """All processes of a run, and the faults that hit them."""
+
+    def __init__(self, seed):
+        self.seed = seed
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        self.processes = {}
+        self.commands = {}
+        self.relays = {}
+        self.fronts = {}
+        self.store = stage.free_address()
+
+    def start(self):
+        self.spawn("store", "-m", "tests.standins.store", "--address", self.store,
+                   "--seed", str(self.seed))  # fmt: skip
+        stage.wait_until(lambda: stage.call(self.store, "GET", "/dump"), what="store")
+        self.configure()
+        for number in range(WORKERS):
+            self.add_worker(f"worker-{number}")
+        for number in range(INSTANCES):
+            self.add_instance(f"instance-{number}", host_of(number))
+        for address in self.fronts.values():
+            stage.wait_until(lambda at=address: answers(at), what="instance")
+
+    def configure(self):
+        row = {"table": "op", "part": "", "key": "config",
+               "value": stage.encoded(CONFIG)}  # fmt: skip
+        message = {"expected_revision": [], "puts": [row], "remove": []}
+        stage.call(self.store, "POST", "/-/rows-tx", message)
+
+    def add_worker(self, name):
+        address = stage.free_address()
+        self.relays[name] = relay.Relay(address)
+        self.spawn(name, "-m", "tests.standins.pool", "--address", address,
+                   "--listed", self.relays[name].address, "--store", self.store,
+                   "--log", str(self.folder / f"{name}.jsonl"),
+                   "--cores", str(CORES))  # fmt: skip
+
+    def add_instance(self, name, host):
+        self.relays[name] = relay.Relay(self.store)
+        self.fronts[name] = f"{host}:{stage.free_port()}"
+        settings = {
+            "node_name": name, "zone": "dc", "ip": host,
+            "listen_addrs": {"front": self.fronts[name],
+                             "ready": f"{host}:{stage.free_port()}"},
+            "platform": {"address": self.relays[name].address},
+            "bounds": {"status_s": 300, "grace_s": GRACE},
+        }  # fmt: skip
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.spawn(name, "deploy/serve.py")
+
+    def spawn(self, name, *command):
+        self.commands[name] = command
+        log = open(self.folder / f"{name}.log", "ab")
+        path = self.folder / f"{name}.json"
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *command], stdout=log, stderr=log, cwd=stage.ROOT,
+            env={**os.environ, "MANGOSAIL_SETTINGS": str(path)},
+        )  # fmt: skip
+        log.close()
+
+    def worker_log(self):
+        """Return what all workers noted; it outlives killed ones."""
+        return [
+            json.loads(line)
+            for path in sorted(self.folder.glob("worker-*.jsonl"))
+            for line in path.read_text().splitlines()
+        ]
+
+    def restart(self, name):
+        self.spawn(name, *self.commands[name])
+
+    def close(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+def host_of(number):
+    """Return a loopback address that no other run uses: metrics have a fixed port."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{pid % 250}.{number + 1}"
+
+
+def answers(address):
+    return stage.call(address, "GET", PREFIX, headers={"Host": HOST}).status == 200
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -4,6 +4,7 @@
 process id, and nothing else.
 """
 
+import base64
 import dataclasses
 import json
 import os
@@ -68,6 +69,11 @@
     return Answer(response.status, headers, body, time.monotonic() - started)
 
 
+def encoded(value):
+    """Return `value` as JSON in base64."""
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
 def wait_until(condition, timeout=START_TIMEOUT, what="condition"):
     """Poll `condition` until it returns something true, and return that."""
     deadline = time.monotonic() + timeout
