--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,163 @@
+"""The soak on the users' platform: ``python -m tests.soak.deployment --minutes 2``.
+
+Real instances, workers and the store are processes of their own; each instance
+reaches the store, and all reach each worker, by way of a relay. Faults come from
+outside alone: signals, relays that pass nothing on or reset, and the store's and the
+workers' own. The verdicts rest on the workers' logs and on what callers were told.
+Ends with status 1 on any violation.
+"""
+
+import argparse
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from tests.soak import oracle, placed, schedule
+from tests.support import deployed, stage
+
+CALLERS = 3
+#: Seconds after the load in which all that was accepted may come to its end.
+SETTLE = 40.0
+STORE_FAULTS = {
+    "store_down": {"down": True},
+    "store_silent": {"silent": True},
+    "store_slow": {"slow": 0.25},
+    "store_loses": {"lose": 0.4},
+    "store_late": {"late": 0.4},
+    "store_forgets": {"forget": True},
+}
+#: Shortest and longest duration in seconds of each kind of fault.
+TERMS = {
+    "kill": (0.5, 2.0),
+    "freeze": (1.0, 7.0),
+    "stop": (1.0, 1.0),
+    "cut": (1.0, 7.0),
+    "reset": (0.5, 0.5),
+    "kill_worker": (0.5, 3.0),
+    "freeze_worker": (1.0, 8.0),
+    "cut_worker": (1.0, 8.0),
+    **dict.fromkeys(STORE_FAULTS, (1.0, 5.0)),
+}
+
+
+class Faults:
+    """Carries faults out; each method returns once its fault is over."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.processes = deployment.processes
+        self.relays = deployment.relays
+        #: Processes that were killed, with the wall times.
+        self.kills = []
+        #: What ended by itself, or not in time.
+        self.deaths = []
+
+    def carry_out(self, fault, started):
+        time.sleep(max(started + fault.at - time.monotonic(), 0.0))
+        if fault.kind in STORE_FAULTS:
+            for faults in (STORE_FAULTS[fault.kind], {}):
+                stage.call(self.deployment.store, "POST", "/faults", faults)
+                time.sleep(fault.seconds if faults else 0)
+            return
+        getattr(self, fault.kind.removesuffix("_worker"))(fault.target, fault.seconds)
+
+    def kill(self, name, seconds):
+        self.check_alive(name)
+        self.processes[name].kill()
+        self.processes[name].wait()
+        self.kills.append((name, time.time()))
+        time.sleep(seconds)
+        self.deployment.restart(name)
+
+    def stop(self, name, seconds):
+        self.check_alive(name)
+        self.processes[name].send_signal(signal.SIGTERM)
+        try:
+            self.processes[name].wait(deployed.GRACE)
+        except subprocess.TimeoutExpired:
+            self.deaths.append(f"{name}: did not stop in time")
+            self.processes[name].kill()
+            self.processes[name].wait()
+        self.deployment.restart(name)
+
+    def freeze(self, name, seconds):
+        self.processes[name].send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def cut(self, name, seconds):
+        self.relays[name].cut()
+        time.sleep(seconds)
+        self.relays[name].mend()
+
+    def reset(self, name, seconds):
+        self.relays[name].reset()
+
+    def check_alive(self, name):
+        status = self.processes[name].poll()
+        if status is not None:
+            self.deaths.append(f"{name}: ended with status {status}")
+
+
+def table_of():
+    """Return the kinds of faults with what they may hit."""
+    instances = [f"instance-{number}" for number in range(deployed.INSTANCES)]
+    workers = [f"worker-{number}" for number in range(deployed.WORKERS)]
+    targets = {kind: workers if "worker" in kind else instances for kind in TERMS}
+    targets.update({kind: ["store"] for kind in STORE_FAULTS})
+    return [(kind, targets[kind], terms) for kind, terms in TERMS.items()]
+
+
+def run(seconds, seed, gap=schedule.MEAN_GAP, settle=SETTLE):
+    """Play a run, and return its verdicts and the folder with all logs."""
+    deployment = deployed.Deployment(seed)
+    faults = Faults(deployment)
+    try:
+        deployment.start()
+        planned = schedule.draw_from(seed, seconds, table_of(), gap)
+        for fault in planned:
+            print(
+                f"  {fault.at:6.1f} {fault.seconds:5.1f} s {fault.kind} {fault.target}"
+            )
+        sys.stdout.flush()
+        callers = [placed.Caller(n, seed, deployment) for n in range(CALLERS)]
+        started = time.monotonic()
+        threads = [
+            threading.Thread(target=caller.run, args=(started + seconds,))
+            for caller in callers
+        ] + [
+            threading.Thread(target=faults.carry_out, args=(fault, started))
+            for fault in planned
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        placed.settle(callers, time.monotonic() + settle)
+        for name in deployment.fronts:
+            faults.check_alive(name)
+        verdicts = placed.judge(callers, deployment.worker_log(), faults)
+        return verdicts, deployment.folder
+    finally:
+        deployment.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=0, help="0 draws one")
+    parser.add_argument("--gap", type=float, default=schedule.MEAN_GAP)
+    args = parser.parse_args()
+    seed = args.seed or random.SystemRandom().randrange(1, 1_000_000)
+    print(f"seed {seed}, {args.minutes:g} minutes", flush=True)
+    verdicts, folder = run(args.minutes * 60, seed, args.gap)
+    print(f"seed {seed}, logs in {folder}")
+    print(oracle.table_of(verdicts))
+    sys.exit(1 if any(verdict.violations for verdict in verdicts) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -45,16 +45,28 @@
 
     Faults of different targets overlap freely; one target has one at a time.
     """
+    targets = {
+        **dict.fromkeys(INSTANCE, instances),
+        **dict.fromkeys(WORKER, workers),
+        **{kind: (f"platform:{kind}",) for kind in PLATFORM},
+        **dict.fromkeys(DATA_CENTRE, data_centres),
+    }
+    table = [(kind, targets[kind], KINDS[kind]) for kind in kinds]
+    return draw_from(seed, seconds, table, gap)
+
+
+def draw_from(seed, seconds, table, gap=MEAN_GAP):
+    """Return faults from rows of kind, targets, and shortest and longest duration."""
     chance = random.Random(f"schedule/{seed}")
     faults, busy = [], {}
     at = QUIET_START
-    while kinds:
+    while table:
         at += chance.expovariate(1 / gap)
         if at >= seconds:
             break
-        kind = chance.choice(kinds)
-        target = pick(chance, kind, instances, workers, data_centres)
-        duration = chance.uniform(*KINDS[kind])
+        kind, targets, terms = chance.choice(table)
+        target = chance.choice(targets) if len(targets) > 1 else targets[0]
+        duration = chance.uniform(*terms)
         if busy.get(target, 0.0) > at:
             continue
         # A killed process needs a while until it is worth killing again.
@@ -63,13 +75,3 @@
             busy[target] = float("inf")
         faults.append(Fault(at, min(duration, seconds - at), kind, target))
     return faults
-
-
-def pick(chance, kind, instances, workers, data_centres):
-    if kind in INSTANCE:
-        return chance.choice(instances)
-    if kind in WORKER:
-        return chance.choice(workers)
-    if kind in DATA_CENTRE:
-        return chance.choice(data_centres)
-    return f"platform:{kind}"
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -1,5 +1,5 @@
 from behave import given, then
-from tests.soak import oracle, run
+from tests.soak import deployment, oracle, run
 
 
 @given("seed {seed:d} ran for {seconds:d} seconds with the faults")
@@ -21,3 +21,17 @@
 def nothing_else(context):
     broken = {n: v.violations[:3] for n, v in context.verdicts.items() if v.violations}
     assert not broken, broken
+
+
+@given(
+    "seed {seed:d} ran for {seconds:d} seconds on the users' platform,"
+    " a fault each {gap:g} second"
+)
+def step_deployment(context, seed, seconds, gap):
+    context.verdicts, context.folder = deployment.run(seconds, seed, gap)
+
+
+@then("each promise was exercised there, and held")
+def step_deployment_held(context):
+    for verdict in context.verdicts:
+        assert verdict.state == "held", (context.folder, verdict)
