--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -2,9 +2,8 @@
 
 Real instances, workers and the store are processes of their own; each instance
 reaches the store, and all reach each worker, by way of a relay. Faults come from
-outside alone: signals, relays that pass nothing on or reset, and the store's and the
-workers' own. The verdicts rest on the workers' logs and on what callers were told.
-Ends with status 1 on any violation.
+outside alone: signals, relays that pass nothing on or reset, and the store's own. The
+verdicts rest on what workers logged and callers were told; any violation ends in 1.
 """
 
 import argparse
--- a/tests/soak/placed.py
+++ b/tests/soak/placed.py
@@ -65,6 +65,8 @@
             if status == 200:
                 order.accepted_at = time.time()
                 break
+            if status in REFUSALS and self.chance.random() < 0.5:
+                break
             time.sleep(RETRY_INTERVAL)
 
     def draw(self):
