Break the import circle of durable work's leases, starts and moves

Cause: leases took the order timeout from starts, starts needs moves, and moves needs leases. The timeout is with what these share now. No behaviour changes.

--- a/src/mangosail/work/context.py
+++ b/src/mangosail/work/context.py
@@ -11,6 +11,9 @@
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import claims, messages, registry
 
+#: Seconds that an order to a worker may take until it counts as lost.
+ORDER_TIMEOUT = 2.0
+
 #: Told of each piece of work that ended or was evicted here, with its row.
 EndListener = cabc.Callable[[messages.Outcome, messages.WorkRow], None]
 
--- a/src/mangosail/work/leases.py
+++ b/src/mangosail/work/leases.py
@@ -11,7 +11,7 @@
 from mangosail import codec
 from mangosail.placement import workers
 from mangosail.platform import table
-from mangosail.work import context, messages, starts
+from mangosail.work import context, messages
 
 #: Seconds that a task's lease runs; outlives an outage of the table.
 TASK_TERM = 600.0
@@ -52,7 +52,7 @@
         told = owned.target.renew(
             written.ok_value - clocks.CLOCK_SKEW_MARGIN,
             owned.generation,
-            self.ctx.clock.monotonic() + starts.ORDER_TIMEOUT,
+            self.ctx.clock.monotonic() + context.ORDER_TIMEOUT,
         )
         if isinstance(told, result.Err):
             self.ctx.counters.count("work.retry.lease_not_told")
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -150,7 +150,7 @@
         `failed` that it was stopped, without `failed` that it had ended before.
         """
         task_id = f"{team}/{request_id}"
-        self.ctx.registry.await_claim(task_id, starts.ORDER_TIMEOUT)
+        self.ctx.registry.await_claim(task_id, context.ORDER_TIMEOUT)
         task = self.ctx.registry.get(task_id)
         if task is not None:
             self.cancellations.cancel_task(task)
--- a/src/mangosail/work/starts.py
+++ b/src/mangosail/work/starts.py
@@ -10,9 +10,6 @@
 
 log = logbook.Logger("work")
 
-#: Seconds that an order to a worker may take until it counts as lost.
-ORDER_TIMEOUT = 2.0
-
 
 class Starts:
     """Sends each start once."""
@@ -67,7 +64,7 @@
 
     def order_deadline(self) -> float:
         """Return when an order sent now counts as lost."""
-        return self.ctx.clock.monotonic() + ORDER_TIMEOUT
+        return self.ctx.clock.monotonic() + context.ORDER_TIMEOUT
 
     def _send(self, task: registry.Task) -> None:
         row = task.row
