Pass callers on to a peer while the store turns this instance away

Cause: an instance that the store refuses answers 503 for about 4 s until the balancer sends callers elsewhere, and on open connections for as long as it lives; a third of the instances was hit for 7 to 9 s at a time. Ruled out: being not ready sooner (open connections stay; where most of a data centre's instances are not ready, the balancer uses all). Each instance writes a row with the address on which it answers peers, again each minute; a request is passed on once; what a silent peer may have done is called undecided. Standbys read the lease's row alone, not what was learned beside it.

--- a/src/mangosail/platform/deployment.py
+++ b/src/mangosail/platform/deployment.py
@@ -56,12 +56,20 @@
     ip: str
     listen_addrs: Addresses
     platform: StorePlace
+    #: First and last port that instances may use among themselves.
     internal_ports: tuple[int, ...] = ()
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
     #: Address of the service that says which workers may run a step, if there is one.
     advice: str | None = None
 
+    @property
+    def peer_address(self) -> str:
+        """Return where this process answers other instances; empty if nowhere."""
+        if not self.internal_ports:
+            return ""
+        return f"{self.ip}:{self.internal_ports[0]}"
+
 
 def read(path: str) -> Deployment:
     """Return the settings in a file, or raise `errors.ConfigurationError`."""
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -10,7 +10,7 @@
 from mangosail import clock as clocks
 from mangosail import codec
 from mangosail.front import headers
-from mangosail.intake import catalogs, desk, errors
+from mangosail.intake import catalogs, desk, errors, relaying
 from mangosail.platform import decoding, wire
 from mangosail.scheduler import messages
 from mangosail.telemetry import counters as telemetry
@@ -20,6 +20,9 @@
 #: Seconds after which a caller should come back to an instance without a catalog.
 COME_BACK = 0.5
 
+#: Reasons of refusals that another instance may not have.
+AWAY = frozenset({"store_away", "catalog_stale", "no_catalog"})
+
 #: Answers a request about a job of a queue, whose id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
 
@@ -33,9 +36,12 @@
         jobs: desk.Desk,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        relay: relaying.Relay | None = None,
     ) -> None:
         self.catalog = catalog
         self.desk = jobs
+        #: Takes what can't be done here; None for what came from a peer already.
+        self.relay = relay
         self.clock = clock
         self.counters = counters
         self.methods: dict[str, Method] = {
@@ -48,6 +54,28 @@
         self.app.add_error_handler(Exception, self.on_fault)
 
     def dispatch(self, req: falcon.Request, resp: falcon.Response, **_: t.Any) -> None:
+        """Answer a request, by way of a peer if the store is out of reach."""
+        self._answer(req, resp)
+        if self.relay is not None and resp.context.get("away"):
+            self._pass_on(self.relay, req, resp)
+
+    def _pass_on(
+        self, relay: relaying.Relay, req: falcon.Request, resp: falcon.Response
+    ) -> None:
+        """Put a peer's answer in the place of the refusal, if a peer has one."""
+        body = resp.context.get("body") or req.bounded_stream.read()
+        request = relaying.Request(req.method, req.host, req.path, body)
+        answer = relay.pass_on(request)
+        if answer is None:
+            return
+        resp.delete_header("Retry-After")
+        if isinstance(answer, errors.Undecided):
+            self._failed(resp, answer)
+            return
+        resp.status = answer.status
+        resp.text = answer.text
+
+    def _answer(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Find the queue that a request is about, and answer it."""
         if self.catalog.current() is None:
             self.refuse(resp, "no_catalog", COME_BACK)
@@ -93,6 +121,7 @@
         if isinstance(body, result.Err):
             self._invalid(resp, body.err_value)
             return
+        resp.context.body = body.ok_value
         job = decoding.job_of(body.ok_value, job_id, queue, self.clock.wall())
         if isinstance(job, result.Err):
             self._invalid(resp, job.err_value)
@@ -167,6 +196,7 @@
     def refuse(self, resp: falcon.Response, reason: str, retry_after: float) -> None:
         """Say that nothing was done, and when to come back."""
         self.counters.count(f"ingress.refused.{reason}")
+        resp.context.away = reason in AWAY
         resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
         resp.text = codec.to_json({"title": reason, "retry_after": retry_after})
         headers.come_back(resp, retry_after)
--- /dev/null
+++ b/src/mangosail/platform/peering.py
@@ -0,0 +1,49 @@
+"""Requests passed on between instances, over HTTP on a port of their own."""
+
+import collections
+
+import result
+
+from mangosail.intake import relaying
+from mangosail.platform import caller as http_caller
+from mangosail.platform import errors
+
+#: Seconds after which a peer counts as silent. It answers within 0.3 s where its store
+#: is well; the caller has about 3 s.
+TIMEOUT = 0.7
+#: Connections to one peer at a time.
+CONNECTIONS = 8
+#: Peers whose connections are kept at most.
+MOST_KEPT = 64
+
+
+class HttpPeers:
+    """Sends requests to peers; its `send` is a `relaying.Send`."""
+
+    def __init__(self) -> None:
+        self.kept: collections.OrderedDict[str, http_caller.Caller] = (
+            collections.OrderedDict()
+        )
+
+    def send(
+        self, address: str, request: relaying.Request
+    ) -> result.Result[relaying.Answer, relaying.NotSent | relaying.Unanswered]:
+        """Send a request as its caller sent it, and return the peer's answer."""
+        headers = {"Host": request.host, "Content-Type": "application/json"}
+        answer = self._caller(address).call(
+            request.method, request.path, request.body, headers, TIMEOUT
+        )
+        if isinstance(answer, result.Ok):
+            reply = answer.ok_value
+            return result.Ok(relaying.Answer(reply.status, reply.body.decode()))
+        if isinstance(answer.err_value, errors.Unavailable):
+            return result.Err(relaying.NotSent())
+        return result.Err(relaying.Unanswered())
+
+    def _caller(self, address: str) -> http_caller.Caller:
+        kept = self.kept.get(address)
+        if kept is None:
+            kept = self.kept[address] = http_caller.Caller(address, CONNECTIONS)
+            if len(self.kept) > MOST_KEPT:
+                self.kept.popitem(last=False)
+        return kept
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -9,13 +9,14 @@
 
 from mangosail import clock as clocks
 from mangosail.front import server
-from mangosail.intake import catalogs, desk
+from mangosail.intake import catalogs, desk, peers, relaying
 from mangosail.platform import (
     advisor,
     caller,
     decoding,
     deployment,
     ingress,
+    peering,
     store,
     workers,
 )
@@ -58,7 +59,22 @@
             self.store, CONFIG_KEY, decoding.catalog_of, self.clock, self.counters
         )
         self.desk = desk.Desk(self.store, self.catalog.stale, self.clock, self.counters)
+        rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
+        self.peers = peers.Peers(
+            self.store,
+            peers.Peer(settings.node_name, settings.peer_address),
+            self.clock,
+            self.counters,
+            rand,
+        )
+        self.relay = relaying.Relay(
+            self.peers, peering.HttpPeers().send, self.clock, self.counters
+        )
         self.ingress = ingress.Ingress(
+            self.catalog, self.desk, self.clock, self.counters, self.relay
+        )
+        #: Answers what peers pass on.
+        self.for_peers = ingress.Ingress(
             self.catalog, self.desk, self.clock, self.counters
         )
         self.readiness = ingress.Readiness(self.catalog)
@@ -68,7 +84,7 @@
             settings.ip,
             self.clock,
             self.counters,
-            random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}"),
+            rand,
             settings.limits.cpu_share * settings.limits.cores,
         )
         self.workers = workers.HttpWorkers()
@@ -97,6 +113,11 @@
             self.counters,
         )
         metrics.start()
+        if self.settings.peer_address:
+            server.create(
+                self.for_peers.app, self.settings.peer_address, self.counters
+            ).start()
+            gevent.spawn(self.peers.run)
         gevent.spawn(self._lead_forever)
         log.info("started", data_centre=self.settings.zone, address=self.settings.ip)
         self.front.serve_forever()
@@ -151,6 +172,8 @@
         deadline = self.clock.elapsed() + self.settings.bounds.grace_s - STOP_MARGIN
         if self.scheduler is not None:
             self.scheduler.stop()
+        if self.settings.peer_address:
+            gevent.spawn(self.peers.leave)
         self.clock.sleep(NOTICE_TERM)
         self.front.close()
         while self.front.busy() and self.clock.elapsed() < deadline:
--- a/src/mangosail/scheduler/keys.py
+++ b/src/mangosail/scheduler/keys.py
@@ -20,6 +20,8 @@
 CHAIN = LEADERSHIP + "chain"
 #: Row with what the leader has learned of how images disturb each other.
 LEARNED = LEADERSHIP + "learned"
+#: Rows that say where each instance is reached by the others.
+INSTANCES = f"instance/{SHARD}/"
 #: Row with the room that accepted jobs which last have taken.
 LASTING = LEADERSHIP + "lasting"
 
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -141,14 +141,14 @@
         self.shun_until = self.clock.elapsed() + SHUN_TERM
 
     def _read(self, sent_at: float) -> bool:
-        found = self.rows.read_all(keys.LEADERSHIP)
+        # This row alone: what was learned stands beside it, and is much longer.
+        found = self.rows.read([keys.LEASE])
         if isinstance(found, result.Err):
             self.counters.count("leadership.read_failed")
             # What went unseen meanwhile may have been renewals.
             self.seen = None
             return False
-        rows = {row.key: row for row in found.ok_value.rows}
-        lease_row = rows.get(keys.LEASE)
+        lease_row = found.ok_value.get(keys.LEASE)
         lease_version = lease_row.version if lease_row else 0
         lease = codec.from_json(lease_row.value, journal.Lease) if lease_row else None
         same = self.seen is not None and self.seen.lease_version == lease_version
--- /dev/null
+++ b/tests/intake/relaying.feature
@@ -0,0 +1,60 @@
+Feature: An instance that can't reach the store passes callers on to a peer
+
+  Scenario: A peer accepts a job in its place
+    # The caller is answered by whichever instance it reached. The store refuses that one
+    # and serves its peers; open connections stay with it for as long as it lives.
+    Given an instance that the store refuses and a peer that it serves
+    When a caller hands a job in
+    Then the caller gets the answer 200
+    And the peer's store holds the job
+
+  Scenario: A request is passed on once
+    # Two instances that the store refuses must not send a request to and fro.
+    Given an instance and a peer that the store refuses
+    When a caller hands a job in
+    Then the caller is refused and told when to come back
+    And the peer was asked once
+
+  Scenario: What a silent peer may have done is not called refused
+    # "Refused" would be false: the peer may have stored the job before its answer got lost.
+    Given an instance that the store refuses and a peer that never answers
+    When a caller hands a job in
+    Then the caller gets the answer 504
+
+  Scenario: After a silent peer, callers are refused at once for a while
+    # A data centre that is cut off reaches neither the store nor peers. Callers do better
+    # to go elsewhere at once than to be kept for each of them.
+    Given an instance that the store refuses and a peer that never answers
+    When a caller hands a job in
+    And another caller hands a job in
+    Then the other caller is refused and told when to come back
+    And the peer was asked once
+
+  Scenario: A peer that is not there is no reason to leave the outcome open
+    Given an instance that the store refuses and a peer that is not there
+    When a caller hands a job in
+    Then the caller is refused and told when to come back
+
+  Scenario: State and cancelling are passed on too
+    Given an instance that the store refuses and a peer that it serves
+    When a caller hands a job in
+    And the caller asks for its state
+    Then the caller is told that it is queued
+    When the caller cancels it
+    Then the caller gets the answer 200
+
+  Scenario: Instances know each other from their rows
+    Given two instances that have written their rows
+    When the first reads the rows of all
+    Then it knows the second alone
+
+  Scenario: An instance that no longer writes its row is not asked
+    Given two instances that have written their rows
+    When 200 seconds pass and the first writes and reads
+    Then it knows no other
+
+  Scenario: An instance that stops as planned is forgotten
+    Given two instances that have written their rows
+    When the second stops as planned
+    And the first reads the rows of all
+    Then it knows no other
--- /dev/null
+++ b/tests/intake/steps/relaying_steps.py
@@ -0,0 +1,167 @@
+import json
+import random
+
+import falcon.testing
+import result
+from behave import given, then, when
+from tests.scheduler import fakes
+from tests.support import memory
+
+from mangosail.intake import catalogs, desk, peers, relaying
+from mangosail.platform import ingress
+from mangosail.scheduler import keys, messages
+from mangosail.telemetry import counters
+
+HOST, PATH = "jobs.example", "/q/00000000000000aa"
+OTHER_PATH = "/q/00000000000000bb"
+BODY = json.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 1000}]})
+
+
+class Instance:
+    """An instance's ingress with a store of its own, and a way to peers."""
+
+    def __init__(self, clock, fault, relay=None):
+        self.rows = fakes.Rows()
+        self.rows.fault = fault
+        tally = counters.StatsdCounters(None, 0)
+        queue = messages.Queue("q", HOST, "/q/", "pool", 0, 2, 3.0)
+        self.catalogs = catalogs.Catalogs(self.rows, "op//c", None, clock, tally)
+        self.catalogs._use(messages.Catalog(1, (queue,)))
+        jobs = desk.Desk(self.rows, lambda: False, clock, tally)
+        self.app = ingress.Ingress(self.catalogs, jobs, clock, tally, relay).app
+        self.client = falcon.testing.TestClient(self.app, headers={"Host": HOST})
+
+    def ask(self, method, path=PATH, body=None):
+        return self.client.simulate_request(method, path, body=body)
+
+
+def two(context, peer_fault, send=None):
+    """Make an instance that the store refuses, and its peer."""
+    context.clock = memory.Clock(now=1000.0)
+    context.peer = Instance(context.clock, peer_fault)
+    context.asked = []
+
+    def pass_on(address, request):
+        context.asked.append(address)
+        if send is not None:
+            return send(request)
+        answer = context.peer.ask(request.method, request.path, request.body)
+        return result.Ok(relaying.Answer(answer.status_code, answer.text))
+
+    tally = counters.StatsdCounters(None, 0)
+    own = peers.Peer("a", "a:1")
+    known = peers.Peers(None, own, context.clock, tally, random.Random(5))
+    known.known = (peers.Peer("b", "b:1"),)
+    relay = relaying.Relay(known, pass_on, context.clock, tally)
+    context.instance = Instance(context.clock, "down", relay)
+
+
+@given("an instance that the store refuses and a peer that it serves")
+def step_served(context):
+    two(context, "")
+
+
+@given("an instance and a peer that the store refuses")
+def step_both_refused(context):
+    two(context, "down")
+
+
+@given("an instance that the store refuses and a peer that never answers")
+def step_silent(context):
+    two(context, "", lambda request: result.Err(relaying.Unanswered()))
+
+
+@given("an instance that the store refuses and a peer that is not there")
+def step_absent(context):
+    two(context, "", lambda request: result.Err(relaying.NotSent()))
+
+
+@when("a caller hands a job in")
+def step_hand_in(context):
+    context.answer = context.instance.ask("POST", PATH, BODY)
+
+
+@when("another caller hands a job in")
+def step_other(context):
+    context.answer = context.instance.ask("POST", OTHER_PATH, BODY)
+
+
+@when("the caller asks for its state")
+def step_ask(context):
+    context.answer = context.instance.ask("GET")
+
+
+@when("the caller cancels it")
+def step_cancel(context):
+    context.answer = context.instance.ask("DELETE")
+
+
+@then("the peer's store holds the job")
+def step_stored(context):
+    assert keys.job("00000000000000aa") in context.peer.rows.kept
+
+
+@then("the caller is refused and told when to come back")
+@then("the other caller is refused and told when to come back")
+def step_refused(context):
+    assert context.answer.status_code == 503, context.answer
+    assert context.answer.headers["Retry-After"]
+
+
+@then("the peer was asked once")
+def step_once(context):
+    assert len(context.asked) == 1, context.asked
+
+
+@then("the caller gets the answer {status:d}")
+def step_answer(context, status):
+    assert context.answer.status_code == status, context.answer
+    assert "Retry-After" not in context.answer.headers
+
+
+@then("the caller is told that it is queued")
+def step_queued(context):
+    assert context.answer.json == {"state": "queued"}, context.answer
+
+
+@given("two instances that have written their rows")
+def step_two_peers(context):
+    context.clock = memory.Clock(now=1000.0)
+    rows = fakes.Rows()
+    context.first, context.second = (
+        peers.Peers(
+            rows,
+            peers.Peer(name, f"{name}:1"),
+            context.clock,
+            counters.StatsdCounters(None, 0),
+            random.Random(5),
+        )
+        for name in ("a", "b")
+    )
+    assert context.first.register() and context.second.register()
+
+
+@when("the first reads the rows of all")
+def step_read(context):
+    assert context.first.read()
+
+
+@when("{seconds:d} seconds pass and the first writes and reads")
+def step_later(context, seconds):
+    context.clock.now += seconds
+    assert context.first.register() and context.first.read()
+
+
+@when("the second stops as planned")
+def step_leave(context):
+    context.second.leave()
+
+
+@then("it knows the second alone")
+def step_knows(context):
+    assert [peer.name for peer in context.first.some(5)] == ["b"]
+
+
+@then("it knows no other")
+def step_knows_none(context):
+    assert context.first.some(5) == []
