Count the store as away after 1.5 s of silence

Cause: an instance noticed after 2.6 s that the store was out of reach, and kept callers or told them nothing certain until then. Ruled out: answering all at once by a peer (a cut data centre reaches none).

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -10,9 +10,12 @@
 
 log = logbook.Logger("catalog")
 
+#: Seconds for which a request that follows the configuration waits. Its answers say
+#: that the store is in reach.
+FOLLOW_WAIT = 0.5
 #: Seconds without a word from the store after which it counts as out of reach: a
-#: following request waits 1 s, and is given 1.3 s more.
-STALE_TERM = 2.6
+#: following request waits 0.5 s; the rest is for a store or an instance that is slow.
+STALE_TERM = 1.5
 
 
 class Catalogs:
@@ -36,7 +39,9 @@
         self.present: messages.Catalog | None = None
         self.by_host: dict[str, list[messages.Queue]] = {}
         prefix = key[: key.rindex("/") + 1]
-        self.follower = following.Follower(rows, prefix, self._take, clock, counters)
+        self.follower = following.Follower(
+            rows, prefix, self._take, clock, counters, FOLLOW_WAIT
+        )
 
     def current(self) -> messages.Catalog | None:
         """Return the newest catalog, or None before the first was read."""
