--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -85,6 +85,19 @@
     When a run is started there
     Then the start is unwell
 
+  Scenario Outline: A peer that is passed a request on answers, is silent or is not there
+    # A caller is told that nothing was done only if the request was certainly not sent.
+    Given the platform's store
+    And a peer that <state>
+    When a caller's request is passed on to it
+    Then it is <outcome>
+
+    Examples:
+      | state            | outcome                  |
+      | answers          | answered with the status |
+      | never answers    | left undecided           |
+      | is not there     | not sent                 |
+
   Scenario Outline: Bad jobs are refused by their fault
     When a caller hands in <body>
     Then it is refused for "<fault>"
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -9,13 +9,14 @@
 
 from mangosail import errors as program_errors
 from mangosail import resources
-from mangosail.intake import catalogs, desk
+from mangosail.intake import catalogs, desk, relaying
 from mangosail.platform import (
     caller,
     decoding,
     deployment,
     errors,
     ingress,
+    peering,
     store,
     table,
     workers,
@@ -365,3 +366,36 @@
         assert name in str(exc), exc
         return
     raise AssertionError("it was read")
+
+
+@given("a peer that {state}")
+def step_peer(context, state):
+    context.peer = context.platform.address
+    if state == "never answers":
+        context.platform.silent.add("/q/1")
+    if state == "is not there":
+        context.platform.close()
+
+
+@when("a caller's request is passed on to it")
+def step_pass_on(context):
+    request = relaying.Request("POST", "jobs.example", "/q/1", b"{}")
+    context.done = peering.HttpPeers().send(context.peer, request)
+
+
+@then("it is answered with the status")
+def step_passed_on(context):
+    assert context.done.ok_value == relaying.Answer(404, "{}"), context.done
+    method, path, body, headers = context.platform.calls[-1]
+    assert (method, path, body) == ("POST", "/q/1", b"{}")
+    assert headers["HOST"] == "jobs.example", headers
+
+
+@then("it is left undecided")
+def step_left_undecided(context):
+    assert context.done.err_value == relaying.Unanswered(), context.done
+
+
+@then("it is not sent")
+def step_not_sent(context):
+    assert context.done.err_value == relaying.NotSent(), context.done
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -73,11 +73,13 @@
     def add_instance(self, name, host):
         self.relays[name] = relay.Relay(self.store)
         self.fronts[name] = f"{host}:{stage.free_port()}"
+        among_instances = stage.free_port()
         settings = {
             "node_name": name, "zone": "dc", "ip": host,
             "listen_addrs": {"front": self.fronts[name],
                              "ready": f"{host}:{stage.free_port()}"},
             "platform": {"address": self.relays[name].address},
+            "internal_ports": [among_instances, among_instances],
             "bounds": {"status_s": 300, "grace_s": GRACE},
         }  # fmt: skip
         path = self.folder / f"{name}.json"
