Never go back behind the configuration by which a peer answered for this instance

Ruled out: the follower (versions only rise there). After a peer has answered, this instance goes by its own catalog only once it was read anew; a request passed on names the least version that a peer must have, and its answer the version by which it was given. Tests: two, each fails without its part.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -38,11 +38,34 @@
         self.counters = counters
         self.present: messages.Catalog | None = None
         self.by_host: dict[str, list[messages.Queue]] = {}
+        #: Elapsed time at which a peer last answered in the place of this instance.
+        self.doubted_at: float | None = None
         prefix = key[: key.rindex("/") + 1]
         self.follower = following.Follower(
             rows, prefix, self._take, clock, counters, FOLLOW_WAIT
         )
 
+    @property
+    def version(self) -> int:
+        """Return the newest version that was read; 0 before the first."""
+        return self.present.version if self.present else 0
+
+    def doubt(self) -> None:
+        """Go by the present catalog no longer until it was read anew.
+
+        A caller was just answered by a peer, which may have a newer one. To answer
+        the next by an older one would take back what is in force.
+        """
+        self.doubted_at = self.follower.clock.elapsed()
+
+    @property
+    def doubted(self) -> bool:
+        """Tell whether a peer may have a newer catalog than this instance."""
+        if self.doubted_at is None:
+            return False
+        fresh_at = self.follower.fresh_at
+        return fresh_at is None or fresh_at <= self.doubted_at
+
     def current(self) -> messages.Catalog | None:
         """Return the newest catalog, or None before the first was read."""
         return self.present
--- a/src/mangosail/intake/relaying.py
+++ b/src/mangosail/intake/relaying.py
@@ -33,6 +33,8 @@
     host: str
     path: str
     body: bytes
+    #: Version of the configuration that a peer must have at least to answer it.
+    least_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +43,8 @@
 
     status: int
     text: str
+    #: Version of the configuration by which the peer answered.
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,12 +80,18 @@
         self.counters = counters
         #: Elapsed time until which nothing is passed on.
         self.paused_until = 0.0
+        #: Newest version of the configuration by which a caller was answered here.
+        self.seen_version = 0
 
     def pass_on(self, request: Request) -> Answer | errors.Undecided | None:
         """Return a peer's answer, or None if no peer took the request.
 
-        A request without an answer is undecided: the peer may have done it.
+        A request without an answer is undecided: the peer may have done it. A peer
+        with an older configuration than callers saw here refuses, so that what is
+        in force never goes back for them.
         """
+        least = max(self.seen_version, request.least_version)
+        request = dataclasses.replace(request, least_version=least)
         if self.clock.elapsed() < self.paused_until:
             return None
         for peer in self.peers.some(MOST_TRIED):
@@ -97,6 +107,7 @@
                 if isinstance(done.err_value, Unanswered):
                     return errors.Undecided("peer_silent")
             elif done.ok_value.status != REFUSED:
+                self.seen_version = max(least, done.ok_value.version)
                 return done.ok_value
         self._pause()
         return None
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -11,7 +11,7 @@
 from mangosail import codec
 from mangosail.front import headers
 from mangosail.intake import catalogs, desk, errors, relaying
-from mangosail.platform import decoding, wire
+from mangosail.platform import decoding, peering, wire
 from mangosail.scheduler import messages
 from mangosail.telemetry import counters as telemetry
 
@@ -56,7 +56,9 @@
     def dispatch(self, req: falcon.Request, resp: falcon.Response, **_: t.Any) -> None:
         """Answer a request, by way of a peer if the store is out of reach."""
         self._answer(req, resp)
-        if self.relay is not None and resp.context.get("away"):
+        if self.relay is None:
+            resp.set_header("ETag", f'"{self.catalog.version}"')
+        elif resp.context.get("away"):
             self._pass_on(self.relay, req, resp)
 
     def _pass_on(
@@ -64,10 +66,13 @@
     ) -> None:
         """Put a peer's answer in the place of the refusal, if a peer has one."""
         body = resp.context.get("body") or req.bounded_stream.read()
-        request = relaying.Request(req.method, req.host, req.path, body)
+        request = relaying.Request(
+            req.method, req.host, req.path, body, self.catalog.version
+        )
         answer = relay.pass_on(request)
         if answer is None:
             return
+        self.catalog.doubt()
         resp.delete_header("Retry-After")
         if isinstance(answer, errors.Undecided):
             self._failed(resp, answer)
@@ -80,6 +85,10 @@
         if self.catalog.current() is None:
             self.refuse(resp, "no_catalog", COME_BACK)
             return
+        least = peering.version_of(req.get_header(peering.LEAST_VERSION))
+        if self.catalog.doubted or self.catalog.version < least:
+            self.refuse(resp, "catalog_stale", COME_BACK)
+            return
         queue = self._queue(req)
         if isinstance(queue, result.Err):
             self.refuse(resp, queue.err_value.reason, queue.err_value.retry_after)
--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -15,6 +15,9 @@
 CONNECTIONS = 8
 #: Peers whose connections are kept at most.
 MOST_KEPT = 64
+#: Header with the version of the configuration that a peer must have at least. The
+#: `ETag` of its answer is the version by which it answered.
+LEAST_VERSION = "Mangosail-Least-Version"
 
 
 class HttpPeers:
@@ -29,13 +32,20 @@
         self, address: str, request: relaying.Request
     ) -> result.Result[relaying.Answer, relaying.NotSent | relaying.Unanswered]:
         """Send a request as its caller sent it, and return the peer's answer."""
-        headers = {"Host": request.host, "Content-Type": "application/json"}
+        headers = {
+            "Host": request.host,
+            "Content-Type": "application/json",
+            LEAST_VERSION: str(request.least_version),
+        }
         answer = self._caller(address).call(
             request.method, request.path, request.body, headers, TIMEOUT
         )
         if isinstance(answer, result.Ok):
             reply = answer.ok_value
-            return result.Ok(relaying.Answer(reply.status, reply.body.decode()))
+            version = version_of(reply.etag)
+            return result.Ok(
+                relaying.Answer(reply.status, reply.body.decode(), version)
+            )
         if isinstance(answer.err_value, errors.Unavailable):
             return result.Err(relaying.NotSent())
         return result.Err(relaying.Unanswered())
@@ -47,3 +57,9 @@
             if len(self.kept) > MOST_KEPT:
                 self.kept.popitem(last=False)
         return kept
+
+
+def version_of(text: str | None) -> int:
+    """Return a version in a header; 0 if there is none."""
+    digits = (text or "").strip('"')
+    return int(digits) if digits.isdigit() else 0
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -43,6 +43,26 @@
     When the caller cancels it
     Then the caller gets the answer 200
 
+  Scenario: What a peer answered by a newer configuration is not taken back
+    # Callers see a queue that was just added, by way of a peer. The store serves this
+    # instance again; before it has read of the change, it would go on with a queue that
+    # was dropped in the same version.
+    Given an instance with an older configuration and a peer with a newer one
+    When a caller hands a job in at the queue that was added
+    Then the caller gets the answer 200
+    When the store serves the instance again
+    And a caller asks how many jobs wait at the queue that was dropped
+    Then the caller gets the answer 404
+    When the instance has read the newer configuration
+    And a caller asks how many jobs wait at the queue that was dropped
+    Then the caller gets the answer 404
+    And the peer was asked twice
+
+  Scenario: A peer with an older configuration refuses
+    Given an instance with a newer configuration and a peer with an older one
+    When a caller hands a job in
+    Then the caller is refused and told when to come back
+
   Scenario: Instances know each other from their rows
     Given two instances that have written their rows
     When the first reads the rows of all
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -8,52 +8,69 @@
 from tests.support import memory
 
 from mangosail.intake import catalogs, desk, peers, relaying
-from mangosail.platform import ingress
+from mangosail.platform import ingress, peering
 from mangosail.scheduler import keys, messages
 from mangosail.telemetry import counters
 
 HOST, PATH = "jobs.example", "/q/00000000000000aa"
 OTHER_PATH = "/q/00000000000000bb"
+CONFIG = "op//config"
 BODY = json.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 1000}]})
 
 
 class Instance:
     """An instance's ingress with a store of its own, and a way to peers."""
 
-    def __init__(self, clock, fault, relay=None):
+    def __init__(self, clock, fault, relay=None, catalog=None):
         self.rows = fakes.Rows()
         self.rows.fault = fault
         tally = counters.StatsdCounters(None, 0)
-        queue = messages.Queue("q", HOST, "/q/", "pool", 0, 2, 3.0)
-        self.catalogs = catalogs.Catalogs(self.rows, "op//c", None, clock, tally)
-        self.catalogs._use(messages.Catalog(1, (queue,)))
+        self.catalogs = catalogs.Catalogs(
+            self.rows, CONFIG, lambda text: context_catalogs[text], clock, tally
+        )
+        self.catalogs._use(catalog or catalog_of(1, "/q/"))
         jobs = desk.Desk(self.rows, lambda: False, clock, tally)
         self.app = ingress.Ingress(self.catalogs, jobs, clock, tally, relay).app
         self.client = falcon.testing.TestClient(self.app, headers={"Host": HOST})
 
-    def ask(self, method, path=PATH, body=None):
-        return self.client.simulate_request(method, path, body=body)
+    def ask(self, method, path=PATH, body=None, headers=None):
+        return self.client.simulate_request(method, path, body=body, headers=headers)
+
+
+def catalog_of(version, *prefixes):
+    return messages.Catalog(
+        version,
+        tuple(messages.Queue(p, HOST, p, "pool", 0, 2, 3.0) for p in prefixes),
+    )
+
+
+#: What texts of the configuration's row stand for.
+context_catalogs = {'"newer"': catalog_of(2, "/q/", "/added/")}
 
 
-def two(context, peer_fault, send=None):
+def two(context, peer_fault, send=None, own=None, others=None):
     """Make an instance that the store refuses, and its peer."""
     context.clock = memory.Clock(now=1000.0)
-    context.peer = Instance(context.clock, peer_fault)
+    context.peer = Instance(context.clock, peer_fault, catalog=others)
     context.asked = []
 
     def pass_on(address, request):
         context.asked.append(address)
         if send is not None:
             return send(request)
-        answer = context.peer.ask(request.method, request.path, request.body)
-        return result.Ok(relaying.Answer(answer.status_code, answer.text))
+        least = {peering.LEAST_VERSION: str(request.least_version)}
+        answer = context.peer.ask(
+            request.method, request.path, request.body, {"Host": HOST, **least}
+        )
+        version = peering.version_of(answer.headers["ETag"])
+        return result.Ok(relaying.Answer(answer.status_code, answer.text, version))
 
     tally = counters.StatsdCounters(None, 0)
-    own = peers.Peer("a", "a:1")
-    known = peers.Peers(None, own, context.clock, tally, random.Random(5))
+    first = peers.Peer("a", "a:1")
+    known = peers.Peers(None, first, context.clock, tally, random.Random(5))
     known.known = (peers.Peer("b", "b:1"),)
     relay = relaying.Relay(known, pass_on, context.clock, tally)
-    context.instance = Instance(context.clock, "down", relay)
+    context.instance = Instance(context.clock, "down", relay, own)
 
 
 @given("an instance that the store refuses and a peer that it serves")
@@ -76,6 +93,49 @@
     two(context, "", lambda request: result.Err(relaying.NotSent()))
 
 
+@given("an instance with an older configuration and a peer with a newer one")
+def step_newer_peer(context):
+    two(
+        context,
+        "",
+        None,
+        catalog_of(1, "/q/", "/dropped/"),
+        context_catalogs['"newer"'],
+    )
+
+
+@given("an instance with a newer configuration and a peer with an older one")
+def step_older_peer(context):
+    two(context, "", None, context_catalogs['"newer"'], catalog_of(1, "/q/"))
+
+
+@when("a caller hands a job in at the queue that was added")
+def step_added(context):
+    context.answer = context.instance.ask("POST", "/added/00000000000000aa", BODY)
+
+
+@when("a caller asks how many jobs wait at the queue that was dropped")
+def step_dropped(context):
+    context.answer = context.instance.ask("GET", "/dropped/")
+
+
+@when("the store serves the instance again")
+def step_serves_again(context):
+    context.instance.rows.fault = ""
+
+
+@when("the instance has read the newer configuration")
+def step_has_read(context):
+    context.clock.now += 1
+    context.instance.rows.put(CONFIG, "newer")
+    assert context.instance.catalogs.follower.step(0)
+
+
+@then("the peer was asked twice")
+def step_twice(context):
+    assert len(context.asked) == 2, context.asked
+
+
 @when("a caller hands a job in")
 def step_hand_in(context):
     context.answer = context.instance.ask("POST", PATH, BODY)
