--- a/tests/run.py
+++ b/tests/run.py
@@ -63,13 +63,27 @@
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
     ]
+    reasons = [
+        f"{name}: {element['name']}: {step['name']}\n{reason_of(step)}"
+        for feature in (json.loads(text) if text else [])
+        for element in feature.get("elements", [])
+        for step in element.get("steps", [])
+        if step.get("result", {}).get("error_message")
+    ]
     passed = [n for n, status in scenarios if status == "passed"]
     failed = [n for n, status in scenarios if status != "passed"]
     if done.returncode and not failed:
         # A hook or a step file broke before any scenario could fail.
         failed = [f"{name}: run ended with status {done.returncode}"]
     seconds = time.monotonic() - began_at
-    return Verdict(name, passed, failed, done.stdout, seconds)
+    output = "\n".join([done.stdout, *reasons])
+    return Verdict(name, passed, failed, output, seconds)
+
+
+def reason_of(step):
+    """Return why a step failed, so that what shows once can be traced."""
+    message = step["result"]["error_message"]
+    return message if isinstance(message, str) else "\n".join(message)
 
 
 def begin_order(name):
