--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -56,7 +56,7 @@
         A caller was just answered by a peer, which may have a newer one. To answer
         the next by an older one would take back what is in force.
         """
-        self.doubted_at = self.follower.clock.elapsed()
+        self.doubted_at = self.clock.elapsed()
 
     @property
     def doubted(self) -> bool:
--- a/src/mangosail/intake/peers.py
+++ b/src/mangosail/intake/peers.py
@@ -64,9 +64,10 @@
         """Write the own row and read all of them, again and again."""
         readings = 0
         while True:
-            done = readings % READINGS_A_WRITE or self.register()
-            done = self.read() and done
-            readings += bool(done)
+            written = readings % READINGS_A_WRITE != 0 or self.register()
+            done = self.read() and written
+            if done:
+                readings += 1
             self.clock.sleep(READ_INTERVAL if done else RETRY_INTERVAL)
 
     def register(self) -> bool:
--- a/src/mangosail/platform/caller.py
+++ b/src/mangosail/platform/caller.py
@@ -1,5 +1,6 @@
 """HTTP requests on pooled connections, each within its own time limit."""
 
+import collections
 import collections.abc as cabc
 import dataclasses
 import typing as t
@@ -92,3 +93,21 @@
             headers=self.headers,
         )
         return client
+
+
+class Callers:
+    """One caller for each name, the earliest dropped once there are too many."""
+
+    def __init__(self, concurrency: int, most: int) -> None:
+        self.concurrency = concurrency
+        self.most = most
+        self.kept: collections.OrderedDict[str, Caller] = collections.OrderedDict()
+
+    def get(self, name: str, address: str) -> Caller:
+        """Return the caller called `name`, made for `address` when first asked for."""
+        kept = self.kept.get(name)
+        if kept is None:
+            kept = self.kept[name] = Caller(address, self.concurrency)
+            if len(self.kept) > self.most:
+                self.kept.popitem(last=False)
+        return kept
--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -1,7 +1,5 @@
 """Requests passed on between instances, over HTTP on a port of their own."""
 
-import collections
-
 import result
 
 from mangosail.intake import relaying
@@ -24,9 +22,7 @@
     """Sends requests to peers; its `send` is a `relaying.Send`."""
 
     def __init__(self) -> None:
-        self.kept: collections.OrderedDict[str, http_caller.Caller] = (
-            collections.OrderedDict()
-        )
+        self.callers = http_caller.Callers(CONNECTIONS, MOST_KEPT)
 
     def send(
         self, address: str, request: relaying.Request
@@ -37,7 +33,7 @@
             "Content-Type": "application/json",
             LEAST_VERSION: str(request.least_version),
         }
-        answer = self._caller(address).call(
+        answer = self.callers.get(address, address).call(
             request.method, request.path, request.body, headers, TIMEOUT
         )
         if isinstance(answer, result.Ok):
@@ -50,14 +46,6 @@
             return result.Err(relaying.NotSent())
         return result.Err(relaying.Unanswered())
 
-    def _caller(self, address: str) -> http_caller.Caller:
-        kept = self.kept.get(address)
-        if kept is None:
-            kept = self.kept[address] = http_caller.Caller(address, CONNECTIONS)
-            if len(self.kept) > MOST_KEPT:
-                self.kept.popitem(last=False)
-        return kept
-
 
 def version_of(text: str | None) -> int:
     """Return a version in a header; 0 if there is none."""
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -81,7 +81,6 @@
         self.leadership = leadership.Leadership(
             self.store,
             settings.node_name,
-            settings.ip,
             self.clock,
             self.counters,
             rand,
--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -1,6 +1,5 @@
 """Orders to workers over HTTP; implements `scheduler.ports.Workers`."""
 
-import collections
 import typing as t
 
 import logbook
@@ -21,6 +20,8 @@
 #: Connections to one worker for orders; of the 64 that it takes, a share that
 #: leaves room for a later leader.
 ORDER_CONNECTIONS = 6
+#: Connections to one worker for looks, which follow one another.
+LOOK_CONNECTIONS = 1
 #: Workers whose connections are kept at most.
 MOST_KEPT = 1024
 
@@ -39,18 +40,12 @@
 }
 
 
-class Connections(t.NamedTuple):
-    """The pools of connections to one worker."""
-
-    orders: http_caller.Caller
-    looks: http_caller.Caller
-
-
 class HttpWorkers:
     """Speaks to workers, with pooled connections to each."""
 
     def __init__(self) -> None:
-        self.kept: collections.OrderedDict[str, Connections] = collections.OrderedDict()
+        self.orders = http_caller.Callers(ORDER_CONNECTIONS, MOST_KEPT)
+        self.looks = http_caller.Callers(LOOK_CONNECTIONS, MOST_KEPT)
 
     def start(
         self, worker: messages.WorkerEntry, order: messages.StartOrder
@@ -102,7 +97,7 @@
             body["deadline_ms"] = deadline
         if wait:
             body["wait_ms"] = int(wait * 1000)
-        answer = self._pools(worker).looks.call(
+        answer = self.looks.get(worker.name, worker.address).call(
             "POST",
             "/-/hold",
             codec.to_json(body).encode(),
@@ -123,7 +118,7 @@
     def _order(
         self, worker: messages.WorkerEntry, path: str, body: str
     ) -> result.Result[int, errors.OrderError]:
-        answer = self._pools(worker).orders.call(
+        answer = self.orders.get(worker.name, worker.address).call(
             "POST", path, body.encode(), headers_for(worker), ORDER_TIMEOUT
         )
         if isinstance(answer, result.Err):
@@ -133,18 +128,6 @@
             return result.Err(refusal_of(reply))
         return result.Ok(int(ordered(reply.body).clock_ms or 0))
 
-    def _pools(self, worker: messages.WorkerEntry) -> Connections:
-        pools = self.kept.get(worker.name)
-        if pools is None:
-            pools = Connections(
-                http_caller.Caller(worker.address, ORDER_CONNECTIONS),
-                http_caller.Caller(worker.address, 1),
-            )
-            self.kept[worker.name] = pools
-            if len(self.kept) > MOST_KEPT:
-                self.kept.popitem(last=False)
-        return pools
-
 
 def headers_for(worker: messages.WorkerEntry) -> dict[str, str]:
     """Return headers that keep an order from another life of the worker."""
--- a/src/mangosail/scheduler/commits.py
+++ b/src/mangosail/scheduler/commits.py
@@ -21,6 +21,9 @@
 #: was seen to need.
 READINGS = 6.0
 
+#: Readings until a write is given up: after the usual time, and after a slow store's.
+LOOKS = 2
+
 #: Says which version a write that took effect got; None if it has not, or not yet.
 Landed = cabc.Callable[[], int | None]
 
@@ -38,17 +41,14 @@
     the same checks.
     """
     call = gevent.spawn(rows.commit, transaction)
-    call.join(ANSWER_TERM)
-    if call.ready():
-        return call.get()
-    asked_at = clock.elapsed()
-    version = landed()
-    if version is not None:
-        return result.Ok(version)
-    call.join(max(ANSWER_TERM, READINGS * (clock.elapsed() - asked_at)))
-    if call.ready():
-        return call.get()
-    version = landed()
-    if version is not None:
-        return result.Ok(version)
+    term = ANSWER_TERM
+    for _ in range(LOOKS):
+        call.join(term)
+        if call.ready():
+            return call.get()
+        asked_at = clock.elapsed()
+        version = landed()
+        if version is not None:
+            return result.Ok(version)
+        term = max(ANSWER_TERM, READINGS * (clock.elapsed() - asked_at))
     return result.Err(store_errors.Uncertain("late"))
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -19,10 +19,10 @@
     """One life of a worker, and what runs there as far as the leader knows."""
 
     def __init__(
-        self, entry: messages.WorkerEntry, changes: cabc.Iterator[int] | None = None
+        self, entry: messages.WorkerEntry, changes: cabc.Iterator[int]
     ) -> None:
         self.entry = entry
-        self.changes = changes or itertools.count(1)
+        self.changes = changes
         #: Number of its latest change that may have made room; of all workers' changes
         #: the later one has the higher number.
         self.changed = next(self.changes)
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -51,8 +51,6 @@
     renewals: int = 0
     #: True once the holder has given the lease up.
     released: bool = False
-    #: Where peers reach the holder.
-    address: str = ""
     #: Speed of the holder, in cores.
     cores: float = 1.0
     #: Cores that jobs which last may take together; None if not known yet.
@@ -236,14 +234,11 @@
 
     def _landed(self) -> int | None:
         """Return the version of our link if it is the chain's last, None if not."""
-        found = self.rows.read([keys.CHAIN])
-        if isinstance(found, result.Err):
-            return None
-        chain = found.ok_value.get(keys.CHAIN)
-        if chain is None or chain.value != self._link():
+        found = version_of(self.rows, self._link())
+        if isinstance(found, result.Err) or found.ok_value is None:
             return None
         self.counters.count("journal.answer_recovered")
-        return chain.version
+        return found.ok_value
 
     def _resolve(self) -> int | None:
         """Tell a lost answer from a lost lease after a conflict.
@@ -251,13 +246,12 @@
         Returns the version that our transaction got, or None if the rows can't be
         read now.
         """
-        found = self.rows.read([keys.CHAIN, keys.LEASE])
+        found = version_of(self.rows, self._link())
         if isinstance(found, result.Err):
             return None
-        chain = found.ok_value.get(keys.CHAIN)
-        if chain is not None and chain.value == self._link():
+        if found.ok_value is not None:
             self.counters.count("journal.answer_recovered")
-            return chain.version
+            return found.ok_value
         self.deposed = True
         log.warning("deposed", token=self.token)
         raise errors.DeposedError
@@ -285,9 +279,16 @@
     done = rows.commit(transaction)
     if isinstance(done, result.Ok):
         return done.ok_value
+    found = version_of(rows, link)
+    return found.ok_value if isinstance(found, result.Ok) else None
+
+
+def version_of(
+    rows: table.Table, link: str
+) -> result.Result[int | None, store_errors.Unavailable]:
+    """Return the version that `link` got, or None if another is the chain's last."""
     found = rows.read([keys.CHAIN])
-    if isinstance(found, result.Ok):
-        row = found.ok_value.get(keys.CHAIN)
-        if row is not None and row.value == link:
-            return row.version
-    return None
+    if isinstance(found, result.Err):
+        return found
+    chain = found.ok_value.get(keys.CHAIN)
+    return result.Ok(chain.version if chain and chain.value == link else None)
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -76,7 +76,6 @@
         self,
         rows: ports.Rows,
         name: str,
-        address: str,
         clock: clocks.Clock,
         counters: telemetry.Counters,
         rand: random.Random,
@@ -84,7 +83,6 @@
     ) -> None:
         self.rows = rows
         self.name = name
-        self.address = address
         self.clock = clock
         self.counters = counters
         self.rand = rand
@@ -202,7 +200,6 @@
             self.name,
             self.incarnation,
             token,
-            address=self.address,
             cores=self.cores,
             # What all instances go by stays in force until this one knows better.
             # Without the bound, all that lasts was let in between two leaders.
--- a/tests/bench/leading.py
+++ b/tests/bench/leading.py
@@ -134,7 +134,7 @@
 def build(store, tally):
     clock = clocks.SystemClock()
     rand = random.Random(1)
-    lead = leadership.Leadership(store, "one", "", clock, tally, rand)
+    lead = leadership.Leadership(store, "one", clock, tally, rand)
     held = None
     while held is None:
         held = lead.watch()
--- a/tests/intake/steps/intake_steps.py
+++ b/tests/intake/steps/intake_steps.py
@@ -106,7 +106,6 @@
     lead = leadership.Leadership(
         context.rows,
         "b",
-        "",
         context.clock,
         counters.StatsdCounters(None, 0),
         random.Random(1),
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -251,7 +251,7 @@
     def __init__(self, world, name):
         self.world = world
         lead = leadership.Leadership(
-            world.rows, name, "", world.clock, world.counters, world.rand
+            world.rows, name, world.clock, world.counters, world.rand
         )
         held = None
         for _ in range(20):
--- a/tests/scheduler/steps/leadership_steps.py
+++ b/tests/scheduler/steps/leadership_steps.py
@@ -16,7 +16,7 @@
 def instance(context, name, cores):
     world = context.world
     return leadership.Leadership(
-        world.rows, name, "", world.clock, world.counters, world.rand, cores
+        world.rows, name, world.clock, world.counters, world.rand, cores
     )
 
 
@@ -107,7 +107,7 @@
     clock = memory.Clock()
     context.clock = clock
     lead = leadership.Leadership(
-        None, "one", "", clock, counters.StatsdCounters(None, 0), random.Random(3)
+        None, "one", clock, counters.StatsdCounters(None, 0), random.Random(3)
     )
     for _ in range(8):
         lead.speed.note(FAIR)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -65,27 +65,25 @@
 
     def kill(self, name, seconds):
         self.check_alive(name)
-        self.processes[name].kill()
-        self.processes[name].wait()
+        self.deployment.kill(name)
         self.kills.append((name, time.time()))
         time.sleep(seconds)
         self.deployment.restart(name)
 
     def stop(self, name, seconds):
         self.check_alive(name)
-        self.processes[name].send_signal(signal.SIGTERM)
+        self.deployment.signal(name, signal.SIGTERM)
         try:
             self.processes[name].wait(deployed.GRACE)
         except subprocess.TimeoutExpired:
             self.deaths.append(f"{name}: did not stop in time")
-            self.processes[name].kill()
-            self.processes[name].wait()
+            self.deployment.kill(name)
         self.deployment.restart(name)
 
     def freeze(self, name, seconds):
-        self.processes[name].send_signal(signal.SIGSTOP)
+        self.deployment.freeze(name)
         time.sleep(seconds)
-        self.processes[name].send_signal(signal.SIGCONT)
+        self.deployment.thaw(name)
 
     def cut(self, name, seconds):
         self.relays[name].cut()
@@ -115,7 +113,7 @@
     deployment = deployed.Deployment(seed)
     faults = Faults(deployment)
     try:
-        deployment.start()
+        deployment.start_all()
         planned = schedule.draw_from(seed, seconds, table_of(), gap)
         for fault in planned:
             print(
@@ -138,8 +136,8 @@
         placed.settle(callers, time.monotonic() + settle)
         for name in deployment.fronts:
             faults.check_alive(name)
-        verdicts = placed.judge(callers, deployment.worker_log(), faults)
-        return verdicts, deployment.folder
+        verdicts = placed.judge(callers, deployment.worker_entries(), faults)
+        return verdicts, deployment.logs
     finally:
         deployment.close()
 
--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -16,7 +16,7 @@
 from mangosail.placement import errors
 from mangosail.platform import batching
 
-#: Most of all lines of code that may be tests.
+#: Lines of the soak at most, as a share of those of the code.
 SOAK_SHARE = 1 / 10
 #: Names on the platform's wire that mean something else, or nothing, to the slices.
 PLATFORM_WORDS = (
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -1,16 +1,11 @@
 """Starts instances on the users' platform: real processes, and its stand-ins.
 
 The store, each worker and each instance are processes of their own; each instance
-reaches the store, and all reach each worker, by way of a relay. `close` ends what was
-started, by process id, and nothing else.
+reaches the store, and all reach each worker, by way of a relay.
 """
 
 import json
 import os
-import pathlib
-import subprocess
-import sys
-import tempfile
 
 from tests.standins import relay
 from tests.support import stage
@@ -32,20 +27,18 @@
 }  # fmt: skip
 
 
-class Deployment:
+class Deployment(stage.Stage):
     """All processes of a run, and the faults that hit them."""
 
     def __init__(self, seed):
+        super().__init__()
         self.seed = seed
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-        self.processes = {}
-        self.commands = {}
         self.relays = {}
         self.fronts = {}
         self.store = stage.free_address()
 
-    def start(self):
-        self.spawn("store", "-m", "tests.standins.store", "--address", self.store,
+    def start_all(self):
+        self.start("store", "-m", "tests.standins.store", "--address", self.store,
                    "--seed", str(self.seed))  # fmt: skip
         stage.wait_until(lambda: stage.call(self.store, "GET", "/dump"), what="store")
         self.configure()
@@ -65,9 +58,9 @@
     def add_worker(self, name):
         address = stage.free_address()
         self.relays[name] = relay.Relay(address)
-        self.spawn(name, "-m", "tests.standins.pool", "--address", address,
+        self.start(name, "-m", "tests.standins.pool", "--address", address,
                    "--listed", self.relays[name].address, "--store", self.store,
-                   "--log", str(self.folder / f"{name}.jsonl"),
+                   "--log", str(self.logs / f"{name}.jsonl"),
                    "--cores", str(CORES))  # fmt: skip
 
     def add_instance(self, name, host):
@@ -82,36 +75,18 @@
             "internal_ports": [among_instances, among_instances],
             "bounds": {"status_s": 300, "grace_s": GRACE},
         }  # fmt: skip
-        path = self.folder / f"{name}.json"
+        path = self.logs / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.spawn(name, "deploy/serve.py")
-
-    def spawn(self, name, *command):
-        self.commands[name] = command
-        log = open(self.folder / f"{name}.log", "ab")
-        path = self.folder / f"{name}.json"
-        self.processes[name] = subprocess.Popen(
-            [sys.executable, *command], stdout=log, stderr=log, cwd=stage.ROOT,
-            env={**os.environ, "MANGOSAIL_SETTINGS": str(path)},
-        )  # fmt: skip
-        log.close()
-
-    def worker_log(self):
+        self.start(name, "deploy/serve.py", env={"MANGOSAIL_SETTINGS": str(path)})
+
+    def worker_entries(self):
         """Return what all workers noted; it outlives killed ones."""
         return [
             json.loads(line)
-            for path in sorted(self.folder.glob("worker-*.jsonl"))
+            for path in sorted(self.logs.glob("worker-*.jsonl"))
             for line in path.read_text().splitlines()
         ]
 
-    def restart(self, name):
-        self.spawn(name, *self.commands[name])
-
-    def close(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
-
 
 def host_of(number):
     """Return a loopback address that no other run uses: metrics have a fixed port."""
