Ask peers that answered nothing last, and those that are sent no heartbeats too

Seen: in the slice front, quotes at an instance without workers were refused 503 peer_lost or no_capacity for seconds after a peer froze (listed as red), and once a watch was refused while its instance took its workers back.

The watch reached an instance that owned workers none of which it had read yet. Ruled out: a peer that woke up and doesn't answer (its answers came in 3 ms).

Now a peer that left a request unanswered goes last until it is heard of; one that is sent no heartbeats counts as reachable once it sent one; one told to have no room is asked where only one other is left; a failed attempt's reason stays; a watch is opened while all of an instance's workers are still being read.

--- /dev/null
+++ b/src/mangosail/front/forwarding.py
@@ -0,0 +1,132 @@
+"""Passing quotes on to peers, where no own worker takes them."""
+
+import collections.abc as cabc
+
+import result
+
+from mangosail import clock as clocks
+from mangosail import codec, resources
+from mangosail.front import messages, methods
+from mangosail.membership import peers as membership
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds of a caller's time kept back for the way home from a peer.
+MARGIN = 0.02
+#: Peers that one quote is forwarded to, one after the other.
+MOST_PEERS = 2
+#: Share of the remaining time that the first of two peers is given.
+FIRST_PEER_SHARE = 0.6
+
+OK = 200
+UNAVAILABLE = 503
+TIMED_OUT = 504
+
+
+class Forwarding:
+    """Quotes at peers."""
+
+    def __init__(
+        self,
+        peers: membership.Peers,
+        data_centre: str,
+        retry: cabc.Callable[[str], bool],
+        refuse: cabc.Callable[[int, str, str], messages.Answer],
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.peers = peers
+        self.data_centre = data_centre
+        #: Takes an extra attempt, for the reason given, from the budget of all quotes.
+        self.retry = retry
+        self.refuse = refuse
+        self.clock = clock
+        self.counters = counters
+
+    def forward(
+        self, request: messages.ServiceRequest, outcome: str
+    ) -> messages.Answer | None:
+        """Pass the request on, to a second peer if the first one does not serve it.
+
+        `outcome` is what a refusal tells unless an attempt at a peer may have run.
+        Returns None if no peer has room.
+        """
+        reason = ""
+        peers = self._peers_for(request.declared.needs.as_resources())
+        for turn, peer in enumerate(peers):
+            if turn and not self.retry(f"forward_{reason}"):
+                break
+            left = request.deadline - self.clock.monotonic() - MARGIN
+            if left <= 0:
+                return self.refuse(TIMED_OUT, "deadline", outcome)
+            if turn + 1 < len(peers):
+                # A frozen peer never answers: keep time to ask the other.
+                left *= FIRST_PEER_SHARE
+            answer = self._ask(peer, request, left)
+            if isinstance(answer, result.Err):
+                reason, outcome = "peer_lost", messages.UNKNOWN
+                continue
+            reply = answer.ok_value
+            if reply.status != UNAVAILABLE:
+                if reply.outcome == messages.UNKNOWN:
+                    outcome = messages.UNKNOWN
+                return unpack(reply, outcome)
+            if reply.outcome == messages.UNKNOWN or not reason:
+                # An attempt that may have run tells a caller more than a later
+                # peer's lack of room.
+                reason = reply.body
+            if reply.outcome == messages.UNKNOWN:
+                outcome = messages.UNKNOWN
+        if not reason:
+            return None
+        return self.refuse(UNAVAILABLE, reason, outcome)
+
+    def _peers_for(self, needs: resources.Resources) -> cabc.Sequence[membership.Peer]:
+        """Return the peers to ask, in turn.
+
+        What peers told of their room is up to four seconds old. Where it leaves one
+        peer alone, another is asked too: when that one was frozen, each quote was
+        refused until the next heartbeat told of the room that others had by then.
+        """
+        peers = self.peers.with_room(needs, self.data_centre)
+        if len(peers) == 1:
+            peers += self.peers.without_room(needs, self.data_centre)
+            peers.sort(key=lambda peer: peer.silent)
+        return peers[:MOST_PEERS]
+
+    def _ask(
+        self, peer: membership.Peer, request: messages.ServiceRequest, timeout: float
+    ) -> result.Result[messages.ForwardedAnswer, str]:
+        self.counters.count("front.forwarded")
+        message = forwarded(request, timeout)
+        answer = peer.channel.call(methods.FORWARD, message, timeout)
+        peer.silent = isinstance(answer, result.Err)
+        if isinstance(answer, result.Err):
+            self.counters.count(f"front.forward_failed.{answer.err_value}")
+        return answer
+
+
+def forwarded(request: messages.ServiceRequest, timeout: float) -> messages.Forwarded:
+    """Return `request` as it is passed on, with what is left of its time."""
+    return messages.Forwarded(
+        request.request_id,
+        request.team,
+        request.service,
+        request.operation,
+        request.body,
+        timeout,
+    )
+
+
+def unpack(answer: messages.ForwardedAnswer, outcome: str) -> messages.Answer:
+    """Return what a peer answered as if it had been answered here.
+
+    `outcome` is that of all attempts, the peer's and others, if none served it.
+    """
+    if answer.status == OK:
+        served = messages.Served(
+            codec.from_json(answer.body, object), answer.worker, answer.data_centre
+        )
+        return result.Ok(served)
+    return result.Err(
+        messages.Refusal(answer.status, answer.body, answer.retry_after, outcome)
+    )
--- a/src/mangosail/front/messages.py
+++ b/src/mangosail/front/messages.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing as t
 
+import result
+
 from mangosail.settings import schema
 
 #: Outcomes of a refused request: no attempt at it was sent, or one may have run.
@@ -47,6 +49,10 @@
     outcome: str = NOT_RUN
 
 
+#: What a request is answered.
+Answer = result.Result[Served, Refusal]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forwarded:
     """A request passed on, once, to a peer that has room.
--- a/src/mangosail/front/peering.py
+++ b/src/mangosail/front/peering.py
@@ -3,7 +3,7 @@
 import result
 
 from mangosail import codec
-from mangosail.front import context, messages, quotes
+from mangosail.front import context, forwarding, messages
 
 
 class Peering:
@@ -40,7 +40,7 @@
         )
 
 
-def packed(request_id: str, answer: quotes.Answer) -> messages.ForwardedAnswer:
+def packed(request_id: str, answer: messages.Answer) -> messages.ForwardedAnswer:
     """Return an answer as it goes back to the peer that passed the request on."""
     if isinstance(answer, result.Err):
         refusal = answer.err_value
@@ -54,7 +54,7 @@
     served = answer.ok_value
     return messages.ForwardedAnswer(
         request_id,
-        quotes.OK,
+        forwarding.OK,
         codec.to_json(served.answer),
         worker=served.worker,
         data_centre=served.data_centre,
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -6,10 +6,9 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail import codec
 from mangosail.control import tails
 from mangosail.dispatch import answer_times, budget
-from mangosail.front import attempts, messages, methods
+from mangosail.front import attempts, forwarding, messages
 from mangosail.membership import peers as membership
 from mangosail.ownership import session
 from mangosail.placement import errors as placement_errors
@@ -37,14 +36,6 @@
 LOST_SHARE = 0.5
 #: Seconds after which a caller that found no room should come back.
 COME_BACK = 1.0
-#: Seconds of a caller's time kept back for the way home from a peer.
-FORWARD_MARGIN = 0.02
-#: Peers that one quote is forwarded to, one after the other.
-MOST_PEERS = 2
-#: Share of the remaining time that the first of two peers is given.
-FIRST_PEER_SHARE = 0.6
-
-OK = 200
 #: Refusals after which a peer may still have room.
 FORWARDED_REASONS = frozenset(
     {placement_errors.Reason.NO_CAPACITY, placement_errors.Reason.DEADLINE}
@@ -56,8 +47,6 @@
 UNAVAILABLE = 503
 TIMED_OUT = 504
 
-Answer = result.Result[messages.Served, messages.Refusal]
-
 
 class Quotes:
     """Serves quotes from own workers, else from a peer's."""
@@ -72,7 +61,6 @@
         seen: tails.Tails,
     ) -> None:
         self.placer = place
-        self.peers = peers
         self.lease = lease
         self.clock = clock
         self.counters = counters
@@ -80,8 +68,18 @@
         self.latencies = answer_times.AnswerTimes()
         self.retries = budget.Budget(RETRY_SHARE, RETRY_BURST)
         self.hedges = budget.Budget(HEDGE_SHARE, HEDGE_BURST)
+        self.forwarding = forwarding.Forwarding(
+            peers,
+            lease.row.data_centre,
+            lambda reason: self.spend(self.retries, "retry", reason),
+            self.refuse,
+            clock,
+            counters,
+        )
 
-    def serve(self, request: messages.ServiceRequest, forward: bool = True) -> Answer:
+    def serve(
+        self, request: messages.ServiceRequest, forward: bool = True
+    ) -> messages.Answer:
         """Answer `request` from here, or from a peer if `forward` allows."""
         self.retries.earn()
         self.hedges.earn()
@@ -94,7 +92,9 @@
         if self.clock.monotonic() >= request.deadline:
             return self.refuse(TIMED_OUT, "deadline", outcome)
         if forward and race.refused.reason in FORWARDED_REASONS:
-            return self._forward(request, race.refused, outcome)
+            passed_on = self.forwarding.forward(request, outcome)
+            if passed_on is not None:
+                return passed_on
         return self._not_placed(race.refused, outcome)
 
     def candidates(
@@ -111,59 +111,18 @@
         reason: str,
         outcome: str,
         retry_after: float | None = COME_BACK,
-    ) -> Answer:
+    ) -> messages.Answer:
         """Return a refusal, and count it."""
         self.counters.count(f"front.refused.{reason}")
         return result.Err(messages.Refusal(status, reason, retry_after, outcome))
 
-    def _not_placed(self, refused: placement_errors.NotPlaced, outcome: str) -> Answer:
+    def _not_placed(
+        self, refused: placement_errors.NotPlaced, outcome: str
+    ) -> messages.Answer:
         late = refused.reason is placement_errors.Reason.DEADLINE
         status = TIMED_OUT if late else UNAVAILABLE
         return self.refuse(status, refused.reason.value, outcome, refused.retry_after)
 
-    def _forward(
-        self,
-        request: messages.ServiceRequest,
-        refused: placement_errors.NotPlaced,
-        outcome: str,
-    ) -> Answer:
-        """Pass the request on, to a second peer if the first one is lost.
-
-        `outcome` is what a refusal tells unless an attempt at a peer may have run.
-        """
-        needs = request.declared.needs.as_resources()
-        peers = self.peers.with_room(needs, self.lease.row.data_centre)[:MOST_PEERS]
-        reason = ""
-        for turn, peer in enumerate(peers):
-            if turn and not self._retry(f"forward_{reason}"):
-                break
-            left = request.deadline - self.clock.monotonic() - FORWARD_MARGIN
-            if left <= 0:
-                return self.refuse(TIMED_OUT, "deadline", outcome)
-            if turn + 1 < len(peers):
-                # A frozen peer never answers: keep time to ask the other.
-                left *= FIRST_PEER_SHARE
-            self.counters.count("front.forwarded")
-            message = forwarded(request, left)
-            answer = peer.channel.call(methods.FORWARD, message, left)
-            if isinstance(answer, result.Err):
-                self.counters.count(f"front.forward_failed.{answer.err_value}")
-                reason = "peer_lost"
-                outcome = messages.UNKNOWN
-                continue
-            if answer.ok_value.outcome == messages.UNKNOWN:
-                outcome = messages.UNKNOWN
-            if answer.ok_value.status == UNAVAILABLE:
-                reason = answer.ok_value.body
-                continue
-            return unpack(answer.ok_value, outcome)
-        if not reason:
-            return self._not_placed(refused, outcome)
-        return self.refuse(UNAVAILABLE, reason, outcome)
-
-    def _retry(self, reason: str) -> bool:
-        return self.spend(self.retries, "retry", reason)
-
     def spend(self, extra: budget.Budget, what: str, reason: str) -> bool:
         """Take an extra attempt from a budget, and count it or its refusal."""
         if not extra.spend():
@@ -196,7 +155,7 @@
         self.hedge_at = now + self.patience
         self.lost_at = now + (request.deadline - now) * LOST_SHARE
 
-    def run(self) -> Answer | None:
+    def run(self) -> messages.Answer | None:
         """Return the answer; None if none can be had from own workers."""
         self._await_extra()
         try:
@@ -217,7 +176,7 @@
             self.quotes.counters.count("front.waited.extra_attempts")
             clock.sleep(ROOM_INTERVAL)
 
-    def _wait(self) -> Answer | None:
+    def _wait(self) -> messages.Answer | None:
         waiting = 1
         while True:
             ended = self._next()
@@ -319,30 +278,3 @@
 def names_of(tried: cabc.Iterable[attempts.Attempt]) -> frozenset[str]:
     """Return the names of the workers that were tried."""
     return frozenset(attempt.owned.name for attempt in tried)
-
-
-def forwarded(request: messages.ServiceRequest, timeout: float) -> messages.Forwarded:
-    """Return `request` as it is passed on, with what is left of its time."""
-    return messages.Forwarded(
-        request.request_id,
-        request.team,
-        request.service,
-        request.operation,
-        request.body,
-        timeout,
-    )
-
-
-def unpack(answer: messages.ForwardedAnswer, outcome: str) -> Answer:
-    """Return what a peer answered as if it had been answered here.
-
-    `outcome` is that of all attempts, the peer's and others, if none served it.
-    """
-    if answer.status == OK:
-        served = messages.Served(
-            codec.from_json(answer.body, object), answer.worker, answer.data_centre
-        )
-        return result.Ok(served)
-    return result.Err(
-        messages.Refusal(answer.status, answer.body, answer.retry_after, outcome)
-    )
--- a/src/mangosail/front/streams.py
+++ b/src/mangosail/front/streams.py
@@ -73,9 +73,10 @@
         if self.owned.fitting(NEEDS, durable=False):
             return ""
         # An instance is ready as soon as a peer answers quotes in its place, up to 3 s
-        # before it owns a worker. A watch that came in between was refused although
-        # nothing was wrong; opened, it waits for the worker, at most `NO_WORKER_TERM`.
-        starting = not self.owned.by_name and self.awaited()
+        # before it owns a worker, and longer before it has read what runs there. A
+        # watch that came in between was refused although nothing was wrong; opened, it
+        # waits for the worker, at most `NO_WORKER_TERM`.
+        starting = self.awaited() and not any(owned.ready for owned in self.owned)
         return "" if starting else "no_capacity"
 
 
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -45,6 +45,8 @@
         self.state: messages.Heartbeat | None = None
         #: Monotonic time until which the peer counts as reachable.
         self.reachable_deadline = 0.0
+        #: True if it left a request unanswered and was not heard of since.
+        self.silent = False
         #: True while the peer is sent heartbeats.
         self.beating = False
         self.dropped = False
@@ -129,8 +131,15 @@
         if self._is_news(message, peer):
             self._replace([*self.listed(), entry_of(message)])
             peer = self.by_name.get(message.instance)
-        if peer is not None:
-            peer.state = message
+        if peer is None:
+            return
+        peer.state = message
+        if not peer.beating:
+            # Nothing else tells of it: a data centre without workers reached two of
+            # three peers elsewhere, and refused quotes that the third had room for.
+            now = self.clock.monotonic()
+            peer.reachable_deadline = now + REACHABLE_INTERVALS * FAR_INTERVAL
+            peer.silent = False
 
     def heartbeat(self, message: messages.Heartbeat) -> messages.Heartbeat:
         """Take in a peer's state and return our own."""
@@ -157,14 +166,26 @@
 
     def with_room(self, needs: resources.Resources, data_centre: str) -> list[Peer]:
         """Return reachable peers with room, those of `data_centre` first."""
+        peers = self._open_peers(data_centre)
+        return [peer for peer in peers if has_room(peer, needs)]
+
+    def without_room(self, needs: resources.Resources, data_centre: str) -> list[Peer]:
+        """Return reachable peers that last told of less room, in the same order."""
+        peers = self._open_peers(data_centre)
+        return [peer for peer in peers if not has_room(peer, needs)]
+
+    def _open_peers(self, data_centre: str) -> list[Peer]:
+        """Return the peers that take new work, in the order to ask them.
+
+        Silent ones come last: a frozen peer counts as reachable for up to 12 s, and
+        each request that asked it first waited in vain.
+        """
         open_peers = [
-            (peer.listed.data_centre != data_centre, -peer.state.free.slots, peer)
+            (peer.silent, peer.listed.data_centre != data_centre, -free.slots, peer)
             for peer in self.reachable()
-            if peer.state is not None
-            and not peer.state.draining
-            and needs.fits_in(peer.state.free)
+            if (free := free_of(peer)) is not None
         ]
-        return [peer for *_, peer in sorted(open_peers, key=lambda e: e[:2])]
+        return [peer for *_, peer in sorted(open_peers, key=lambda e: e[:3])]
 
     def _learn(self, told: cabc.Iterable[inventory.EntryInstance]) -> None:
         """Add what peers say, while the platform's list was never seen."""
@@ -198,11 +219,25 @@
         if now >= peer.reachable_deadline:
             log.info("peer reached", peer=peer.listed.name)
         peer.state = dataclasses.replace(answer.ok_value, known=())
+        peer.silent = False
         peer.reachable_deadline = now + REACHABLE_INTERVALS * interval
         if answer.ok_value.known:
             self._learn(answer.ok_value.known)
 
 
+def free_of(peer: Peer) -> resources.Resources | None:
+    """Return the room that a peer last told of; None if it takes no new work."""
+    if peer.state is None or peer.state.draining:
+        return None
+    return peer.state.free
+
+
+def has_room(peer: Peer, needs: resources.Resources) -> bool:
+    """Tell whether `needs` fit into what a peer last told of."""
+    free = free_of(peer)
+    return free is not None and needs.fits_in(free)
+
+
 def entry_of(message: messages.Heartbeat) -> inventory.EntryInstance:
     """Return the list's entry of the sender of `message`, as it says itself."""
     return inventory.EntryInstance(
--- a/tests/front/steps/front_steps.py
+++ b/tests/front/steps/front_steps.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import urllib.error
 import urllib.request
 from unittest import mock
 
@@ -334,7 +335,13 @@
         subject = f"UP-drain:100000:{time.time():.3f}"
         after = 0
         while not self.stopped:
-            last = read_watch(self.context.stage.balancer, subject, after, self.events)
+            try:
+                last = read_watch(
+                    self.context.stage.balancer, subject, after, self.events
+                )
+            except urllib.error.HTTPError as error:
+                self.failed.append((error.code, error.read()))
+                return
             if "resume_after" not in last:
                 self.failed.append(last)
                 return
@@ -352,7 +359,9 @@
         watching.start()
         try:
             for name in ("shymkent-0", "shymkent-1", "shymkent-2"):
-                stage.wait_until(lambda: len(load.events) > 3, 10, "events")
+                stage.wait_until(
+                    lambda: len(load.events) > 3 or load.failed, 10, "events"
+                )
                 started = time.monotonic()
                 context.stage.signal(name, signal.SIGTERM)
                 code = context.stage.processes[name].wait(timeout=40)
