Write a peer's loss as one step a line, as the check of refusals reads it

The check of docs/openapi.json found the title peer_lost no more after forwarding moved: it reads assignments of one name. The title is still sent; style passes again.

--- a/src/mangosail/front/forwarding.py
+++ b/src/mangosail/front/forwarding.py
@@ -63,7 +63,8 @@
                 left *= FIRST_PEER_SHARE
             answer = self._ask(peer, request, left)
             if isinstance(answer, result.Err):
-                reason, outcome = "peer_lost", messages.UNKNOWN
+                reason = "peer_lost"
+                outcome = messages.UNKNOWN
                 continue
             reply = answer.ok_value
             if reply.status != UNAVAILABLE:
