Ask at once after a failed request that followed the store

The first request after the failure waits 0.5 s for changes, and is answered only then where nothing has changed. Ruled out: the leader (its first start came at 22.38 s), callers' own retries.

Now the first request after a failure does not wait.

--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -43,15 +43,29 @@
         self.version: int | None = None
         #: Elapsed time at which all that had changed was last known.
         self.fresh_at: float | None = None
+        #: True unless the latest request failed.
+        self.reached = True
 
     def run(self) -> None:
         """Follow for ever."""
         while True:
-            if not self.step(self.wait):
-                self.clock.sleep(RETRY_INTERVAL)
+            self.follow_once()
+
+    def follow_once(self) -> None:
+        """Wait for changes once; after a failure ask at once instead.
+
+        A request that waits is answered only once its wait is over where nothing has
+        changed: callers were refused for 0.5 s more although the store was back.
+        """
+        if not self.step(self.wait if self.reached else 0):
+            self.clock.sleep(RETRY_INTERVAL)
 
     def step(self, wait: float) -> bool:
         """Read once, and tell whether that went well."""
+        self.reached = self._step(wait)
+        return self.reached
+
+    def _step(self, wait: float) -> bool:
         sent_at = self.clock.elapsed()
         version = self.version
         if version is None:
