Keep which tasks of a job are done as one bit each

Cause: a record is written anew with each change of its job, and each task that was done took 20 bytes of it ever after.

Rows now hold tasks that are neither new nor done; done ones are a hexadecimal number a step. A row that could not be followed (no hexadecimal number, a worker that isn't listed) makes the record unreadable instead of ending the takeover of all jobs.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -7,6 +7,7 @@
 import collections.abc as cabc
 import dataclasses
 import enum
+import re
 
 from mangosail import codec
 from mangosail.scheduler import messages
@@ -26,32 +27,48 @@
     DONE = 5
 
 
+#: Base and form of the number whose bits say which tasks of a step are done.
+DONE_BASE = 16
+DONE_TASKS = re.compile("[0-9a-f]+")
 #: Phases in which a run may exist on a worker.
 LIVE = frozenset({Phase.STARTING, Phase.RUNNING, Phase.DOUBTFUL, Phase.STOPPING})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskRecord:
-    """What is kept of a task that is not as new."""
+    """What is kept of a task that is neither as new nor done."""
 
     occurrence: int
     step: int
     index: int
     run: int
     failures: int
-    done: bool
     #: Position in the record's workers of the one that may run it; -1 if none.
     worker: int
     checkpoint: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DoneRecord:
+    """Which tasks of a step are done, one bit each, as a hexadecimal number."""
+
+    occurrence: int
+    step: int
+    tasks: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobRecord:
-    """What is kept of a job's progress."""
+    """What is kept of a job's progress.
+
+    It is written again with each change, so what is known of most tasks takes a bit
+    each, and the rows are those of `TaskRecord` and `DoneRecord` without names.
+    """
 
     state: messages.State = messages.State.QUEUED
     workers: tuple[str, ...] = ()
-    tasks: tuple[tuple[int, int, int, int, int, bool, int, str], ...] = ()
+    tasks: tuple[tuple[int, int, int, int, int, int, str], ...] = ()
+    done: tuple[tuple[int, int, str], ...] = ()
     #: Wall time from which the record may be dropped; 0 while the job is not over.
     drop_at: float = 0.0
 
@@ -297,6 +314,8 @@
         workers: dict[str, int] = {}
         rows = []
         for task in self.tasks():
+            if task.phase is Phase.DONE:
+                continue
             if task.run == 0 and task.phase is Phase.WAITING:
                 continue
             position = -1
@@ -309,12 +328,12 @@
                     task.index,
                     task.run,
                     task.failures,
-                    task.phase is Phase.DONE,
                     position,
                     task.checkpoint,
                 )
             )
-        return JobRecord(self.state, tuple(workers), tuple(rows))
+        done = tuple(done_row(each) for each in self.steps.values() if each.done)
+        return JobRecord(self.state, tuple(workers), tuple(rows), done)
 
     def restore(self, record: JobRecord) -> None:
         """Take over the progress that an earlier leader kept.
@@ -324,6 +343,8 @@
         """
         self.state = record.state
         self.drop_at = record.drop_at
+        for done in record.done:
+            self._restore_done(DoneRecord(*done))
         for row in record.tasks:
             kept = TaskRecord(*row)
             task = self.find(kept.occurrence, kept.step, kept.index)
@@ -332,13 +353,27 @@
             task.run = kept.run
             task.failures = kept.failures
             task.checkpoint = kept.checkpoint
-            self.begun |= kept.done or kept.failures > 0 or bool(kept.checkpoint)
-            if kept.done:
-                self.mark_done(task)
-            elif kept.worker >= 0:
+            self.begun |= kept.failures > 0 or bool(kept.checkpoint)
+            if kept.worker >= 0:
                 task.worker = record.workers[kept.worker]
                 task.phase = Phase.DOUBTFUL
 
+    def _restore_done(self, kept: DoneRecord) -> None:
+        step_run = self.steps.get((kept.occurrence, kept.step))
+        if step_run is None:
+            return
+        bits = int(kept.tasks, DONE_BASE)
+        for task in step_run.tasks:
+            if bits >> task.index & 1:
+                self.begun = True
+                self.mark_done(task)
+
+
+def done_row(step_run: StepRun) -> tuple[int, int, str]:
+    """Return the row of `DoneRecord` for a step."""
+    bits = sum(1 << task.index for task in step_run.tasks if task.phase is Phase.DONE)
+    return step_run.occurrence, step_run.number, f"{bits:x}"
+
 
 def encode(record: JobRecord) -> str:
     """Return the text of a record."""
@@ -346,5 +381,16 @@
 
 
 def decode(text: str) -> JobRecord:
-    """Return the record in a text, or raise `codec.DecodeError`."""
-    return codec.from_json(text, JobRecord)
+    """Return the record in a text, or raise `codec.DecodeError`.
+
+    A row that `restore` could not follow raises too: it would end the takeover of all
+    jobs for the sake of one.
+    """
+    record = codec.from_json(text, JobRecord)
+    for row in record.tasks:
+        if TaskRecord(*row).worker >= len(record.workers):
+            raise codec.DecodeError(f"no such worker: {row}")
+    for done in record.done:
+        if not DONE_TASKS.fullmatch(DoneRecord(*done).tasks):
+            raise codec.DecodeError(f"not hexadecimal: {done}")
+    return record
