--- a/src/mangosail/intake/desk.py
+++ b/src/mangosail/intake/desk.py
@@ -35,8 +35,8 @@
 RETRY_INTERVAL = 0.08
 #: Seconds after which a caller that was refused should come back.
 COME_BACK = 0.3
-#: Seconds after which a job that lasts, and was refused, may find room.
-LASTING_COME_BACK = 2.0
+#: Seconds after which a continuous job, and was refused, may find room.
+CONTINUOUS_COME_BACK = 2.0
 #: Seconds for which counts of waiting jobs are used again.
 PENDING_TERM = 0.5
 #: States that are remembered for callers who ask while the store is away.
@@ -81,7 +81,7 @@
         """Store a job; one that is stored already is accepted again."""
         began_at = self.clock.elapsed()
         deadline = began_at + DECIDE_TERM
-        cores = admission.lasting_cores(job)
+        cores = admission.continuous_cores(job)
         if self.away():
             # Nothing is sent, so the refusal is true; trying would keep the caller
             # for seconds and end without a certain answer.
@@ -101,7 +101,7 @@
         return accepted(done)
 
     def _admit(self, job: messages.Job, cores: float, deadline: float) -> Decision:
-        """Store a job that lasts, within the bound on all that do."""
+        """Store a continuous job, within the bound on all that do."""
         attempted = False
         while True:
             found = self.rows.read_all(keys.LEADERSHIP)
@@ -112,32 +112,39 @@
             rows = {row.key: row for row in found.ok_value.rows}
             place = places_of(rows)
             if place.bound is not None and place.taken + cores > place.bound:
-                return self._refuse_lasting(job, place)
-            check = table.Check(keys.LASTING, place.version)
+                return self._refuse_continuous(job, place)
+            check = table.Check(keys.CONTINUOUS, place.version)
             taken = codec.to_json(admission.Taken(place.taken + cores))
             plain = storing(job)
             transaction = table.Transaction(
                 (*plain.checks, check),
-                (*plain.writes, table.Write(keys.LASTING, taken)),
+                (*plain.writes, table.Write(keys.CONTINUOUS, taken)),
             )
             done = self._decide(transaction, deadline)
             attempted = True
             if isinstance(done, result.Ok) or self.clock.elapsed() >= deadline:
                 return done
-            if done.err_value != store_errors.Conflict(keys.LASTING):
+            if done.err_value != store_errors.Conflict(keys.CONTINUOUS):
                 return done
-            self.counters.count("intake.retry.lasting_conflict")
+            self.counters.count("intake.retry.continuous_conflict")
 
-    def _refuse_lasting(self, job: messages.Job, place: "Place") -> Decision:
-        """Refuse a job that lasts, unless an attempt before this one stored it."""
-        key = keys.lasting_job(job.job_id)
+    def _refuse_continuous(self, job: messages.Job, place: "Place") -> Decision:
+        """Refuse a continuous job, unless an attempt before this one stored it."""
+        key = keys.continuous_job(job.job_id)
         found = self.rows.read([key])
         if isinstance(found, result.Err):
             return result.Err(errors.Undecided("store_away"))
         if key in found.ok_value:
             return result.Err(store_errors.Conflict(key))
-        log.info("no room to last", job=job.job_id, taken=place.taken, most=place.bound)
-        return result.Err(errors.Refused("no_room_to_last", LASTING_COME_BACK))
+        log.info(
+            "no room for continuous",
+            job=job.job_id,
+            taken=place.taken,
+            most=place.bound,
+        )
+        return result.Err(
+            errors.Refused("no_room_for_continuous", CONTINUOUS_COME_BACK)
+        )
 
     def state(
         self, job_id: str
@@ -164,7 +171,11 @@
         self, job_id: str
     ) -> result.Result[messages.State, errors.UnknownJob | errors.Refused]:
         """Read a job's state; one that the leader has not recorded yet waits."""
-        for key in (keys.state(job_id), keys.job(job_id), keys.lasting_job(job_id)):
+        for key in (
+            keys.state(job_id),
+            keys.job(job_id),
+            keys.continuous_job(job_id),
+        ):
             found = self.rows.read([key])
             if isinstance(found, result.Err):
                 return result.Err(errors.Refused("store_away", COME_BACK))
@@ -242,7 +253,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """What jobs that last have taken, and may take, as read from the store."""
+    """What continuous jobs have taken, and may take, as read from the store."""
 
     taken: float
     version: int
@@ -250,19 +261,19 @@
 
 
 def places_of(rows: cabc.Mapping[str, table.Row]) -> Place:
-    """Return what the rows of the leadership say of jobs that last."""
-    lasting, leader = rows.get(keys.LASTING), rows.get(keys.LEASE)
-    taken = codec.from_json(lasting.value, admission.Taken).cores if lasting else 0.0
-    version = lasting.version if lasting else table.ABSENT
+    """Return what the rows of the leadership say of continuous jobs."""
+    held, leader = rows.get(keys.CONTINUOUS), rows.get(keys.LEASE)
+    taken = codec.from_json(held.value, admission.Taken).cores if held else 0.0
+    version = held.version if held else table.ABSENT
     lease = codec.from_json(leader.value, journal.Lease) if leader else None
-    return Place(taken, version, lease.lasting_bound if lease else None)
+    return Place(taken, version, lease.continuous_bound if lease else None)
 
 
 def storing(job: messages.Job) -> table.Transaction:
     """Return the transaction that stores a job, if no such job is stored."""
     key = keys.job(job.job_id)
-    if admission.lasting_cores(job):
-        key = keys.lasting_job(job.job_id)
+    if admission.continuous_cores(job):
+        key = keys.continuous_job(job.job_id)
     return table.Transaction(
         (table.Check(key, table.ABSENT),),
         (table.Write(key, codec.to_json(job)),),
--- a/src/mangosail/platform/decoding.py
+++ b/src/mangosail/platform/decoding.py
@@ -96,10 +96,10 @@
         data_rack=step.affinity,
         most_per_worker=step.anti_affinity,
         copies_allowed=step.allow_duplicates,
-        lasting=step.long_running,
+        continuous=step.long_running,
         image=step.image,
-        tail_target=step.target_ms,
-        fills=step.fills,
+        latency_target=step.target_ms,
+        best_effort=step.fills,
         may_miss=step.may_miss,
     )
 
--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -71,7 +71,7 @@
         body = codec.to_json(wire.RunStop(task, run, token))
         return self._order(worker, "/-/run-stop", body)
 
-    def pace(
+    def throttle(
         self,
         worker: messages.WorkerEntry,
         task: str,
--- a/src/mangosail/scheduler/admission.py
+++ b/src/mangosail/scheduler/admission.py
@@ -1,9 +1,9 @@
-"""How much of the workers' cores jobs that last may take.
+"""How much of the workers' cores continuous jobs may take.
 
-What lasts holds its room for minutes and short work has to do with the rest, so it
+Continuous work holds its room for minutes and short work has to do with the rest, so it
 is bounded when it is handed in: a job over the bound is refused at once, and its
-caller told to come back. The row `LASTING` holds what was accepted; accepting a
-job that lasts checks and replaces it, so instances can't exceed the bound together.
+caller told to come back. The row `CONTINUOUS` holds what was accepted; accepting a
+continuous job checks and replaces it, so instances can't exceed the bound together.
 The leader says what the bound is, and gives back what ended jobs had.
 """
 
@@ -20,11 +20,11 @@
 
 log = logbook.Logger("admission")
 
-#: Share of all cores that jobs which last may take. They must still fit when a data
-#: centre is lost, and what fills disturbs them, so it needs workers of its own. At 0.5
-#: three of ten releases were late on days of high load, at 0.45 one of ten
-#: (mean of two days each).
-LASTING_SHARE = 0.45
+#: Share of all cores that continuous jobs may take. They must still fit when a data
+#: centre is lost, and best-effort work disturbs them, so it needs workers of its own.
+#: At 0.5 three of ten releases were late on days of high load, at 0.45 one of ten (mean
+#: of two days each).
+CONTINUOUS_SHARE = 0.45
 #: Seconds between looks at whether room can be given back.
 INTERVAL = 1.0
 #: Seconds by which the leader has surely heard of each job that was accepted.
@@ -33,24 +33,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Taken:
-    """Cores of the accepted jobs that last and are not over."""
+    """Cores of the accepted continuous jobs and are not over."""
 
     cores: float = 0.0
 
 
-def lasting_cores(job: messages.Job) -> float:
+def continuous_cores(job: messages.Job) -> float:
     """Return the cores that a job holds for as long as it lasts."""
     return sum(
         step.count * step.need.cpus
         for step in job.steps
-        if step.lasting and not step.fills
+        if step.continuous and not step.best_effort
     )
 
 
 def bound(workers: fleet.Fleet) -> float:
-    """Return the cores that jobs which last may take together."""
+    """Return the cores that continuous jobs may take together."""
     usable = [worker for worker in workers if not worker.unlisted]
-    return LASTING_SHARE * sum(worker.entry.capacity.cpus for worker in usable)
+    return CONTINUOUS_SHARE * sum(worker.entry.capacity.cpus for worker in usable)
 
 
 class Returns:
@@ -79,18 +79,18 @@
 
     def settle(self) -> None:
         """Write what the jobs hold, unless another one was accepted meanwhile."""
-        found = self.rows.read([keys.LASTING])
+        found = self.rows.read([keys.CONTINUOUS])
         if isinstance(found, result.Err):
             return
-        row = found.ok_value.get(keys.LASTING)
+        row = found.ok_value.get(keys.CONTINUOUS)
         version = row.version if row else table.ABSENT
         taken = codec.from_json(row.value, Taken) if row else Taken()
         self.clock.sleep(HEARD_TERM)
         present = self._present()
         if abs(present - taken.cores) > 0.01:
             transaction = table.Transaction(
-                (table.Check(keys.LASTING, version),),
-                (table.Write(keys.LASTING, codec.to_json(Taken(present))),),
+                (table.Check(keys.CONTINUOUS, version),),
+                (table.Write(keys.CONTINUOUS, codec.to_json(Taken(present))),),
             )
             if isinstance(self.rows.commit(transaction), result.Err):
                 self.counters.count("admission.return_failed")
@@ -99,4 +99,6 @@
         self.known = present
 
     def _present(self) -> float:
-        return sum(lasting_cores(job.job) for job in self.jobs.values() if not job.over)
+        return sum(
+            continuous_cores(job.job) for job in self.jobs.values() if not job.over
+        )
--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -14,9 +14,9 @@
     interference,
     journal,
     orders,
-    pacing,
     ports,
     reports,
+    throttling,
 )
 from mangosail.telemetry import counters as telemetry
 
@@ -30,8 +30,8 @@
 #: leases. It bounds what a leader that was cut off keeps alive, and bridges an
 #: outage of the store together with `HOLD_TERM`.
 UNCONFIRMED_TERM = 3.2
-#: Seconds for which a look waits for an end, where tails have to be watched and
-#: elsewhere. Looks are the most frequent calls of a leader.
+#: Seconds for which a look waits for an end, where tail latencies have to be watched
+#: and elsewhere. Looks are the most frequent calls of a leader.
 LOOK_WAIT = 0.6
 QUIET_WAIT = 1.2
 #: Seconds between looks at a worker that does not answer.
@@ -63,7 +63,7 @@
         self.reports = taking_in
         self.orders = sender
         self.model = model
-        self.pacer = pacing.Pacer(model)
+        self.throttler = throttling.Throttler(model)
         self.changed = changed
         self.on_gone = on_gone
         self.clock = clock
@@ -80,7 +80,11 @@
         unseen = worker.taken_in > worker.acknowledged
         wait = 0.0
         if worker.known and worker.reachable and not unseen:
-            wait = LOOK_WAIT if worker.serving and worker.filling else QUIET_WAIT
+            wait = (
+                LOOK_WAIT
+                if worker.latency_critical and worker.best_effort
+                else QUIET_WAIT
+            )
         answer = self.calls.look(
             worker.entry,
             self.journal.token,
@@ -103,7 +107,7 @@
             longest = answer.ok_value.clock + HOLD_TERM * 1000
             worker.deadline = max(worker.deadline, longest)
         self.reports.take_in(worker, answer.ok_value, now)
-        self._pace(worker, answer.ok_value.running)
+        self._throttle(worker, answer.ok_value.running)
         if worker.taken_in > taken_in:
             self.changed.set()
             self._acknowledge(worker)
@@ -161,12 +165,12 @@
         durable.wait(UNSEEN_INTERVAL)
         self.clock.sleep(GATHER_TERM)
 
-    def _pace(self, worker: fleet.Worker, running: tuple) -> None:
+    def _throttle(self, worker: fleet.Worker, running: tuple) -> None:
         now = self.clock.elapsed()
         self.model.learn(worker, running)
-        for pace in self.pacer.paces(worker, running, now):
-            worker.paced_at = now
-            gevent.spawn(self.orders.pace, pace.task, worker, pace.percent)
+        for pace in self.throttler.limits(worker, running, now):
+            worker.throttled_at = now
+            gevent.spawn(self.orders.throttle, pace.task, worker, pace.percent)
 
     def _failed(self, worker: fleet.Worker, error: errors.OrderError) -> None:
         now = self.clock.elapsed()
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -10,9 +10,9 @@
 CLOCK_DRIFT = 0.025
 #: Milliseconds after a lease's end within which its runs are surely killed.
 KILL_MARGIN = 250.0
-#: Share of its processors that a serving task uses in the mean, for the room
-#: that it leaves to tasks that fill.
-SERVING_USE = 0.5
+#: Share of its processors that a latency-critical task uses in the mean, for the room
+#: that it leaves to best-effort tasks.
+LATENCY_CRITICAL_USE = 0.5
 
 
 class Worker:
@@ -30,11 +30,11 @@
         #: Runs that may exist there, by the name of their task.
         self.tasks: dict[str, progress.Task] = {}
         self.free = entry.capacity
-        #: Cores that tasks which fill may use, as far as is known.
+        #: Cores that best-effort tasks may use, as far as is known.
         self.unused = entry.capacity.cpus
-        #: Tasks that serve users, and tasks that fill, by count.
-        self.serving = 0
-        self.filling = 0
+        #: Latency-critical and best-effort tasks, by count.
+        self.latency_critical = 0
+        self.best_effort = 0
         #: The worker's clock in ms when it was last heard, and our elapsed time.
         self.clock = 0.0
         self.heard_at = 0.0
@@ -56,9 +56,9 @@
         #: Logarithm of its speed against the others', and when that was last noted.
         self.speed = 0.0
         self.speed_at = 0.0
-        #: Images that filled at the last look, and when speeds were last changed.
-        self.filling_images: frozenset[str] = frozenset()
-        self.paced_at = 0.0
+        #: Best-effort images at the last look, and when speeds were last changed.
+        self.best_effort_images: frozenset[str] = frozenset()
+        self.throttled_at = 0.0
 
     def heard(self, clock: int, now: float) -> None:
         """Take in the worker's clock as it stood at the elapsed time `now`."""
@@ -98,8 +98,8 @@
         step = task.step
         self.free -= reserved(step)
         self.unused -= used(step)
-        self.serving += step.lasting and not step.fills
-        self.filling += step.fills
+        self.latency_critical += step.continuous and not step.best_effort
+        self.best_effort += step.best_effort
 
     def release(self, task: progress.Task) -> None:
         """Give the room of a task back."""
@@ -108,8 +108,8 @@
         step = task.step
         self.free += reserved(step)
         self.unused += used(step)
-        self.serving -= step.lasting and not step.fills
-        self.filling -= step.fills
+        self.latency_critical -= step.continuous and not step.best_effort
+        self.best_effort -= step.best_effort
         self.changed = next(self.changes)
 
     def same_step(self, step_run: progress.StepRun) -> int:
@@ -119,7 +119,7 @@
 
 def reserved(step: messages.Step) -> resources.Resources:
     """Return what a task of the step takes of a worker's capacity."""
-    if not step.fills:
+    if not step.best_effort:
         return step.need
     need = step.need
     return resources.Resources(memory_gb=need.memory_gb, accelerators=need.accelerators)
@@ -127,8 +127,8 @@
 
 def used(step: messages.Step) -> float:
     """Return the cores that a task of the step uses, as a guess."""
-    if step.lasting and not step.fills:
-        return step.need.cpus * SERVING_USE
+    if step.continuous and not step.best_effort:
+        return step.need.cpus * LATENCY_CRITICAL_USE
     return step.need.cpus
 
 
--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -1,13 +1,13 @@
-"""Holding the tails of serving tasks, which what fills beside them disturbs.
+"""How much best-effort work raises the tail latencies of the tasks beside it.
 
-A serving task behaves like a queue: with the share `y` of its time that it is busy,
-its tail is about ``base / (1 - y)``. What fills beside it adds to that share::
+A latency-critical task behaves like a queue: with the share `y` of its time that it is
+busy, its tail latency is about ``base / (1 - y)``. Best-effort work adds to that::
 
-    y = load * (1 + sum of pressure[serving image, filling image] * cores / capacity)
+    y = load * (1 + sum of pressure[image, best-effort image] * cores / capacity)
 
-The load of each serving task and the pressure of each pair of images are learned
-from the tails in the workers' looks. What is known decides where a task that fills
-may start, and with `pacing` how fast those that run may work.
+The load of each latency-critical task and the pressure of each pair of images are
+learned from the latencies in the workers' looks. What is known decides where a
+best-effort task may start, and with `throttling` how fast those that run may work.
 """
 
 import collections.abc as cabc
@@ -15,46 +15,46 @@
 
 from mangosail.scheduler import fleet, messages, progress
 
-#: Share of the target that a new task may bring a tail to.
+#: Share of the target that a new task may bring a tail latency to.
 ROOMY = 0.62
 #: Pressure of two images that were not seen together, in shares of busy time for
 #: all of a worker's cores.
 UNKNOWN_PRESSURE = 6.0
-#: Share of an error by which the load and the pressures follow a tail. With these
+#: Share of an error by which the load and the pressures follow a latency. With these
 #: the mean error on the looks of a recorded day was 0.10 of busy time, against 0.29
 #: with loads alone.
 LOAD_RATE = 0.25
 PRESSURE_RATE = 0.075
-#: Loads that a serving task can have; keeps a wrong guess from running away.
+#: Loads that a latency-critical task can have; keeps a wrong guess from running away.
 LEAST_LOAD = 0.05
 MOST_LOAD = 0.95
-#: Share of a tail's base that a target is thought to be until tails were seen.
+#: Share of the target that a base is thought to be until latencies were seen.
 GUESSED_BASE = 0.25
 
 
-def serves(step: messages.Step) -> bool:
-    """Tell whether tasks of the step have a tail to hold."""
-    return step.tail_target > 0 and not step.fills
+def is_latency_critical(step: messages.Step) -> bool:
+    """Tell whether tasks of the step have a tail latency to hold."""
+    return step.latency_target > 0 and not step.best_effort
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Learned:
     """What is worth keeping of a model when another instance leads."""
 
-    #: Image that serves, image that fills, and the pressure.
+    #: Latency-critical image, best-effort image, and the pressure.
     pressures: tuple[tuple[str, str, float], ...] = ()
     bases: tuple[tuple[str, float], ...] = ()
 
 
 class Model:
-    """What is known of loads, pressures and the tails that follow from them."""
+    """What is known of loads and pressures, and the latencies that follow."""
 
     def __init__(self) -> None:
-        #: Pressure by image that serves and image that fills.
+        #: Pressure by latency-critical image and best-effort image.
         self.pressure: dict[tuple[str, str], float] = {}
-        #: Lowest tail seen of an image that serves, in milliseconds.
+        #: Lowest tail latency seen of an image, in milliseconds.
         self.base: dict[str, float] = {}
-        #: Load by name of the serving task.
+        #: Load by name of the latency-critical task.
         self.load: dict[str, float] = {}
 
     def learned(self) -> Learned:
@@ -69,13 +69,13 @@
         self.pressure = {(first, second): p for first, second, p in learned.pressures}
         self.base = dict(learned.bases)
 
-    def busy(self, step: messages.Step, tail: float) -> float:
-        """Return the share of time that a task with this tail is busy."""
-        base = self.base.get(step.image, step.tail_target * GUESSED_BASE)
-        return 1 - base / max(tail, base * 1.02)
+    def busy(self, step: messages.Step, latency: float) -> float:
+        """Return the share of time that a task with this tail latency is busy."""
+        base = self.base.get(step.image, step.latency_target * GUESSED_BASE)
+        return 1 - base / max(latency, base * 1.02)
 
     def pressed(self, image: str, shares: cabc.Mapping[str, float]) -> float:
-        """Return what images that fill add to the load of `image`, as a factor."""
+        """Return what best-effort images add to the load of `image`, as a factor."""
         return sum(
             self.pressure.get((image, other), UNKNOWN_PRESSURE) * share
             for other, share in shares.items()
@@ -84,23 +84,23 @@
     def learn(
         self, worker: fleet.Worker, running: tuple[messages.Running, ...]
     ) -> None:
-        """Take in the tails on a worker, and what worked beside them."""
+        """Take in the latencies on a worker, and what worked beside them."""
         shares = measured_shares(worker, running)
-        settled = worker.filling_images == frozenset(shares)
-        worker.filling_images = frozenset(shares)
+        settled = worker.best_effort_images == frozenset(shares)
+        worker.best_effort_images = frozenset(shares)
         if not settled:
             return
         for row in running:
             task = worker.tasks.get(row.task)
-            if task is not None and serves(task.step) and row.figure > 0:
-                self._learn_tail(task, row.figure, shares)
+            if task is not None and is_latency_critical(task.step) and row.figure > 0:
+                self._learn_latency(task, row.figure, shares)
 
-    def _learn_tail(
-        self, task: progress.Task, tail: float, shares: dict[str, float]
+    def _learn_latency(
+        self, task: progress.Task, latency: float, shares: dict[str, float]
     ) -> None:
         image = task.step.image
-        self.base[image] = min(self.base.get(image, tail), tail)
-        busy = self.busy(task.step, tail)
+        self.base[image] = min(self.base.get(image, latency), latency)
+        busy = self.busy(task.step, latency)
         load = self.load.get(task.name)
         if load is None or not shares:
             load = busy / (1 + self.pressed(image, shares))
@@ -116,52 +116,52 @@
         self.load[task.name] = min(max(load, LEAST_LOAD), MOST_LOAD)
 
     def forget(self, task: progress.Task) -> None:
-        """Drop the load of a serving task that ended."""
+        """Drop the load of a latency-critical task that ended."""
         self.load.pop(task.name, None)
 
     def room_for(self, step: messages.Step, worker: fleet.Worker) -> float:
-        """Return how much busy time the tails would leave beside a new task.
+        """Return how much busy time the latencies would leave beside a new task.
 
-        Negative if a tail would come too close to its target; 1 if none serves.
+        Negative if one would come too close to its target; 1 if no such task is there.
         """
-        if not worker.serving:
+        if not worker.latency_critical:
             return 1.0
         shares = planned_shares(worker)
         added = step.need.cpus / worker.entry.capacity.cpus
         shares[step.image] = shares.get(step.image, 0.0) + added
         return min(
-            self.busy(task.step, task.step.tail_target * ROOMY)
+            self.busy(task.step, task.step.latency_target * ROOMY)
             - self.load_of(task) * (1 + self.pressed(task.step.image, shares))
             for task in worker.tasks.values()
-            if task.step.lasting and not task.step.fills
+            if task.step.continuous and not task.step.best_effort
         )
 
     def load_of(self, task: progress.Task) -> float:
-        """Return the load of a serving task, or a guess."""
-        return self.load.get(task.name, 0.5 if serves(task.step) else 0.0)
+        """Return the load of a latency-critical task, or a guess."""
+        return self.load.get(task.name, 0.5 if is_latency_critical(task.step) else 0.0)
 
 
 def measured_shares(
     worker: fleet.Worker, running: tuple[messages.Running, ...]
 ) -> dict[str, float]:
-    """Return the share of the worker's cores that each image which fills used."""
+    """Return the share of the worker's cores that each best-effort image used."""
     cores = worker.entry.capacity.cpus
     shares: dict[str, float] = {}
     for row in running:
         task = worker.tasks.get(row.task)
-        if task is not None and task.step.fills and row.figure > 0:
+        if task is not None and task.step.best_effort and row.figure > 0:
             image = task.step.image
             shares[image] = shares.get(image, 0.0) + row.figure / 1000 / cores
     return shares
 
 
 def planned_shares(worker: fleet.Worker) -> dict[str, float]:
-    """Return the share of its cores that each image which fills is to use."""
+    """Return the share of its cores that each best-effort image is to use."""
     cores = worker.entry.capacity.cpus
     shares: dict[str, float] = {}
     for task in worker.tasks.values():
-        if task.step.fills:
+        if task.step.best_effort:
             image = task.step.image
-            used = task.step.need.cpus * task.pace / 100 / cores
+            used = task.step.need.cpus * task.speed_limit / 100 / cores
             shares[image] = shares.get(image, 0.0) + used
     return shares
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -53,8 +53,8 @@
     released: bool = False
     #: Speed of the holder, in cores.
     cores: float = 1.0
-    #: Cores that jobs which last may take together; None if not known yet.
-    lasting_bound: float | None = None
+    #: Cores that continuous jobs may take together; None if not known yet.
+    continuous_bound: float | None = None
     #: Accepted jobs of each queue of which nothing has started.
     pending: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -92,7 +92,7 @@
         self.counters = counters
         #: Return what the lease's row tells all instances.
         self.pending: cabc.Callable[[], dict[str, int]] = dict
-        self.lasting_bound: cabc.Callable[[], float | None] = lambda: None
+        self.continuous_bound: cabc.Callable[[], float | None] = lambda: None
         #: Returns rows that are kept now and again, with a renewal of the lease.
         self.now_and_again: cabc.Callable[[], tuple[table.Write, ...]] = tuple
         #: Jobs to write, the one that has waited longest first.
@@ -195,7 +195,7 @@
                 held.lease,
                 renewals=held.lease.renewals + 1,
                 pending=self.pending(),
-                lasting_bound=self.lasting_bound(),
+                continuous_bound=self.continuous_bound(),
                 released=self.releasing and not self.changed,
             )
             self.held = dataclasses.replace(held, lease=lease)
--- a/src/mangosail/scheduler/keys.py
+++ b/src/mangosail/scheduler/keys.py
@@ -7,7 +7,7 @@
 and refused the rest.
 """
 
-#: The leader's shard: its lease, the states of all jobs, and the jobs that last.
+#: The leader's shard: its lease, the states of all jobs, and the continuous jobs.
 SHARD = "s0"
 
 #: Rows of jobs as they were handed in, and of requests to cancel them.
@@ -22,8 +22,8 @@
 LEARNED = LEADERSHIP + "learned"
 #: Rows that say where each instance is reached by the others.
 INSTANCES = f"instance/{SHARD}/"
-#: Row with the room that accepted jobs which last have taken.
-LASTING = LEADERSHIP + "lasting"
+#: Row with the room that accepted continuous jobs have taken.
+CONTINUOUS = LEADERSHIP + "continuous"
 
 #: Ends the key of a request to cancel the job that the key begins with.
 CANCEL_SUFFIX = "~"
@@ -39,8 +39,8 @@
     return f"{JOBS}{job_id[-1].lower()}/{job_id}"
 
 
-def lasting_job(job_id: str) -> str:
-    """Return the key of a job that lasts, which is stored with the room it takes."""
+def continuous_job(job_id: str) -> str:
+    """Return the key of a continuous job, which is stored with the room it takes."""
     return f"{JOBS}{SHARD}/{job_id}"
 
 
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -214,8 +214,8 @@
             token,
             cores=self.cores,
             # What all instances go by stays in force until this one knows better.
-            # Without the bound, all that lasts was let in between two leaders.
-            lasting_bound=seen.lease.lasting_bound if seen.lease else None,
+            # Without the bound, all continuous work was let in between two leaders.
+            continuous_bound=seen.lease.continuous_bound if seen.lease else None,
             pending=seen.lease.pending if seen.lease else {},
         )
         link = codec.to_json(f"{token}.0.{self.incarnation}")
--- a/src/mangosail/scheduler/messages.py
+++ b/src/mangosail/scheduler/messages.py
@@ -32,13 +32,14 @@
     most_per_worker: int = 0
     copies_allowed: bool = False
     #: The tasks run until the job is cancelled.
-    lasting: bool = False
+    continuous: bool = False
     image: str = ""
-    #: Milliseconds that the tail of a serving task's response times should stay under.
-    tail_target: float = 0.0
+    #: Milliseconds that the tail of a latency-critical task's response times should
+    #: stay under.
+    latency_target: float = 0.0
     #: The tasks take only processor time that others leave, and reserve none.
-    fills: bool = False
-    #: Tasks of a lasting step that may be away at a time by our own doing.
+    best_effort: bool = False
+    #: Tasks of a continuous step that may be away at a time by our own doing.
     may_miss: int = 0
 
 
@@ -111,7 +112,7 @@
     run: int
     checkpoint: str
     percent: int
-    #: For a serving task the tail of its response times in milliseconds, for
+    #: For a latency-critical task the tail of its response times in milliseconds, for
     #: another one the thousandths of a core that it used in the last half second.
     figure: float = 0.0
 
--- a/src/mangosail/scheduler/ordering.py
+++ b/src/mangosail/scheduler/ordering.py
@@ -16,7 +16,7 @@
 Measured in jobs of priority 2 that ended in time, of 636 on four days of 2.5 to 3 times
 the usual traffic for 6 to 13 s, two of them with a quarter of the workers slow and a
 third lost: 253 in order of arrival, 392 by due time among those picked, 440 as it is,
-with more room for what fills (`placing.FILL_SHARE`).
+with more room for best-effort work (`placing.BEST_EFFORT_SHARE`).
 """
 
 import collections.abc as cabc
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -97,11 +97,12 @@
             task.job.begun = True
             task.started_at = task.moved_at = self.clock.elapsed()
             task.percent = 0
-            task.pace = 100
+            task.speed_limit = 100
             log.info(
                 "started", task=task.name, run=run, worker=worker.name,
                 free=round(worker.free.cpus, 1), unused=round(worker.unused, 1),
-                serving=worker.serving, filling=worker.filling,
+                latency_critical=worker.latency_critical,
+                best_effort=worker.best_effort,
                 heard=round(now - heard_at, 3),
             )  # fmt: skip
             return
@@ -249,18 +250,20 @@
         if not surely_there:
             self.look_now(worker)
 
-    def pace(self, task: progress.Task, worker: fleet.Worker, percent: int) -> None:
+    def throttle(self, task: progress.Task, worker: fleet.Worker, percent: int) -> None:
         """Let a run work at `percent` of its speed."""
-        answer = self.calls.pace(worker.entry, task.name, task.run, percent, self.token)
+        answer = self.calls.throttle(
+            worker.entry, task.name, task.run, percent, self.token
+        )
         done = isinstance(answer, result.Ok)
         if done:
-            task.pace = percent
-            task.paced_at = self.clock.elapsed()
-            self.counters.count("orders.pace")
+            task.speed_limit = percent
+            task.throttled_at = self.clock.elapsed()
+            self.counters.count("orders.throttle")
         else:
-            self.counters.count("orders.pace_failed")
+            self.counters.count("orders.throttle_failed")
         log.info(
-            "paced", task=task.name, run=task.run, worker=worker.name,
+            "throttled", task=task.name, run=task.run, worker=worker.name,
             percent=percent, done=done,
         )  # fmt: skip
 
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -5,32 +5,32 @@
 
 from mangosail.scheduler import fleet, interference, messages, progress
 
-#: Cores that it is worth to a serving task to be with others: they gather on few
-#: workers, and tasks that fill, which disturb them, have the rest to themselves.
+#: Cores that it is worth to a latency-critical task to be with others: they gather on
+#: few workers, and best-effort tasks, which disturb them, have the rest to themselves.
 #: More than any worker has, so that it decides before the room does.
-COMPANY_WEIGHT = 1000.0
-#: Cores that it is worth to a task that fills to leave busy time to those that
-#: serve: all of it counts as much as 40 cores.
+COLOCATION_WEIGHT = 1000.0
+#: Cores that it is worth to a best-effort task to leave busy time to
+#: latency-critical ones: all of it counts as much as 40 cores.
 ROOM_WEIGHT = 40.0
-#: Busy time that a task which fills must leave to the tails beside it.
+#: Busy time that a best-effort task must leave to the latency-critical ones beside it.
 LEAST_ROOM = 0.0
-#: Cores that it costs a serving task to go where one that fills runs.
-FILLING_WEIGHT = 20.0
-#: Cores that it is worth to other tasks to go where tasks serve, whose room those
-#: that fill can't use.
-SERVING_WEIGHT = 8.0
+#: Cores that it costs a latency-critical task to go where a best-effort one runs.
+BEST_EFFORT_WEIGHT = 20.0
+#: Cores that it is worth to other tasks to go beside latency-critical ones, where
+#: best-effort tasks can't use the room.
+LATENCY_CRITICAL_WEIGHT = 8.0
 #: Cores that it costs a task to go where its last run failed.
 AVOID_WEIGHT = 5000.0
 #: Cores that it is worth to be near the data; far from it a task takes a multiple
 #: of its time.
 DATA_WEIGHT = 2000.0
-#: Seconds after which a step that fills is tried on all workers again, not only on
+#: Seconds after which a best-effort step is tried on all workers again, not only on
 #: those that have changed: what was learned elsewhere may have made room.
 SEARCH_ALL_TERM = 1.0
-#: Share of its cores that must be unused for a task that fills to start. What serves
-#: uses less than is set aside for it; at 0.75 up to 100 of 448 cores were unused while
-#: 300 tasks waited.
-FILL_SHARE = 0.4
+#: Share of its cores that must be unused for a best-effort task to start. A
+#: latency-critical task uses less than is set aside for it; at 0.75 up to 100 of 448
+#: cores were unused while 300 tasks waited.
+BEST_EFFORT_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
 
 
 class Placer:
-    """Chooses workers by room, constraints and company."""
+    """Chooses workers by room, constraints and colocation."""
 
     def __init__(self, workers: fleet.Fleet, model: interference.Model) -> None:
         self.workers = workers
@@ -88,7 +88,7 @@
     ) -> list[Choice]:
         """Choose a worker for one task, even if it may disturb those beside it."""
         chosen = self.place(step_run, tasks, service, now)
-        if chosen or not step_run.step.fills:
+        if chosen or not step_run.step.best_effort:
             return chosen
         able = [
             worker
@@ -111,7 +111,7 @@
             for worker in self.workers
             if allowed(step, worker, service, now)
             and fits(step, worker)
-            and (step.lasting or worker.name not in self.slow)
+            and (step.continuous or worker.name not in self.slow)
         ]
 
     def _place_each(
@@ -147,7 +147,7 @@
         if most and worker.same_step(step_run) >= most:
             return None
         score = score_of(step, worker)
-        if step.fills and worker.serving:
+        if step.best_effort and worker.latency_critical:
             room = self.model.room_for(step, worker)
             if room < LEAST_ROOM:
                 return None
@@ -177,7 +177,7 @@
 
 def searches_all(step_run: progress.StepRun, now: float) -> bool:
     """Tell whether all workers are looked at for a step, or those that changed."""
-    if not step_run.step.fills or step_run.only is not None:
+    if not step_run.step.best_effort or step_run.only is not None:
         return True
     return now >= step_run.search_all_at
 
@@ -211,21 +211,28 @@
     """Tell whether a task of the step fits into what the worker has free."""
     if not fleet.reserved(step).fits_in(worker.free):
         return False
-    if step.fills:
-        return worker.unused >= step.need.cpus * FILL_SHARE
+    if step.best_effort:
+        return worker.unused >= step.need.cpus * BEST_EFFORT_SHARE
     return True
 
 
 def score_of(step: messages.Step, worker: fleet.Worker) -> float:
     """Return how well a task of the step goes to the worker; more is better."""
     near = DATA_WEIGHT * bool(step.data_rack and step.data_rack in worker.entry.labels)
-    if step.fills:
-        return near + worker.unused - COMPANY_WEIGHT * bool(worker.serving)
-    if step.lasting:
-        # The fullest of the workers that serve, so that few do.
-        company = COMPANY_WEIGHT * bool(worker.serving)
-        return near + company - worker.free.cpus - FILLING_WEIGHT * worker.filling
-    return near + worker.unused + SERVING_WEIGHT * bool(worker.serving)
+    if step.best_effort:
+        return near + worker.unused - COLOCATION_WEIGHT * bool(worker.latency_critical)
+    if step.continuous:
+        # The fullest of the workers that serve, so that few have any.
+        colocation = COLOCATION_WEIGHT * bool(worker.latency_critical)
+        return (
+            near
+            + colocation
+            - worker.free.cpus
+            - BEST_EFFORT_WEIGHT * worker.best_effort
+        )
+    return (
+        near + worker.unused + LATENCY_CRITICAL_WEIGHT * bool(worker.latency_critical)
+    )
 
 
 def by_rack(workers: list[fleet.Worker]) -> list[list[fleet.Worker]]:
--- a/src/mangosail/scheduler/planning.py
+++ b/src/mangosail/scheduler/planning.py
@@ -15,7 +15,8 @@
 #: Seconds for which it is used at least, though a job has come meanwhile. That one goes
 #: last until then.
 LEAST_TERM = 0.05
-#: Share of the unused cores that counts as room: tails keep what fills from the rest.
+#: Share of the unused cores that counts as room: tail latencies keep best-effort work
+#: from the rest.
 USABLE_SHARE = 0.5
 #: Share of a step's time that is left on average once none of its tasks waits.
 RUNNING_SHARE = 0.5
@@ -86,7 +87,7 @@
         """Return what each job of short tasks still needs, by priority and name."""
         works: dict[int, dict[str, ordering.Work]] = {}
         for step_run in ready:
-            if step_run.step.lasting:
+            if step_run.step.continuous:
                 continue
             of_priority = works.setdefault(step_run.job.job.priority, {})
             name = name_of(step_run)
@@ -97,8 +98,9 @@
     def order_of(self, step_run: progress.StepRun) -> tuple[int, bool, float, int]:
         """Return where a step stands in the order of placing: smaller first."""
         job = step_run.job.job
-        if step_run.step.lasting:
-            # What lasts takes all room that it finds; what is short goes before it.
+        if step_run.step.continuous:
+            # Continuous work takes all room that it finds; what is short goes before
+            # it.
             return job.priority, True, job.due(step_run.occurrence), step_run.number
         plan = self.plans.get(job.priority)
         rank = plan.rank(name_of(step_run)) if plan else 0
@@ -107,7 +109,7 @@
     def left_out(self, step_run: progress.StepRun, now: float) -> bool:
         """Tell whether a step waits so that others can end in time."""
         plan = self.plans.get(step_run.job.job.priority)
-        if plan is None or step_run.step.lasting or now > self.new_at + QUIET_TERM:
+        if plan is None or step_run.step.continuous or now > self.new_at + QUIET_TERM:
             return False
         return 0 < plan.in_time <= plan.rank(name_of(step_run))
 
@@ -144,7 +146,7 @@
         for worker in self.workers:
             room += USABLE_SHARE * max(worker.unused, 0.0)
             for task in worker.tasks.values():
-                if not task.step.lasting:
+                if not task.step.continuous:
                     priority = task.job.job.priority
                     taken[priority] = taken.get(priority, 0.0) + task.step.need.cpus
         return room, taken
--- a/src/mangosail/scheduler/ports.py
+++ b/src/mangosail/scheduler/ports.py
@@ -23,7 +23,7 @@
     ) -> result.Result[int, errors.OrderError]:
         """Stop a run, or bar it if it is not there yet; return the worker's clock."""
 
-    def pace(
+    def throttle(
         self,
         worker: messages.WorkerEntry,
         task: str,
--- a/src/mangosail/scheduler/preemption.py
+++ b/src/mangosail/scheduler/preemption.py
@@ -1,6 +1,6 @@
-"""Making room for short tasks that find none, at the cost of what lasts.
+"""Making room for short tasks that find none, at the cost of continuous work.
 
-Tasks that last take all room there is, for minutes. A short task of no lower
+Continuous tasks take all room there is, for minutes. A short task of no lower
 priority would then wait for one of them to be cancelled. Stopping one costs its
 users a few seconds of service; the short task ends within about as long.
 """
@@ -37,7 +37,7 @@
 ) -> list[Victim]:
     """Return tasks whose stop makes room for `missing` tasks of the step."""
     step = step_run.step
-    if step.lasting or step.fills or step.gang:
+    if step.continuous or step.best_effort or step.gang:
         return []
     found: list[Victim] = []
     candidates = [
@@ -94,6 +94,6 @@
     if step.may_miss or step.gang:
         # How many of them may be away is for the operator to say.
         return False
-    if step.lasting:
+    if step.continuous:
         return task.job.job.priority >= priority
     return task.job.job.priority > priority and step.checkpointing
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -88,16 +88,16 @@
         "moves",
         "name",
         "not_before",
-        "pace",
-        "paced_at",
         "percent",
         "phase",
         "run",
         "seen_at",
         "seen_percent",
         "seen_run",
+        "speed_limit",
         "started_at",
         "step_run",
+        "throttled_at",
         "whole",
         "worker",
     )
@@ -129,12 +129,12 @@
         #: How often it was moved for standing still.
         self.moves = 0
         #: Share of its speed in percent that the run was last allowed.
-        self.pace = 100
+        self.speed_limit = 100
         #: Elapsed time at which its speed was last changed.
-        self.paced_at = 0.0
+        self.throttled_at = 0.0
         #: Elapsed time before which no further run starts.
         self.not_before = 0.0
-        #: Elapsed time since when the tail of a serving task is too high.
+        #: Elapsed time since when the tail of a latency-critical task is too high.
         self.high_since: float | None = None
         #: Elapsed time at which the worker answered the run's stop, if it has.
         self.barred_at: float | None = None
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -11,8 +11,8 @@
     health,
     messages,
     orders,
-    pacing,
     progress,
+    throttling,
     worker_speeds,
 )
 from mangosail.telemetry import counters as telemetry
@@ -84,7 +84,7 @@
             return
         task.job.begun = True
         present = task.worker == worker.name and task.run == end.run and task.live
-        if end.outcome is messages.Outcome.DONE and not task.step.lasting:
+        if end.outcome is messages.Outcome.DONE and not task.step.continuous:
             self._done(worker, task, end, present)
         elif present:
             self._failed_or_stopped(worker, task, end)
@@ -102,7 +102,7 @@
             return
         if present:
             worker.release(task)
-            if task.whole and not task.paced_at:
+            if task.whole and not task.throttled_at:
                 self.expected.note(task, now - task.started_at)
         else:
             # An earlier run finished after all; the present one must not, and
@@ -179,7 +179,7 @@
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
             if task.phase is progress.Phase.DOUBTFUL:
                 # An earlier leader may have slowed it down; looks don't say.
-                task.pace = 0 if task.step.fills else pacing.FULL
+                task.speed_limit = 0 if task.step.best_effort else throttling.FULL
             task.phase = progress.Phase.RUNNING
             task.job.begun = True
             task.started_at = task.moved_at = now
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -19,12 +19,12 @@
     journal,
     messages,
     orders,
-    pacing,
     placing,
     planning,
     preemption,
     progress,
     stragglers,
+    throttling,
     worker_speeds,
 )
 from mangosail.telemetry import counters as telemetry
@@ -33,7 +33,7 @@
 
 #: Seconds between placements, so that what comes together is placed together.
 PLACE_INTERVAL = 0.004
-#: Steps that fill for which one round looks at all workers in vain. With 80 steps of
+#: Best-effort steps for which one round looks at all workers in vain. With 80 steps of
 #: different sizes waiting for 246 workers a round took 73 ms without this bound and
 #: 27 ms with it, on a busy machine; starts wait for it.
 MOST_FAILURES = 6
@@ -44,7 +44,7 @@
 QUIET_INTERVAL = 0.1
 #: Starts that are on their way at a time, at most.
 MOST_STARTS = 256
-#: Seconds between looks for tasks that stand still beside serving ones.
+#: Seconds between looks for tasks that stand still beside latency-critical ones.
 MOVE_INTERVAL = 0.25
 #: Seconds between the lines that say how much waits.
 REPORT_INTERVAL = 2.0
@@ -109,17 +109,19 @@
                 "state",
                 jobs=len(self.jobs),
                 not_begun=sum(not job.begun for job in self.jobs.values()),
-                waiting_filling=sum(task.step.fills for task in waiting),
-                waiting_lasting=sum(task.step.lasting for task in waiting),
+                waiting_best_effort=sum(task.step.best_effort for task in waiting),
+                waiting_continuous=sum(task.step.continuous for task in waiting),
                 waiting=len(waiting),
                 in_time=sum(plan.in_time for plan in self.planner.plans.values()),
                 workers=len(self.workers),
                 usable=len(usable),
-                serving=sum(bool(worker.serving) for worker in usable),
+                latency_critical=sum(
+                    bool(worker.latency_critical) for worker in usable
+                ),
                 free_cores=round(sum(worker.free.cpus for worker in usable)),
                 unused_cores=round(sum(worker.unused for worker in usable)),
                 slowed=sum(
-                    task.pace < pacing.FULL
+                    task.speed_limit < throttling.FULL
                     for worker in usable
                     for task in worker.tasks.values()
                 ),
@@ -160,8 +162,8 @@
             tasks = [t for t in step_run.waiting() if t.not_before <= now]
             if not tasks:
                 continue
-            fills = step_run.step.fills
-            costly = fills and placing.searches_all(step_run, now)
+            best_effort = step_run.step.best_effort
+            costly = best_effort and placing.searches_all(step_run, now)
             if costly and failures >= MOST_FAILURES and not starves(step_run, now):
                 # It is among the first to be tried that way in one of the next rounds.
                 continue
@@ -177,7 +179,7 @@
             if not worker.reachable:
                 continue
             for task in list(worker.tasks.values()):
-                if pacing.stuck(task, now) and self._elsewhere(task, now):
+                if throttling.stuck(task, now) and self._elsewhere(task, now):
                     self.orders.stop(task, worker, "moved")
             for straggler in stragglers.find(worker, now):
                 self._move_straggler(straggler, now)
@@ -324,13 +326,13 @@
     """Tell whether a step can't fit since one that is no harder to place did not."""
     other_service, other_run = seen
     step, other = step_run.step, other_run.step
-    if service != other_service or step.fills != other.fills:
+    if service != other_service or step.best_effort != other.best_effort:
         return False
     if other.gang or other.most_per_worker or other_run.only is not None:
         # It may have failed for what does not bind this one.
         return False
-    if step.fills and step.image != other.image:
-        # Which tails it would disturb depends on the image.
+    if step.best_effort and step.image != other.image:
+        # Which tail latencies it would disturb depends on the image.
         return False
     if other.label and other.label != step.label:
         return False
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -89,7 +89,7 @@
         self.journal.pending = self.pending
         self.journal.now_and_again = self._kept_now_and_again
         self.sweeper = sweeping.Sweeper(rows, self.ended.discard, clock, counters)
-        self.journal.lasting_bound = self.lasting_bound
+        self.journal.continuous_bound = self.continuous_bound
         self.returns = admission.Returns(rows, self.jobs, clock, counters)
         self.orders = orders.Orders(
             calls, held.lease.token, self.workers, self.changed, clock, counters
@@ -189,10 +189,10 @@
                 counts[job.job.queue] = counts.get(job.job.queue, 0) + 1
         return counts
 
-    def lasting_bound(self) -> float | None:
-        """Return the cores that jobs which last may take; None if not known yet."""
+    def continuous_bound(self) -> float | None:
+        """Return the cores that continuous jobs may take; None if not known yet."""
         if not self.attending:
-            return self.journal.held.lease.lasting_bound
+            return self.journal.held.lease.continuous_bound
         return admission.bound(self.workers) or None
 
     def _kept_now_and_again(self) -> tuple[table.Write, ...]:
@@ -234,7 +234,7 @@
         return workers, jobs
 
     def _read_learned(self) -> None:
-        """Take over what was learned; without it the tails would suffer anew."""
+        """Take over what was learned; without it latencies would rise anew."""
         found = self.rows.read([keys.LEARNED])
         row = found.ok_value.get(keys.LEARNED) if isinstance(found, result.Ok) else None
         if row is None:
@@ -383,7 +383,7 @@
     def evacuate(self, worker: fleet.Worker) -> None:
         """Move what would be cut off when a draining worker leaves."""
         for task in list(worker.tasks.values()):
-            moves = task.step.lasting or task.step.checkpointing
+            moves = task.step.continuous or task.step.checkpointing
             if moves and task.phase is progress.Phase.RUNNING:
                 self.orders.stop(task, worker, "evacuation")
 
@@ -401,7 +401,7 @@
             self._end(job, messages.State.COMPLETED)
             return
         for step_run in job.steps.values():
-            if step_run.failures >= job.job.attempts and not step_run.step.lasting:
+            if step_run.failures >= job.job.attempts and not step_run.step.continuous:
                 self._end(job, messages.State.FAILED)
                 return
 
--- a/src/mangosail/scheduler/stragglers.py
+++ b/src/mangosail/scheduler/stragglers.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from mangosail.scheduler import fleet, pacing, progress
+from mangosail.scheduler import fleet, progress, throttling
 
 #: Seconds without any progress after which a task counts as stalled. Half-second
 #: figures and looks are over by then.
@@ -44,16 +44,16 @@
     step = task.step
     return (
         task.phase is progress.Phase.RUNNING
-        and not step.lasting
+        and not step.continuous
         and not step.gang
-        and task.pace == pacing.FULL
+        and task.speed_limit == throttling.FULL
         and task.moves < MOST_MOVES
-        and now - max(task.started_at, task.paced_at) >= LEAST_AGE
+        and now - max(task.started_at, task.throttled_at) >= LEAST_AGE
     )
 
 
 def stands_still(task: progress.Task, now: float) -> bool:
     """Tell whether a task has not moved for long."""
     term = max(STALL_TERM, task.step.estimate * STALL_ESTIMATES)
-    since = max(task.moved_at, task.paced_at)
+    since = max(task.moved_at, task.throttled_at)
     return now - since >= term
--- a/src/mangosail/scheduler/worker_speeds.py
+++ b/src/mangosail/scheduler/worker_speeds.py
@@ -9,7 +9,7 @@
 import math
 import statistics
 
-from mangosail.scheduler import estimates, fleet, messages, pacing, progress
+from mangosail.scheduler import estimates, fleet, messages, progress, throttling
 
 #: Seconds between two looks from which progress is told from rounding: workers list it
 #: in whole percents, and some bring it up to date five times a second.
@@ -53,11 +53,11 @@
     ) -> None:
         """Take in the progress of a run since the last look at it."""
         between = now - task.seen_at
-        if task.seen_run != row.run or task.pace != pacing.FULL:
+        if task.seen_run != row.run or task.speed_limit != throttling.FULL:
             task.seen_at, task.seen_percent, task.seen_run = now, row.percent, row.run
             return
         gained = row.percent - task.seen_percent
-        if between < LEAST_BETWEEN or gained <= 0 or task.step.lasting:
+        if between < LEAST_BETWEEN or gained <= 0 or task.step.continuous:
             # One that stands still is for `stragglers` to judge.
             return
         task.seen_at, task.seen_percent = now, row.percent
@@ -88,9 +88,9 @@
     ) -> bool:
         """Tell whether a run on a slow worker would end sooner if begun elsewhere."""
         step = task.step
-        if task.phase is not progress.Phase.RUNNING or step.lasting or step.gang:
+        if task.phase is not progress.Phase.RUNNING or step.continuous or step.gang:
             return False
-        if task.pace < pacing.FULL or now - task.started_at < LEAST_AGE:
+        if task.speed_limit < throttling.FULL or now - task.started_at < LEAST_AGE:
             return False
         speed = math.exp(known_of(worker, now))
         rest = 1 - task.percent / 100
@@ -100,7 +100,7 @@
 
 def share_of(task: progress.Task, row: messages.Running) -> float:
     """Return the share of its cores that a task had lately."""
-    if row.figure <= 0 or not task.step.fills:
+    if row.figure <= 0 or not task.step.best_effort:
         return 1.0
     return min(row.figure / 1000 / max(task.step.need.cpus, 0.001), 1.0)
 
--- a/tests/bench/leading.py
+++ b/tests/bench/leading.py
@@ -40,7 +40,7 @@
 CAPACITY = resources.Resources(cpus=32, memory_gb=125)
 #: Seconds for which the leader runs before it is measured.
 SETTLING = 4.0
-#: Jobs that last from the start on.
+#: Continuous jobs from the start on.
 LASTING_JOBS = 30
 #: Processes that answer for the workers.
 PROCESSES = 2
@@ -65,11 +65,11 @@
         return super().commit(transaction)
 
 
-def lasting(rand):
+def continuous(rand):
     """A job whose tasks serve users for about a minute."""
     step = messages.Step(
-        count=14, need=resources.Resources(cpus=6.4, memory_gb=13), lasting=True,
-        image=f"serve-{rand.randrange(10)}", tail_target=18.0,
+        count=14, need=resources.Resources(cpus=6.4, memory_gb=13), continuous=True,
+        image=f"serve-{rand.randrange(10)}", latency_target=18.0,
     )  # fmt: skip
     return (step,)
 
@@ -79,12 +79,12 @@
     return (messages.Step(count=10, need=need, estimate=1.0),)
 
 
-def filling(rand):
+def best_effort(rand):
     need = resources.Resources(cpus=3.5, memory_gb=6)
     image = f"fill-{rand.randrange(18)}"
     return tuple(
         messages.Step(
-            count=20, need=need, estimate=1.7, checkpointing=True, fills=True,
+            count=20, need=need, estimate=1.7, checkpointing=True, best_effort=True,
             image=image, after=tuple(range(number)),
         )
         for number in range(2)
@@ -92,7 +92,7 @@
 
 
 #: Each kind of job: what it is made of, its share of the jobs, its priority.
-KINDS = ((short, 0.27, 0), (filling, 0.705, 2), (lasting, 0.025, 0))
+KINDS = ((short, 0.27, 0), (best_effort, 0.705, 2), (continuous, 0.025, 0))
 
 
 class Traffic:
@@ -109,7 +109,7 @@
 
     def run(self):
         for _ in range(LASTING_JOBS):
-            self.hand_in(lasting)
+            self.hand_in(continuous)
         kinds, shares, _ = zip(*KINDS, strict=True)
         due = 0.0
         while True:
@@ -122,13 +122,13 @@
     def hand_in(self, kind):
         priority = next(p for k, _, p in KINDS if k is kind)
         self.count += 1
-        text = pool.FOREVER if kind is lasting else "text" * 50
+        text = pool.FOREVER if kind is continuous else "text" * 50
         job = messages.Job(
             f"{self.count:016x}", "queue", "pool", text, kind(self.rand),
             time.time(), priority, 4,
         )  # fmt: skip
-        lasts = admission.lasting_cores(job)
-        key = keys.lasting_job(job.job_id) if lasts else keys.job(job.job_id)
+        lasts = admission.continuous_cores(job)
+        key = keys.continuous_job(job.job_id) if lasts else keys.job(job.job_id)
         self.store.put(key, job)
 
 
--- a/tests/intake/intake.feature
+++ b/tests/intake/intake.feature
@@ -53,24 +53,24 @@
     Then the caller is told that it was refused, and when to come back
     And nothing was sent to the store
 
-  Scenario: Jobs that last are accepted up to their bound, at all instances together
+  Scenario: Continuous jobs are accepted up to their bound, at all instances together
     Given an instance at the store
-    And jobs that last may take 20 cores
-    When jobs that last and take 8 cores each are handed in at 4 instances
+    And continuous jobs may take 20 cores
+    When continuous jobs of 8 cores are handed in at 4 instances
     Then 2 of them are accepted and 2 are refused
 
-  Scenario: A job that lasts is accepted again although the room is taken
+  Scenario: A continuous job is accepted again although the room is taken
     Given an instance at the store
-    And jobs that last may take 20 cores
-    When a job that lasts and takes 16 cores is handed in twice
+    And continuous jobs may take 20 cores
+    When a continuous job and takes 16 cores is handed in twice
     Then both callers are told that it was accepted
 
-  Scenario: The bound on what lasts holds while leaders change
+  Scenario: The bound on continuous work holds while leaders change
     # Callers' quotes would find no room: between two leaders all that lasts was let in.
     Given an instance at the store
-    And jobs that last may take 20 cores
+    And continuous jobs may take 20 cores
     When another instance takes the lease
-    Then jobs that last may still take 20 cores
+    Then continuous jobs may still take 20 cores
 
   Scenario: A cancelled job is asked for by its row
     Given an instance at the store
--- a/tests/intake/steps/intake_steps.py
+++ b/tests/intake/steps/intake_steps.py
@@ -24,9 +24,9 @@
     )
 
 
-def lasting(job_id, cores):
+def continuous(job_id, cores):
     need = fakes.resources.Resources(cpus=cores)
-    return fakes.job(job_id, fakes.step(need=need, lasting=True))
+    return fakes.job(job_id, fakes.step(need=need, continuous=True))
 
 
 @given("an instance at the store")
@@ -69,9 +69,9 @@
     context.away = True
 
 
-@given("jobs that last may take {cores:d} cores")
+@given("continuous jobs may take {cores:d} cores")
 def step_bound(context, cores):
-    lease = journal.Lease("a", "1", 1, lasting_bound=float(cores))
+    lease = journal.Lease("a", "1", 1, continuous_bound=float(cores))
     context.rows.put(keys.LEASE, lease)
     context.rows.put(keys.CHAIN, "1.0")
 
@@ -86,19 +86,19 @@
     context.answers.append(new_desk(context).hand_in(fakes.job(ID, fakes.step())))
 
 
-@when(
-    "jobs that last and take {cores:d} cores each are handed in at {count:d} instances"
-)
-def step_lasting(context, cores, count):
+@when("continuous jobs of {cores:d} cores are handed in at {count:d} instances")
+def step_continuous(context, cores, count):
     context.answers = [
-        new_desk(context).hand_in(lasting(f"{number:016x}", cores))
+        new_desk(context).hand_in(continuous(f"{number:016x}", cores))
         for number in range(count)
     ]
 
 
-@when("a job that lasts and takes {cores:d} cores is handed in twice")
-def step_lasting_twice(context, cores):
-    context.answers = [new_desk(context).hand_in(lasting(ID, cores)) for _ in range(2)]
+@when("a continuous job and takes {cores:d} cores is handed in twice")
+def step_continuous_twice(context, cores):
+    context.answers = [
+        new_desk(context).hand_in(continuous(ID, cores)) for _ in range(2)
+    ]
 
 
 @when("another instance takes the lease")
@@ -171,14 +171,14 @@
 def step_split(context, good, bad):
     accepted = sum(answer.is_ok() for answer in context.answers)
     assert (accepted, len(context.answers) - accepted) == (good, bad), context.answers
-    taken = codec.from_json(context.rows.kept[keys.LASTING].value, admission.Taken)
+    taken = codec.from_json(context.rows.kept[keys.CONTINUOUS].value, admission.Taken)
     assert taken.cores == 16
 
 
-@then("jobs that last may still take {cores:d} cores")
+@then("continuous jobs may still take {cores:d} cores")
 def step_still(context, cores):
     lease = codec.from_json(context.rows.kept[keys.LEASE].value, journal.Lease)
-    assert (lease.holder, lease.lasting_bound) == ("b", cores), lease
+    assert (lease.holder, lease.continuous_bound) == ("b", cores), lease
 
 
 @then("the store holds the request to cancel it")
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -126,7 +126,7 @@
         self.late = []
         self.starts = []
         self.paces = {}
-        self.tails = {}
+        self.latencies = {}
         self.acknowledged = 0
         self.progress = 0
         self.standing_still = False
@@ -151,7 +151,7 @@
 
 
 def tail(worker, task):
-    return worker.tails.get(task, 0.0)
+    return worker.latencies.get(task, 0.0)
 
 
 class Calls:
@@ -219,7 +219,7 @@
 
         return self._call(entry, effect)
 
-    def pace(self, entry, task, run, percent, token):
+    def throttle(self, entry, task, run, percent, token):
         def effect(worker):
             worker.paces[task] = percent
             return result.Ok(worker.clock)
@@ -237,7 +237,11 @@
             worker.progress += not worker.standing_still
             running = tuple(
                 messages.Running(
-                    task, run, "", worker.progress % 100, worker.tails.get(task, 0.0)
+                    task,
+                    run,
+                    "",
+                    worker.progress % 100,
+                    worker.latencies.get(task, 0.0),
                 )
                 for task, run in worker.running.items()
             )
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -107,7 +107,7 @@
     # The caller's order would stand still for good: looks don't tell a task's speed,
     # so the new leader took it for full.
     Given workers "w1" and a leader
-    And a job of 1 task that fills
+    And a job of 1 best-effort task
     When 2 rounds pass
     And the task is slowed down to 0
     And another instance leads
@@ -191,13 +191,13 @@
     And 2 rounds pass
     Then 0 jobs are counted as waiting
 
-  Scenario: What fills takes room as soon as it becomes free
+  Scenario: Best-effort work takes room as soon as it becomes free
     # The caller's batch job gets on. After a search in vain a step is tried only on workers
     # that have changed since, all of them each second; a worker whose task ended has.
     Given workers "w1" and a leader
-    And a job of 4 tasks that fill comes
+    And a job of 4 best-effort tasks comes
     When 2 rounds pass
-    And another job of 1 task that fills comes and finds no room
+    And another job of 1 best-effort task comes and finds no room
     And one of the first job's tasks ends
     And 2 rounds pass
     Then the other job's task runs
@@ -230,7 +230,7 @@
 
   Scenario: Tasks that last are started again however they end
     Given workers "w1 w2" and a leader
-    And a job of 1 task that lasts
+    And a job of 1 continuous task
     When 2 rounds pass
     And the task ends failed
     And 4 rounds pass
@@ -256,33 +256,33 @@
     When 6 seconds pass
     Then both occurrences have been started
 
-  Scenario: A short task finds room where tasks that last took all
-    # The caller of a quote used to wait until a job that lasts was cancelled.
+  Scenario: A short task finds room where continuous tasks took all
+    # The caller of a quote used to wait until a continuous job was cancelled.
     Given workers "w1" and a leader
-    And a job of 4 tasks that last
+    And a job of 4 continuous tasks
     When 3 rounds pass
     And an urgent job of 1 task comes
     And 10 rounds pass
     Then the urgent task runs
 
-  Scenario: A job with nothing running is not kept waiting for the tails beside it
+  Scenario: A job with nothing running is not kept waiting for the tail latencies beside it
     # The caller's release used to wait for ever on workers that all serve.
     Given workers "w1" and a leader
     And a job of 2 tasks that serve
     When 3 rounds pass
-    And their tails are too high
-    And a job of 3 tasks that fill comes
+    And their tail latencies are too high
+    And a job of 3 best-effort tasks comes
     And 30 rounds pass
-    Then 1 of the tasks that fill runs
+    Then 1 of the best-effort tasks runs
 
-  Scenario: What fills beside a high tail is stopped, and the others go on
+  Scenario: Best-effort work beside a high tail is stopped, and the others go on
     Given workers "w1" and a leader
     And a job of 1 task that serves
-    And a job of 1 task that fills
+    And a job of 1 best-effort task
     When 4 rounds pass
-    And their tails are too high
+    And their tail latencies are too high
     And 30 rounds pass
-    Then the task that fills works at 0 percent
+    Then the best-effort task works at 0 percent
 
   Scenario: Tasks that stand still go on elsewhere
     # The caller waits about two seconds, not until the worker recovers. The worker
@@ -354,7 +354,7 @@
     And the job is shown as completed
 
   Scenario: What was learned of images survives a change of leader
-    # Callers of serving tasks would suffer anew with each leader.
+    # Callers of latency-critical tasks would suffer anew with each leader.
     Given workers "w1" and a leader
     And a job of 1 task that serves
     When 2 rounds pass
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -65,24 +65,24 @@
     submit(context, fakes.job(ID, fakes.step(count)))
 
 
-@given("a job of {count:d} task that fills")
-@given("a job of {count:d} tasks that fill comes")
-@when("a job of {count:d} tasks that fill comes")
-def step_filling(context, count):
-    step = fakes.step(count, fills=True, image="filler", checkpointing=True)
+@given("a job of {count:d} best-effort task")
+@given("a job of {count:d} best-effort tasks comes")
+@when("a job of {count:d} best-effort tasks comes")
+def step_best_effort(context, count):
+    step = fakes.step(count, best_effort=True, image="filler", checkpointing=True)
     submit(context, fakes.job(ID, step, priority=2))
 
 
-@given("a job of {count:d} task that lasts")
-@given("a job of {count:d} tasks that last")
-def step_lasting(context, count):
-    submit(context, fakes.job(ID, fakes.step(count, lasting=True)))
+@given("a job of {count:d} continuous task")
+@given("a job of {count:d} continuous tasks")
+def step_continuous(context, count):
+    submit(context, fakes.job(ID, fakes.step(count, continuous=True)))
 
 
 @given("a job of {count:d} task that serves")
 @given("a job of {count:d} tasks that serve")
-def step_serving(context, count):
-    step = fakes.step(count, lasting=True, image="server", tail_target=18.0)
+def step_critical(context, count):
+    step = fakes.step(count, continuous=True, image="server", latency_target=18.0)
     submit(context, fakes.job(SERVING, step))
 
 
@@ -224,9 +224,9 @@
     assert sum(context.world.leader.scheduler.pending().values()) == count
 
 
-@when("another job of 1 task that fills comes and finds no room")
+@when("another job of 1 best-effort task comes and finds no room")
 def step_no_room(context):
-    step = fakes.step(1, fills=True, image="filler", checkpointing=True)
+    step = fakes.step(1, best_effort=True, image="filler", checkpointing=True)
     submit(context, fakes.job(URGENT, step, priority=2))
     context.world.leader.round(2)
     waiting = context.world.leader.task(f"{URGENT}.0.0.0")
@@ -383,12 +383,12 @@
         worker.paces[TASK] = 0
 
 
-@when("their tails are too high")
+@when("their tail latencies are too high")
 def step_tails(context):
     for worker in workers(context):
         for task in worker.running:
             if task.startswith(SERVING):
-                worker.tails[task] = 60.0
+                worker.latencies[task] = 60.0
 
 
 @then("the task works at full speed")
@@ -397,7 +397,7 @@
     assert paces == [100], paces
 
 
-@then("the task that fills works at 0 percent")
+@then("the best-effort task works at 0 percent")
 def step_stopped(context):
     paces = [w.paces.get(TASK) for w in workers(context)]
     assert paces == [0], paces
@@ -447,7 +447,7 @@
 
 @then("{count:d} task runs")
 @then("no more than {count:d} task runs")
-@then("{count:d} of the tasks that fill runs")
+@then("{count:d} of the best-effort tasks runs")
 def step_count(context, count):
     running = [task for task in all_running(context) if task.startswith(ID)]
     assert len(running) == count, running
@@ -553,15 +553,15 @@
     gevent.sleep(0)
 
 
-@when('the leader has learned that "{filling}" presses on "{serving}"')
-def step_learned(context, filling, serving):
-    context.world.leader.scheduler.model.pressure[serving, filling] = 9.0
+@when('the leader has learned that "{best_effort}" presses on "{critical}"')
+def step_learned(context, best_effort, critical):
+    context.world.leader.scheduler.model.pressure[critical, best_effort] = 9.0
 
 
-@then('the new leader knows that "{filling}" presses on "{serving}"')
-def step_knows(context, filling, serving):
+@then('the new leader knows that "{best_effort}" presses on "{critical}"')
+def step_knows(context, best_effort, critical):
     known = context.world.leader.scheduler.model.pressure
-    assert known == {(serving, filling): 9.0}, known
+    assert known == {(critical, best_effort): 9.0}, known
 
 
 @when("a job of {count:d} tasks comes")
