--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -219,20 +219,14 @@
 def score_of(step: messages.Step, worker: fleet.Worker) -> float:
     """Return how well a task of the step goes to the worker; more is better."""
     near = DATA_WEIGHT * bool(step.data_rack and step.data_rack in worker.entry.labels)
+    critical = bool(worker.latency_critical)
     if step.best_effort:
-        return near + worker.unused - COLOCATION_WEIGHT * bool(worker.latency_critical)
+        return near + worker.unused - COLOCATION_WEIGHT * critical
     if step.continuous:
-        # The fullest of the workers that serve, so that few have any.
-        colocation = COLOCATION_WEIGHT * bool(worker.latency_critical)
-        return (
-            near
-            + colocation
-            - worker.free.cpus
-            - BEST_EFFORT_WEIGHT * worker.best_effort
-        )
-    return (
-        near + worker.unused + LATENCY_CRITICAL_WEIGHT * bool(worker.latency_critical)
-    )
+        # The fullest of those that have such tasks already, so that few workers do.
+        disturbed = BEST_EFFORT_WEIGHT * worker.best_effort
+        return near + COLOCATION_WEIGHT * critical - worker.free.cpus - disturbed
+    return near + worker.unused + LATENCY_CRITICAL_WEIGHT * critical
 
 
 def by_rack(workers: list[fleet.Worker]) -> list[list[fleet.Worker]]:
