Let connections for orders fit the descriptors of the leader

Six connections for orders and one for looks to each worker are 7,000.

Now all connections for orders together take 0.6 of the descriptors: 6 a worker up to 410 workers, 3 at 650, 2 at 1,002. Before, 650 workers, the size aimed for in two years, could take 4,550.

--- a/src/mangosail/platform/caller.py
+++ b/src/mangosail/platform/caller.py
@@ -76,6 +76,15 @@
             self._replace(client)
             return result.Err(errors.Uncertain(str(exc) or type(exc).__name__))
 
+    def narrow(self, concurrency: int) -> None:
+        """Hold no more than `concurrency` connections from now on.
+
+        Those that are open end with the calls that are on them.
+        """
+        if concurrency < self.concurrency:
+            self.concurrency = concurrency
+            self._replace(self.client)
+
     def _replace(self, client: geventhttpclient.HTTPClient) -> None:
         """Leave the connections of `client` to the calls that are on them.
 
@@ -100,11 +109,17 @@
 
 
 class Callers:
-    """One caller for each name, the earliest dropped once there are too many."""
+    """One caller for each name, the earliest dropped once there are too many.
 
-    def __init__(self, concurrency: int, most: int) -> None:
+    All of them together hold `budget` connections at most: the more callers there are,
+    the fewer each has, though never none. With a fixed number for each, the leader of
+    1,002 workers ran out of descriptors, and orders failed at random.
+    """
+
+    def __init__(self, concurrency: int, most: int, budget: int | None = None) -> None:
         self.concurrency = concurrency
         self.most = most
+        self.budget = budget
         self.kept: collections.OrderedDict[str, Caller] = collections.OrderedDict()
 
     def get(self, name: str, address: str) -> Caller:
@@ -114,4 +129,11 @@
             kept = self.kept[name] = Caller(address, self.concurrency)
             if len(self.kept) > self.most:
                 self.kept.popitem(last=False)
+        kept.narrow(self.share())
         return kept
+
+    def share(self) -> int:
+        """Return how many connections each caller may have now."""
+        if self.budget is None or not self.kept:
+            return self.concurrency
+        return max(min(self.concurrency, self.budget // len(self.kept)), 1)
--- a/src/mangosail/platform/deployment.py
+++ b/src/mangosail/platform/deployment.py
@@ -38,6 +38,8 @@
     #: Share of each core, and how many cores there are.
     cpu_share: float = 1.0
     cores: float = 1.0
+    #: Descriptors that the process may hold; some are kept for files.
+    max_fds: int = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -87,7 +87,7 @@
             rand,
             settings.limits.cpu_share * settings.limits.cores,
         )
-        self.workers = workers.HttpWorkers()
+        self.workers = workers.HttpWorkers(settings.limits.max_fds)
         self.advisor: advice.Advisor = advice.NoAdvisor()
         if settings.advice:
             self.advisor = advisor.HttpAdvisor(settings.advice)
--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -20,6 +20,9 @@
 #: Connections to one worker for orders; of the 64 that it takes, a share that
 #: leaves room for a later leader.
 ORDER_CONNECTIONS = 6
+#: Share of this process's descriptors that connections for orders may take. Each worker
+#: takes one more for looks, and callers, peers and the store need some hundreds.
+ORDER_SHARE = 0.6
 #: Connections to one worker for looks, which follow one another.
 LOOK_CONNECTIONS = 1
 #: Workers whose connections are kept at most.
@@ -43,8 +46,9 @@
 class HttpWorkers:
     """Speaks to workers, with pooled connections to each."""
 
-    def __init__(self) -> None:
-        self.orders = http_caller.Callers(ORDER_CONNECTIONS, MOST_KEPT)
+    def __init__(self, descriptors: int) -> None:
+        budget = int(descriptors * ORDER_SHARE)
+        self.orders = http_caller.Callers(ORDER_CONNECTIONS, MOST_KEPT, budget)
         self.looks = http_caller.Callers(LOOK_CONNECTIONS, MOST_KEPT)
 
     def start(
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -167,7 +167,7 @@
     context.platform = metadata.Platform()
     context.add_cleanup(context.platform.close)
     context.entry = entry(context.platform.address)
-    context.workers = workers.HttpWorkers()
+    context.workers = workers.HttpWorkers(descriptors=4096)
 
 
 @given("a worker whose port is closed")
--- /dev/null
+++ b/tests/adapter/steps/connections_steps.py
@@ -0,0 +1,31 @@
+from behave import given, then, when
+
+from mangosail.platform import workers
+
+
+@given("{count:d} workers and {descriptors:d} descriptors")
+def fleet(context, count, descriptors):
+    context.count = count
+    context.descriptors = descriptors
+    context.orders = workers.HttpWorkers(descriptors).orders
+
+
+@when("orders go to each of them")
+def orders_go(context):
+    # Twice, as the first ones were met when fewer were known.
+    for _ in range(2):
+        context.callers = [
+            context.orders.get(f"w{number}", "127.0.0.1:9")
+            for number in range(context.count)
+        ]
+
+
+@then("each may have {most:d} connections for orders")
+def each(context, most):
+    assert {caller.concurrency for caller in context.callers} == {most}
+
+
+@then("looks and orders together leave {spare:d} descriptors or more")
+def spare(context, spare):
+    held = sum(caller.concurrency + 1 for caller in context.callers)
+    assert context.descriptors - held >= spare, context.descriptors - held
--- a/tests/bench/leading.py
+++ b/tests/bench/leading.py
@@ -146,7 +146,7 @@
         (messages.Service("pool"),),
     )
     return entries, scheduler.Scheduler(
-        store, http_workers.HttpWorkers(), held, lambda: catalog,
+        store, http_workers.HttpWorkers(descriptors=4096), held, lambda: catalog,
         lambda name, text: result.Ok(entries[name]), fakes.WORKERS_PREFIX, 20.0, None,
         clock, tally,
     )  # fmt: skip
