Give processes that tests start ports that nobody else is given

Cause: a port that was free when asked for may be taken before the process binds it, by an outgoing connection or by another slice's stage. Now ports come from below the kernel's range for outgoing connections, out of a block that each test process holds alone. The scenario fails without it: four processes that ask at the same time may get one port twice, and all of them from that range. Ruled out: a slow start (the process ended at once). The listed failure of the slice path fits a stage that reached another one's instance; that is not shown, so it stays.

--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -4,12 +4,13 @@
 import json
 import re
 import subprocess
+import sys
 import typing as t
 import unittest.mock
 
 import falcon.inspect
 from behave import given, then, when
-from tests.support import sources, stage, teams
+from tests.support import ports, sources, stage, teams
 
 from mangosail.dispatch import errors as dispatch_errors
 from mangosail.front import app, server
@@ -242,3 +243,34 @@
         if word in path.read_text()
     ]
     assert not spoken, spoken
+
+
+ASK_FOR_PORTS = """
+import sys
+from tests.support import ports
+print(*(ports.free_port() for _ in range(int(sys.argv[1]))), flush=True)
+sys.stdin.read()
+"""
+
+
+@when("{count:d} processes ask for {each:d} ports each at the same time")
+def ask_for_ports(context, count, each):
+    asking = [
+        subprocess.Popen(
+            [sys.executable, "-c", ASK_FOR_PORTS, str(each)], cwd=stage.ROOT, text=True,
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+        )
+        for _ in range(count)
+    ]  # fmt: skip
+    context.ports = [
+        int(port) for one in asking for port in one.stdout.readline().split()
+    ]
+    for one in asking:
+        one.communicate()
+    context.wanted = count * each
+
+
+@then("all of them differ, and the kernel gives none to outgoing connections")
+def ports_differ(context):
+    assert len(set(context.ports)) == context.wanted, sorted(context.ports)
+    assert max(context.ports) < ports.lowest_ephemeral(), max(context.ports)
--- a/tests/style/style.feature
+++ b/tests/style/style.feature
@@ -25,3 +25,9 @@
 
   Scenario: The platform's words stay in its folder
     Then no module outside src/mangosail/platform speaks the platform's words
+
+  Scenario: Slices that run at the same time never share a port
+    An instance found its port taken and never became ready, once in several runs of all
+    slices; another stage's instance, or an outgoing connection, had it meanwhile.
+    When 4 processes ask for 40 ports each at the same time
+    Then all of them differ, and the kernel gives none to outgoing connections
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -8,7 +8,7 @@
 import os
 
 from tests.standins import relay
-from tests.support import stage
+from tests.support import ports, stage
 
 INSTANCES = 4
 WORKERS = 5
@@ -65,12 +65,12 @@
 
     def add_instance(self, name, host):
         self.relays[name] = relay.Relay(self.store)
-        self.fronts[name] = f"{host}:{stage.free_port()}"
-        among_instances = stage.free_port()
+        self.fronts[name] = f"{host}:{ports.free_port()}"
+        among_instances = ports.free_port()
         settings = {
             "node_name": name, "zone": "dc", "ip": host,
             "listen_addrs": {"front": self.fronts[name],
-                             "ready": f"{host}:{stage.free_port()}"},
+                             "ready": f"{host}:{ports.free_port()}"},
             "platform": {"address": self.relays[name].address},
             "internal_ports": [among_instances, among_instances],
             "bounds": {"status_s": 300, "grace_s": GRACE},
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -10,7 +10,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,8 @@
 import urllib.error
 import urllib.request
 
+from tests.support import ports
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 #: Seconds that a process may take until it serves.
 START_TIMEOUT = 30.0
@@ -34,14 +35,8 @@
         return json.loads(self.body)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def free_address():
-    return f"127.0.0.1:{free_port()}"
+    return f"127.0.0.1:{ports.free_port()}"
 
 
 def call(address, method, path, body=None, headers=None, timeout=10.0):
