--- a/src/mangosail/front/forwarding.py
+++ b/src/mangosail/front/forwarding.py
@@ -67,16 +67,15 @@
                 outcome = messages.UNKNOWN
                 continue
             reply = answer.ok_value
+            may_have_run = reply.outcome == messages.UNKNOWN
+            if may_have_run:
+                outcome = messages.UNKNOWN
             if reply.status != UNAVAILABLE:
-                if reply.outcome == messages.UNKNOWN:
-                    outcome = messages.UNKNOWN
                 return unpack(reply, outcome)
-            if reply.outcome == messages.UNKNOWN or not reason:
+            if may_have_run or not reason:
                 # An attempt that may have run tells a caller more than a later
                 # peer's lack of room.
                 reason = reply.body
-            if reply.outcome == messages.UNKNOWN:
-                outcome = messages.UNKNOWN
         if not reason:
             return None
         return self.refuse(UNAVAILABLE, reason, outcome)
--- a/src/mangosail/intake/desk.py
+++ b/src/mangosail/intake/desk.py
@@ -35,7 +35,7 @@
 RETRY_INTERVAL = 0.08
 #: Seconds after which a caller that was refused should come back.
 COME_BACK = 0.3
-#: Seconds after which a continuous job, and was refused, may find room.
+#: Seconds after which a continuous job that was refused may find room.
 CONTINUOUS_COME_BACK = 2.0
 #: Seconds for which counts of waiting jobs are used again.
 PENDING_TERM = 0.5
