Log why following fails, how much of an answer came, and whom nobody answered

Its logs say that callers were passed on to peers that refused, and nothing of why the instance did not answer them itself: no line told that readings failed, a counter alone did, and a reading cut off in the middle looked like a silent store.

Following now says once that it was interrupted, with version and reason, and once after how many seconds it went on; the reason of a call without an answer names the bytes that had come; a caller that no peer could answer leaves a line with reason, version and age of the configuration. No decision changes.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -84,6 +84,13 @@
             return True
         return self.clock.elapsed() - fresh_at > STALE_TERM
 
+    def age(self) -> float | None:
+        """Return the seconds since this was surely the newest; None before that."""
+        fresh_at = self.follower.fresh_at
+        if fresh_at is None:
+            return None
+        return round(self.clock.elapsed() - fresh_at, 3)
+
     def refresh(self) -> bool:
         """Read what has changed now, and tell whether that went well.
 
--- a/src/mangosail/platform/caller.py
+++ b/src/mangosail/platform/caller.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT = 1.2
 #: Seconds that a connection may live at most between two bytes; beyond all limits.
 NETWORK_TIMEOUT = 40.0
+#: Bytes of an answer that are read at a time.
+PIECE = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,12 +61,14 @@
     ) -> result.Result[Reply, CallError]:
         """Send one request; an Err means that no whole answer came."""
         client = self.client
+        content = bytearray()
         try:
             with gevent.Timeout(timeout):
                 response = client.request(method, path, body=body, headers=headers)
                 etag = str(response.get("ETag") or "")
-                content = bytes(response.read())
-                return result.Ok(Reply(response.status_code, content, etag))
+                while piece := response.read(PIECE):
+                    content += piece
+                return result.Ok(Reply(response.status_code, bytes(content), etag))
         except ConnectionRefusedError as exc:
             self._replace(client)
             return result.Err(errors.Unavailable(str(exc)))
@@ -74,7 +78,7 @@
             raise
         except (OSError, http_response.HTTPParseError, gevent.Timeout) as exc:
             self._replace(client)
-            return result.Err(errors.Uncertain(str(exc) or type(exc).__name__))
+            return result.Err(errors.Uncertain(reason_of(exc, len(content))))
 
     def narrow(self, concurrency: int) -> None:
         """Hold no more than `concurrency` connections from now on.
@@ -108,6 +112,14 @@
         return client
 
 
+def reason_of(exc: BaseException, received: int) -> str:
+    """Return why a call has no answer, and how many bytes of one had come.
+
+    A slow link and a silent peer look alike without that number.
+    """
+    return f"{exc or type(exc).__name__}, after {received} bytes of the answer"
+
+
 class Callers:
     """One caller for each name, the earliest dropped once there are too many.
 
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -5,6 +5,7 @@
 
 import falcon
 import gevent
+import logbook
 import result
 
 from mangosail import clock as clocks
@@ -15,6 +16,8 @@
 from mangosail.scheduler import messages
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("ingress")
+
 #: Seconds in which a request's body must have come.
 BODY_TERM = 3.0
 #: Seconds after which a caller should come back to an instance without a catalog.
@@ -75,6 +78,10 @@
         )
         answer = relay.pass_on(request)
         if answer is None:
+            log.info(
+                "refused", method=req.method, path=req.path, reason=resp.context.reason,
+                version=self.catalog.version, age=self.catalog.age(),
+            )  # fmt: skip
             return
         self.catalog.doubt()
         resp.delete_header("Retry-After")
@@ -213,6 +220,7 @@
     def refuse(self, resp: falcon.Response, reason: str, retry_after: float) -> None:
         """Say that nothing was done, and when to come back."""
         self.counters.count(f"ingress.refused.{reason}")
+        resp.context.reason = reason
         resp.context.away = reason in AWAY
         resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
         resp.text = codec.to_json({"title": reason, "retry_after": retry_after})
--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -45,6 +45,8 @@
         self.fresh_at: float | None = None
         #: True unless the latest request failed.
         self.reached = True
+        #: Elapsed time of the first failure since the latest success.
+        self.failing_since = 0.0
 
     def run(self) -> None:
         """Follow for ever."""
@@ -62,10 +64,30 @@
 
     def step(self, wait: float) -> bool:
         """Read once, and tell whether that went well."""
-        self.reached = self._step(wait)
-        return self.reached
-
-    def _step(self, wait: float) -> bool:
+        reason = self._step(wait)
+        self._note(reason)
+        return not reason
+
+    def _note(self, reason: str) -> None:
+        """Log that the rows are out of reach, or in reach again."""
+        now = self.clock.elapsed()
+        if reason:
+            self.counters.count("following.read_failed")
+        if reason and self.reached:
+            self.failing_since = now
+            log.warning(
+                "following interrupted", prefix=self.prefix, version=self.version,
+                reason=reason,
+            )  # fmt: skip
+        if not reason and not self.reached:
+            log.info(
+                "following again", prefix=self.prefix, version=self.version,
+                seconds=round(now - self.failing_since, 3),
+            )  # fmt: skip
+        self.reached = not reason
+
+    def _step(self, wait: float) -> str:
+        """Read once; return why that failed, or an empty text."""
         sent_at = self.clock.elapsed()
         version = self.version
         if version is None:
@@ -74,23 +96,22 @@
         if isinstance(found, result.Ok):
             if self.version is not None and self.version > found.ok_value.version:
                 # Another greenlet has read further meanwhile.
-                return True
+                return ""
             self._pass_on(found.ok_value, False, sent_at)
-            return True
+            return ""
         if isinstance(found.err_value, ports.HistoryLost):
             self.counters.count("following.history_lost")
             log.info("history lost", prefix=self.prefix, version=version)
             return self._read_all(sent_at)
-        self.counters.count("following.read_failed")
-        return False
+        return found.err_value.reason
 
-    def _read_all(self, sent_at: float) -> bool:
+    def _read_all(self, sent_at: float) -> str:
+        """Read all rows; return why that failed, or an empty text."""
         found = self.rows.read_all(self.prefix)
         if isinstance(found, result.Err):
-            self.counters.count("following.read_failed")
-            return False
+            return found.err_value.reason
         self._pass_on(found.ok_value, True, sent_at)
-        return True
+        return ""
 
     def _pass_on(self, changes: ports.Changes, whole: bool, sent_at: float) -> None:
         self.version = changes.version
--- a/tests/scheduler/steps/following_steps.py
+++ b/tests/scheduler/steps/following_steps.py
@@ -1,3 +1,4 @@
+import logbook
 import result
 from behave import given, then, when
 from tests.support import memory
@@ -43,8 +44,10 @@
 def away(context, gone_at, back_at):
     context.rows.away = (gone_at, back_at)
     context.back_at = back_at
-    while context.clock.now < back_at + 2:
-        context.follower.follow_once()
+    with logbook.TestHandler() as handler:
+        while context.clock.now < back_at + 2:
+            context.follower.follow_once()
+    context.lines = handler.records
 
 
 @then("the store is heard of again within {seconds:g} s of its return")
@@ -56,3 +59,15 @@
 @then("requests wait for changes again")
 def waits_again(context):
     assert context.rows.waits[-1] == context.follower.wait, context.rows.waits
+
+
+@then("one line says that following was interrupted, why, and at which version")
+def interrupted(context):
+    (line,) = [r for r in context.lines if r.message == "following interrupted"]
+    assert (line.kwargs["reason"], line.kwargs["version"]) == ("away", 1), line.kwargs
+
+
+@then("one line says after how many seconds it went on")
+def went_on(context):
+    (line,) = [r for r in context.lines if r.message == "following again"]
+    assert 3.5 <= line.kwargs["seconds"] <= 4.5, line.kwargs
