Show, failing, that a large configuration is never read over a narrow link

What callers see: the state of an accepted job is refused until they give up, and jobs are refused, at every instance whose link needs longer for the configuration than a reading may take.

Three scenarios fail on the code as it is, with a stand-in of the store behind a link of 500 KB a second: the configuration that grows to 4,000 queues (1.5 MB as sent) is not in force after 4 s, nor at an instance that starts with it, and 1 MB of rows in 16 shards is not read by a new leader. A fourth passes: an answer that goes silent in the middle is given up soon, and the reason says how much had come. It holds the mend to that.

--- /dev/null
+++ b/tests/adapter/narrow_links.feature
@@ -0,0 +1,33 @@
+Feature: What takes long to arrive on a narrow link arrives all the same
+
+  Scenario: Callers are answered at an instance whose link is narrow
+    A caller asks for the state of its job, which was accepted, and is refused until it
+    gives up. The configuration grew: to read it took longer than a reading's time limit
+    for the whole answer. It was given up, begun anew and given up again, for ever; the
+    link was full of it, and so the instance never knew that nothing else had changed.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    When the configuration grows to 4000 queues
+    Then the instance goes by it within 4 s
+    And little more than the configuration was read once
+    And the caller is told that its job is queued
+
+  Scenario: An instance that starts with a large configuration reads it
+    Given a store that sends 500 KB a second, with 4000 queues configured
+    When an instance starts to follow the configuration
+    Then the instance goes by it within 4 s
+
+  Scenario: All that a new leader has to know arrives
+    The rows of 16 shards are read at once and share the link. Each answer alone takes
+    longer than a reading's time limit; a new leader tried again for as long as it led.
+    Given a store that sends 500 KB a second, with 1 MB of rows in 16 shards
+    When all of these rows are read
+    Then they have arrived whole
+
+  Scenario: An answer that stops in the middle is given up soon
+    A connection goes silent in the middle of an answer, as one does that a firewall has
+    forgotten. Whoever waits for the rest waits for ever.
+    Given a store that sends 500 KB a second, with 4000 queues configured
+    And its answers go silent after 100 KB
+    When the configuration is read once
+    Then the reading has failed within 2.5 s
+    And the reason says how much of the answer had come
--- /dev/null
+++ b/tests/standins/narrow.py
@@ -0,0 +1,74 @@
+"""The users' platform's store at the far end of a narrow link.
+
+Its answers come in pieces, as fast as the link lets them, and share the link. What the
+receiver has given up is sent no further.
+"""
+
+import json
+import time
+
+import gevent
+
+from tests.standins import metadata
+
+#: Bytes that are put on the link at a time.
+PIECE = 4096
+#: Seconds between looks at whether a followed table has changed.
+FEED_INTERVAL = 0.01
+
+
+class Platform(metadata.Platform):
+    """A store of which `rate` bytes a second can be read."""
+
+    def __init__(self, rate):
+        self.rate = rate
+        #: Bytes that were put on the link, and the time at which it is free again.
+        self.sent = 0
+        self.free_at = 0.0
+        #: Bytes of an answer after which it goes silent; None if none does.
+        self.stall_after = None
+        super().__init__()
+
+    def answer(self, req, resp, **_):
+        super().answer(req, resp)
+        data = resp.text.encode()
+        resp.text = None
+        resp.stream = self.pieces(data)
+        resp.content_length = len(data)
+
+    def pieces(self, data):
+        for first in range(0, len(data), PIECE):
+            if self.stall_after is not None and first >= self.stall_after:
+                gevent.sleep(30)
+            piece = data[first : first + PIECE]
+            self.sent += len(piece)
+            now = time.monotonic()
+            self.free_at = max(self.free_at, now) + len(piece) / self.rate
+            gevent.sleep(self.free_at - now)
+            yield piece
+
+    def feed(self, req):
+        deadline = time.monotonic() + int(req.get_param("wait_ms") or 0) / 1000
+        while True:
+            status, page = super().feed(req)
+            if page["rows"] or time.monotonic() >= deadline:
+                return status, page
+            gevent.sleep(FEED_INTERVAL)
+
+
+def configuration(version, queues, host):
+    """Return the text of a configuration with a number of queues, q0 and so on."""
+    routes = [
+        {
+            "name": f"q{number}",
+            "host": host,
+            "path_prefix": f"/q{number}/",
+            "service": "pool",
+            "timeout_ms": 3000,
+            "stretch": 1.5,
+            "note": "x" * 150,
+        }
+        for number in range(queues)
+    ]
+    services = [{"name": "pool", "admission_check": True}]
+    return json.dumps({"version": version, "routes": routes, "services": services})
