Serve on while a large configuration arrives, for as long as it may be gone by

Callers' jobs were refused for more than a second at most instances at once, each time that the configuration changed: an instance with a narrow link took the store for away and was not ready, as no whole answer had come for 1.5 s.

Cause: only the end of an answer counted as a word from the store. The follower now notes each piece of a successful answer, and the store counts as away 1.5 s after the last one. So that nobody is served by a configuration that is no longer in force, it is gone by for no longer than the platform's own bound after it was surely the newest (read from the settings; it was not, before).

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -16,6 +16,9 @@
 #: Seconds without a word from the store after which it counts as out of reach: a
 #: following request waits 0.5 s; the rest is for a store or an instance that is slow.
 STALE_TERM = 1.5
+#: Seconds within which a change of the configuration must be in force, unless the
+#: platform says otherwise.
+MOST_AGE = 2.0
 
 
 class Catalogs:
@@ -31,6 +34,7 @@
         decode: cabc.Callable[[str], messages.Catalog | None],
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        most_age: float = MOST_AGE,
     ) -> None:
         self.key = key
         self.decode = decode
@@ -38,6 +42,9 @@
         self.counters = counters
         self.present: messages.Catalog | None = None
         self.by_host: dict[str, list[messages.Queue]] = {}
+        #: Seconds for which it may be gone by after it was surely the newest: a change
+        #: must be in force by then.
+        self.most_age = most_age
         #: Elapsed time at which a peer last answered in the place of this instance.
         self.doubted_at: float | None = None
         prefix = key[: key.rindex("/") + 1]
@@ -78,11 +85,18 @@
         return None
 
     def stale(self) -> bool:
-        """Tell whether the store has been silent for longer than it may be."""
-        fresh_at = self.follower.fresh_at
+        """Tell whether the store has been silent for longer than it may be.
+
+        What it sends counts from its first piece on. A large configuration takes
+        seconds to arrive on a narrow link; callers were refused meanwhile for want of a
+        whole answer. It is not waited for beyond the time in which it must be in force.
+        """
+        fresh_at, heard_at = self.follower.fresh_at, self.follower.heard_at
         if fresh_at is None:
             return True
-        return self.clock.elapsed() - fresh_at > STALE_TERM
+        now = self.clock.elapsed()
+        silent_since = max(fresh_at, heard_at or fresh_at)
+        return now - silent_since > STALE_TERM or now - fresh_at > self.most_age
 
     def age(self) -> float | None:
         """Return the seconds since this was surely the newest; None before that."""
--- a/src/mangosail/platform/caller.py
+++ b/src/mangosail/platform/caller.py
@@ -43,6 +43,11 @@
     etag: str = ""
 
 
+#: Called for each piece of a successful answer.
+Heard = cabc.Callable[[], None]
+
+OK = 200
+
 #: Why a call has no answer: `Unavailable` if it certainly was not sent.
 CallError = errors.Unavailable | errors.Uncertain
 
@@ -69,11 +74,12 @@
         headers: cabc.Mapping[str, str] | None = None,
         timeout: float = CALL_TIMEOUT,
         longest: float = ANSWER_TIMEOUT,
+        heard: Heard | None = None,
     ) -> result.Result[Reply, CallError]:
         """Send one request; an Err means that no whole answer came.
 
         Within `timeout` seconds the answer must have begun, and within `longest` it
-        must be whole.
+        must be whole. `heard` is called for each piece of a successful answer.
         """
         client = self.client
         content = bytearray()
@@ -83,7 +89,10 @@
                     response = client.request(method, path, body=body, headers=headers)
                     etag = str(response.get("ETag") or "")
                     content += response.read(PIECE)
-                receive(response, content, min(timeout, PIECE_TIMEOUT))
+                if response.status_code != OK or heard is None:
+                    heard = ignore
+                heard()
+                receive(response, content, min(timeout, PIECE_TIMEOUT), heard)
             return result.Ok(Reply(response.status_code, bytes(content), etag))
         except ConnectionRefusedError as exc:
             self._replace(client)
@@ -128,8 +137,15 @@
         return client
 
 
+def ignore() -> None:
+    """Take no notice of a piece."""
+
+
 def receive(
-    response: http_response.HTTPSocketResponse, content: bytearray, timeout: float
+    response: http_response.HTTPSocketResponse,
+    content: bytearray,
+    timeout: float,
+    heard: Heard,
 ) -> None:
     """Add the rest of an answer to `content`, each piece within `timeout` seconds.
 
@@ -140,6 +156,7 @@
     while not response.message_complete:
         with gevent.Timeout(timeout):
             content += response.read(PIECE)
+        heard()
     # What was received with the last piece; nothing is waited for.
     content += response.read()
 
--- a/src/mangosail/platform/deployment.py
+++ b/src/mangosail/platform/deployment.py
@@ -29,6 +29,8 @@
     grace_s: float = 6
     #: Longest lease of a worker, in milliseconds.
     hold_max_ms: float = 6000
+    #: Milliseconds within which a change of the configuration must be in force.
+    config_apply_ms: float = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -57,7 +57,12 @@
             caller.Caller(address, FEED_CONNECTIONS),
         )
         self.catalog = catalogs.Catalogs(
-            self.store, CONFIG_KEY, decoding.catalog_of, self.clock, self.counters
+            self.store,
+            CONFIG_KEY,
+            decoding.catalog_of,
+            self.clock,
+            self.counters,
+            settings.bounds.config_apply_ms / 1000,
         )
         self.desk = desk.Desk(self.store, self.catalog.stale, self.clock, self.counters)
         rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -76,7 +76,9 @@
         found = self._page(query)
         return found.map(lambda page: [row_of(row) for row in page.rows])
 
-    def read_all(self, prefix: str) -> result.Result[ports.Changes, errors.Unavailable]:
+    def read_all(
+        self, prefix: str, heard: ports.Heard = ports.unheeded
+    ) -> result.Result[ports.Changes, errors.Unavailable]:
         """Return every row under `prefix` and a version to follow changes from.
 
         A prefix without a shard stands for all of them. The version is that of the
@@ -85,18 +87,18 @@
         """
         kind, _, shard = prefix.rstrip("/").partition("/")
         if shard or prefix.endswith("//"):
-            return self._read_shard(kind, shard)
-        return self._read_shards(kind)
+            return self._read_shard(kind, shard, heard)
+        return self._read_shards(kind, heard)
 
     def _read_shards(
-        self, kind: str
+        self, kind: str, heard: ports.Heard
     ) -> result.Result[ports.Changes, errors.Unavailable]:
         """Return the rows of all shards, which are read at the same time."""
         found = self._shards(kind)
         if isinstance(found, result.Err):
             return found
         readers = [
-            gevent.spawn(self._read_shard, kind, shard)
+            gevent.spawn(self._read_shard, kind, shard, heard)
             for shard in found.ok_value.parts
         ]
         gevent.joinall(readers)
@@ -116,13 +118,13 @@
         return decoded(answer, wire.Parts)
 
     def _read_shard(
-        self, kind: str, shard: str
+        self, kind: str, shard: str, heard: ports.Heard
     ) -> result.Result[ports.Changes, errors.Unavailable]:
         query = {"table": kind, "part": shard, "limit": str(PAGE)}
         rows: list[table.Row] = []
         version = None
         while True:
-            found = self._page(query)
+            found = self._page(query, heard)
             if isinstance(found, result.Err):
                 return found
             page = found.ok_value
@@ -133,7 +135,11 @@
             query["from"] = page.rows[-1].key + "\x01"
 
     def changes(
-        self, prefix: str, after: int, wait: float
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+        heard: ports.Heard = ports.unheeded,
     ) -> result.Result[ports.Changes, errors.Unavailable | ports.HistoryLost]:
         """Return what changed under `prefix` after a version, waiting for a change."""
         kind, _, shard = prefix.rstrip("/").partition("/")
@@ -141,7 +147,7 @@
         query = {"table": kind, "after": str(after), "wait_ms": str(int(wait * 1000))}
         path = "/-/rows-feed?" + urllib.parse.urlencode(query)
         caller = self.feeds if wait else self.caller
-        answer = caller.call("GET", path, timeout=wait + READ_TIMEOUT)
+        answer = caller.call("GET", path, timeout=wait + READ_TIMEOUT, heard=heard)
         if isinstance(answer, result.Ok) and answer.ok_value.status == HISTORY_LOST:
             return result.Err(ports.HistoryLost())
         page = decoded(answer, wire.Page)
@@ -183,10 +189,11 @@
         return result.Err(errors.Uncertain(f"status {reply.status}"))
 
     def _page(
-        self, query: dict[str, str]
+        self, query: dict[str, str], heard: ports.Heard | None = None
     ) -> result.Result[wire.Page, errors.Unavailable]:
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
-        return decoded(self.caller.call("GET", path, timeout=READ_TIMEOUT), wire.Page)
+        answer = self.caller.call("GET", path, timeout=READ_TIMEOUT, heard=heard)
+        return decoded(answer, wire.Page)
 
 
 def decoded(
--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -43,6 +43,8 @@
         self.version: int | None = None
         #: Elapsed time at which all that had changed was last known.
         self.fresh_at: float | None = None
+        #: Elapsed time at which a part of an answer last came.
+        self.heard_at: float | None = None
         #: True unless the latest request failed.
         self.reached = True
         #: Elapsed time of the first failure since the latest success.
@@ -68,6 +70,9 @@
         self._note(reason)
         return not reason
 
+    def _heard(self) -> None:
+        self.heard_at = self.clock.elapsed()
+
     def _note(self, reason: str) -> None:
         """Log that the rows are out of reach, or in reach again."""
         now = self.clock.elapsed()
@@ -92,7 +97,7 @@
         version = self.version
         if version is None:
             return self._read_all(sent_at)
-        found = self.rows.changes(self.prefix, version, wait)
+        found = self.rows.changes(self.prefix, version, wait, self._heard)
         if isinstance(found, result.Ok):
             if self.version is not None and self.version > found.ok_value.version:
                 # Another greenlet has read further meanwhile.
@@ -107,7 +112,7 @@
 
     def _read_all(self, sent_at: float) -> str:
         """Read all rows; return why that failed, or an empty text."""
-        found = self.rows.read_all(self.prefix)
+        found = self.rows.read_all(self.prefix, self._heard)
         if isinstance(found, result.Err):
             return found.err_value.reason
         self._pass_on(found.ok_value, True, sent_at)
--- a/src/mangosail/scheduler/ports.py
+++ b/src/mangosail/scheduler/ports.py
@@ -1,5 +1,6 @@
 """What the scheduler needs of the outside: workers to order, rows to follow."""
 
+import collections.abc as cabc
 import dataclasses
 import typing as t
 
@@ -64,13 +65,23 @@
     """The changes asked for are no longer kept: all rows must be read again."""
 
 
+#: Called whenever a part of an answer has come, while the rest is on its way.
+Heard = cabc.Callable[[], None]
+
+
+def unheeded() -> None:
+    """Heed no part of an answer but the whole."""
+
+
 class Rows(table.Table, t.Protocol):
     """A table whose changes can be followed."""
 
-    def read_all(self, prefix: str) -> result.Result[Changes, store_errors.Unavailable]:
+    def read_all(
+        self, prefix: str, heard: Heard = unheeded
+    ) -> result.Result[Changes, store_errors.Unavailable]:
         """Return every row under `prefix` and a version to follow changes from."""
 
     def changes(
-        self, prefix: str, after: int, wait: float
+        self, prefix: str, after: int, wait: float, heard: Heard = unheeded
     ) -> result.Result[Changes, store_errors.Unavailable | HistoryLost]:
         """Return what changed under `prefix` after a version, waiting for a change."""
--- a/tests/adapter/narrow_links.feature
+++ b/tests/adapter/narrow_links.feature
@@ -15,6 +15,23 @@
     And little more than the configuration was read once
     And the caller is told that its job is queued
 
+  Scenario: Jobs are accepted while a large configuration arrives
+    Jobs were refused for more than a second, at most instances at once, each time that
+    the configuration changed. An instance took the store for away, as no whole answer
+    had come from it for 1.5 s, though it had been sending without a pause.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    And a configuration is in force everywhere within 4 s
+    When the configuration grows to 3000 queues
+    Then the instance accepts jobs all the while until it goes by it
+
+  Scenario: A configuration that takes too long to arrive is not waited for
+    The queue of a caller's job may have been taken away. What must be in force within a
+    time can't be judged by a configuration that was surely the newest before that time.
+    Given an instance that reads 100 KB a second from the store, and an accepted job
+    And a configuration is in force everywhere within 2 s
+    When the configuration grows to 3000 queues
+    Then the instance refuses jobs from 2.5 s on until it goes by it
+
   Scenario: An instance that starts with a large configuration reads it
     Given a store that sends 500 KB a second, with 4000 queues configured
     When an instance starts to follow the configuration
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -91,6 +91,58 @@
     context.began_at = time.monotonic()
 
 
+@given("a configuration is in force everywhere within {seconds:g} s")
+def step_force(context, seconds):
+    context.catalog.most_age = seconds
+
+
+def accepts(context):
+    context.asked = getattr(context, "asked", 0) + 1
+    path = f"/q0/{context.asked:016x}"
+    return context.client.simulate_post(path, body=JOB).status_code == 200
+
+
+@then("the instance accepts jobs all the while until it goes by it")
+def step_accepts(context):
+    while context.catalog.version < context.version:
+        assert accepts(context), time.monotonic() - context.began_at
+        gevent.sleep(0.05)
+    # Until the next answer came, the one that took long was the latest.
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        assert accepts(context), time.monotonic() - context.began_at
+        gevent.sleep(0.05)
+
+
+@then("the instance refuses jobs from {seconds:g} s on until it goes by it")
+def step_refuses(context, seconds):
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        assert not accepts(context)
+        gevent.sleep(0.05)
+    assert context.catalog.version < context.version
+
+
+@when("{known:d} callers name a queue that was added, {unknown:d} one that was not")
+def step_name(context, known, unknown):
+    wait_for(lambda: context.platform.sent > 100_000, 1.0)
+    paths = [f"/q7/{number:016x}" for number in range(known)]
+    paths += [f"/nowhere/{number:016x}" for number in range(unknown)]
+    callers = [
+        gevent.spawn(context.client.simulate_post, path, body=JOB) for path in paths
+    ]
+    gevent.joinall(callers, timeout=10)
+    context.statuses = [caller.value.status_code for caller in callers]
+    context.expected = [200] * known + [404] * unknown
+
+
+@then("they are told so once the configuration has arrived")
+def step_told_so(context):
+    assert context.statuses == context.expected, context.statuses
+    assert context.catalog.version == context.version
+
+
 @when("an instance starts to follow the configuration")
 def step_starts(context):
     follow(context)
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -80,13 +80,13 @@
             self.history += [(done.ok_value, write.key) for write in transaction.writes]
         return done
 
-    def read_all(self, prefix):
+    def read_all(self, prefix, heard=ports.unheeded):
         if self.fault == "down":
             return result.Err(store_errors.Unavailable("down"))
         rows = tuple(self.kept.page(prefix, "", 10**6))
         return result.Ok(ports.Changes(rows, (), self.kept.version))
 
-    def changes(self, prefix, after, wait):
+    def changes(self, prefix, after, wait, heard=ports.unheeded):
         if self.fault == "down":
             return result.Err(store_errors.Unavailable("down"))
         if after <= self.forgotten:
--- a/tests/scheduler/steps/following_steps.py
+++ b/tests/scheduler/steps/following_steps.py
@@ -17,10 +17,10 @@
         self.waits = []
         self.answered = []
 
-    def read_all(self, prefix):
+    def read_all(self, prefix, heard):
         return result.Ok(ports.Changes((), (), 1))
 
-    def changes(self, prefix, after, wait):
+    def changes(self, prefix, after, wait, heard):
         self.waits.append(wait)
         gone_at, back_at = self.away
         if gone_at <= self.clock.now < back_at:
