Let callers who name unknown queues share one reading of the configuration

A job for a queue that had just been added was refused for seconds, and the configuration came into force late: whether a queue is new is read at the store, and each such caller made the whole configuration be sent once more while it was arriving. On a narrow link all of these transfers shared it.

Those who ask wait for the answer that is arriving, then share one reading sent after they asked; one that failed meanwhile is not repeated for each. Nobody is kept for longer than 2.5 s of the 3 s that a caller has.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -110,7 +110,7 @@
 
         A path that no queue has may belong to one that was added just now.
         """
-        return self.follower.step(0)
+        return self.follower.refresh()
 
     def _take(self, changes: ports.Changes, whole: bool) -> None:
         for row in changes.rows:
--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -2,6 +2,8 @@
 
 import collections.abc as cabc
 
+import gevent.event
+import gevent.lock
 import logbook
 import result
 
@@ -13,11 +15,40 @@
 
 #: Seconds before a failed reading is tried again.
 RETRY_INTERVAL = 0.2
+#: Seconds that a caller may be kept for rows that are arriving. It has about 3 s, and a
+#: peer may have them.
+REFRESH_TERM = 2.5
 #: Seconds for which one request waits for changes. A connection that went silent
 #: is found by the end of this and the client's own time limit.
 WAIT = 1.0
 
 
+class Arrival:
+    """The answer to one reading of a follower, from its first part to its end."""
+
+    def __init__(self, follower: "Follower") -> None:
+        self.follower = follower
+        self.begun = False
+
+    def heard(self) -> None:
+        """Note that a part has come."""
+        self.follower.heard_at = self.follower.clock.elapsed()
+        if not self.begun:
+            self.begun = True
+            self.follower.arriving += 1
+            self.follower.idle.clear()
+
+    def __enter__(self) -> "Arrival":
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        if not self.begun:
+            return
+        self.follower.arriving -= 1
+        if not self.follower.arriving:
+            self.follower.idle.set()
+
+
 class Follower:
     """Passes the rows under a prefix on, whole at first and then as they change.
 
@@ -45,6 +76,13 @@
         self.fresh_at: float | None = None
         #: Elapsed time at which a part of an answer last came.
         self.heard_at: float | None = None
+        #: Elapsed time at which a reading last failed.
+        self.failed_at = 0.0
+        #: Answers that are arriving now, and whether there are none.
+        self.arriving = 0
+        self.idle = gevent.event.Event()
+        self.idle.set()
+        self.refreshing = gevent.lock.Semaphore()
         #: True unless the latest request failed.
         self.reached = True
         #: Elapsed time of the first failure since the latest success.
@@ -64,19 +102,39 @@
         if not self.step(self.wait if self.reached else 0):
             self.clock.sleep(RETRY_INTERVAL)
 
+    def refresh(self) -> bool:
+        """Read what has changed until now, and tell whether that went well.
+
+        Those who ask while an answer arrives wait for it, and share one reading after
+        it: each made the same rows be sent once more, and on a narrow link all of them
+        came as many times later. A reading that failed meanwhile is not repeated for
+        each, and nobody is kept for longer than `REFRESH_TERM`.
+        """
+        asked_at = self.clock.elapsed()
+        if not self.refreshing.acquire(timeout=REFRESH_TERM):
+            return False
+        try:
+            left = asked_at + REFRESH_TERM - self.clock.elapsed()
+            if not self.idle.wait(max(left, 0.0)) or self.failed_at > asked_at:
+                return False
+            if self.fresh_at is not None and self.fresh_at > asked_at:
+                return True
+            return self.step(0)
+        finally:
+            self.refreshing.release()
+
     def step(self, wait: float) -> bool:
         """Read once, and tell whether that went well."""
-        reason = self._step(wait)
+        with Arrival(self) as arrival:
+            reason = self._step(wait, arrival.heard)
         self._note(reason)
         return not reason
 
-    def _heard(self) -> None:
-        self.heard_at = self.clock.elapsed()
-
     def _note(self, reason: str) -> None:
         """Log that the rows are out of reach, or in reach again."""
         now = self.clock.elapsed()
         if reason:
+            self.failed_at = now
             self.counters.count("following.read_failed")
         if reason and self.reached:
             self.failing_since = now
@@ -91,13 +149,13 @@
             )  # fmt: skip
         self.reached = not reason
 
-    def _step(self, wait: float) -> str:
+    def _step(self, wait: float, heard: ports.Heard) -> str:
         """Read once; return why that failed, or an empty text."""
         sent_at = self.clock.elapsed()
         version = self.version
         if version is None:
-            return self._read_all(sent_at)
-        found = self.rows.changes(self.prefix, version, wait, self._heard)
+            return self._read_all(sent_at, heard)
+        found = self.rows.changes(self.prefix, version, wait, heard)
         if isinstance(found, result.Ok):
             if self.version is not None and self.version > found.ok_value.version:
                 # Another greenlet has read further meanwhile.
@@ -107,12 +165,12 @@
         if isinstance(found.err_value, ports.HistoryLost):
             self.counters.count("following.history_lost")
             log.info("history lost", prefix=self.prefix, version=version)
-            return self._read_all(sent_at)
+            return self._read_all(sent_at, heard)
         return found.err_value.reason
 
-    def _read_all(self, sent_at: float) -> str:
+    def _read_all(self, sent_at: float, heard: ports.Heard) -> str:
         """Read all rows; return why that failed, or an empty text."""
-        found = self.rows.read_all(self.prefix, self._heard)
+        found = self.rows.read_all(self.prefix, heard)
         if isinstance(found, result.Err):
             return found.err_value.reason
         self._pass_on(found.ok_value, True, sent_at)
--- a/tests/adapter/narrow_links.feature
+++ b/tests/adapter/narrow_links.feature
@@ -32,6 +32,16 @@
     When the configuration grows to 3000 queues
     Then the instance refuses jobs from 2.5 s on until it goes by it
 
+  Scenario: Callers who name queues that nobody knows do not slow the configuration down
+    Whether a queue was added just now is read at the store. Each such caller made the
+    configuration be sent once more while it was arriving, and it took as many times as
+    long; a job for a queue that had been added was refused meanwhile.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    When the configuration grows to 3000 queues
+    And 8 callers name a queue that was added, 8 one that was not
+    Then they are told so once the configuration has arrived
+    And little more than the configuration was read once
+
   Scenario: An instance that starts with a large configuration reads it
     Given a store that sends 500 KB a second, with 4000 queues configured
     When an instance starts to follow the configuration
