Ask the next peer after a silent one, but for jobs handed in

What callers saw: who asked for a job's state at an instance without the store was told 504, outcome not known, when the peer it was passed on to stayed silent, though another peer could tell it, and though a question leaves nothing open. So did who cancelled. A peer that answered 502 or 504 itself was taken for one that answers, and went on getting every other caller.

Cause: silence, and nothing but silence, ended the tries, whatever the request was.

Why it holds: a question changes nothing, so after silence the next peer is asked, and the refusal where there is none is true. Cancelling writes the same row whoever does it and how often, so the next peer's answer is true whatever the silent one does yet; without one it stays 504, as the silent one may have written the row. A job handed in stays 504 at once: the next peer may refuse it for good for want of room while the silent one stores it. 502 and 504 from a peer count as silence. A second peer is asked only while its 0.7 s end within 3 s of the request's arrival, so that no caller is kept longer than that: its own store may have been silent for 1.3 s before.

--- a/src/mangosail/intake/relaying.py
+++ b/src/mangosail/intake/relaying.py
@@ -7,6 +7,7 @@
 
 import collections.abc as cabc
 import dataclasses
+import math
 
 import logbook
 import result
@@ -17,8 +18,11 @@
 
 log = logbook.Logger("relaying")
 
-#: Peers that are tried for a request. Each may cost its caller 0.7 s of about 3 s.
+#: Peers that are tried for a request.
 MOST_TRIED = 2
+#: Seconds after which a peer counts as silent. It answers within 0.3 s where its store
+#: is well; the caller has about 3 s.
+ANSWER_TERM = 0.7
 #: Seconds for which only peers that answered lately are asked, after a caller was
 #: passed on in vain: this instance is cut off from all, or the store is away for all.
 #: Each caller who is passed on is kept in vain, and costs a peer a reading of a row.
@@ -40,6 +44,8 @@
     body: bytes
     #: Version of the configuration that a peer must have at least to answer it.
     least_version: int = 0
+    #: Elapsed time at which its caller is gone.
+    deadline: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +73,15 @@
 
 #: Status of an answer that says that the peer can't reach the store either.
 REFUSED = 503
+#: Statuses of answers that say that the peer does not know what came of the request.
+OPEN = frozenset({502, 504})
+#: Methods that change nothing: silence leaves nothing open.
+HARMLESS = frozenset({"GET"})
+#: Methods of requests that the next peer may be given after a silent one. To cancel
+#: writes the same row, whoever does it and how often, so an answer of the next peer is
+#: true whatever the silent one does. What is handed in is not: the next peer may refuse
+#: it for good, as there is no room, and the silent one store it.
+REPEATABLE = HARMLESS | {"DELETE"}
 
 
 class Relay:
@@ -92,37 +107,43 @@
         self.seen_version = 0
 
     def pass_on(self, request: Request) -> Answer | errors.Undecided | None:
-        """Return a peer's answer, or None if no peer took the request.
+        """Return a peer's answer, or None if no peer did what was asked.
 
-        A request without an answer is undecided: the peer may have done it. A peer
+        A change without an answer is undecided: the peer may have made it. A peer
         with an older configuration than callers saw here refuses, so that what is
         in force never goes back for them.
         """
         least = max(self.seen_version, request.least_version)
         request = dataclasses.replace(request, least_version=least)
-        chosen = self._choose()
+        chosen = self._choose(request)
         if not chosen:
             self.counters.count("relaying.paused")
             return None
-        for peer in chosen:
+        silent = False
+        for turn, peer in enumerate(chosen):
+            if turn and self.clock.elapsed() + ANSWER_TERM > request.deadline:
+                break
             done = self._ask(peer, request)
-            if isinstance(done, result.Err):
-                if isinstance(done.err_value, Unanswered):
-                    self._pause(PAUSE_TERM)
-                    return errors.Undecided("peer_silent")
-            elif done.ok_value.status != REFUSED:
+            outcome = outcome_of(done)
+            if isinstance(done, result.Ok) and outcome == standings.Outcome.ANSWERED:
                 self.in_vain = 0
                 self.seen_version = max(least, done.ok_value.version)
                 return done.ok_value
-        self._pause(SHORT_PAUSE if self.in_vain < SHORT_PAUSES else PAUSE_TERM)
+            if outcome == standings.Outcome.UNANSWERED:
+                silent = True
+                if request.method not in REPEATABLE:
+                    break
+        self._pause(silent)
+        if silent and request.method not in HARMLESS:
+            return errors.Undecided("peer_silent")
         return None
 
-    def _choose(self) -> list[peers.Peer]:
+    def _choose(self, request: Request) -> list[peers.Peer]:
         """Return the peers to ask, in turn."""
         known = self.peers.some(len(self.peers.known))
         if self.clock.elapsed() < self.paused_until:
             return self.standings.answering(known)[:MOST_TRIED]
-        return self.standings.order(known, False)[:MOST_TRIED]
+        return self.standings.order(known, request.method in REPEATABLE)[:MOST_TRIED]
 
     def _ask(
         self, peer: peers.Peer, request: Request
@@ -138,7 +159,7 @@
         )  # fmt: skip
         return done
 
-    def _pause(self, seconds: float) -> None:
+    def _pause(self, silent: bool) -> None:
         """Ask only peers that answered lately for a while.
 
         Callers who were on their way when a pause began add nothing to it.
@@ -146,8 +167,9 @@
         now = self.clock.elapsed()
         if now < self.paused_until:
             return
+        short = not silent and self.in_vain < SHORT_PAUSES
         self.in_vain += 1
-        self.paused_until = now + seconds
+        self.paused_until = now + (SHORT_PAUSE if short else PAUSE_TERM)
 
 
 def outcome_of(
@@ -157,6 +179,8 @@
     if isinstance(done, result.Ok):
         if done.ok_value.status == REFUSED:
             return standings.Outcome.REFUSED
+        if done.ok_value.status in OPEN:
+            return standings.Outcome.UNANSWERED
         return standings.Outcome.ANSWERED
     if isinstance(done.err_value, NotSent):
         return standings.Outcome.NOT_SENT
--- a/src/mangosail/intake/standings.py
+++ b/src/mangosail/intake/standings.py
@@ -81,7 +81,7 @@
     ) -> list[peers.Peer]:
         """Return the peers in the order in which a caller is passed on to them.
 
-        `retried` tells whether the caller loses nothing by a peer that is silent.
+        `retried` tells whether the next peer may be asked after a silent one.
         `known` is in random order, which holds among those with nothing to tell apart.
         """
         names = {peer.name for peer in known}
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -23,6 +23,9 @@
 #: Seconds after which a caller should come back to an instance without a catalog.
 COME_BACK = 0.5
 
+#: Seconds after its arrival at which a request's caller is gone.
+CALLER_TERM = 3.0
+
 #: Reasons of refusals that another instance may not have.
 AWAY = frozenset({"store_away", "catalog_stale", "no_catalog"})
 
@@ -58,6 +61,7 @@
 
     def dispatch(self, req: falcon.Request, resp: falcon.Response, **_: t.Any) -> None:
         """Answer a request, by way of a peer if the store is out of reach."""
+        req.context.deadline = self.clock.elapsed() + CALLER_TERM
         self._answer(req, resp)
         if self.relay is None:
             resp.set_header("ETag", f'"{self.catalog.version}"')
@@ -74,7 +78,12 @@
             self._invalid(resp, body.err_value)
             return
         request = relaying.Request(
-            req.method, req.host, req.path, body.ok_value, self.catalog.version
+            req.method,
+            req.host,
+            req.path,
+            body.ok_value,
+            self.catalog.version,
+            req.context.deadline,
         )
         answer = relay.pass_on(request)
         if answer is None:
--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -6,9 +6,6 @@
 from mangosail.platform import caller as http_caller
 from mangosail.platform import errors
 
-#: Seconds after which a peer counts as silent. It answers within 0.3 s where its store
-#: is well; the caller has about 3 s.
-TIMEOUT = 0.7
 #: Connections to one peer at a time.
 CONNECTIONS = 8
 #: Peers whose connections are kept at most.
@@ -34,7 +31,11 @@
             LEAST_VERSION: str(request.least_version),
         }
         answer = self.callers.get(address, address).call(
-            request.method, request.path, request.body, headers, TIMEOUT
+            request.method,
+            request.path,
+            request.body,
+            headers,
+            relaying.ANSWER_TERM,
         )
         if isinstance(answer, result.Ok):
             reply = answer.ok_value
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -150,3 +150,67 @@
     When 400 callers send a POST within 20 seconds
     Then at most 1 callers got the answer 504
     And no caller got the answer 503
+
+  Scenario Outline: A silent peer is no answer to a question
+    # A question changes nothing, so silence leaves nothing open: the next peer answers,
+    # and where it can't, the refusal is true. The caller was told that the outcome is
+    # not known, and nothing about its job.
+    Given an instance that the store refuses and 2 peers, of which 1 are silent
+    When the other peer is <state>
+    And 12 callers send a GET with 7 seconds between them
+    Then each caller got the answer <status>
+    And the silent peer was asked
+
+    Examples:
+      | state  | status |
+      | well   | 200    |
+      | refuse | 503    |
+      | gone   | 503    |
+      | silent | 503    |
+
+  Scenario Outline: A job is cancelled past a silent peer
+    # To cancel writes the same row each time, whoever writes it and how often, so another
+    # peer's answer is true. Where no other has one, the first may have written the row.
+    Given an instance that the store refuses and 2 peers, of which 1 are silent
+    When the other peer is <state>
+    And 12 callers send a DELETE with 7 seconds between them
+    Then a caller for whom the silent peer was asked got the answer <status>
+    And the silent peer was asked
+
+    Examples:
+      | state  | status |
+      | well   | 200    |
+      | refuse | 504    |
+      | gone   | 504    |
+
+  Scenario: A job handed in goes to nobody after a silent peer
+    # The silent peer may yet store it, and another one may refuse it for good meanwhile.
+    Given an instance that the store refuses and 2 peers, of which 1 are silent
+    When 12 callers send a POST with 7 seconds between them
+    Then a caller for whom the silent peer was asked got the answer 504
+    And the silent peer was asked
+
+  Scenario Outline: A peer that answers that it does not know is like a silent one
+    # Its store took the request and said nothing, or it met a fault of its own. It was
+    # taken for one that answers, and callers went on to it.
+    Given an instance that the store refuses and 2 peers, of which 1 are <state>
+    When 40 callers send a <method> within 4 seconds
+    Then at most <open> callers got the answer 504
+    And the last 38 callers got the answer 200
+
+    Examples:
+      | state  | method | open |
+      | open   | POST   | 1    |
+      | faulty | POST   | 1    |
+      | faulty | GET    | 0    |
+      | open   | DELETE | 0    |
+
+  Scenario: A caller whose time has gone is not kept for a second silent peer
+    # The store was silent to this instance for 1.9 s, the first peer for 0.7 s. After
+    # a second one the caller would be gone.
+    Given an instance that the store refuses and 2 peers, of which 2 are silent
+    When the store is silent for 1.9 seconds
+    And a caller asks how many jobs wait
+    Then the caller is refused and told when to come back
+    And the caller was kept for at most 3 seconds
+    And the peer was asked once
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -9,6 +9,7 @@
 from tests.support import memory
 
 from mangosail.intake import catalogs, desk, peers, relaying
+from mangosail.platform import errors as store_errors
 from mangosail.platform import ingress, peering
 from mangosail.scheduler import keys, messages
 from mangosail.telemetry import counters
@@ -246,6 +247,8 @@
     "refuse": result.Ok(relaying.Answer(503, '{"title": "store_away"}')),
     "gone": result.Err(relaying.NotSent()),
     "silent": result.Err(relaying.Unanswered()),
+    "open": result.Ok(relaying.Answer(504, '{"title": "undecided"}')),
+    "faulty": result.Ok(relaying.Answer(502, "")),
 }
 #: Seconds after which a peer counts as silent.
 SILENT_TERM = 0.7
@@ -290,6 +293,57 @@
         context.got.append(answer.status_code)
 
 
+@when("the other peer is {state:w}")
+def step_other_is(context, state):
+    context.state["p1"] = state
+
+
+@when("{count:d} callers send a {method:w} with {seconds:d} seconds between them")
+def step_apart(context, count, method, seconds):
+    context.calls = []
+    for _ in range(count):
+        del context.asked[:]
+        step_callers(context, 1, method, seconds)
+        context.calls.append((tuple(context.asked), context.got[-1]))
+
+
+@then("each caller got the answer {status:d}")
+def step_each(context, status):
+    assert set(context.got) == {status}, context.got
+
+
+@then("the silent peer was asked")
+def step_silent_asked(context):
+    assert any("p0" in asked for asked, _ in context.calls), context.calls
+
+
+@then("a caller for whom the silent peer was asked got the answer {status:d}")
+def step_past_silent(context, status):
+    got = {status for asked, status in context.calls if "p0" in asked}
+    assert got == {status}, context.calls
+
+
+@when("the store is silent for {seconds:g} seconds")
+def step_store_silent(context, seconds):
+    context.began_at = context.clock.now
+
+    def read(wanted):
+        context.clock.now += seconds
+        return result.Err(store_errors.Unavailable("silent"))
+
+    context.instance.rows.read = read
+
+
+@when("a caller asks how many jobs wait")
+def step_pending(context):
+    context.answer = context.instance.ask("GET", "/q/")
+
+
+@then("the caller was kept for at most {seconds:g} seconds")
+def step_kept(context, seconds):
+    assert context.clock.now - context.began_at <= seconds, context.clock.now
+
+
 @when("the peers recover")
 def step_recover(context):
     context.state = dict.fromkeys(context.state, "well")
