Take a peer's refusal for want of room as its answer

What callers saw: who handed a continuous job in at an instance without the store, where no room is left for such jobs, was told that the store is away and to come back in 0.3 s (1 s as HTTP tells it), in place of the 2 s after which there may be room. All other callers of that instance were refused for a while after it.

Cause: each 503 of a peer was taken for that of one that lacks the store too, so a peer that is well was remembered as one that refuses, a second peer was asked the same, and callers were held off.

Why it holds: a refusal carries its reason, and the reasons that another instance may not have were already told apart for the own refusals. Only these, and a 503 that can't be read, count as refused; the others are the answer, passed on with the time to come back.

Measured: the scenario gives store_away before, no_room_for_continuous and 2 s after; the next caller is answered.

--- a/src/mangosail/intake/errors.py
+++ b/src/mangosail/intake/errors.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+#: Reasons of refusals that another instance may not have.
+AWAY = frozenset({"store_away", "catalog_stale", "no_catalog"})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
--- a/src/mangosail/intake/relaying.py
+++ b/src/mangosail/intake/relaying.py
@@ -56,6 +56,8 @@
     text: str
     #: Version of the configuration by which the peer answered.
     version: int = 0
+    #: What a refusal says, if it could be read.
+    refusal: errors.Refused | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +73,7 @@
 #: Sends a request to the address of a peer, and waits for its answer.
 Send = cabc.Callable[[str, Request], result.Result[Answer, NotSent | Unanswered]]
 
-#: Status of an answer that says that the peer can't reach the store either.
+#: Status of refusals.
 REFUSED = 503
 #: Statuses of answers that say that the peer does not know what came of the request.
 OPEN = frozenset({502, 504})
@@ -177,11 +179,15 @@
 ) -> standings.Outcome:
     """Return what an attempt says of the peer."""
     if isinstance(done, result.Ok):
-        if done.ok_value.status == REFUSED:
-            return standings.Outcome.REFUSED
-        if done.ok_value.status in OPEN:
+        answer = done.ok_value
+        if answer.status in OPEN:
             return standings.Outcome.UNANSWERED
-        return standings.Outcome.ANSWERED
+        if answer.status != REFUSED:
+            return standings.Outcome.ANSWERED
+        # For want of room any instance refuses: the peer is well, and has answered.
+        if answer.refusal is not None and answer.refusal.reason not in errors.AWAY:
+            return standings.Outcome.ANSWERED
+        return standings.Outcome.REFUSED
     if isinstance(done.err_value, NotSent):
         return standings.Outcome.NOT_SENT
     return standings.Outcome.UNANSWERED
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -26,9 +26,6 @@
 #: Seconds after its arrival at which a request's caller is gone.
 CALLER_TERM = 3.0
 
-#: Reasons of refusals that another instance may not have.
-AWAY = frozenset({"store_away", "catalog_stale", "no_catalog"})
-
 #: Answers a request about a job of a queue, whose id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
 
@@ -99,6 +96,8 @@
             return
         resp.status = answer.status
         resp.text = answer.text
+        if answer.refusal is not None:
+            headers.come_back(resp, answer.refusal.retry_after)
 
     def _answer(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Find the queue that a request is about, and answer it."""
@@ -230,7 +229,7 @@
         """Say that nothing was done, and when to come back."""
         self.counters.count(f"ingress.refused.{reason}")
         resp.context.reason = reason
-        resp.context.away = reason in AWAY
+        resp.context.away = reason in errors.AWAY
         resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
         resp.text = codec.to_json({"title": reason, "retry_after": retry_after})
         headers.come_back(resp, retry_after)
--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -1,7 +1,11 @@
 """Requests passed on between instances, over HTTP on a port of their own."""
 
+import dataclasses
+
 import result
 
+from mangosail import codec
+from mangosail.intake import errors as intake_errors
 from mangosail.intake import relaying
 from mangosail.platform import caller as http_caller
 from mangosail.platform import errors
@@ -15,6 +19,14 @@
 LEAST_VERSION = "Mangosail-Least-Version"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """The content of a refusal."""
+
+    title: str
+    retry_after: float
+
+
 class HttpPeers:
     """Sends requests to peers; its `send` is a `relaying.Send`."""
 
@@ -38,16 +50,28 @@
             relaying.ANSWER_TERM,
         )
         if isinstance(answer, result.Ok):
-            reply = answer.ok_value
-            version = version_of(reply.etag)
-            return result.Ok(
-                relaying.Answer(reply.status, reply.body.decode(), version)
-            )
+            return result.Ok(answer_of(answer.ok_value))
         if isinstance(answer.err_value, errors.Unavailable):
             return result.Err(relaying.NotSent())
         return result.Err(relaying.Unanswered())
 
 
+def answer_of(reply: http_caller.Reply) -> relaying.Answer:
+    """Return what a peer replied."""
+    text = reply.body.decode(errors="replace")
+    refusal = refusal_of(text) if reply.status == relaying.REFUSED else None
+    return relaying.Answer(reply.status, text, version_of(reply.etag), refusal)
+
+
+def refusal_of(text: str) -> intake_errors.Refused | None:
+    """Return what the text of a refusal says; None if it can't be read."""
+    try:
+        refusal = codec.from_json(text, Refusal)
+    except codec.DecodeError:
+        return None
+    return intake_errors.Refused(refusal.title, refusal.retry_after)
+
+
 def version_of(text: str | None) -> int:
     """Return a version in a header; 0 if there is none."""
     digits = (text or "").strip('"')
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -214,3 +214,15 @@
     Then the caller is refused and told when to come back
     And the caller was kept for at most 3 seconds
     And the peer was asked once
+
+  Scenario: A peer's refusal for want of room is an answer
+    # No other instance has more room. The peer's refusal was taken for that of one
+    # without the store: the caller was told to come back at once, another peer was asked
+    # the same, and all other callers were refused for a second.
+    Given an instance that the store refuses and a peer that it serves
+    And there is no room for continuous jobs
+    When a caller hands a continuous job in
+    Then the caller is refused for "no_room_for_continuous" and comes back after 2 seconds
+    When another caller hands a job in
+    Then the caller gets the answer 200
+    And the peer was asked twice
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -9,15 +9,17 @@
 from tests.support import memory
 
 from mangosail.intake import catalogs, desk, peers, relaying
+from mangosail.platform import caller, ingress, peering
 from mangosail.platform import errors as store_errors
-from mangosail.platform import ingress, peering
-from mangosail.scheduler import keys, messages
+from mangosail.scheduler import journal, keys, messages
 from mangosail.telemetry import counters
 
 HOST, PATH = "jobs.example", "/q/00000000000000aa"
 OTHER_PATH = "/q/00000000000000bb"
 CONFIG = "op//config"
 BODY = json.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 1000}]})
+CONTINUOUS_STEP = {"count": 1, "cpu": 1000, "long_running": True}
+CONTINUOUS_BODY = json.dumps({"spec": "text", "steps": [CONTINUOUS_STEP]})
 
 
 class Instance:
@@ -65,8 +67,8 @@
         answer = context.peer.ask(
             request.method, request.path, request.body, {"Host": HOST, **least}
         )
-        version = peering.version_of(answer.headers["ETag"])
-        return result.Ok(relaying.Answer(answer.status_code, answer.text, version))
+        reply = caller.Reply(answer.status_code, answer.content, answer.headers["ETag"])
+        return result.Ok(peering.answer_of(reply))
 
     tally = counters.StatsdCounters(None, 0)
     first = peers.Peer("a", "a:1")
@@ -144,6 +146,24 @@
     context.answer = context.instance.ask("POST", PATH, BODY)
 
 
+@given("there is no room for continuous jobs")
+def step_no_room(context):
+    lease = journal.Lease("a", "1", 1, continuous_bound=0.0)
+    context.peer.rows.put(keys.LEASE, lease)
+
+
+@when("a caller hands a continuous job in")
+def step_continuous(context):
+    context.answer = context.instance.ask("POST", PATH, CONTINUOUS_BODY)
+
+
+@then('the caller is refused for "{reason}" and comes back after {seconds:d} seconds')
+def step_refused_for(context, reason, seconds):
+    step_refused(context)
+    assert context.answer.json["title"] == reason, context.answer
+    assert context.answer.headers["Retry-After"] == str(seconds), context.answer
+
+
 @when("another caller hands a job in")
 def step_other(context):
     context.answer = context.instance.ask("POST", OTHER_PATH, BODY)
