Doubt the configuration only after an answer by a newer one

What callers saw: an instance that had passed one caller on, for a moment without its store, passed all later ones on for as long as they came. They were answered by peers, or refused where peers were in the same state: in doubt an instance refuses its peers too (`catalog_stale`), so instances could keep each other there.

Cause: each answer of a peer put the configuration in doubt until a reading that was sent after it. A reading waits for changes for 0.5 s; with more than two callers a second there was always a later answer, and no reading was ever late enough.

Ruled out: no doubt at all (a caller could see a queue go that a peer had shown it, by the scenario that is kept); a reading at once for each caller (it costs the store a reading for each, when it can bear them least).

Why it holds: a peer's answer names the version it was given by. If this instance has that version or a newer one when it passes the answer on, its own answers take nothing back. An answer by a newer version, by none, or silence puts it in doubt as before, and the first reading after that brings the version.

--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -89,7 +89,8 @@
                 version=self.catalog.version, age=self.catalog.age(),
             )  # fmt: skip
             return
-        self.catalog.doubt()
+        if self._behind(answer):
+            self.catalog.doubt()
         resp.delete_header("Retry-After")
         if isinstance(answer, errors.Undecided):
             self._failed(resp, answer)
@@ -99,6 +100,17 @@
         if answer.refusal is not None:
             headers.come_back(resp, answer.refusal.retry_after)
 
+    def _behind(self, answer: relaying.Answer | errors.Undecided) -> bool:
+        """Tell whether a peer may have answered by a newer configuration.
+
+        In doubt after each peer's answer, an instance would pass callers on for ever
+        although its store is back: they come more often than it can read anew. By the
+        peer's version or a newer one, nothing that the peer said is taken back.
+        """
+        if isinstance(answer, errors.Undecided) or not answer.version:
+            return True
+        return answer.version > self.catalog.version
+
     def _answer(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Find the queue that a request is about, and answer it."""
         if self.catalog.current() is None:
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -226,3 +226,25 @@
     When another caller hands a job in
     Then the caller gets the answer 200
     And the peer was asked twice
+
+  Scenario: An instance whose store is back answers its callers itself
+    # Each caller who was passed on made the instance doubt its configuration until it was
+    # read anew, and a reading takes half a second: with 20 callers a second it was in
+    # doubt for ever, and passed all of them on although its store was well.
+    Given an instance that the store refuses and 5 peers, of which 0 refuse
+    When 20 callers send a GET within 1 seconds
+    And the store serves the instance again
+    And the instance follows for 5 seconds, while 20 callers a second send a GET
+    Then none of the last 60 callers was passed on
+
+  Scenario: An instance with an older configuration than a peer's passes callers on
+    # Peers answered by a newer configuration. Until this instance has read it, callers are
+    # passed on though its store is well; then it answers them itself.
+    Given an instance that the store refuses and 5 peers, of which 5 are newer
+    When 20 callers send a GET within 1 seconds
+    And the store serves the instance again
+    And 20 callers send a GET within 1 seconds
+    Then the last 40 callers got the answer 200
+    When the store tells of the newer configuration
+    And the instance follows for 5 seconds, while 20 callers a second send a GET
+    Then none of the last 60 callers was passed on
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -129,6 +129,11 @@
     context.instance.rows.fault = ""
 
 
+@when("the store tells of the newer configuration")
+def step_told(context):
+    context.instance.rows.put(CONFIG, "newer")
+
+
 @when("the instance has read the newer configuration")
 def step_has_read(context):
     context.clock.now += 1
@@ -263,7 +268,8 @@
 
 #: What peers answer, by how they are.
 ANSWERS = {
-    "well": result.Ok(relaying.Answer(200, "{}")),
+    "well": result.Ok(relaying.Answer(200, "{}", version=1)),
+    "newer": result.Ok(relaying.Answer(200, "{}", version=2)),
     "refuse": result.Ok(relaying.Answer(503, '{"title": "store_away"}')),
     "gone": result.Err(relaying.NotSent()),
     "silent": result.Err(relaying.Unanswered()),
@@ -313,6 +319,36 @@
         context.got.append(answer.status_code)
 
 
+@when(
+    "the instance follows for {seconds:d} seconds, "
+    "while {rate:d} callers a second send a GET"
+)
+def step_follows(context, seconds, rate):
+    follower = context.instance.catalogs.follower
+    changes = follower.rows.changes
+    context.passed_on = []
+
+    def wait_for_changes(prefix, after, wait):
+        for _ in range(round(wait * rate)):
+            before = len(context.asked)
+            step_callers(context, 1, "GET", 1 / rate)
+            context.passed_on.append(len(context.asked) > before)
+        return changes(prefix, after, wait)
+
+    assert follower.step(0)
+    follower.rows.changes = wait_for_changes
+    began_at = context.clock.now
+    while context.clock.now < began_at + seconds:
+        assert follower.step(follower.wait)
+    follower.rows.changes = changes
+
+
+@then("none of the last {count:d} callers was passed on")
+def step_not_passed_on(context, count):
+    assert len(context.passed_on) >= count
+    assert not any(context.passed_on[-count:]), sum(context.passed_on)
+
+
 @when("the other peer is {state:w}")
 def step_other_is(context, state):
     context.state["p1"] = state
