--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -1,3 +1,4 @@
+import collections
 import json
 import random
 
@@ -8,14 +9,17 @@
 from tests.support import memory
 
 from mangosail.intake import catalogs, desk, peers, relaying
-from mangosail.platform import ingress, peering
-from mangosail.scheduler import keys, messages
+from mangosail.platform import caller, ingress, peering
+from mangosail.platform import errors as store_errors
+from mangosail.scheduler import journal, keys, messages
 from mangosail.telemetry import counters
 
 HOST, PATH = "jobs.example", "/q/00000000000000aa"
 OTHER_PATH = "/q/00000000000000bb"
 CONFIG = "op//config"
 BODY = json.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 1000}]})
+CONTINUOUS_STEP = {"count": 1, "cpu": 1000, "long_running": True}
+CONTINUOUS_BODY = json.dumps({"spec": "text", "steps": [CONTINUOUS_STEP]})
 
 
 class Instance:
@@ -30,6 +34,7 @@
         )
         self.catalogs._use(catalog or catalog_of(1, "/q/"))
         jobs = desk.Desk(self.rows, lambda: False, clock, tally)
+        self.relay = relay
         self.app = ingress.Ingress(self.catalogs, jobs, clock, tally, relay).app
         self.client = falcon.testing.TestClient(self.app, headers={"Host": HOST})
 
@@ -62,8 +67,8 @@
         answer = context.peer.ask(
             request.method, request.path, request.body, {"Host": HOST, **least}
         )
-        version = peering.version_of(answer.headers["ETag"])
-        return result.Ok(relaying.Answer(answer.status_code, answer.text, version))
+        reply = caller.Reply(answer.status_code, answer.content, answer.headers["ETag"])
+        return result.Ok(peering.answer_of(reply))
 
     tally = counters.StatsdCounters(None, 0)
     first = peers.Peer("a", "a:1")
@@ -124,6 +129,11 @@
     context.instance.rows.fault = ""
 
 
+@when("the store tells of the newer configuration")
+def step_told(context):
+    context.instance.rows.put(CONFIG, "newer")
+
+
 @when("the instance has read the newer configuration")
 def step_has_read(context):
     context.clock.now += 1
@@ -141,6 +151,24 @@
     context.answer = context.instance.ask("POST", PATH, BODY)
 
 
+@given("there is no room for continuous jobs")
+def step_no_room(context):
+    lease = journal.Lease("a", "1", 1, continuous_bound=0.0)
+    context.peer.rows.put(keys.LEASE, lease)
+
+
+@when("a caller hands a continuous job in")
+def step_continuous(context):
+    context.answer = context.instance.ask("POST", PATH, CONTINUOUS_BODY)
+
+
+@then('the caller is refused for "{reason}" and comes back after {seconds:d} seconds')
+def step_refused_for(context, reason, seconds):
+    step_refused(context)
+    assert context.answer.json["title"] == reason, context.answer
+    assert context.answer.headers["Retry-After"] == str(seconds), context.answer
+
+
 @when("another caller hands a job in")
 def step_other(context):
     context.answer = context.instance.ask("POST", OTHER_PATH, BODY)
@@ -238,6 +266,195 @@
     context.answer = context.instance.ask("POST", PATH, "x" * count)
 
 
+#: What peers answer, by how they are.
+ANSWERS = {
+    "well": result.Ok(relaying.Answer(200, "{}", version=1)),
+    "newer": result.Ok(relaying.Answer(200, "{}", version=2)),
+    "refuse": result.Ok(relaying.Answer(503, '{"title": "store_away"}')),
+    "gone": result.Err(relaying.NotSent()),
+    "silent": result.Err(relaying.Unanswered()),
+    "open": result.Ok(relaying.Answer(504, '{"title": "undecided"}')),
+    "faulty": result.Ok(relaying.Answer(502, "")),
+}
+#: Seconds after which a peer counts as silent.
+SILENT_TERM = 0.7
+
+
+@given(
+    "an instance that the store refuses and {count:d} peers, of which {bad:d} {verb:w}"
+)
+@given(
+    "an instance that the store refuses and {count:d} peers, "
+    "of which {bad:d} are {verb:w}"
+)
+def step_many(context, count, bad, verb):
+    names = [f"p{number}" for number in range(count)]
+    context.state = {
+        name: verb if number < bad else "well" for number, name in enumerate(names)
+    }
+    context.got = []
+    context.served = collections.Counter()
+
+    def pass_on(address, request):
+        state = context.state[address]
+        context.asked.append(address)
+        context.served[address] += state == "well"
+        if state == "silent":
+            context.clock.now += SILENT_TERM
+        return ANSWERS[state]
+
+    two(context, "")
+    relay = context.instance.relay
+    relay.send = pass_on
+    relay.peers.known = tuple(peers.Peer(name, name) for name in names)
+
+
+@when("{count:d} callers send a {method:w} within {seconds:d} seconds")
+def step_callers(context, count, method, seconds):
+    body = BODY if method == "POST" else None
+    for number in range(count):
+        context.clock.now += seconds / count
+        answer = context.instance.ask(method, f"/q/{number:016x}", body)
+        assert ("Retry-After" in answer.headers) == (answer.status_code == 503)
+        context.got.append(answer.status_code)
+
+
+@when(
+    "the instance follows for {seconds:d} seconds, "
+    "while {rate:d} callers a second send a GET"
+)
+def step_follows(context, seconds, rate):
+    follower = context.instance.catalogs.follower
+    changes = follower.rows.changes
+    context.passed_on = []
+
+    def wait_for_changes(prefix, after, wait, heard):
+        for _ in range(round(wait * rate)):
+            before = len(context.asked)
+            step_callers(context, 1, "GET", 1 / rate)
+            context.passed_on.append(len(context.asked) > before)
+        return changes(prefix, after, wait, heard)
+
+    assert follower.step(0)
+    follower.rows.changes = wait_for_changes
+    began_at = context.clock.now
+    while context.clock.now < began_at + seconds:
+        assert follower.step(follower.wait)
+    follower.rows.changes = changes
+
+
+@then("none of the last {count:d} callers was passed on")
+def step_not_passed_on(context, count):
+    assert len(context.passed_on) >= count
+    assert not any(context.passed_on[-count:]), sum(context.passed_on)
+
+
+@when("the other peer is {state:w}")
+def step_other_is(context, state):
+    context.state["p1"] = state
+
+
+@when("{count:d} callers send a {method:w} with {seconds:d} seconds between them")
+def step_apart(context, count, method, seconds):
+    context.calls = []
+    for _ in range(count):
+        del context.asked[:]
+        step_callers(context, 1, method, seconds)
+        context.calls.append((tuple(context.asked), context.got[-1]))
+
+
+@then("each caller got the answer {status:d}")
+def step_each(context, status):
+    assert set(context.got) == {status}, context.got
+
+
+@then("the silent peer was asked")
+def step_silent_asked(context):
+    assert any("p0" in asked for asked, _ in context.calls), context.calls
+
+
+@then("a caller for whom the silent peer was asked got the answer {status:d}")
+def step_past_silent(context, status):
+    got = {status for asked, status in context.calls if "p0" in asked}
+    assert got == {status}, context.calls
+
+
+@when("the store is silent for {seconds:g} seconds")
+def step_store_silent(context, seconds):
+    context.began_at = context.clock.now
+
+    def read(wanted):
+        context.clock.now += seconds
+        return result.Err(store_errors.Unavailable("silent"))
+
+    context.instance.rows.read = read
+
+
+@when("a caller asks how many jobs wait")
+def step_pending(context):
+    context.answer = context.instance.ask("GET", "/q/")
+
+
+@then("the caller was kept for at most {seconds:g} seconds")
+def step_kept(context, seconds):
+    assert context.clock.now - context.began_at <= seconds, context.clock.now
+
+
+@when("the peers recover")
+def step_recover(context):
+    context.state = dict.fromkeys(context.state, "well")
+
+
+@when("the peers change places")
+def step_swap(context):
+    swapped = {"well": "refuse", "refuse": "well"}
+    context.state = {name: swapped[state] for name, state in context.state.items()}
+
+
+@when("the rows of all peers but {count:d} go")
+def step_rows_go(context, count):
+    known = context.instance.relay.peers
+    known.known = known.known[-count:]
+
+
+@then("no more than {count:d} peers are remembered")
+def step_remembered(context, count):
+    assert len(context.instance.relay.standings.kept) <= count
+
+
+@then("at least {count:d} callers got the answer {status:d}")
+def step_at_least(context, count, status):
+    assert context.got.count(status) >= count, collections.Counter(context.got)
+
+
+@then("at most {count:d} callers got the answer {status:d}")
+def step_at_most(context, count, status):
+    assert context.got.count(status) <= count, collections.Counter(context.got)
+
+
+@then("no caller got the answer {status:d}")
+def step_nobody(context, status):
+    assert status not in context.got, collections.Counter(context.got)
+
+
+@then("the last {count:d} callers got the answer {status:d}")
+def step_last(context, count, status):
+    last = context.got[-count:]
+    assert last == [status] * count, (collections.Counter(last), context.got)
+
+
+@then("each peer that it serves answered at least {count:d} callers")
+def step_shared(context, count):
+    well = [name for name, state in context.state.items() if state == "well"]
+    counts = {name: context.served[name] for name in well}
+    assert min(counts.values()) >= count, counts
+
+
+@then("peers were asked at most {count:d} times")
+def step_bounded(context, count):
+    assert len(context.asked) <= count, len(context.asked)
+
+
 @then("no peer was asked")
 def step_none_asked(context):
     assert not context.asked, context.asked
