--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -23,8 +23,8 @@
 #: Seconds after which a caller should come back to an instance without a catalog.
 COME_BACK = 0.5
 
-#: Reasons of refusals that another instance may not have.
-AWAY = frozenset({"store_away", "catalog_stale", "no_catalog"})
+#: Seconds after its arrival at which a request's caller is gone.
+CALLER_TERM = 3.0
 
 #: Answers a request about a job of a queue, whose id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
@@ -58,6 +58,7 @@
 
     def dispatch(self, req: falcon.Request, resp: falcon.Response, **_: t.Any) -> None:
         """Answer a request, by way of a peer if the store is out of reach."""
+        req.context.deadline = self.clock.elapsed() + CALLER_TERM
         self._answer(req, resp)
         if self.relay is None:
             resp.set_header("ETag", f'"{self.catalog.version}"')
@@ -74,7 +75,12 @@
             self._invalid(resp, body.err_value)
             return
         request = relaying.Request(
-            req.method, req.host, req.path, body.ok_value, self.catalog.version
+            req.method,
+            req.host,
+            req.path,
+            body.ok_value,
+            self.catalog.version,
+            req.context.deadline,
         )
         answer = relay.pass_on(request)
         if answer is None:
@@ -83,13 +89,27 @@
                 version=self.catalog.version, age=self.catalog.age(),
             )  # fmt: skip
             return
-        self.catalog.doubt()
+        if self._behind(answer):
+            self.catalog.doubt()
         resp.delete_header("Retry-After")
         if isinstance(answer, errors.Undecided):
             self._failed(resp, answer)
             return
         resp.status = answer.status
         resp.text = answer.text
+        if answer.refusal is not None:
+            headers.come_back(resp, answer.refusal.retry_after)
+
+    def _behind(self, answer: relaying.Answer | errors.Undecided) -> bool:
+        """Tell whether a peer may have answered by a newer configuration.
+
+        In doubt after each peer's answer, an instance would pass callers on for ever
+        although its store is back: they come more often than it can read anew. By the
+        peer's version or a newer one, nothing that the peer said is taken back.
+        """
+        if isinstance(answer, errors.Undecided) or not answer.version:
+            return True
+        return answer.version > self.catalog.version
 
     def _answer(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Find the queue that a request is about, and answer it."""
@@ -221,7 +241,7 @@
         """Say that nothing was done, and when to come back."""
         self.counters.count(f"ingress.refused.{reason}")
         resp.context.reason = reason
-        resp.context.away = reason in AWAY
+        resp.context.away = reason in errors.AWAY
         resp.status = falcon.HTTP_SERVICE_UNAVAILABLE
         resp.text = codec.to_json({"title": reason, "retry_after": retry_after})
         headers.come_back(resp, retry_after)
