Pass no further callers on to a peer whose first answer is awaited

What callers saw: who handed a job in at an instance without the store was told 504, outcome not known, one after the other for 0.7 s, while it was found out that a peer is silent, though other peers answered.

Cause: to spread callers an unknown peer is tried before one that answers, and a peer that was asked and has not answered yet counts as unknown.

Why it holds: a peer that was asked within 1 s and of which nothing is known is not tried first; a try ends within 0.7 s, and what came of it is known from then on. It is still asked where no peer answers.

Measured: tests/intake/relaying.feature, a silent peer asked 2 times before, once after.

--- a/src/mangosail/intake/standings.py
+++ b/src/mangosail/intake/standings.py
@@ -17,6 +17,9 @@
 #: Seconds between two requests to a peer that answers, below which a further one is
 #: looked for: 5 callers a second here. Several instances may have turned to it.
 BUSY_TERM = 0.2
+#: Seconds after which a peer that was asked has answered or counts as silent: more than
+#: a try may take.
+TRY_TERM = 1.0
 
 
 class Outcome(enum.StrEnum):
@@ -99,10 +102,14 @@
         """Put one that may answer first; the next one is known to.
 
         Else the first one to answer would get all callers. Hand-ins look at none that
-        was silent: their callers would be told nothing certain, again and again.
+        was silent: their callers would be told nothing certain, again and again. Nobody
+        looks at one whose first answer is awaited: if it is silent, all callers of that
+        time would find out.
         """
+        latest = self.clock.elapsed() - TRY_TERM
         for index, peer in enumerate(found):
-            if UNKNOWN <= self._place(peer) <= last:
+            place, asked_at = self._place(peer), self._asked_at(peer)
+            if UNKNOWN <= place <= last and asked_at <= latest:
                 found.insert(0, found.pop(index))
                 return
 
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -151,6 +151,15 @@
     Then at most 1 callers got the answer 504
     And no caller got the answer 503
 
+  Scenario: Callers who come while a peer's answer is awaited are kept from that peer
+    # Whether it is silent shows after 0.7 s. All who handed a job in meanwhile would be
+    # passed on to it too, and be told nothing certain.
+    Given an instance that the store refuses and 5 peers, of which 1 are silent
+    When 40 callers a second come while a silent peer is asked
+    And 100 callers send a POST within 5 seconds
+    Then the silent peer was asked once
+    And at most 1 callers got the answer 504
+
   Scenario Outline: A silent peer is no answer to a question
     # A question changes nothing, so silence leaves nothing open: the next peer answers,
     # and where it can't, the refusal is true. The caller was told that the outcome is
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -300,15 +300,36 @@
         context.asked.append(address)
         context.served[address] += state == "well"
         if state == "silent":
-            context.clock.now += SILENT_TERM
+            wait_silent(context)
         return ANSWERS[state]
 
     two(context, "")
+    context.meanwhile = 0
     relay = context.instance.relay
     relay.send = pass_on
     relay.peers.known = tuple(peers.Peer(name, name) for name in names)
 
 
+def wait_silent(context):
+    """Let the time of a silent peer pass, in which other callers come."""
+    until = context.clock.now + SILENT_TERM
+    count, context.meanwhile = context.meanwhile, 0
+    if count:
+        step_callers(context, count, "POST", SILENT_TERM)
+    context.clock.now = max(context.clock.now, until)
+
+
+@when("{rate:d} callers a second come while a silent peer is asked")
+def step_meanwhile(context, rate):
+    context.meanwhile = round(rate * SILENT_TERM)
+
+
+@then("the silent peer was asked once")
+def step_asked_once(context):
+    assert context.meanwhile == 0, "nobody came while it was asked"
+    assert context.asked.count("p0") == 1, context.asked.count("p0")
+
+
 @when("{count:d} callers send a {method:w} within {seconds:d} seconds")
 def step_callers(context, count, method, seconds):
     body = BODY if method == "POST" else None
