Bound the leader's transactions by bytes, so that they fit narrow links

Callers saw jobs start late or never, and states that stood still, for as long as a leader with a narrow link led. All that had changed, up to 80 records, went into one transaction. One that takes the link longer than the 1.3 s a write may take never takes effect, and one of more than 1 MB is refused by the store.

A row that is larger goes alone. The rows of a renewal count too.

Ruled out: sweeping. Its writes are of 4 bytes or drop rows; 80 take less than 10 KB.

The stand-in of the store refuses what the platform's pages say it refuses: more than 100 entries, more than 1 MB, a value of more than 65,536 characters.

--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -11,6 +11,7 @@
 
 import collections.abc as cabc
 import dataclasses
+import typing as t
 
 import gevent
 import gevent.event
@@ -28,6 +29,9 @@
 
 #: Rows that one transaction writes at most; the platform takes 100 entries.
 MOST_ROWS = 80
+#: Bytes of rows that one transaction writes, unless one row alone takes more: 75 KB on
+#: the wire, which a link of 5 Mbit/s carries in half of `commits.ANSWER_TERM`.
+MOST_BYTES = 50_000
 #: Seconds between renewals of the lease; a third of what standbys wait.
 RENEWAL_INTERVAL = 0.3
 #: Renewals of the lease between writes of what is kept now and again.
@@ -137,9 +141,8 @@
     def write(self) -> None:
         """Write what waits in one transaction, however often it must be sent."""
         self.wanted.clear()
-        batch = self._take()
-        callbacks = self._due(len(batch))
-        transaction = self._transaction(batch)
+        transaction, jobs = self._next()
+        callbacks = self._due(jobs)
         version = self._commit(transaction)
         held = self.held
         wrote_lease = any(write.key == keys.LEASE for write in transaction.writes)
@@ -166,9 +169,22 @@
         self.releasing = True
         self.wanted.set()
 
-    def _take(self) -> list[progress.JobProgress]:
-        names = list(self.changed)[:MOST_ROWS]
-        return [self.changed.pop(name) for name in names]
+    def _take(self, most: int) -> list[table.Write]:
+        """Return the writes of the jobs that wait longest, of `most` bytes together.
+
+        One that takes more goes alone. When only rows were counted, a transaction took
+        narrow links longer than a write may take. It was sent again for ever, nothing
+        that had changed was kept, and the lease ran out. What is left goes next.
+        """
+        writes: list[table.Write] = []
+        for job in list(self.changed.values())[:MOST_ROWS]:
+            write = write_of(job)
+            most -= size_of(write)
+            if writes and most < 0:
+                break
+            writes.append(write)
+            del self.changed[job.job.job_id]
+        return writes
 
     def _due(self, written: int) -> list[cabc.Callable[[], None]]:
         """Return what waits for no more than the next `written` jobs.
@@ -185,30 +201,41 @@
         ]
         return due
 
-    def _transaction(self, batch: list[progress.JobProgress]) -> table.Transaction:
+    def _next(self) -> tuple[table.Transaction, int]:
+        """Return the next transaction, and how many jobs it writes."""
         held = self.held
         self.links += 1
         writes = [table.Write(keys.CHAIN, self._link())]
-        now = self.clock.elapsed()
-        if now >= self.renew_at or self.releasing:
-            lease = dataclasses.replace(
-                held.lease,
-                renewals=held.lease.renewals + 1,
-                pending=self.pending(),
-                continuous_bound=self.continuous_bound(),
-                released=self.releasing and not self.changed,
-            )
-            self.held = dataclasses.replace(held, lease=lease)
-            self.renew_at = now + RENEWAL_INTERVAL
-            writes.append(table.Write(keys.LEASE, codec.to_json(lease)))
-            if lease.renewals % EXTRA_RENEWALS == 0:
-                writes.extend(self.now_and_again())
-        writes.extend(write_of(job) for job in batch)
+        renews = self.clock.elapsed() >= self.renew_at or self.releasing
+        if renews:
+            writes += self._renew()
+        jobs = self._take(MOST_BYTES - sum(map(size_of, writes)))
+        if renews and self.releasing and not self.changed:
+            writes[-1] = self._write_lease(released=True)
         checks = (
             table.Check(keys.LEASE, held.lease_version),
             table.Check(keys.CHAIN, held.chain_version),
         )
-        return table.Transaction(checks, tuple(writes))
+        return table.Transaction(checks, (*writes, *jobs)), len(jobs)
+
+    def _renew(self) -> list[table.Write]:
+        """Return what a renewal of the lease writes, the lease last."""
+        renewals = self.held.lease.renewals + 1
+        self.renew_at = self.clock.elapsed() + RENEWAL_INTERVAL
+        extra = self.now_and_again() if renewals % EXTRA_RENEWALS == 0 else ()
+        lease = self._write_lease(
+            renewals=renewals,
+            pending=self.pending(),
+            continuous_bound=self.continuous_bound(),
+            released=False,
+        )
+        return [*extra, lease]
+
+    def _write_lease(self, **facts: t.Any) -> table.Write:
+        """Return the write of the lease, changed in these facts."""
+        lease = dataclasses.replace(self.held.lease, **facts)
+        self.held = dataclasses.replace(self.held, lease=lease)
+        return table.Write(keys.LEASE, codec.to_json(lease))
 
     def _link(self) -> str:
         return codec.to_json(f"{self.token}.{self.links}")
@@ -262,6 +289,11 @@
     return table.Write(keys.state(job.job.job_id), progress.encode(job.record()))
 
 
+def size_of(write: table.Write) -> int:
+    """Return how many bytes a row takes."""
+    return len((write.value or "").encode())
+
+
 def claim(rows: table.Table, lease: Lease, link: str, lease_version: int) -> int | None:
     """Write a new leader's rows over those that were read; None if that failed.
 
--- /dev/null
+++ b/tests/adapter/steps/narrow_uplinks_steps.py
@@ -0,0 +1,114 @@
+import base64
+import itertools
+import json
+import time
+
+import gevent
+from behave import given, then, when
+from tests.standins import uplink
+
+from mangosail import clock as clocks
+from mangosail.platform import caller, store
+from mangosail.scheduler import journal, keys, messages, progress
+from mangosail.telemetry import counters
+
+#: Connections of an instance to the store, as `platform.process` has them.
+CONNECTIONS, FEED_CONNECTIONS = 16, 4
+BYTES = {"B": 1, "KB": 1000}
+#: Seconds between looks at what is kept.
+LOOK_INTERVAL = 0.01
+STEP = messages.Step(1, None)
+
+
+def store_of(context, rate):
+    context.platform = uplink.Platform(rate * 1000)
+    context.add_cleanup(context.platform.close)
+    address = context.platform.address
+    return store.Store(
+        caller.Caller(address, CONNECTIONS), caller.Caller(address, FEED_CONNECTIONS)
+    )
+
+
+@given("a leader that sends {rate:d} KB a second to the store")
+def step_leader(context, rate):
+    rows = store_of(context, rate)
+    lease = journal.Lease("one", "1", 1)
+    version = journal.claim(rows, lease, '"1.0"', 0)
+    held = journal.Held(lease, version, version)
+    context.journal = journal.Journal(
+        rows, held, clocks.SystemClock(), counters.StatsdCounters(None, 0)
+    )
+    context.renewals = [time.monotonic()]
+    context.seen = 0
+    context.called = []
+
+
+def changed_job(number, size):
+    """Return a job whose record takes about `size` bytes: its checkpoint does."""
+    job = progress.JobProgress(
+        messages.Job(f"{number:016x}", "q", "pool", "spec", (STEP,), 0.0)
+    )
+    task = next(job.tasks())
+    task.run = 1
+    task.checkpoint = "x" * (size - len(progress.encode(job.record())))
+    return job
+
+
+def kept(context, job):
+    row = context.platform.rows.get(("state", keys.SHARD, job.job.job_id))
+    return row is not None
+
+
+@when("{count:d} jobs with records of {size:d} {unit} have changed")
+def step_changed(context, count, size, unit):
+    context.size = size * BYTES[unit]
+    context.jobs = [changed_job(number, context.size) for number in range(count)]
+    context.platform.carried = 0
+    writing = gevent.spawn(context.journal.run)
+    context.add_cleanup(writing.kill)
+    for job in context.jobs:
+        context.journal.record(job)
+        context.journal.then(lambda job=job: called_back(context, job))
+
+
+def called_back(context, job):
+    assert kept(context, job), job.job.job_id
+    context.called.append(job.job.job_id)
+
+
+def look(context):
+    """Note when the lease was renewed."""
+    row = context.platform.rows["leader", keys.SHARD, "lease"]
+    lease = json.loads(base64.b64decode(row["value"]))
+    if lease["renewals"] != context.seen:
+        context.seen = lease["renewals"]
+        context.renewals.append(time.monotonic())
+
+
+@then("all of them are kept within {seconds:d} s")
+def step_kept(context, seconds):
+    deadline = time.monotonic() + seconds
+    while len(context.called) < len(context.jobs) and time.monotonic() < deadline:
+        gevent.sleep(LOOK_INTERVAL)
+        look(context)
+    missing = sum(not kept(context, job) for job in context.jobs)
+    assert not missing, f"{missing} not kept, {context.platform.carried} bytes carried"
+    context.renewals.append(time.monotonic())
+
+
+@then("the lease was never left for {seconds:g} s without a renewal")
+def step_renewed(context, seconds):
+    gaps = [after - before for before, after in itertools.pairwise(context.renewals)]
+    assert max(gaps) < seconds, gaps
+
+
+@then("little more than the records went over the link")
+def step_carried(context):
+    # Base64 takes 4 bytes for 3, the rest of a row's entry some hundred.
+    least = len(context.jobs) * (context.size * 4 / 3 + 150)
+    assert context.platform.carried < 1.2 * least + 10_000, context.platform.carried
+
+
+@then("each job was called back once, when it was kept")
+def step_called(context):
+    assert context.called == [job.job.job_id for job in context.jobs]
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -12,10 +12,17 @@
 
 from tests.standins import server
 
+#: Entries and bytes of one transaction, and characters of a row's value, at most.
+MOST_ENTRIES = 100
+MOST_BYTES = 1_000_000
+MOST_VALUE = 65_536
+
 
 class Platform:
     """Rows of the store, one worker, and the advice service, on one address."""
 
+    handler = server.Handler
+
     def __init__(self, address="127.0.0.1:0"):
         host, _, port = address.rpartition(":")
         self.rows = {}
@@ -30,7 +37,7 @@
         app.add_sink(self.answer, prefix="/")
         self.httpd = pywsgi.WSGIServer(
             (host, int(port)), app, log=None, error_log=None,
-            handler_class=server.Handler,
+            handler_class=self.handler,
         )  # fmt: skip
         self.httpd.start()
         self.address = f"127.0.0.1:{self.httpd.server_port}"
@@ -39,7 +46,7 @@
         self.httpd.stop(timeout=0)
 
     def answer(self, req, resp, **_):
-        body = req.bounded_stream.read()
+        body = self.body_of(req)
         self.calls.append((req.method, req.path, body, dict(req.headers)))
         statuses = self.armed.get(req.path)
         if statuses:
@@ -52,9 +59,14 @@
         resp.status = status
         resp.text = json.dumps(reply)
 
+    def body_of(self, req):
+        return req.bounded_stream.read()
+
     def serve(self, req, body):
         if req.path == "/-/rows-tx":
-            return self.transact(json.loads(body))
+            message = json.loads(body)
+            fault = too_large(message, body)
+            return (400, {"reason": fault}) if fault else self.transact(message)
         if req.path == "/-/rows-get":
             return 200, self.page(req)
         if req.path == "/-/rows-parts":
@@ -111,3 +123,14 @@
         value = base64.b64encode(text.encode()).decode()
         put = {"table": table, "part": part, "key": key, "value": value}
         self.transact({"expected_revision": [], "puts": [put], "remove": []})
+
+
+def too_large(message, body):
+    """Return which bound on a transaction is passed; empty if none is."""
+    if sum(len(entries) for entries in message.values()) > MOST_ENTRIES:
+        return "entries"
+    if len(body) > MOST_BYTES:
+        return "bytes"
+    if any(len(put["value"]) > MOST_VALUE for put in message["puts"]):
+        return "value"
+    return ""
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -71,7 +71,9 @@
         if req.path == "/-/rows-feed":
             return self.wait_for_changes(req)
         if req.path == "/-/rows-tx":
-            return self.write(json.loads(body))
+            message = json.loads(body)
+            fault = metadata.too_large(message, body)
+            return (400, {"reason": fault}) if fault else self.write(message)
         return super().serve(req, body)
 
     def write(self, message):
