Let a job begin only as many tasks as its record has room for

Callers of all jobs saw them queued for ever while one job had thousands of tasks that had begun: its record is one row, and longer than a row may be. The store refuses the transaction, which carries other jobs and the lease; that was taken for a store that is away, and sent again for ever. A caller whose job itself is longer than a row (some 120 steps) was told 503 `store_away` each time, however often it came back.

Longest records that the old code gives, against 49,152 bytes that a row holds as base64 of 65,536: 5,000 tasks that run on 1,000 workers with names of 12 bytes 123,404, with checkpoints of 16 bytes 203,404; with names of 200 bytes 1,207,844. From some 2,000 tasks at a time without checkpoints (52,314), and 1,200 with (54,084), a row does not hold it.

A job now begins tasks only while its record has room for their rows and their workers' names; the rest wait, and those that wait again go first, with room left for one of them. Jobs of up to some 180 tasks are not looked at. A gang begins when there is room for all of it. Checkpoints longer than reckoned are left out of a record that has no room: the next leader starts those tasks from the beginning, and still knows of every run. Refused at hand-in, with the reason, is what no waiting helps: a job longer than a row, more steps or occurrences than can be kept as done (some 3,700), and gangs and continuous tasks of more than some 450 that have to run at the same time.

Ruled out: to lower the bound on tasks. For names of any length it would be 180, and jobs of thousands run well, hundreds at a time. More rows for a job: every change would write up to 1 MB again, which narrow links do not carry.

Before: of 3,000 tasks none ran, nor the one of another job, in all three scenarios of large_records.feature, and the three new bad jobs were accepted. After: all pass.

--- a/src/mangosail/platform/decoding.py
+++ b/src/mangosail/platform/decoding.py
@@ -5,12 +5,12 @@
 from mangosail import codec, resources
 from mangosail.intake import errors
 from mangosail.platform import wire
-from mangosail.scheduler import messages
+from mangosail.scheduler import messages, sizes
 
 #: Bytes of a job's text at most.
 MOST_SPEC_BYTES = 4000
-#: Tasks of one job at most, over all its occurrences; a bound on memory and on
-#: the size of the job's record, far above what callers hand in.
+#: Tasks of one job at most, over all its occurrences; a bound on memory, far above
+#: what callers hand in.
 MOST_TASKS = 5000
 #: Digits of a job's id.
 ID_DIGITS = 16
@@ -44,7 +44,8 @@
         first_due=found.first_run_ms / 1000 if found.repeat_count else 0.0,
         interval=found.interval_ms / 1000,
     )
-    return result.Ok(job)
+    fault = sizes.fault_in(job)
+    return result.Err(errors.Invalid(fault)) if fault else result.Ok(job)
 
 
 def fault_in(body: wire.JobBody) -> str:
--- a/src/mangosail/platform/table.py
+++ b/src/mangosail/platform/table.py
@@ -17,6 +17,8 @@
 
 #: The version of a row that does not exist.
 ABSENT = 0
+#: Bytes of a row's value at most: with base64 the 65,536 that the platform takes.
+MOST_VALUE = 49_152
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -286,7 +286,7 @@
 
 def write_of(job: progress.JobProgress) -> table.Write:
     """Return the write that keeps a job's progress."""
-    return table.Write(keys.state(job.job.job_id), progress.encode(job.record()))
+    return table.Write(keys.state(job.job.job_id), progress.kept(job))
 
 
 def size_of(write: table.Write) -> int:
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -10,7 +10,8 @@
 import re
 
 from mangosail import codec
-from mangosail.scheduler import messages
+from mangosail.platform import table
+from mangosail.scheduler import messages, sizes
 
 
 class Phase(enum.IntEnum):
@@ -151,6 +152,13 @@
         """Tell whether a run may exist on a worker."""
         return self.phase in LIVE
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether it is neither as new nor done, and so has a row."""
+        if self.phase is Phase.DONE:
+            return False
+        return self.run > 0 or self.phase is not Phase.WAITING
+
 
 class StepRun:
     """The tasks of a step in one occurrence of its job."""
@@ -252,6 +260,11 @@
             for occurrence in range(job.occurrences)
             for number in range(len(job.steps))
         }
+        #: Bytes that the record has for tasks that are not done, and whether some of
+        #: these may have to wait until others make room.
+        self.spare = sizes.spare(job)
+        count = sum(len(step_run.tasks) for step_run in self.steps.values())
+        self.tight = count * (sizes.TASK_BYTES + sizes.LONGEST_NAME) > self.spare
         #: Wall time from which the record may be dropped, once the job is over.
         self.drop_at = 0.0
         #: True once its row was given to be cleared.
@@ -307,16 +320,62 @@
         task.worker = ""
         task.checkpoint = ""
 
-    def record(self) -> JobRecord:
+    def may_begin(self, step_run: StepRun, tasks: list[Task]) -> list[Task]:
+        """Return those of a step's waiting tasks that the record may have room for.
+
+        Those that have a row already come first. When all began, the record of a job
+        of thousands was longer than a row may be, and the leader sent it for ever.
+        """
+        if not self.tight:
+            return tasks
+        again = [task for task in tasks if task.run]
+        room = max(self._room() - sizes.LONGEST_NAME, 0) // sizes.TASK_BYTES
+        found = again + [task for task in tasks if not task.run][:room]
+        if step_run.step.gang and len(found) < len(tasks):
+            return []
+        return found
+
+    def fitting(self, chosen: cabc.Sequence[tuple[Task, str]]) -> int:
+        """Return how many of these tasks, in order, may begin on these workers.
+
+        A new one leaves room for the longest name, so that when all wait again one of
+        them can go on.
+        """
+        if not self.tight:
+            return len(chosen)
+        room = self._room()
+        names = {task.worker for task in self.tasks()}
+        for count, (task, name) in enumerate(chosen):
+            if not task.begun:
+                room -= sizes.TASK_BYTES
+            if name not in names:
+                room -= len(name) + sizes.NAME_MARKS
+            names.add(name)
+            if room < (0 if task.begun else sizes.LONGEST_NAME):
+                return count
+        return len(chosen)
+
+    def _room(self) -> int:
+        """Return how many bytes more the record may take."""
+        new, done = Phase.WAITING, Phase.DONE
+        begun = [
+            task
+            for step_run in self.steps.values()
+            for task in step_run.tasks
+            if task.phase is not done and (task.run or task.phase is not new)
+        ]
+        names = {task.worker for task in begun if task.worker}
+        taken = sum(len(name) + sizes.NAME_MARKS for name in names)
+        return self.spare - taken - len(begun) * sizes.TASK_BYTES
+
+    def record(self, checkpoints: bool = True) -> JobRecord:
         """Return what is to be kept of the present progress."""
         if self.over:
             return JobRecord(state=self.state, drop_at=self.drop_at)
         workers: dict[str, int] = {}
         rows = []
         for task in self.tasks():
-            if task.phase is Phase.DONE:
-                continue
-            if task.run == 0 and task.phase is Phase.WAITING:
+            if not task.begun:
                 continue
             position = -1
             if task.worker:
@@ -329,7 +388,7 @@
                     task.run,
                     task.failures,
                     position,
-                    task.checkpoint,
+                    task.checkpoint if checkpoints else "",
                 )
             )
         done = tuple(done_row(each) for each in self.steps.values() if each.done)
@@ -380,6 +439,18 @@
     return codec.to_json(record)
 
 
+def kept(job: JobProgress) -> str:
+    """Return the text of a job's record, which fits a row.
+
+    Without checkpoints it always does, and the next leader can do without them: it
+    starts what has ended meanwhile from the beginning.
+    """
+    text = encode(job.record())
+    if len(text.encode()) <= table.MOST_VALUE:
+        return text
+    return encode(job.record(checkpoints=False))
+
+
 def decode(text: str) -> JobRecord:
     """Return the record in a text, or raise `codec.DecodeError`.
 
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -160,6 +160,7 @@
         failures = 0
         for step_run in ready:
             tasks = [t for t in step_run.waiting() if t.not_before <= now]
+            tasks = step_run.job.may_begin(step_run, tasks)
             if not tasks:
                 continue
             best_effort = step_run.step.best_effort
@@ -243,6 +244,7 @@
             full.append((service, step_run))
         else:
             step_run.blocked_since = None
+        chosen = fitting(step_run, chosen)
         if chosen:
             self._begin(step_run, chosen)
         return bool(chosen)
@@ -320,6 +322,19 @@
     return not any(task.live for task in step_run.job.tasks())
 
 
+def fitting(
+    step_run: progress.StepRun, chosen: list[placing.Choice]
+) -> list[placing.Choice]:
+    """Return the choices that the job's record has room for, and undo the others."""
+    pairs = [(choice.task, choice.worker.name) for choice in chosen]
+    count = step_run.job.fitting(pairs)
+    if step_run.step.gang and count < len(chosen):
+        count = 0
+    for choice in chosen[count:]:
+        choice.worker.release(choice.task)
+    return chosen[:count]
+
+
 def hopeless(
     step_run: progress.StepRun, service: str, seen: tuple[str, progress.StepRun]
 ) -> bool:
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -111,6 +111,9 @@
       | {"steps":[{"count":1,"cpu":-1}]}            | steps[0].cpu              |
       | {"steps":[{"count":9000}]}                  | 9000 tasks                |
       | {"steps":[{"count":1}],"repeat_count":-1}   | repeat_count              |
+      | {"steps":[{"count":1}],"repeat_count":5000} | steps, repeat_count       |
+      | {"steps":[{"count":600,"gang":true}]}       | 600 tasks that run        |
+      | a job of 300 steps                          | bytes to keep, at most    |
       | {"steps":[{"count":"x"}]}                   | Expected `int`            |
 
   Scenario: A job's units are those of the slices
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -239,6 +239,8 @@
 def step_body(context, body):
     if body.startswith("a step of"):
         body = '{"steps":[{"count":1,"cpu":2500,"mem_mb":2048}]}'
+    if body == "a job of 300 steps":
+        body = json.dumps({"steps": [{"count": 1}] * 300})
     context.job = decoding.job_of(body.encode(), JOB, QUEUE, 1000.0)
 
 
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -45,6 +45,8 @@
         #: Faults of the next writes, one each, before that.
         self.once = []
         self.late = []
+        #: Bytes of a row's value at most; None if any may be written.
+        self.most_value = None
         #: Versions up to which the history was dropped.
         self.forgotten = 0
 
@@ -60,6 +62,11 @@
         fault = self.once.pop(0) if self.once else self.fault
         if fault == "down":
             return result.Err(store_errors.Unavailable("down"))
+        if self.most_value and any(
+            len((write.value or "").encode()) > self.most_value
+            for write in transaction.writes
+        ):
+            return result.Err(store_errors.Unavailable("status 400"))
         if fault == "late":
             self.late.append(transaction)
             return result.Err(store_errors.Uncertain("late"))
--- /dev/null
+++ b/tests/scheduler/steps/large_records_steps.py
@@ -0,0 +1,161 @@
+import random
+
+import gevent
+from behave import given, then, when
+from tests.scheduler import fakes
+
+from mangosail import resources
+from mangosail.scheduler import keys, progress, sizes
+
+LARGE, SMALL = "00000000000000aa", "00000000000000bb"
+#: Workers with names of 40 characters, and tasks that each has room for.
+WORKERS, TASKS_EACH = 180, 20
+#: Seconds of real time in which the leader has written what it wants to keep.
+TERM = 20
+MOST_ROUNDS = 200
+
+
+@given("a store that refuses rows of over {most:d} bytes, and room for {count:d} tasks")
+def step_world(context, most, count):
+    context.world = fakes.World(random.Random(7))
+    context.world.rows.most_value = most
+    assert WORKERS * TASKS_EACH == count
+    capacity = fakes.NEED
+    for _ in range(TASKS_EACH - 1):
+        capacity += fakes.NEED
+    for number in range(WORKERS):
+        name = f"worker-{number:033d}"
+        context.world.add_worker(name, capacity=capacity)
+    context.leader = context.world.lead("a")
+
+
+def submit(context, job):
+    context.world.rows.put(keys.job(job.job_id), job)
+
+
+def rounds(context, times):
+    """Let the leader work; if it is stuck with a write, what is tested shows it."""
+    with gevent.Timeout(TERM, False):
+        context.leader.round(times)
+
+
+def running(context, job_id):
+    return [
+        task
+        for worker in context.world.calls.workers.values()
+        for task in worker.running
+        if task.startswith(job_id)
+    ]
+
+
+def end_all(context, outcome):
+    for worker in context.world.calls.workers.values():
+        for task in list(worker.running):
+            worker.end(task, outcome, "saved" if outcome == "stopped" else "")
+
+
+@when("a job of {large:d} tasks is handed in, then one of {small:d} task")
+def step_jobs(context, large, small):
+    submit(context, fakes.job(LARGE, fakes.step(large)))
+    rounds(context, 3)
+    submit(context, fakes.job(SMALL, fakes.step(small)))
+    rounds(context, 3)
+
+
+@when("a gang of {members:d} is handed in with {count:d} tasks beside it")
+def step_gang(context, members, count):
+    gang = fakes.step(members, gang=True)
+    submit(context, fakes.job(LARGE, fakes.step(count), gang))
+    rounds(context, 3)
+
+
+@when("each run is stopped, {times:d} times")
+def step_stopped(context, times):
+    for _ in range(times):
+        end_all(context, "stopped")
+        rounds(context, 3)
+
+
+@then("the task of the small job runs, and hundreds of the large one")
+def step_run(context):
+    assert len(running(context, SMALL)) == 1
+    assert len(running(context, LARGE)) >= 200, len(running(context, LARGE))
+
+
+@when("each run ends, until nothing runs")
+def step_end(context):
+    context.together = 0
+    for _ in range(MOST_ROUNDS):
+        members = running(context, f"{LARGE}.0.1.")
+        context.together = max(context.together, len(members))
+        end_all(context, "done")
+        rounds(context, 3)
+        if not running(context, ""):
+            return
+    raise AssertionError(f"{len(running(context, ''))} run still")
+
+
+@then("both jobs are completed")
+def step_completed(context):
+    found = [context.world.rows.state(job_id) for job_id in (LARGE, SMALL)]
+    assert found == ["completed", "completed"], found
+
+
+@then("the gang began together, and the job is completed")
+def step_gang_completed(context):
+    assert context.together == 400, context.together
+    assert context.world.rows.state(LARGE) == "completed"
+
+
+@given("{count:d} running tasks of a job, with checkpoints of {size:d} bytes")
+def step_long(context, count, size):
+    context.job = progress.JobProgress(fakes.job(LARGE, fakes.step(count)))
+    for number, task in enumerate(context.job.tasks()):
+        task.run = number + 1
+        task.phase = progress.Phase.RUNNING
+        task.worker = f"w{number}"
+        task.checkpoint = "x" * size
+
+
+@then("what is kept of it takes less than {most:d} bytes")
+def step_small(context, most):
+    context.kept = progress.kept(context.job)
+    assert len(context.kept) < most, len(context.kept)
+
+
+@then("another leader finds each run where it is")
+def step_found(context):
+    found = progress.JobProgress(context.job.job)
+    found.restore(progress.decode(context.kept))
+    before = [(task.run, task.worker) for task in context.job.tasks()]
+    assert [(task.run, task.worker) for task in found.tasks()] == before
+
+
+@given("the description of a job of {what}")
+def step_what(context, what):
+    need = resources.Resources(cpus=1)
+    context.job = {
+        "5000 tasks": fakes.job(LARGE, fakes.step(5000)),
+        "1 task that repeats 3000 times": repeating(3000),
+        "1 task that repeats 5000 times": repeating(5000),
+        "a gang of 400 tasks": fakes.job(LARGE, fakes.step(400, gang=True)),
+        "a gang of 600 tasks": fakes.job(LARGE, fakes.step(600, gang=True)),
+        "400 continuous tasks": fakes.job(LARGE, fakes.step(400, continuous=True)),
+        "600 continuous tasks": fakes.job(LARGE, fakes.step(600, continuous=True)),
+        "100 steps": fakes.job(LARGE, *[fakes.step(1, need)] * 100),
+        "300 steps": fakes.job(LARGE, *[fakes.step(1, need)] * 300),
+    }[what]
+
+
+def repeating(times):
+    return fakes.job(LARGE, fakes.step(1), occurrences=times)
+
+
+@when("it is looked at whether it can be kept")
+def step_look(context):
+    context.fault = sizes.fault_in(context.job)
+
+
+@then('the answer is "{answer}"')
+def step_answer(context, answer):
+    assert bool(context.fault) == (answer == "refused"), context.fault
