Show, failing, what the mends of the large configuration leave open

Seven scenarios, all failing on, each for a fault of the code: a leader's reading of 17 shards on 16 connections, its lease meanwhile, all missed versions of the configuration sent, a dropped queue's count, a peer that says nothing while it reads, a caller kept for a whole reading, and a version seen by callers that is forgotten.

--- a/tests/adapter/narrow_links.feature
+++ b/tests/adapter/narrow_links.feature
@@ -68,3 +68,61 @@
     Given a worker of which 5 KB a second can be read, with 300 runs
     When it is looked at over its narrow link
     Then the look has failed within 2.5 s
+
+  Scenario: All that a new leader has to know arrives, continuous jobs too
+    Jobs are in 16 shards and continuous ones in one more. Their rows are read at once, on
+    16 connections. The last answer waited for a connection until its time limit was over,
+    as each of the others took longer; what had come was thrown away, and all of it read
+    again from its beginning, for as long as the instance led. It started no job.
+    Given a store that sends 500 KB a second, with 1 MB of rows in 17 shards
+    When all of these rows are read
+    Then they have arrived whole
+
+  Scenario: A new leader renews its lease while it reads what it has to know
+    The rows of 16 shards are read at once and take all connections to the store for as
+    long as they arrive. The lease's renewal waited for a connection of them until its time
+    limit was over; another instance took the lease, and began to read in its turn.
+    Given a store that sends 500 KB a second, with 1 MB of rows in 16 shards
+    When the lease is renewed while all of these rows are read
+    Then the renewal was answered
+    And they have arrived whole
+
+  Scenario: An instance that missed several versions reads the newest one
+    The operator wrote four large configurations while an instance did not hear from the
+    store. The changes that it then asks for hold each of them whole, though only the last
+    one counts: callers were refused four times as long as the configuration takes.
+    Seen at three of 30 instances, two versions behind: they read 512 to 663 KB in every
+    second for 20 s, until the store's history was lost; the newest one then took 1.2 s.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    When the configuration grows to 3000 queues and is written 4 times while the instance hears nothing
+    Then little more than the configuration was read once it goes by it
+
+  Scenario: How many jobs wait at a queue that was dropped is not told for ever
+    A queue was dropped. The configuration without it took longer to arrive than it may
+    take to be in force, and callers were told all the while how many jobs wait there.
+    Given an instance that reads 100 KB a second from the store, and an accepted job
+    And a configuration is in force everywhere within 2 s
+    When the configuration grows to 3000 queues, without the one of the job
+    Then from 2.5 s on the instance does not tell how many jobs wait there
+
+  Scenario: A peer whose configuration is arriving says so to those who pass callers on
+    An instance passes a job on for a queue that it does not know. The peer reads the same
+    large configuration, and waited longer for it than the instance waits for the peer.
+    The caller was told that the outcome is open, though nobody had done anything, and the
+    peer was taken for silent, and asked last by all callers for 5 s.
+    Given an instance that reads 100 KB a second from the store, and an accepted job
+    And the instance answers what peers pass on
+    When the configuration grows to 3000 queues
+    And a peer passes on a job for a queue that was added
+    Then the peer is told something
+
+  Scenario: A caller is not kept for all of a large configuration
+    A connection goes silent, on which an instance waits for changes. A caller names a
+    queue that nobody knows, and what has changed is read for it, on another connection.
+    The configuration has grown; the caller was kept until all of it had arrived, long
+    after it had given up.
+    Given an instance that reads 100 KB a second from the store, and an accepted job
+    And the connection on which it waits for changes goes silent
+    When the configuration grows to 3000 queues
+    And a caller names a queue that was added
+    Then the caller was kept for at most 4 s
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -5,13 +5,22 @@
 import gevent
 from behave import given, then, when
 from falcon import testing
+from gevent import pywsgi
 from tests.standins import narrow
 
 from mangosail import clock as clocks
 from mangosail import resources
-from mangosail.intake import catalogs, desk
-from mangosail.platform import caller, decoding, ingress, store, workers
-from mangosail.scheduler import messages
+from mangosail.intake import catalogs, desk, relaying
+from mangosail.platform import (
+    caller,
+    decoding,
+    ingress,
+    peering,
+    store,
+    table,
+    workers,
+)
+from mangosail.scheduler import keys, messages
 from mangosail.telemetry import counters
 
 HOST = "jobs.example"
@@ -36,20 +45,20 @@
         context.store, CONFIG, decoding.catalog_of, clock, counted
     )
     jobs = desk.Desk(context.store, context.catalog.stale, clock, counted)
-    app = ingress.Ingress(context.catalog, jobs, clock, counted).app
+    app = context.app = ingress.Ingress(context.catalog, jobs, clock, counted).app
     context.client = testing.TestClient(app, headers={"Host": HOST})
 
 
-def configure(context, version, queues):
+def configure(context, version, queues, host=HOST):
     context.version = version
-    text = narrow.configuration(version, queues, HOST)
+    text = narrow.configuration(version, queues, host)
     context.platform.put("op", "", "config", text)
     context.size = len(json.dumps(context.platform.rows["op", "", "config"]))
 
 
 def follow(context):
-    following = gevent.spawn(context.catalog.follower.run)
-    context.add_cleanup(following.kill)
+    context.following = gevent.spawn(context.catalog.follower.run)
+    context.add_cleanup(context.following.kill)
     context.began_at = time.monotonic()
 
 
@@ -223,3 +232,90 @@
     reason = context.found.err_value.reason
     received = int(re.search(r"after (\d+) bytes", reason)[1])
     assert 50_000 <= received <= context.platform.stall_after + narrow.PIECE, reason
+
+
+@when("the lease is renewed while all of these rows are read")
+def step_renewed(context):
+    reading = gevent.spawn(context.store.read_all, "kind/")
+    wait_for(lambda: context.platform.sent > 100_000, 5.0)
+    renewal = table.Transaction((), (table.Write(keys.LEASE, "1"),))
+    context.renewed = context.store.commit(renewal)
+    context.found = reading.get()
+
+
+@then("the renewal was answered")
+def step_renewal(context):
+    assert context.renewed.is_ok(), context.renewed
+
+
+@when(
+    "the configuration grows to {queues:d} queues and is written {count:d} times "
+    "while the instance hears nothing"
+)
+def step_missed(context, queues, count):
+    context.following.kill()
+    for number in range(count):
+        configure(context, 2 + number, queues)
+    context.platform.sent = 0
+    follow(context)
+
+
+@then("little more than the configuration was read once it goes by it")
+def step_newest(context):
+    wait_for(lambda: context.catalog.version == context.version, 30.0)
+    step_once(context)
+
+
+@when("the configuration grows to {queues:d} queues, without the one of the job")
+def step_dropped(context, queues):
+    # All of its queues are of another host.
+    configure(context, 2, queues, "other.example")
+    context.began_at = time.monotonic()
+
+
+@then("from {seconds:g} s on the instance does not tell how many jobs wait there")
+def step_not_told(context, seconds):
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        answer = context.client.simulate_get("/q0/")
+        assert answer.status_code in (404, 503), (answer.status_code, answer.json)
+        gevent.sleep(0.05)
+
+
+@given("the instance answers what peers pass on")
+def step_for_peers(context):
+    served = pywsgi.WSGIServer(("127.0.0.1", 0), context.app, log=None)
+    served.start()
+    context.add_cleanup(served.stop, timeout=0)
+    context.peer_address = f"127.0.0.1:{served.server_port}"
+
+
+@when("a peer passes on a job for a queue that was added")
+def step_passed_on(context):
+    wait_for(lambda: context.platform.sent > 50_000, 5.0)
+    request = relaying.Request("POST", HOST, "/q7/5c0e7a21d94b36f8", JOB.encode())
+    context.found = peering.HttpPeers().send(context.peer_address, request)
+
+
+@then("the peer is told something")
+def step_told_something(context):
+    assert context.found.is_ok(), context.found
+
+
+@given("the connection on which it waits for changes goes silent")
+def step_feed_silent(context):
+    context.platform.silent.add("/-/rows-feed")
+    wait_for(lambda: not context.platform.silent, 5.0)
+
+
+@when("a caller names a queue that was added")
+def step_caller_names(context):
+    asked_at = time.monotonic()
+    context.client.simulate_post("/q7/5c0e7a21d94b36f8", body=JOB)
+    context.kept = time.monotonic() - asked_at
+
+
+@then("the caller was kept for at most {seconds:g} s")
+def step_caller_kept(context, seconds):
+    assert context.kept <= seconds, context.kept
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -257,3 +257,12 @@
     When the store tells of the newer configuration
     And the instance follows for 5 seconds, while 20 callers a second send a GET
     Then none of the last 60 callers was passed on
+
+  Scenario: What one caller saw is not forgotten for another who was on its way
+    # Two callers are passed on at once. The later one is answered first, by a newer
+    # configuration, then the earlier one by an older one, as its peer may. From then on
+    # peers with the older one answered again: a queue that had been dropped was back.
+    Given an instance that the store refuses and 2 peers, of which 1 are newer
+    When a caller is answered by the older one after another was by the newer one
+    And a caller asks how many jobs wait
+    Then peers were asked for the newer configuration at least
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -479,3 +479,24 @@
 @then("no peer was asked")
 def step_none_asked(context):
     assert not context.asked, context.asked
+
+
+@when("a caller is answered by the older one after another was by the newer one")
+def step_overtaken(context):
+    context.least = []
+
+    def pass_on(address, request):
+        context.least.append(request.least_version)
+        if len(context.least) > 1:
+            return ANSWERS["newer"]
+        # The other caller comes while this one waits.
+        assert context.instance.ask("GET").status_code == 200
+        return ANSWERS["well"]
+
+    context.instance.relay.send = pass_on
+    assert context.instance.ask("GET").status_code == 200
+
+
+@then("peers were asked for the newer configuration at least")
+def step_least(context):
+    assert context.least[-1] == 2, context.least
