Keep the newest configuration that callers saw, whoever was answered first

What callers saw: a queue that had been dropped was back. Of two callers who were passed on at once, the later one was answered first, by a newer configuration; the earlier one's older answer then replaced what was known to have been seen.

The newest one seen is kept. Test: relaying.feature, 'What one caller saw is not forgotten for another who was on its way': fails without, passes with it.

--- a/src/mangosail/intake/relaying.py
+++ b/src/mangosail/intake/relaying.py
@@ -129,7 +129,8 @@
             outcome = outcome_of(done)
             if isinstance(done, result.Ok) and outcome == standings.Outcome.ANSWERED:
                 self.in_vain = 0
-                self.seen_version = max(least, done.ok_value.version)
+                # Another caller may have seen a newer one while this one waited.
+                self.seen_version = max(self.seen_version, done.ok_value.version)
                 return done.ok_value
             if outcome == standings.Outcome.UNANSWERED:
                 silent = True
