Read whole shards on connections of their own, no more at a time than there are

What callers saw: no job was started for as long as an instance with a narrow link led. Jobs stand in 16 shards and continuous ones in one more. A new leader read all 17 at once on 16 connections, which it shares with its writes: the 17th answer, and the renewal of the lease, waited for a connection until their time limits were over. What had come was thrown away and read again, or another instance took the lease and began in its turn.

Reading shards has 8 connections of its own now, and at most 8 go on at a time. A store is made from its address; how many connections it has is its own affair.

Measured, stand-in of 500 KB a second: 1 MB in 17 shards not read, and the renewal not answered, before; both after (narrow_links.feature, two scenarios that failed).

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -12,7 +12,6 @@
 from mangosail.intake import catalogs, desk, peers, relaying
 from mangosail.platform import (
     advisor,
-    caller,
     decoding,
     deployment,
     entries,
@@ -32,9 +31,6 @@
 WORKERS_PREFIX = "servers//"
 #: Port of the metrics address; deploy/system.toml names it too.
 METRICS_PORT = 9464
-#: Connections to the store, and those on which requests wait for changes.
-STORE_CONNECTIONS = 16
-FEED_CONNECTIONS = 4
 #: Seconds that callers are still served at a planned stop while the balancer finds
 #: out: two of its checks, and a little more.
 NOTICE_TERM = 2.3
@@ -51,11 +47,7 @@
         self.settings = settings
         self.clock = clocks.SystemClock()
         self.counters = telemetry.StatsdCounters(None, 0)
-        address = settings.platform.address
-        self.store = store.Store(
-            caller.Caller(address, STORE_CONNECTIONS),
-            caller.Caller(address, FEED_CONNECTIONS),
-        )
+        self.store = store.Store(settings.platform.address)
         self.catalog = catalogs.Catalogs(
             self.store,
             CONFIG_KEY,
--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -9,6 +9,7 @@
 import urllib.parse
 
 import gevent
+import gevent.pool
 import logbook
 import result
 
@@ -26,6 +27,10 @@
 WRITE_TIMEOUT = 1.3
 #: Seconds after which a reading is given up.
 READ_TIMEOUT = 1.3
+#: Connections for calls, for requests that wait for changes, and for whole shards.
+CONNECTIONS = 16
+FEED_CONNECTIONS = 4
+BULK_CONNECTIONS = 8
 #: Rows that one reading asks for; the platform gives no more.
 PAGE = 500
 #: Follows every key that begins with the text before it.
@@ -41,10 +46,17 @@
 class Store:
     """Rows in the platform's store; implements `ports.Rows`."""
 
-    def __init__(self, caller: http_caller.Caller, feeds: http_caller.Caller) -> None:
-        self.caller = caller
+    def __init__(self, address: str) -> None:
+        self.caller = http_caller.Caller(address, CONNECTIONS)
         #: Requests that wait for changes, on connections of their own.
-        self.feeds = feeds
+        self.feeds = http_caller.Caller(address, FEED_CONNECTIONS)
+        #: Readings of whole shards, on connections of their own. On a narrow link they
+        #: take seconds; the renewal of the lease waited for a connection meanwhile, and
+        #: another instance took it.
+        self.bulk = http_caller.Caller(address, BULK_CONNECTIONS)
+        #: Reads no more shards at a time than there are connections: the time limit of
+        #: a reading runs while it waits for one.
+        self.readers = gevent.pool.Pool(BULK_CONNECTIONS)
 
     def read(
         self, keys: t.Sequence[str]
@@ -87,7 +99,7 @@
         """
         kind, _, shard = prefix.rstrip("/").partition("/")
         if shard or prefix.endswith("//"):
-            return self._read_shard(kind, shard, heard)
+            return self.readers.spawn(self._read_shard, kind, shard, heard).get()
         return self._read_shards(kind, heard)
 
     def _read_shards(
@@ -98,7 +110,7 @@
         if isinstance(found, result.Err):
             return found
         readers = [
-            gevent.spawn(self._read_shard, kind, shard, heard)
+            self.readers.spawn(self._read_shard, kind, shard, heard)
             for shard in found.ok_value.parts
         ]
         gevent.joinall(readers)
@@ -192,7 +204,8 @@
         self, query: dict[str, str], heard: ports.Heard | None = None
     ) -> result.Result[wire.Page, errors.Unavailable]:
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
-        answer = self.caller.call("GET", path, timeout=READ_TIMEOUT, heard=heard)
+        caller = self.bulk if heard else self.caller
+        answer = caller.call("GET", path, timeout=READ_TIMEOUT, heard=heard)
         return decoded(answer, wire.Page)
 
 
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -11,7 +11,6 @@
 from mangosail import resources
 from mangosail.intake import catalogs, desk, relaying
 from mangosail.platform import (
-    caller,
     decoding,
     deployment,
     errors,
@@ -34,8 +33,7 @@
 def step_store(context):
     context.platform = metadata.Platform()
     context.add_cleanup(context.platform.close)
-    address = context.platform.address
-    context.store = store.Store(caller.Caller(address), caller.Caller(address))
+    context.store = store.Store(context.platform.address)
 
 
 def write(context, *checks):
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -1,4 +1,5 @@
 import json
+import random
 import re
 import time
 
@@ -10,9 +11,8 @@
 
 from mangosail import clock as clocks
 from mangosail import resources
-from mangosail.intake import catalogs, desk, relaying
+from mangosail.intake import catalogs, desk, peers, relaying
 from mangosail.platform import (
-    caller,
     decoding,
     ingress,
     peering,
@@ -27,8 +27,6 @@
 CONFIG = "op//config"
 PATH = "/q0/5c0e7a21d94b36f8"
 JOB = '{"spec":"s","steps":[{"count":1,"cpu":100,"mem_mb":1}]}'
-#: Connections of an instance to the store, as `platform.process` has them.
-CONNECTIONS, FEED_CONNECTIONS = 16, 4
 
 
 def instance(context, rate, queues):
@@ -36,17 +34,19 @@
     context.platform = narrow.Platform(rate * 1000)
     context.add_cleanup(context.platform.close)
     configure(context, 1, queues)
-    address = context.platform.address
-    context.store = store.Store(
-        caller.Caller(address, CONNECTIONS), caller.Caller(address, FEED_CONNECTIONS)
-    )
+    context.store = store.Store(context.platform.address)
     clock, counted = clocks.SystemClock(), counters.StatsdCounters(None, 0)
     context.catalog = catalogs.Catalogs(
         context.store, CONFIG, decoding.catalog_of, clock, counted
     )
     jobs = desk.Desk(context.store, context.catalog.stale, clock, counted)
-    app = context.app = ingress.Ingress(context.catalog, jobs, clock, counted).app
-    context.client = testing.TestClient(app, headers={"Host": HOST})
+    #: Answers what peers pass on; the other one answers callers, and knows no peer.
+    context.app = ingress.Ingress(context.catalog, jobs, clock, counted).app
+    own = peers.Peer("a", "127.0.0.1:9")
+    known = peers.Peers(context.store, own, clock, counted, random.Random(5))
+    relay = relaying.Relay(known, peering.HttpPeers().send, clock, counted)
+    front = ingress.Ingress(context.catalog, jobs, clock, counted, relay)
+    context.client = testing.TestClient(front.app, headers={"Host": HOST})
 
 
 def configure(context, version, queues, host=HOST):
--- a/tests/adapter/steps/narrow_uplinks_steps.py
+++ b/tests/adapter/steps/narrow_uplinks_steps.py
@@ -8,12 +8,10 @@
 from tests.standins import uplink
 
 from mangosail import clock as clocks
-from mangosail.platform import caller, store
+from mangosail.platform import store
 from mangosail.scheduler import journal, keys, messages, progress
 from mangosail.telemetry import counters
 
-#: Connections of an instance to the store, as `platform.process` has them.
-CONNECTIONS, FEED_CONNECTIONS = 16, 4
 BYTES = {"B": 1, "KB": 1000}
 #: Seconds between looks at what is kept.
 LOOK_INTERVAL = 0.01
@@ -23,10 +21,7 @@
 def store_of(context, rate):
     context.platform = uplink.Platform(rate * 1000)
     context.add_cleanup(context.platform.close)
-    address = context.platform.address
-    return store.Store(
-        caller.Caller(address, CONNECTIONS), caller.Caller(address, FEED_CONNECTIONS)
-    )
+    return store.Store(context.platform.address)
 
 
 @given("a leader that sends {rate:d} KB a second to the store")
