Keep no caller, and no peer, for all of a large configuration

What callers saw: one who named a queue that nobody knows was kept long after it had given up, if its own reading was the one that had to bring a large configuration. One who was passed on was told that the outcome is open, though nobody had done anything: the peer waited up to 2.5 s for its configuration, and counts as silent after 0.7 s.

Cause: the reading was done by whoever asked first, to its end, and the same time was allowed for callers and for peers. It is done beside them now and goes on when they give up; whoever asks waits at most 2.5 s, a peer half of what it waits. Readings are counted in place of compared by their times.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -16,6 +16,9 @@
 #: Seconds without a word from the store after which it counts as out of reach: a
 #: following request waits 0.5 s; the rest is for a store or an instance that is slow.
 STALE_TERM = 1.5
+#: Seconds that a caller is kept at most until it is known whether a queue was added: of
+#: the 3 s that it has, what leaves time for the rest.
+REFRESH_TERM = 2.5
 #: Seconds within which a change of the configuration must be in force, unless the
 #: platform says otherwise.
 MOST_AGE = 2.0
@@ -105,12 +108,12 @@
             return None
         return round(self.clock.elapsed() - fresh_at, 3)
 
-    def refresh(self) -> bool:
-        """Read what has changed now, and tell whether that went well.
+    def refresh(self, term: float = REFRESH_TERM) -> bool:
+        """Read what has changed now, and tell whether that went well within `term`.
 
         A path that no queue has may belong to one that was added just now.
         """
-        return self.follower.refresh()
+        return self.follower.refresh(term)
 
     def _take(self, changes: ports.Changes, whole: bool) -> None:
         for row in changes.rows:
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -23,6 +23,9 @@
 #: Seconds after which a caller should come back to an instance without a catalog.
 COME_BACK = 0.5
 
+#: Seconds that may go into reading the newest catalog for a peer: half of what the peer
+#: waits.
+PEER_REFRESH_TERM = relaying.ANSWER_TERM / 2
 #: Seconds after its arrival at which a request's caller is gone.
 CALLER_TERM = 3.0
 
@@ -45,6 +48,9 @@
         self.desk = jobs
         #: Takes what can't be done here; None for what came from a peer already.
         self.relay = relay
+        #: Seconds that may go into reading the newest catalog. A peer takes silence for
+        #: an open outcome, and asks this instance last from then on.
+        self.refresh_term = catalogs.REFRESH_TERM if relay else PEER_REFRESH_TERM
         self.clock = clock
         self.counters = counters
         self.methods: dict[str, Method] = {
@@ -145,7 +151,7 @@
         if queue is not None:
             return result.Ok(queue)
         # It may have been added just now: only a fresh catalog says that it is not.
-        if not self.catalog.refresh():
+        if not self.catalog.refresh(self.refresh_term):
             return result.Err(errors.Refused("catalog_stale", COME_BACK))
         return result.Ok(self.catalog.find(host, req.path))
 
--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -2,8 +2,8 @@
 
 import collections.abc as cabc
 
+import gevent
 import gevent.event
-import gevent.lock
 import logbook
 import result
 
@@ -15,9 +15,6 @@
 
 #: Seconds before a failed reading is tried again.
 RETRY_INTERVAL = 0.2
-#: Seconds that a caller may be kept for rows that are arriving. It has about 3 s, and a
-#: peer may have them.
-REFRESH_TERM = 2.5
 #: Seconds for which one request waits for changes. A connection that went silent
 #: is found by the end of this and the client's own time limit.
 WAIT = 1.0
@@ -76,13 +73,17 @@
         self.fresh_at: float | None = None
         #: Elapsed time at which a part of an answer last came.
         self.heard_at: float | None = None
-        #: Elapsed time at which a reading last failed.
-        self.failed_at = 0.0
+        #: Number of the latest reading that was begun, of the latest of those that went
+        #: well, and how many have failed.
+        self.begun = 0
+        self.read_through = 0
+        self.failures = 0
         #: Answers that are arriving now, and whether there are none.
         self.arriving = 0
         self.idle = gevent.event.Event()
         self.idle.set()
-        self.refreshing = gevent.lock.Semaphore()
+        #: Reads for those who ask for what has changed until now.
+        self.refreshing: gevent.Greenlet | None = None
         #: True unless the latest request failed.
         self.reached = True
         #: Elapsed time of the first failure since the latest success.
@@ -102,31 +103,37 @@
         if not self.step(self.wait if self.reached else 0):
             self.clock.sleep(RETRY_INTERVAL)
 
-    def refresh(self) -> bool:
+    def refresh(self, term: float) -> bool:
         """Read what has changed until now, and tell whether that went well.
 
         Those who ask while an answer arrives wait for it, and share one reading after
         it: each made the same rows be sent once more, and on a narrow link all of them
         came as many times later. A reading that failed meanwhile is not repeated for
-        each, and nobody is kept for longer than `REFRESH_TERM`.
+        each. Nobody is kept for more than `term` seconds; what is arriving by then is
+        there for those who come later.
         """
-        asked_at = self.clock.elapsed()
-        if not self.refreshing.acquire(timeout=REFRESH_TERM):
-            return False
-        try:
-            left = asked_at + REFRESH_TERM - self.clock.elapsed()
-            if not self.idle.wait(max(left, 0.0)) or self.failed_at > asked_at:
+        asked, failures = self.begun, self.failures
+        deadline = self.clock.elapsed() + term
+        while self.read_through <= asked:
+            left = deadline - self.clock.elapsed()
+            if self.failures > failures or left <= 0:
                 return False
-            if self.fresh_at is not None and self.fresh_at > asked_at:
-                return True
-            return self.step(0)
-        finally:
-            self.refreshing.release()
+            if self.arriving:
+                self.idle.wait(left)
+                continue
+            if self.refreshing is None or self.refreshing.ready():
+                self.refreshing = gevent.spawn(self.step, 0)
+            self.refreshing.join(left)
+        return True
 
     def step(self, wait: float) -> bool:
         """Read once, and tell whether that went well."""
+        self.begun += 1
+        number = self.begun
         with Arrival(self) as arrival:
             reason = self._step(wait, arrival.heard)
+        if not reason:
+            self.read_through = max(self.read_through, number)
         self._note(reason)
         return not reason
 
@@ -134,7 +141,7 @@
         """Log that the rows are out of reach, or in reach again."""
         now = self.clock.elapsed()
         if reason:
-            self.failed_at = now
+            self.failures += 1
             self.counters.count("following.read_failed")
         if reason and self.reached:
             self.failing_since = now
