Go by a configuration no longer than it may be while a newer one arrives

What callers saw: at an instance with a narrow link they were told for as long as a newer configuration took to arrive how many jobs wait at a queue that it drops, and of their jobs' states.

Cause: only handing in was refused once the configuration was older than a change may take to be in force. An instance that hears nothing of the store goes on to tell the states that it remembers, as before.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -108,6 +108,17 @@
             return None
         return round(self.clock.elapsed() - fresh_at, 3)
 
+    def superseded(self) -> bool:
+        """Tell whether a newer one has been arriving for longer than it may take.
+
+        By the present one callers would be served from queues that were dropped. An
+        instance that hears nothing from the store does not know of a newer one.
+        """
+        fresh_at = self.follower.fresh_at
+        if fresh_at is None or not self.follower.arriving:
+            return False
+        return self.clock.elapsed() - fresh_at > self.most_age
+
     def refresh(self, term: float = REFRESH_TERM) -> bool:
         """Read what has changed now, and tell whether that went well within `term`.
 
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -123,7 +123,8 @@
             self.refuse(resp, "no_catalog", COME_BACK)
             return
         least = peering.version_of(req.get_header(peering.LEAST_VERSION))
-        if self.catalog.doubted or self.catalog.version < least:
+        behind = self.catalog.doubted or self.catalog.superseded()
+        if behind or self.catalog.version < least:
             self.refuse(resp, "catalog_stale", COME_BACK)
             return
         queue = self._queue(req)
