Read the newest configuration in place of all that were missed

What callers saw: an instance with a narrow link that missed several versions of a large configuration refused them for as many times as long as one takes. Changes hold each version, though the last one alone counts.

The answer says at its beginning how long it is. One that is much longer than the configuration was, as two versions or a large growth are, is not read; the row is. What was on its way by then is lost, which is less than the second version.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -52,7 +52,7 @@
         self.doubted_at: float | None = None
         prefix = key[: key.rindex("/") + 1]
         self.follower = following.Follower(
-            rows, prefix, self._take, clock, counters, FOLLOW_WAIT
+            rows, prefix, self._take, clock, counters, FOLLOW_WAIT, newest_only=True
         )
 
     @property
--- a/src/mangosail/platform/caller.py
+++ b/src/mangosail/platform/caller.py
@@ -75,11 +75,13 @@
         timeout: float = CALL_TIMEOUT,
         longest: float = ANSWER_TIMEOUT,
         heard: Heard | None = None,
+        most: int | None = None,
     ) -> result.Result[Reply, CallError]:
         """Send one request; an Err means that no whole answer came.
 
         Within `timeout` seconds the answer must have begun, and within `longest` it
-        must be whole. `heard` is called for each piece of a successful answer.
+        must be whole. `heard` is called for each piece of a successful answer. One that
+        says that it has more than `most` bytes is not read.
         """
         client = self.client
         content = bytearray()
@@ -87,6 +89,10 @@
             with gevent.Timeout(longest):
                 with gevent.Timeout(timeout):
                     response = client.request(method, path, body=body, headers=headers)
+                    length = response.content_length or 0
+                    if most is not None and length > most:
+                        self._replace(client)
+                        return result.Err(errors.TooLong(f"{length} bytes"))
                     etag = str(response.get("ETag") or "")
                     content += response.read(PIECE)
                 if response.status_code != OK or heard is None:
--- a/src/mangosail/platform/errors.py
+++ b/src/mangosail/platform/errors.py
@@ -25,5 +25,10 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooLong(Uncertain):
+    """The answer says that it is longer than its receiver will read."""
+
+
 #: Everything that a commit can fail with.
 CommitError = Conflict | Unavailable | Uncertain
--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -31,6 +31,8 @@
 CONNECTIONS = 16
 FEED_CONNECTIONS = 4
 BULK_CONNECTIONS = 8
+#: Bytes of an answer beside the values of its rows, which are base64: 4 for 3.
+ROW_BYTES = 1000
 #: Rows that one reading asks for; the platform gives no more.
 PAGE = 500
 #: Follows every key that begins with the text before it.
@@ -152,14 +154,25 @@
         after: int,
         wait: float,
         heard: ports.Heard = ports.unheeded,
-    ) -> result.Result[ports.Changes, errors.Unavailable | ports.HistoryLost]:
+        most: int | None = None,
+    ) -> result.Result[
+        ports.Changes, errors.Unavailable | ports.HistoryLost | ports.TooLong
+    ]:
         """Return what changed under `prefix` after a version, waiting for a change."""
         kind, _, shard = prefix.rstrip("/").partition("/")
         every = not shard and not prefix.endswith("//")
         query = {"table": kind, "after": str(after), "wait_ms": str(int(wait * 1000))}
         path = "/-/rows-feed?" + urllib.parse.urlencode(query)
         caller = self.feeds if wait else self.caller
-        answer = caller.call("GET", path, timeout=wait + READ_TIMEOUT, heard=heard)
+        if most is not None:
+            most = most * 4 // 3 + ROW_BYTES
+        answer = caller.call(
+            "GET", path, timeout=wait + READ_TIMEOUT, heard=heard, most=most
+        )
+        if isinstance(answer, result.Err) and isinstance(
+            answer.err_value, errors.TooLong
+        ):
+            return result.Err(ports.TooLong())
         if isinstance(answer, result.Ok) and answer.ok_value.status == HISTORY_LOST:
             return result.Err(ports.HistoryLost())
         page = decoded(answer, wire.Page)
--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -15,6 +15,8 @@
 
 #: Seconds before a failed reading is tried again.
 RETRY_INTERVAL = 0.2
+#: Bytes of changes that are read in any case.
+SMALL = 65_536
 #: Seconds for which one request waits for changes. A connection that went silent
 #: is found by the end of this and the client's own time limit.
 WAIT = 1.0
@@ -49,7 +51,10 @@
 class Follower:
     """Passes the rows under a prefix on, whole at first and then as they change.
 
-    `take` gets the changes, and True if they are all rows there are.
+    `take` gets the changes, and True if they are all rows there are. With `newest_only`
+    the rows are few, and in place of changes that are much longer than a row was, all
+    rows are read. Changes hold each version that was missed: an instance with a narrow
+    link, four versions of a large configuration behind, took four times as long.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         clock: clocks.Clock,
         counters: telemetry.Counters,
         wait: float = WAIT,
+        newest_only: bool = False,
     ) -> None:
         self.rows = rows
         self.prefix = prefix
@@ -67,6 +73,9 @@
         self.clock = clock
         self.counters = counters
         self.wait = wait
+        self.newest_only = newest_only
+        #: Bytes of the longest text of a row, as last read.
+        self.longest = 0
         #: Version to go on from, or None if all rows must be read.
         self.version: int | None = None
         #: Elapsed time at which all that had changed was last known.
@@ -162,7 +171,8 @@
         version = self.version
         if version is None:
             return self._read_all(sent_at, heard)
-        found = self.rows.changes(self.prefix, version, wait, heard)
+        most = SMALL + self.longest * 3 // 2 if self.newest_only else None
+        found = self.rows.changes(self.prefix, version, wait, heard, most)
         if isinstance(found, result.Ok):
             if self.version is not None and self.version > found.ok_value.version:
                 # Another greenlet has read further meanwhile.
@@ -173,6 +183,9 @@
             self.counters.count("following.history_lost")
             log.info("history lost", prefix=self.prefix, version=version)
             return self._read_all(sent_at, heard)
+        if isinstance(found.err_value, ports.TooLong):
+            self.counters.count("following.read_whole")
+            return self._read_all(sent_at, heard)
         return found.err_value.reason
 
     def _read_all(self, sent_at: float, heard: ports.Heard) -> str:
@@ -186,5 +199,7 @@
     def _pass_on(self, changes: ports.Changes, whole: bool, sent_at: float) -> None:
         self.version = changes.version
         self.fresh_at = sent_at
+        if changes.rows:
+            self.longest = max(len(row.value) for row in changes.rows)
         if whole or changes.rows or changes.removed:
             self.take(changes, whole)
--- a/src/mangosail/scheduler/ports.py
+++ b/src/mangosail/scheduler/ports.py
@@ -65,6 +65,11 @@
     """The changes asked for are no longer kept: all rows must be read again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooLong:
+    """The changes take longer to read than they are worth."""
+
+
 #: Called whenever a part of an answer has come, while the rest is on its way.
 Heard = cabc.Callable[[], None]
 
@@ -82,6 +87,14 @@
         """Return every row under `prefix` and a version to follow changes from."""
 
     def changes(
-        self, prefix: str, after: int, wait: float, heard: Heard = unheeded
-    ) -> result.Result[Changes, store_errors.Unavailable | HistoryLost]:
-        """Return what changed under `prefix` after a version, waiting for a change."""
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+        heard: Heard = unheeded,
+        most: int | None = None,
+    ) -> result.Result[Changes, store_errors.Unavailable | HistoryLost | TooLong]:
+        """Return what changed under `prefix` after a version, waiting for a change.
+
+        Changes of which the rows' texts take more than `most` bytes may not be read.
+        """
--- a/tests/bench/leading.py
+++ b/tests/bench/leading.py
@@ -51,7 +51,7 @@
 class Store(fakes.Rows):
     """The store in memory, whose changes can be waited for."""
 
-    def changes(self, prefix, after, wait):
+    def changes(self, prefix, after, wait, heard=None, most=None):
         deadline = time.monotonic() + wait
         while True:
             found = super().changes(prefix, after, 0)
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -349,12 +349,12 @@
     changes = follower.rows.changes
     context.passed_on = []
 
-    def wait_for_changes(prefix, after, wait, heard):
+    def wait_for_changes(prefix, after, wait, heard, most):
         for _ in range(round(wait * rate)):
             before = len(context.asked)
             step_callers(context, 1, "GET", 1 / rate)
             context.passed_on.append(len(context.asked) > before)
-        return changes(prefix, after, wait, heard)
+        return changes(prefix, after, wait, heard, most)
 
     assert follower.step(0)
     follower.rows.changes = wait_for_changes
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -93,7 +93,7 @@
         rows = tuple(self.kept.page(prefix, "", 10**6))
         return result.Ok(ports.Changes(rows, (), self.kept.version))
 
-    def changes(self, prefix, after, wait, heard=ports.unheeded):
+    def changes(self, prefix, after, wait, heard=ports.unheeded, most=None):
         if self.fault == "down":
             return result.Err(store_errors.Unavailable("down"))
         if after <= self.forgotten:
--- a/tests/scheduler/steps/following_steps.py
+++ b/tests/scheduler/steps/following_steps.py
@@ -20,7 +20,7 @@
     def read_all(self, prefix, heard):
         return result.Ok(ports.Changes((), (), 1))
 
-    def changes(self, prefix, after, wait, heard):
+    def changes(self, prefix, after, wait, heard, most):
         self.waits.append(wait)
         gone_at, back_at = self.away
         if gone_at <= self.clock.now < back_at:
