Show, failing, that a leader on a narrow link hears of no worker

Looks keep a limit on the whole answer and are all sent at once after a takeover: 20 workers with 25 KB each on 500 KB a second, and none is ever answered.

--- a/tests/adapter/narrow_links.feature
+++ b/tests/adapter/narrow_links.feature
@@ -126,3 +126,12 @@
     When the configuration grows to 3000 queues
     And a caller names a queue that was added
     Then the caller was kept for at most 4 s
+
+  Scenario: A new leader hears of all workers over its narrow link
+    Ends wait at the workers while nobody leads. A new leader looks at all workers at once,
+    so their answers share its link. Each took longer than a look's time limit for the whole
+    answer; it was thrown away, asked for again from its beginning, for ever. No end was
+    seen, no lease extended, so that all that ran was lost.
+    Given 20 workers that list 500 ends each, and a leader that reads 500 KB a second
+    When it leads
+    Then it has heard of each worker within 10 s
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -14,13 +14,14 @@
 from mangosail.intake import catalogs, desk, peers, relaying
 from mangosail.platform import (
     decoding,
+    entries,
     ingress,
     peering,
     store,
     table,
     workers,
 )
-from mangosail.scheduler import keys, messages
+from mangosail.scheduler import advice, keys, leadership, messages, scheduler
 from mangosail.telemetry import counters
 
 HOST = "jobs.example"
@@ -319,3 +320,79 @@
 @then("the caller was kept for at most {seconds:g} s")
 def step_caller_kept(context, seconds):
     assert context.kept <= seconds, context.kept
+
+
+class Workers(narrow.Platform):
+    """Many workers at the far end of one narrow link, with the same ends each."""
+
+    def serve(self, req, body):
+        seen = json.loads(body)["last_seen"]
+        ended = [
+            [number, f"5c0e7a21d94b36f8.0.0.{number}", 1, "done", ""]
+            for number in range(seen + 1, self.ends + 1)
+        ]
+        now = int(time.monotonic() * 1000)
+        return 200, {"clock_ms": now, "running": [], "ended": ended}
+
+
+@given(
+    "{count:d} workers that list {ends:d} ends each, and a leader that reads "
+    "{rate:d} KB a second"
+)
+def step_many_workers(context, count, ends, rate):
+    context.platform = narrow.Platform(10**9)
+    context.add_cleanup(context.platform.close)
+    behind = Workers(rate * 1000)
+    behind.ends = ends
+    context.add_cleanup(behind.close)
+    entry = {
+        "service": "pool",
+        "address": behind.address,
+        "zone": "dc",
+        "version": "v1",
+        "slots": 1,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "capacity": {"cpu": 4000, "mem_mb": 1000, "gpu": 0},
+        "labels": ["kind", "r1-1"],
+    }
+    for number in range(count):
+        context.platform.put("servers", "", f"i-{number}", json.dumps(entry))
+    context.workers = count
+
+
+@when("it leads")
+def step_leads(context):
+    address = context.platform.address
+    rows = store.Store(
+        caller.Caller(address, CONNECTIONS), caller.Caller(address, FEED_CONNECTIONS)
+    )
+    clock, counted = clocks.SystemClock(), counters.StatsdCounters(None, 0)
+    watching = leadership.Leadership(rows, "a", clock, counted, random.Random(1))
+    held = None
+    while held is None:
+        held = watching.watch()
+    catalog = decoding.catalog_of(narrow.configuration(1, 1, HOST))
+    context.scheduler = scheduler.Scheduler(
+        rows,
+        workers.HttpWorkers(4096),
+        held,
+        lambda: catalog,
+        entries.entry_of,
+        "servers//",
+        120,
+        advice.NoAdvisor(),
+        clock,
+        counted,
+    )
+    leading = gevent.spawn(context.scheduler.run)
+    context.add_cleanup(leading.kill)
+
+
+@then("it has heard of each worker within {seconds:g} s")
+def step_heard(context, seconds):
+    def heard():
+        return sum(worker.known for worker in context.scheduler.workers)
+
+    wait_for(lambda: heard() == context.workers, seconds)
