Let looks arrive while they go on arriving, for as long as leases allow

What callers saw: with a leader on a narrow link no job got on. It looks at all workers at once, so their answers share its link; each took longer than a look may take for the whole answer, was thrown away, and asked for again. No end was seen, no lease extended.

They are dated from their sending, so age makes the leader more careful, not wrong. They may take 3.0 s now, less than the leases that the next look has to extend; orders, and what is passed on, keep their limits on the whole.

--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -17,6 +17,9 @@
 ORDER_TIMEOUT = 0.9
 #: Seconds that a look may take beyond the time that it waits for an end.
 LOOK_TIMEOUT = 0.8
+#: Seconds within which a look must have come whole: the answers of many workers share a
+#: narrow link. One that is later could not extend leases, of 4.3 s, in time.
+LOOK_TERM = 3.0
 #: Connections to one worker for orders; of the 64 that it takes, a share that
 #: leaves room for a later leader.
 ORDER_CONNECTIONS = 6
@@ -109,8 +112,7 @@
             codec.to_json(body).encode(),
             headers_for(worker),
             wait + LOOK_TIMEOUT,
-            # What a look says ages while it arrives.
-            longest=wait + LOOK_TIMEOUT,
+            longest=LOOK_TERM,
         )
         if isinstance(answer, result.Err):
             return result.Err(unanswered(answer.err_value))
