--- a/tests/standins/narrow.py
+++ b/tests/standins/narrow.py
@@ -25,6 +25,9 @@
         #: Bytes that were put on the link, and the time at which it is free again.
         self.sent = 0
         self.free_at = 0.0
+        #: Answers that are being sent. While there are any, the link goes by its own
+        #: schedule, so that a busy machine makes it no narrower.
+        self.sending = 0
         #: Bytes of an answer after which it goes silent; None if none does.
         self.stall_after = None
         super().__init__()
@@ -37,15 +40,20 @@
         resp.content_length = len(data)
 
     def pieces(self, data):
-        for first in range(0, len(data), PIECE):
-            if self.stall_after is not None and first >= self.stall_after:
-                gevent.sleep(30)
-            piece = data[first : first + PIECE]
-            self.sent += len(piece)
-            now = time.monotonic()
-            self.free_at = max(self.free_at, now) + len(piece) / self.rate
-            gevent.sleep(self.free_at - now)
-            yield piece
+        if not self.sending:
+            self.free_at = time.monotonic()
+        self.sending += 1
+        try:
+            for first in range(0, len(data), PIECE):
+                if self.stall_after is not None and first >= self.stall_after:
+                    gevent.sleep(30)
+                piece = data[first : first + PIECE]
+                self.sent += len(piece)
+                self.free_at += len(piece) / self.rate
+                gevent.sleep(max(self.free_at - time.monotonic(), 0))
+                yield piece
+        finally:
+            self.sending -= 1
 
     def feed(self, req):
         deadline = time.monotonic() + int(req.get_param("wait_ms") or 0) / 1000
