Show, failing, that an urgent task waits where nothing is evicted for it

Callers saw their urgent task start after 8 s, when batch tasks ended by themselves. The first scenario is of whole processes: the instance has no worker, its peer has one, full of batch.

--- a/tests/jobs/environment.py
+++ b/tests/jobs/environment.py
@@ -4,15 +4,19 @@
 
 
 def before_scenario(context, scenario):
+    if scenario.filename.endswith("room.feature"):
+        return
     context.stage = stage.Stage()
     context.stage.start_platform()
     settings = {**teams.example("fuel-desk"), "urgent": True}
     context.stage.write_settings("fuel-desk", settings)
-    context.stage.start_workers("shymkent", 2)
+    count = 1 if "one_worker" in scenario.effective_tags else 2
+    context.stage.start_workers("shymkent", count)
     for number in range(2):
         context.stage.start_instance(f"shymkent-{number}", "shymkent")
     context.stage.wait_ready()
 
 
 def after_scenario(context, scenario):
-    context.stage.close()
+    if "stage" in context:
+        context.stage.close()
--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -64,6 +64,20 @@
     And every index of "bulk" completed exactly once
     And a task of "bulk" was resumed from a checkpoint
 
+  @one_worker
+  Scenario: Urgent work starts at once though its instance has no worker
+    The worker belongs to the other instance and is full of long tasks. Offered the
+    urgent task, that one found no room and said no, again and again, until tasks
+    ended by themselves 8 seconds later: nobody evicted for a peer's task.
+    Given "shymkent-0" has no worker and "shymkent-1" has one
+    When a job "bulk" of 6 tasks of 8 seconds is submitted to "shymkent-0"
+    And 4 tasks of "bulk" run and an urgent job "now" of 1 task is submitted
+    Then the first task of "now" started within 2.1 seconds
+    And 1 task of "bulk" was evicted
+    And every instance sees "bulk" "completed" with 6 of 6 tasks within 40 seconds
+    And every index of "bulk" completed exactly once
+    And a task of "bulk" was resumed from a checkpoint
+
   Scenario: The instance dies between a checkpoint and the row that names it
     As above, but the table is slow, and the instance is killed when its worker
     has stored a checkpoint and the task's row still says that it runs there.
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -2,7 +2,7 @@
 import json
 import time
 
-from behave import then, when
+from behave import given, then, when
 from tests.support import stage, teams
 
 SLOW_SECONDS = 0.4
@@ -63,6 +63,21 @@
     post(context, instance, job(job_id, tasks, cpus, work_seconds=0.5))
 
 
+def workers_of(context, instance):
+    status = context.stage.call(instance, "GET", "/v1/status", headers=HEADERS)
+    return status.json()["workers"]
+
+
+@given('"{without}" has no worker and "{owner}" has one')
+def owned_by(context, without, owner):
+    stage.wait_until(
+        lambda: (
+            len(workers_of(context, owner)) == 1 and not workers_of(context, without)
+        ),
+        what=f"{owner} owns the worker",
+    )
+
+
 @when('the same job is submitted to "{instance}"')
 def submit_again(context, instance):
     post(context, instance, context.job)
@@ -223,6 +238,12 @@
     assert took <= seconds, took
 
 
+@then('{count:d} task of "{job_id}" was evicted')
+def evicted(context, count, job_id):
+    stored = entries(context, job_id, "checkpoint")
+    assert len(stored) == count, stored
+
+
 @then('a task of "{job_id}" was resumed from a checkpoint')
 def resumed(context, job_id):
     starts = [e for _, e in entries(context, job_id, "start") if e["generation"] > 1]
--- /dev/null
+++ b/tests/jobs/steps/room_steps.py
@@ -0,0 +1,141 @@
+import gevent
+import result
+from behave import given, then, when
+from tests.support import placing
+
+from mangosail import resources
+from mangosail.jobs import room
+from mangosail.work import messages as work_messages
+from mangosail.work import placing as work_placing
+
+
+class Scene(placing.Placing):
+    """Workers in memory with batch tasks, which are evicted as told."""
+
+    def __init__(self, *names):
+        super().__init__(*names)
+        self.hands = {name: [] for name in names}  # worker -> tasks in hand
+        self.later = {}  # worker -> tasks that run there and are not in hand
+        self.evicted = []
+        self.fail = False
+        self.seconds = 0.0
+        self.room = room.Room(
+            self.workers, self.placer, self, self.clock, self.counters
+        )
+
+    def on_worker(self, worker):
+        return list(self.hands[worker])
+
+    def evict(self, task_id, reason):
+        if self.seconds:
+            gevent.sleep(self.seconds)
+        if self.fail:
+            return result.Err("checkpoint_failed")
+        for name, tasks in self.hands.items():
+            for request in tasks:
+                if work_messages.task_id_of(request) == task_id:
+                    tasks.remove(request)
+                    self.workers.get(name).ledger.release(task_id)
+                    self.evicted.append(task_id)
+                    return result.Ok(None)
+        return result.Err("not_in_hand")
+
+    def run(self, worker, request):
+        work = work_placing.work_of(request)
+        self.workers.get(worker).ledger.enter(work.task_id, work.needs)
+        self.hands[worker].append(request)
+
+    def find_no_room(self, request):
+        assert not self.room.fits(request)
+        self.room.make(request, True, self.clock.now)
+        gevent.sleep(0)
+
+
+def task(name, cpus, job="j"):
+    needs = resources.Resources(cpus, 2, 0, 1)
+    return work_messages.Request("t", name, "k", needs, None, bool(job), job)
+
+
+@given('workers "{names}" with {count:d} batch tasks of {cpus:d} cores')
+def workers_with(context, names, count, cpus):
+    scene = context.scene = Scene(*names.split(","))
+    for name in scene.hands:
+        for number in range(count):
+            scene.run(name, task(f"{name}.{number}", cpus))
+
+
+@given('the tasks on "{worker}" are not yet in hand')
+def not_in_hand(context, worker):
+    scene = context.scene
+    scene.later[worker], scene.hands[worker] = scene.hands[worker], []
+
+
+@given('a release of {cpus:d} cores on "{worker}"')
+def release(context, cpus, worker):
+    context.scene.run(worker, task("release", cpus, job=""))
+
+
+@given("evictions fail")
+def evictions_fail(context):
+    context.scene.fail = True
+
+
+@given("evictions take {seconds:g} seconds")
+def evictions_take(context, seconds):
+    context.scene.seconds = seconds
+
+
+@given('the kind of "{name}" was seen to take {cpus:d} cores')
+def seen_to_take(context, name, cpus):
+    placer = context.scene.placer
+    kind = work_placing.work_of(task(name, cpus))
+    measured = resources.Resources(cpus, 2, 0, 1)
+    placer.sizes.learn(f"{kind.team}/{kind.kind}", measured)
+
+
+@when("evictions succeed again")
+def evictions_succeed(context):
+    context.scene.fail = False
+
+
+@when('an urgent task "{name}" of {cpus:d} cores finds no room')
+def no_room(context, name, cpus):
+    context.request = task(name, cpus)
+    context.scene.find_no_room(context.request)
+
+
+@when('an urgent task "{name}" of {cpus:d} cores finds no room in {rounds:d} rounds')
+def no_room_again(context, name, cpus, rounds):
+    for _ in range(rounds):
+        no_room(context, name, cpus)
+    gevent.sleep(2 * context.scene.seconds)
+
+
+@when('the tasks on "{worker}" are in hand')
+def in_hand(context, worker):
+    scene = context.scene
+    scene.hands[worker] = scene.later.pop(worker)
+
+
+@when('"{name}" is started')
+def started(context, name):
+    scene, request = context.scene, context.request
+    assert scene.room.fits(request)
+    scene.room.started(request, True)
+    scene.run(scene.placer.candidates(work_placing.work_of(request))[0].name, request)
+
+
+@then('{count:d} batch task was evicted, and "{name}" fits')
+@then('{count:d} batch tasks were evicted, and "{name}" fits')
+def evicted_and_fits(context, count, name):
+    scene = context.scene
+    assert len(scene.evicted) == count, scene.evicted
+    assert work_messages.task_id_of(context.request) == f"t/{name}"
+    assert scene.room.fits(context.request)
+
+
+@then('{count:d} batch tasks were evicted, and "{name}" does not fit')
+def evicted_in_vain(context, count, name):
+    scene = context.scene
+    assert len(scene.evicted) == count, scene.evicted
+    assert not scene.room.fits(context.request)
