Evict again for an urgent task while it finds no room

Callers saw an urgent task start when batch tasks ended by themselves, 8 s later, though a worker was kept for it. What was in its way was evicted once, at the moment the worker was chosen, and the kept worker then counted as cleared. If an eviction failed, if the worker had just been taken and its tasks were not yet in hand, or if the task was given more than it declared, nobody looked again. A worker was also kept until its urgent task had ended, not started, so that a second one waited for the end of the first; and for ever, when the job was cancelled while it waited.

Each round of placing now sees what is still lacking and evicts that; evictions under way count as made, so none is doubled. Nothing is evicted where all of it would not be enough. A worker is kept while its task asks for it, and until it has its place.

Ruled out: choosing the worker anew in each round for a big task too, by which no worker would run empty towards it.

--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -19,6 +19,9 @@
 
 #: Seconds for which smaller tasks may pass one that finds no room.
 RESERVE_AFTER = 3.0
+#: Seconds for which a worker is kept. A task that waits asks again four times a
+#: second; a round that waits for silent peers takes a few seconds.
+KEPT_TERM = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +31,8 @@
     worker: str
     task_id: str
     urgent: bool
+    #: Monotonic time until which the worker is kept, unless it is asked for again.
+    deadline: float
 
 
 class Room:
@@ -57,6 +62,8 @@
         self.pending: dict[str, resources.Resources] = {}
         #: Task ids of urgent work on own workers; never cleared for others.
         self.urgent: set[str] = set()
+        #: Task ids of batch tasks whose eviction is under way.
+        self.evicting: set[str] = set()
 
     def workers(self) -> int:
         """Return how many workers there are to try."""
@@ -104,23 +111,47 @@
 
     def make(
         self, request: work_messages.Request, urgent: bool, blocked_since: float
-    ) -> None:
-        """Keep a worker for a task that found no room, if it is its turn."""
-        if not urgent and self.clock.monotonic() < blocked_since + RESERVE_AFTER:
-            return
+    ) -> bool:
+        """Keep a worker for a task that found no room, if it is its turn.
+
+        For an urgent task, what is lacking there is evicted; True tells that this
+        is under way. Call again while the task finds no room: an eviction may fail,
+        the tasks on a worker that was just taken are known only later, and a worker
+        is not kept for a task that waits no longer.
+        """
+        now = self.clock.monotonic()
+        if not urgent and now < blocked_since + RESERVE_AFTER:
+            return False
+        task_id = work_messages.task_id_of(request)
         kept = self.reservation
         if kept is not None and self._stands(kept, urgent):
-            return
-        self.release()
-        owned = self._best(request.needs, urgent)
+            if kept.task_id != task_id:
+                # Its turn comes in a moment, if the other one is about to start.
+                return bool(self.evicting) or kept.task_id in self.pending
+            if not urgent:
+                self.reservation = dataclasses.replace(kept, deadline=now + KEPT_TERM)
+                return False
+        needs = self._sized(request)
+        owned = self._best(task_id, needs, urgent)
         if owned is None:
-            return
-        task_id = work_messages.task_id_of(request)
-        self.reservation = Reservation(owned.name, task_id, urgent)
-        owned.reserved_for = task_id
-        self.counters.count("jobs.reserved.urgent" if urgent else "jobs.reserved.big")
-        if urgent:
-            self._clear(owned, request.needs)
+            self.release()
+            return False
+        self._keep(owned, Reservation(owned.name, task_id, urgent, now + KEPT_TERM))
+        return urgent and self._clear(owned, needs)
+
+    def _keep(self, owned: placed.OwnedWorker, wanted: Reservation) -> None:
+        kept = self.reservation
+        if kept is None or (kept.worker, kept.task_id) != (owned.name, wanted.task_id):
+            self.release()
+            urgency = "urgent" if wanted.urgent else "big"
+            self.counters.count(f"jobs.reserved.{urgency}")
+        self.reservation = wanted
+        owned.reserved_for = wanted.task_id
+
+    def _sized(self, request: work_messages.Request) -> resources.Resources:
+        """Return what the task is given: its kind may take more than it declared."""
+        wanted = placing.work_of(request)
+        return self.placer.sizes.needs(placer.size_kind(wanted), wanted.needs)
 
     def _drop_entered(self) -> None:
         for owned in self.owned:
@@ -130,15 +161,25 @@
     def _stands(self, kept: Reservation, urgent: bool) -> bool:
         if urgent and not kept.urgent:
             return False
+        if self.clock.monotonic() >= kept.deadline or self._entered(kept.task_id):
+            return False
         owned = self.owned.get(kept.worker)
         if owned is None or not owned.accepts():
             return False
         return kept.urgent or not owned.closed_to_batch
 
+    def _entered(self, task_id: str) -> bool:
+        """Tell whether a task has its place; while it runs, others have their turn."""
+        return any(task_id in owned.ledger.reserved for owned in self.owned)
+
     def _best(
-        self, needs: resources.Resources, urgent: bool
+        self, task_id: str, needs: resources.Resources, urgent: bool
     ) -> placed.OwnedWorker | None:
-        """Return the worker that is closest to having room for `needs`."""
+        """Return the worker that is closest to having room for `needs`.
+
+        The one that is kept for the task comes before others as good: of those that
+        can't be cleared, it is the one that runs empty.
+        """
         able = [
             owned
             for owned in self.owned
@@ -148,32 +189,57 @@
         ]
         if not able:
             return None
-        return min(able, key=lambda o: (len(self._victims(o, needs)), -o.free_cpus()))
+        return min(able, key=lambda owned: self._distance(owned, task_id, needs))
+
+    def _distance(
+        self, owned: placed.OwnedWorker, task_id: str, needs: resources.Resources
+    ) -> tuple[bool, bool, int, float]:
+        victims, enough = self._victims(owned, needs)
+        others = owned.reserved_for != task_id
+        return (not enough, others, len(victims), -owned.free_cpus())
 
     def _victims(
         self, owned: placed.OwnedWorker, needs: resources.Resources
-    ) -> list[work_messages.Request]:
-        """Return the fewest tasks in whose place `needs` would fit."""
+    ) -> tuple[list[str], bool]:
+        """Return the fewest tasks in whose place `needs` would fit, and if it would.
+
+        Room that evictions under way are about to make counts as made.
+        """
+        reserved = owned.ledger.reserved
         free = owned.ledger.free()
-        victims: list[work_messages.Request] = []
-        lower = [
-            request
-            for request in work.batch_on(self.run, owned.name)
-            if work_messages.task_id_of(request) not in self.urgent
-        ]
-        for request in sorted(lower, key=lambda each: -each.needs.cpus):
+        lower: list[str] = []
+        for request in work.batch_on(self.run, owned.name):
+            task_id = work_messages.task_id_of(request)
+            if task_id not in reserved or task_id in self.urgent:
+                continue
+            if task_id in self.evicting:
+                free = free + reserved[task_id]
+            else:
+                lower.append(task_id)
+        victims: list[str] = []
+        for task_id in sorted(lower, key=lambda each: -reserved[each].cpus):
             if needs.fits_in(free):
                 break
-            free = free + request.needs
-            victims.append(request)
-        return victims
-
-    def _clear(self, owned: placed.OwnedWorker, needs: resources.Resources) -> None:
-        for request in self._victims(owned, needs):
-            gevent.spawn(self._evict, work_messages.task_id_of(request))
+            free = free + reserved[task_id]
+            victims.append(task_id)
+        return victims, needs.fits_in(free)
+
+    def _clear(self, owned: placed.OwnedWorker, needs: resources.Resources) -> bool:
+        """Evict what is in the way of `needs`, unless it would not be enough."""
+        victims, enough = self._victims(owned, needs)
+        if not enough:
+            # The evicted would lose their places, and the task would wait as before.
+            return False
+        for task_id in victims:
+            self.evicting.add(task_id)
+            gevent.spawn(self._evict, task_id)
+        return True
 
     def _evict(self, task_id: str) -> None:
-        evicted = self.run.evict(task_id, "urgent")
+        try:
+            evicted = self.run.evict(task_id, "urgent")
+        finally:
+            self.evicting.discard(task_id)
         if isinstance(evicted, result.Err):
             self.counters.count("jobs.evict_failed")
             return
--- a/tests/jobs/room.feature
+++ b/tests/jobs/room.feature
@@ -55,3 +55,12 @@
     And the kind of "now" was seen to take 18 cores
     When an urgent task "now" of 12 cores finds no room
     Then 2 batch tasks were evicted, and "now" fits
+
+  Scenario: A worker that was kept for a job that is cancelled is open again
+    The job's task waits no longer and never starts, so nobody gave the worker
+    back: it took no batch task any more.
+    Given workers "a" with 4 batch tasks of 6 cores
+    And a release of 8 cores on "a"
+    When an urgent task "now" of 32 cores finds no room
+    And the batch tasks end and "now" is asked for no more
+    Then a batch task of 6 cores fits
--- a/tests/jobs/steps/room_steps.py
+++ b/tests/jobs/steps/room_steps.py
@@ -125,6 +125,23 @@
     scene.run(scene.placer.candidates(work_placing.work_of(request))[0].name, request)
 
 
+@when('the batch tasks end and "{name}" is asked for no more')
+def asked_no_more(context, name):
+    scene = context.scene
+    for worker, tasks in scene.hands.items():
+        for request in [each for each in tasks if each.job]:
+            tasks.remove(request)
+            task_id = work_messages.task_id_of(request)
+            scene.workers.get(worker).ledger.release(task_id)
+    assert not scene.room.fits(task("other", 6))
+    scene.clock.sleep(room.KEPT_TERM)
+
+
+@then("a batch task of {cpus:d} cores fits")
+def batch_fits(context, cpus):
+    assert context.scene.room.fits(task("other", cpus))
+
+
 @then('{count:d} batch task was evicted, and "{name}" fits')
 @then('{count:d} batch tasks were evicted, and "{name}" fits')
 def evicted_and_fits(context, count, name):
