Log for whom a worker is kept and evicted, and print what a red job scenario left

An urgent task that started late could not be traced: neither log told whether a worker had been kept for it, on which, or who was asked to make room, and the test's logs were gone with its red run. Each change of that is a line now; a red scenario of the slice prints the processes' last log lines, their counters and what the workers did.

--- a/src/mangosail/jobs/offers.py
+++ b/src/mangosail/jobs/offers.py
@@ -8,6 +8,7 @@
 import collections.abc as cabc
 
 import gevent
+import logbook
 import result
 
 from mangosail import clock as clocks
@@ -17,6 +18,8 @@
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
 
+log = logbook.Logger("jobs")
+
 #: Seconds that a peer may take to answer an offer.
 OFFER_TIMEOUT = 0.5
 #: Seconds for which a peer that refused is offered nothing.
@@ -100,13 +103,19 @@
                 self.counters.count("jobs.offer.accepted")
                 return True
             if answer.ok_value.reason == CLEARING:
-                self.clearing = peer.listed.name
-                self.counters.count("jobs.offer.clearing")
+                self._note_clearing(peer.listed.name, message.request)
                 return False
             paused[peer.listed.name] = now + REFUSED_PAUSE
             self.counters.count(f"jobs.offer.refused.{answer.ok_value.reason}")
         return False
 
+    def _note_clearing(self, peer: str, request: work_messages.Request) -> None:
+        self.counters.count("jobs.offer.clearing")
+        if self.clearing != peer:
+            task_id = work_messages.task_id_of(request)
+            log.info("peer makes room", peer=peer, task=task_id)
+        self.clearing = peer
+
     def take(self, offer: messages.Offer) -> messages.OfferAnswer:
         """Take a peer's task on if there is room."""
         if not self.lease.valid():
--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -145,6 +145,7 @@
             self.release()
             urgency = "urgent" if wanted.urgent else "big"
             self.counters.count(f"jobs.reserved.{urgency}")
+            log.info("worker kept", worker=owned.name, task=wanted.task_id, why=urgency)
         self.reservation = wanted
         owned.reserved_for = wanted.task_id
 
@@ -232,6 +233,7 @@
             return False
         for task_id in victims:
             self.evicting.add(task_id)
+            log.info("evicting", worker=owned.name, task=task_id, why="urgent")
             gevent.spawn(self._evict, task_id)
         return True
 
@@ -242,5 +244,6 @@
             self.evicting.discard(task_id)
         if isinstance(evicted, result.Err):
             self.counters.count("jobs.evict_failed")
+            log.info("not evicted", task=task_id, why=evicted.err_value.reason)
             return
         self.counters.count("jobs.evicted.urgent")
--- a/tests/jobs/environment.py
+++ b/tests/jobs/environment.py
@@ -18,5 +18,10 @@
 
 
 def after_scenario(context, scenario):
-    if "stage" in context:
-        context.stage.close()
+    if "stage" not in context:
+        return
+    if scenario.status.has_failed():
+        context.stage.tell("fuel-desk-token")
+        for entry in context.stage.execution_log():
+            print(entry)
+    context.stage.close()
--- a/tests/support/crowded.py
+++ b/tests/support/crowded.py
@@ -5,6 +5,7 @@
 
 from mangosail import resources
 from mangosail.jobs import room
+from mangosail.work import errors
 from mangosail.work import messages as work_messages
 from mangosail.work import placing as work_placing
 from tests.support import placing
@@ -31,7 +32,7 @@
         if self.seconds:
             gevent.sleep(self.seconds)
         if self.fail:
-            return result.Err("checkpoint_failed")
+            return result.Err(errors.NotEvicted("checkpoint_failed"))
         for name, tasks in self.hands.items():
             for request in tasks:
                 if work_messages.task_id_of(request) == task_id:
@@ -39,7 +40,7 @@
                     self.workers.get(name).ledger.release(task_id)
                     self.evicted.append(task_id)
                     return result.Ok(None)
-        return result.Err("not_in_hand")
+        return result.Err(errors.NotEvicted("not_in_hand"))
 
     def submit(self, request, deadline, forward=True):
         """Run nothing: what became of a task that found room is not told here."""
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -22,6 +22,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 #: Seconds that a process may take until it serves.
 START_TIMEOUT = 30.0
+#: Lines of each log that a red scenario prints.
+LINES_TOLD = 60
 
 
 @dataclasses.dataclass(frozen=True)
@@ -240,6 +242,20 @@
             if entry["event"] == "start" and entry["task_id"] == task_id
         ]
 
+    def tell(self, token):
+        """Print what a red run is traced by: it may not show again.
+
+        The last lines of each process's log, and the counters of each instance.
+        """
+        for path in sorted(self.logs.glob("*.log")):
+            lines = path.read_text(errors="replace").splitlines()
+            print(f"-- {path.name}", *lines[-LINES_TOLD:], sep="\n")
+        for name in self.instances:
+            try:
+                print(f"-- counters of {name}", self.counters(name, token), sep="\n")
+            except (OSError, ValueError, KeyError) as exc:
+                print(f"-- no counters of {name}: {exc!r}")
+
     def signal(self, name, number):
         self.processes[name].send_signal(number)
 
