Show, failing, that an urgent task waits 10 s for a peer that lost its offer

The holder has no room and a peer is believed to have some; the answer to the offer does not come in 0.5 s.

--- a/tests/jobs/offers.feature
+++ b/tests/jobs/offers.feature
@@ -33,3 +33,16 @@
     Then it is refused for "clearing" and 1 batch tasks were evicted
     When a peer offers an urgent task "now" of 12 cores and asks to make room
     Then it is accepted
+
+  Scenario Outline: A task whose offer was lost is offered again
+    The peer never had the offer, or its answer is lost: the task's row will tell.
+    An urgent task is not left for the 10 seconds that others have for that; if
+    the peer has claimed it all the same, the row keeps it from starting twice.
+    Given a holder without workers, the first answer to whose offers is lost
+    When a job is handed in that is <kind>
+    Then its task is offered again within <seconds> seconds, and not before <least>
+
+    Examples:
+      | kind       | seconds | least |
+      | urgent     | 2.1     | 0.5   |
+      | not urgent | 12      | 10    |
--- a/tests/jobs/steps/offers_steps.py
+++ b/tests/jobs/steps/offers_steps.py
@@ -3,11 +3,15 @@
 import gevent
 import result
 from behave import given, then, when
-from tests.support import crowded, memory
+from tests.support import crowded, fakes, memory
 
-from mangosail.jobs import messages, offers
+from mangosail import resources
+from mangosail.jobs import messages, offers, queue, recording, records
 from mangosail.telemetry import counters
 
+#: Rounds of placing between two recordings of the held jobs.
+ROUNDS_A_RECORDING = int(recording.RECORD_INTERVAL / queue.QUIET_INTERVAL)
+
 
 class Peer:
     """A peer with its channel: makes room in some rounds, then takes the task."""
@@ -48,11 +52,11 @@
         return self.peers[1:]
 
 
-def offers_of(peers, run=None, places=None):
+def offers_of(peers, run=None, places=None, clock=None):
     row = types.SimpleNamespace(instance="i", data_centre="here")
     lease = types.SimpleNamespace(row=row, valid=lambda: True)
     count = counters.StatsdCounters(None, 0)
-    return offers.Offers(peers, run, places, lease, memory.Clock(), count)
+    return offers.Offers(peers, run, places, lease, clock or memory.Clock(), count)
 
 
 @given('peers "{names}" that would make room in {rounds:d} rounds')
@@ -131,3 +135,56 @@
 @then("it is accepted")
 def accepted(context):
     assert context.answer.accepted
+
+
+class LosingPeer(Peer):
+    """A peer that loses the first offer, and notes when each came."""
+
+    def __init__(self, clock):
+        super().__init__("p", 0)
+        self.clock = clock
+        self.came_at = []
+
+    def call(self, method, message, timeout):
+        self.came_at.append(self.clock.now)
+        if len(self.came_at) > 1:
+            return result.Ok(messages.OfferAnswer(True))
+        self.clock.sleep(timeout)
+        return result.Err("deadline_exceeded")
+
+
+@given("a holder without workers, the first answer to whose offers is lost")
+def losing_holder(context):
+    scene = context.scene = crowded.Crowded()
+    context.peer = LosingPeer(scene.clock)
+    peers = Peers([context.peer])
+    context.queue = queue.JobQueue(
+        records.Records(fakes.Table(fakes.World())),
+        scene,
+        scene.room,
+        offers_of(peers, scene, scene.room, scene.clock),
+        fakes.Lease("i", "1"),
+        lambda team: resources.Resources(cpus=100),
+        scene.clock,
+        scene.counters,
+    )
+
+
+@when("a job is handed in that is {kind}")
+def handed_in(context, kind):
+    needs = resources.Resources(12, 2, 0, 1)
+    job = messages.Job("t", "j", "k", 1, needs, None, urgent=kind == "urgent")
+    assert isinstance(context.queue.submit(job), result.Ok)
+    clock, rounds = context.scene.clock, 0
+    while len(context.peer.came_at) < 2 and rounds < 200:
+        rounds += 1
+        context.queue.place()
+        if rounds % ROUNDS_A_RECORDING == 0:
+            context.queue.recording.record()
+        clock.sleep(queue.QUIET_INTERVAL)
+
+
+@then("its task is offered again within {seconds:g} seconds, and not before {least:g}")
+def offered_again(context, seconds, least):
+    first, *again = context.peer.came_at
+    assert again and least <= again[0] - first <= seconds, context.peer.came_at
