Offer an urgent task again half a second after an offer that was lost

Callers saw an urgent task start 10 s late when a peer was slow to answer an offer: the task was left to that peer until its row could be taken for missing.

It holds because the row decides: a peer that claims the task later than that conflicts with the next claim, and either finds the other's end there. Nothing starts twice.

--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -41,6 +41,9 @@
 TASK_PATIENCE = 3600.0
 #: Seconds in which a peer that was offered a task claims it, or never will.
 FOLLOW_GRACE = 10.0
+#: The same for an urgent task, which may not wait for slow peers: one that claims it
+#: later finds that another has, or is found to have it; it starts once.
+URGENT_GRACE = 0.5
 #: Attempts at a cancellation while the holder writes at the same time.
 CANCEL_ATTEMPTS = 5
 
@@ -230,7 +233,8 @@
         self.room.forget(request)
         job.tally.begin(index)
         job.blocked_since = None
-        job.follow(index, self.clock.monotonic(), FOLLOW_GRACE)
+        grace = URGENT_GRACE if job.job.urgent else FOLLOW_GRACE
+        job.follow(index, self.clock.monotonic(), grace)
 
     def _run(
         self, job: held.HeldJob, index: int, request: work_messages.Request
