--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -41,6 +41,9 @@
 TASK_PATIENCE = 3600.0
 #: Seconds in which a peer that was offered a task claims it, or never will.
 FOLLOW_GRACE = 10.0
+#: The same for an urgent task, which may not wait for slow peers: one that claims it
+#: later finds that another has, or is found to have it; it starts once.
+URGENT_GRACE = 0.5
 #: Attempts at a cancellation while the holder writes at the same time.
 CANCEL_ATTEMPTS = 5
 
@@ -195,7 +198,8 @@
                 job.blocked_since = None
                 return True
             job.blocked_since = job.blocked_since or now
-            self.room.make(job.request(index), job.job.urgent, job.blocked_since)
+            if self._make_room(job, index, job.blocked_since):
+                return True
         return False
 
     def _place_task(self, job: held.HeldJob, index: int) -> bool:
@@ -207,10 +211,30 @@
             return True
         if not self.peers.offer(request, job.job.urgent):
             return False
+        self._taken_by_peer(job, index, request)
+        return True
+
+    def _make_room(self, job: held.HeldJob, index: int, blocked_since: float) -> bool:
+        """Have room made here, or else by a peer; True if one may have the task.
+
+        This instance may have no workers, or none that can be cleared.
+        """
+        request = job.request(index)
+        if self.room.make(request, job.job.urgent, blocked_since):
+            return False
+        if not job.job.urgent or not self.peers.clear(request):
+            return False
+        self._taken_by_peer(job, index, request)
+        return True
+
+    def _taken_by_peer(
+        self, job: held.HeldJob, index: int, request: work_messages.Request
+    ) -> None:
         self.room.forget(request)
         job.tally.begin(index)
-        job.follow(index, self.clock.monotonic(), FOLLOW_GRACE)
-        return True
+        job.blocked_since = None
+        grace = URGENT_GRACE if job.job.urgent else FOLLOW_GRACE
+        job.follow(index, self.clock.monotonic(), grace)
 
     def _run(
         self, job: held.HeldJob, index: int, request: work_messages.Request
--- /dev/null
+++ b/tests/jobs/steps/room_steps.py
@@ -0,0 +1,110 @@
+import gevent
+from behave import given, then, when
+from tests.support import crowded
+
+from mangosail import resources
+from mangosail.jobs import room
+from mangosail.work import messages as work_messages
+from mangosail.work import placing as work_placing
+
+
+@given('workers "{names}" with {count:d} batch tasks of {cpus:d} cores')
+def workers_with(context, names, count, cpus):
+    scene = context.scene = crowded.Crowded(*names.split(","))
+    for name in scene.hands:
+        for number in range(count):
+            scene.run(name, crowded.task(f"{name}.{number}", cpus))
+
+
+@given('the tasks on "{worker}" are not yet in hand')
+def not_in_hand(context, worker):
+    scene = context.scene
+    scene.later[worker], scene.hands[worker] = scene.hands[worker], []
+
+
+@given('a release of {cpus:d} cores on "{worker}"')
+def release(context, cpus, worker):
+    context.scene.run(worker, crowded.task("release", cpus, job=""))
+
+
+@given("evictions fail")
+def evictions_fail(context):
+    context.scene.fail = True
+
+
+@given("evictions take {seconds:g} seconds")
+def evictions_take(context, seconds):
+    context.scene.seconds = seconds
+
+
+@given('the kind of "{name}" was seen to take {cpus:d} cores')
+def seen_to_take(context, name, cpus):
+    placer = context.scene.placer
+    kind = work_placing.work_of(crowded.task(name, cpus))
+    measured = resources.Resources(cpus, 2, 0, 1)
+    placer.sizes.learn(f"{kind.team}/{kind.kind}", measured)
+
+
+@when("evictions succeed again")
+def evictions_succeed(context):
+    context.scene.fail = False
+
+
+@when('an urgent task "{name}" of {cpus:d} cores finds no room')
+def no_room(context, name, cpus):
+    context.request = crowded.task(name, cpus)
+    context.scene.find_no_room(context.request)
+
+
+@when('an urgent task "{name}" of {cpus:d} cores finds no room in {rounds:d} rounds')
+def no_room_again(context, name, cpus, rounds):
+    for _ in range(rounds):
+        no_room(context, name, cpus)
+    gevent.sleep(2 * context.scene.seconds)
+
+
+@when('the tasks on "{worker}" are in hand')
+def in_hand(context, worker):
+    scene = context.scene
+    scene.hands[worker] = scene.later.pop(worker)
+
+
+@when('"{name}" is started')
+def started(context, name):
+    scene, request = context.scene, context.request
+    assert scene.room.fits(request)
+    scene.room.started(request, True)
+    scene.run(scene.placer.candidates(work_placing.work_of(request))[0].name, request)
+
+
+@when('the batch tasks end and "{name}" is asked for no more')
+def asked_no_more(context, name):
+    scene = context.scene
+    for worker, tasks in scene.hands.items():
+        for request in [each for each in tasks if each.job]:
+            tasks.remove(request)
+            task_id = work_messages.task_id_of(request)
+            scene.workers.get(worker).ledger.release(task_id)
+    assert not scene.room.fits(crowded.task("other", 6))
+    scene.clock.sleep(room.KEPT_TERM)
+
+
+@then("a batch task of {cpus:d} cores fits")
+def batch_fits(context, cpus):
+    assert context.scene.room.fits(crowded.task("other", cpus))
+
+
+@then('{count:d} batch task was evicted, and "{name}" fits')
+@then('{count:d} batch tasks were evicted, and "{name}" fits')
+def evicted_and_fits(context, count, name):
+    scene = context.scene
+    assert len(scene.evicted) == count, scene.evicted
+    assert work_messages.task_id_of(context.request) == f"t/{name}"
+    assert scene.room.fits(context.request)
+
+
+@then('{count:d} batch tasks were evicted, and "{name}" does not fit')
+def evicted_in_vain(context, count, name):
+    scene = context.scene
+    assert len(scene.evicted) == count, scene.evicted
+    assert not scene.room.fits(context.request)
