Start nothing more in a data centre that the operator closes

What callers saw: their tasks went on starting in a data centre that was being emptied, and were lost with it.

Cause: the rows by which the operator closes a data centre were not read at all. They stand beside the configuration, which each instance follows: the rows are followed with it, also when the history is lost, and workers there are not usable until the row is dropped. What runs there runs on, with its leases extended and its ends taken in.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -38,6 +38,7 @@
         clock: clocks.Clock,
         counters: telemetry.Counters,
         most_age: float = MOST_AGE,
+        closed_prefix: str | None = None,
     ) -> None:
         self.key = key
         self.decode = decode
@@ -45,6 +46,9 @@
         self.counters = counters
         self.present: messages.Catalog | None = None
         self.by_host: dict[str, list[messages.Queue]] = {}
+        #: Begins the keys of rows that close a data centre, each until it is dropped.
+        self.closed_prefix = closed_prefix
+        self.closed: frozenset[str] = frozenset()
         #: Seconds for which it may be gone by after it was surely the newest: a change
         #: must be in force by then.
         self.most_age = most_age
@@ -126,7 +130,25 @@
         """
         return self.follower.refresh(term)
 
+    def closed_data_centres(self) -> frozenset[str]:
+        """Return the data centres whose workers may be sent nothing more."""
+        return self.closed
+
+    def _close(self, changes: ports.Changes, whole: bool) -> None:
+        """Take in which data centres are closed, and which are open again."""
+        if self.closed_prefix is None:
+            return
+        begins = self.closed_prefix
+        before = frozenset() if whole else self.closed
+        opened = {key.removeprefix(begins) for key in changes.removed}
+        rows = (row.key for row in changes.rows if row.key.startswith(begins))
+        closed = (before - opened) | {key.removeprefix(begins) for key in rows}
+        if closed != self.closed:
+            log.info("closed data centres", now=sorted(closed), was=sorted(self.closed))
+        self.closed = closed
+
     def _take(self, changes: ports.Changes, whole: bool) -> None:
+        self._close(changes, whole)
         for row in changes.rows:
             if row.key != self.key:
                 continue
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -26,8 +26,10 @@
 
 log = logbook.Logger("process")
 
-#: Row with the operator's configuration, and rows of the workers.
+#: Row with the operator's configuration, rows that each close a data centre, and rows of
+#: the workers.
 CONFIG_KEY = "op//config"
+CLOSED_PREFIX = "op//evacuate/"
 WORKERS_PREFIX = "servers//"
 #: Port of the metrics address; deploy/system.toml names it too.
 METRICS_PORT = 9464
@@ -55,6 +57,7 @@
             self.clock,
             self.counters,
             settings.bounds.config_apply_ms / 1000,
+            CLOSED_PREFIX,
         )
         self.desk = desk.Desk(self.store, self.catalog.stale, self.clock, self.counters)
         rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
@@ -141,6 +144,7 @@
             self.advisor,
             self.clock,
             self.counters,
+            self.catalog.closed_data_centres,
         )
         keeping = gevent.spawn(self.leadership.keep, self.scheduler.stop)
         try:
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -15,14 +15,19 @@
 LATENCY_CRITICAL_USE = 0.5
 
 
+#: Returns the data centres whose workers may be sent nothing more.
+Closed = cabc.Callable[[], frozenset[str]]
+
+
 class Worker:
     """One life of a worker, and what runs there as far as the leader knows."""
 
     def __init__(
-        self, entry: messages.WorkerEntry, changes: cabc.Iterator[int]
+        self, entry: messages.WorkerEntry, changes: cabc.Iterator[int], closed: Closed
     ) -> None:
         self.entry = entry
         self.changes = changes
+        self.closed = closed
         #: Number of its latest change that may have made room; of all workers' changes
         #: the later one has the higher number.
         self.changed = next(self.changes)
@@ -87,6 +92,7 @@
             and not self.gone
             and not self.unlisted
             and not self.entry.draining
+            and self.entry.data_centre not in self.closed()
             and now >= self.avoid_until
         )
 
@@ -140,8 +146,9 @@
 class Fleet:
     """All workers by name."""
 
-    def __init__(self) -> None:
+    def __init__(self, closed: Closed = frozenset) -> None:
         self.workers: dict[str, Worker] = {}
+        self.closed = closed
         self.changes = itertools.count(1)
 
     def __iter__(self) -> cabc.Iterator[Worker]:
@@ -156,7 +163,7 @@
 
     def add(self, entry: messages.WorkerEntry) -> Worker:
         """Begin to know a worker."""
-        worker = Worker(entry, self.changes)
+        worker = Worker(entry, self.changes, self.closed)
         self.workers[entry.name] = worker
         return worker
 
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -65,6 +65,7 @@
         advisor: advice.Advisor,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        closed: fleet.Closed = frozenset,
     ) -> None:
         self.rows = rows
         self.keep_term = keep_term
@@ -77,7 +78,7 @@
         #: Jobs that are over and whose rows may still be there. When all rows are
         #: read again, they would be taken for new ones and run once more.
         self.ended: set[str] = set()
-        self.workers = fleet.Fleet()
+        self.workers = fleet.Fleet(closed)
         self.listing = listing.Listing(
             worker_prefix, entry_of, self.workers, self, catalog, counters
         )
--- a/tests/intake/intake.feature
+++ b/tests/intake/intake.feature
@@ -97,3 +97,13 @@
     And version 4 without it is read
     Then the queue "new" is found
     And the longest prefix of a path decides
+
+  Scenario: Data centres are closed by rows of their own, and open once these are dropped
+    # Tasks would start where everything is about to be switched off, or nowhere.
+    Given an instance that follows the configuration
+    When the operator closes "a" and "b"
+    Then "a b" are closed
+    When the operator opens "a"
+    Then "b" are closed
+    When the history is lost, and "b" was opened meanwhile
+    Then "" are closed
--- a/tests/intake/steps/intake_steps.py
+++ b/tests/intake/steps/intake_steps.py
@@ -8,11 +8,14 @@
 
 from mangosail import codec
 from mangosail.intake import catalogs, desk, errors
+from mangosail.platform import table
 from mangosail.scheduler import admission, journal, keys, leadership, messages
 from mangosail.telemetry import counters
 
 ID = "00000000000000aa"
 OTHER = "00000000000000bb"
+#: Begins the keys of rows that close a data centre.
+CLOSED = "settings//closed/"
 
 
 def new_desk(context):
@@ -225,6 +228,7 @@
         lambda text: context.versions[codec.from_json(text, int)],
         context.clock,
         counters.StatsdCounters(None, 0),
+        closed_prefix=CLOSED,
     )
 
 
@@ -257,3 +261,34 @@
 def step_longest(context):
     assert context.catalogs.find("host", "/a/c").name == "old"
     assert context.catalogs.find("host", "/c") is None
+
+
+def drop(context, name):
+    write = table.Write(CLOSED + name, None)
+    assert context.rows.commit(table.Transaction((), (write,))).is_ok()
+
+
+@when('the operator closes "{first}" and "{second}"')
+def step_close(context, first, second):
+    for name in (first, second):
+        context.rows.put(CLOSED + name, {})
+    assert context.catalogs.refresh()
+
+
+@when('the operator opens "{name}"')
+def step_open(context, name):
+    drop(context, name)
+    assert context.catalogs.refresh()
+
+
+@when('the history is lost, and "{name}" was opened meanwhile')
+def step_lost_history(context, name):
+    drop(context, name)
+    context.rows.forgotten = context.rows.kept.version
+    assert context.catalogs.refresh()
+
+
+@then('"{names}" are closed')
+@then('"" are closed')
+def step_closed(context, names=""):
+    assert context.catalogs.closed_data_centres() == frozenset(names.split())
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -115,9 +115,18 @@
 class Worker:
     """One life of a worker, which keeps to what the platform promises of it."""
 
-    def __init__(self, name, clock, capacity=CAPACITY, labels=("r1",), address=None):
+    def __init__(
+        self,
+        name,
+        clock,
+        capacity=CAPACITY,
+        labels=("r1",),
+        address=None,
+        data_centre="dc",
+    ):
+        address = address or f"{name}:1"
         self.entry = messages.WorkerEntry(
-            name, "pool", address or f"{name}:1", "dc", capacity, frozenset(labels)
+            name, "pool", address, data_centre, capacity, frozenset(labels)
         )
         self.time = clock
         self.token = 0
@@ -302,6 +311,7 @@
             world.advisor,
             world.clock,
             world.counters,
+            lambda: world.closed,
         )
         self.feeds = self.scheduler.read_everything() if reads else ()
 
@@ -367,6 +377,8 @@
         self.leader = None
         self.catalog = messages.Catalog(1, (), (messages.Service("pool"),))
         self.advisor = Advisor()
+        #: Data centres to whose workers nothing more may be sent.
+        self.closed = frozenset()
 
     def add_worker(self, name, **facts):
         worker = Worker(name, self.clock, **facts)
