--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -26,8 +26,8 @@
 
 log = logbook.Logger("process")
 
-#: Row with the operator's configuration, rows that each close a data centre, and rows of
-#: the workers.
+#: Row with the operator's configuration, rows that close a data centre each, and rows
+#: of the workers.
 CONFIG_KEY = "op//config"
 CLOSED_PREFIX = "op//evacuate/"
 WORKERS_PREFIX = "servers//"
