End the copies of a write once it is decided

Callers saw jobs start later and later though nothing was lost. Where other traffic leaves little of a leader's link, a write is late after 0.5 s and sent again. Its copies went on until their own time limit, also when the write had long taken effect, and took what the next one needed, which was late for it in its turn.

The attempts at one transaction are kept together now. Once one of them is answered, a reading finds that it took effect, or a check has failed, the calls of the others are ended: none of them can take effect any more, as each carries the same checks. Intake, which decides hand-ins the same way, gets it too. After an undecided hand-in they go on.

Ruled out: smaller transactions. A record can take 49,152 bytes, and they cost a store that is slow more transactions. To wait longer before sending again: a lost request is found by it.

--- a/src/mangosail/intake/desk.py
+++ b/src/mangosail/intake/desk.py
@@ -234,10 +234,11 @@
         """
         lost = ""
         key = transaction.writes[0].key
+        attempts = commits.Attempts(
+            self.rows, transaction, lambda: self._landed(key), self.clock
+        )
         while True:
-            done = commits.attempt(
-                self.rows, transaction, lambda: self._landed(key), self.clock
-            )
+            done = attempts.once()
             if isinstance(done, result.Ok):
                 return done
             error = done.err_value
--- a/src/mangosail/scheduler/commits.py
+++ b/src/mangosail/scheduler/commits.py
@@ -3,7 +3,8 @@
 A lost answer would otherwise be noticed by the client's own time limit alone, which
 has to be long, as the store may be slow. A reading takes a third of a commit's time::
 
-    done = commits.attempt(rows, transaction, landed, clock)
+    attempts = commits.Attempts(rows, transaction, landed, clock)
+    done = attempts.once()
 """
 
 import collections.abc as cabc
@@ -28,27 +29,50 @@
 Landed = cabc.Callable[[], int | None]
 
 
-def attempt(
-    rows: table.Table,
-    transaction: table.Transaction,
-    landed: Landed,
-    clock: clocks.Clock,
-) -> result.Result[int, store_errors.CommitError]:
-    """Commit once; if the answer is late, find out whether it took effect.
-
-    Returns `Uncertain` once the answer is later than a store as slow as its readings
-    would be. What was sent may take effect later, so the next attempt has to carry
-    the same checks.
-    """
-    call = gevent.spawn(rows.commit, transaction)
-    term = ANSWER_TERM
-    for _ in range(LOOKS):
-        call.join(term)
-        if call.ready():
-            return call.get()
-        asked_at = clock.elapsed()
-        version = landed()
-        if version is not None:
-            return result.Ok(version)
-        term = max(ANSWER_TERM, READINGS * (clock.elapsed() - asked_at))
-    return result.Err(store_errors.Uncertain("late"))
+class Attempts:
+    """Attempts at one transaction, made one after the other until it is decided."""
+
+    def __init__(
+        self,
+        rows: table.Table,
+        transaction: table.Transaction,
+        landed: Landed,
+        clock: clocks.Clock,
+    ) -> None:
+        self.rows = rows
+        self.transaction = transaction
+        self.landed = landed
+        self.clock = clock
+        #: Calls that were made; those without an answer may be on their way.
+        self.calls: list[gevent.Greenlet] = []
+
+    def once(self) -> result.Result[int, store_errors.CommitError]:
+        """Commit once; if the answer is late, find out whether it took effect.
+
+        Returns `Uncertain` once the answer is later than a store as slow as its
+        readings would be. What was sent may take effect later, so the next attempt has
+        to carry the same checks.
+        """
+        done = self._once()
+        if isinstance(done, result.Ok) or isinstance(
+            done.err_value, store_errors.Conflict
+        ):
+            # None of the others can take effect any more. On a narrow link they took
+            # what the next transaction needed, which was late for it in its turn.
+            gevent.killall(self.calls, block=False)
+        return done
+
+    def _once(self) -> result.Result[int, store_errors.CommitError]:
+        call = gevent.spawn(self.rows.commit, self.transaction)
+        self.calls.append(call)
+        term = ANSWER_TERM
+        for _ in range(LOOKS):
+            call.join(term)
+            if call.ready():
+                return call.get()
+            asked_at = self.clock.elapsed()
+            version = self.landed()
+            if version is not None:
+                return result.Ok(version)
+            term = max(ANSWER_TERM, READINGS * (self.clock.elapsed() - asked_at))
+        return result.Err(store_errors.Uncertain("late"))
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -241,11 +241,12 @@
         return codec.to_json(f"{self.token}.{self.links}")
 
     def _commit(self, transaction: table.Transaction) -> int:
+        attempts = commits.Attempts(self.rows, transaction, self._landed, self.clock)
         while True:
             if self.deposed:
                 raise errors.DeposedError
             sent_at = self.clock.elapsed()
-            done = commits.attempt(self.rows, transaction, self._landed, self.clock)
+            done = attempts.once()
             self.counters.time("journal.commit", self.clock.elapsed() - sent_at)
             if isinstance(done, result.Ok):
                 self.confirmed_at = sent_at
--- a/tests/adapter/narrow_uplinks.feature
+++ b/tests/adapter/narrow_uplinks.feature
@@ -18,3 +18,12 @@
       | 24    | 40 KB | 5       |
       | 200   | 4 KB  | 5       |
       | 300   | 100 B | 2       |
+
+  Scenario: Copies of a write that is decided leave the link to the next one
+    Jobs start later and later, though nothing is lost. Where other traffic leaves little
+    of the link, each write is late and sent again; its copies went on to the end when it
+    had long taken effect, and made the next one late for good.
+    Given a leader that sends 100 KB a second to the store
+    When 6 jobs with records of 40 KB have changed
+    Then all of them are kept within 9 s
+    And each job was called back once, when it was kept
