--- a/tests/run.py
+++ b/tests/run.py
@@ -52,7 +52,8 @@
         done = subprocess.run(
             [
                 sys.executable, "-m", "behave", f"tests/{name}", "--no-capture",
-                "-f", "json", "-o", report.name, "-f", "progress",
+                "-f", "tests.support.reasons:Reasons", "-o", report.name,
+                "-f", "progress",
             ],
             cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
         )  # fmt: skip
