--- a/src/mangosail/scheduler/following.py
+++ b/src/mangosail/scheduler/following.py
@@ -15,8 +15,8 @@
 
 #: Seconds before a failed reading is tried again.
 RETRY_INTERVAL = 0.2
-#: Bytes of changes that are read in any case.
-SMALL = 65_536
+#: Bytes of changes that are read however long a row is: a narrow link takes 0.1 s.
+SMALL_CHANGES = 65_536
 #: Seconds for which one request waits for changes. A connection that went silent
 #: is found by the end of this and the client's own time limit.
 WAIT = 1.0
@@ -171,7 +171,7 @@
         version = self.version
         if version is None:
             return self._read_all(sent_at, heard)
-        most = SMALL + self.longest * 3 // 2 if self.newest_only else None
+        most = SMALL_CHANGES + self.longest * 3 // 2 if self.newest_only else None
         found = self.rows.changes(self.prefix, version, wait, heard, most)
         if isinstance(found, result.Ok):
             if self.version is not None and self.version > found.ok_value.version:
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -136,6 +136,12 @@
     Given a settings file of the platform with an unknown field
     Then the settings name the instance and the store
 
+  Scenario: An instance goes by the platform's term for changes of the configuration
+    # By a longer one of its own, callers were served from queues that had been dropped.
+    Given a settings file of the platform in which changes have 3000 ms
+    When an instance is made from it
+    Then it goes by a configuration for 3 s after it was surely the newest
+
   Scenario: Settings that lack the store are refused by name
     Given a settings file of the platform without the store
     Then reading it fails and names "platform"
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -16,6 +16,7 @@
     errors,
     ingress,
     peering,
+    process,
     store,
     table,
     workers,
@@ -352,6 +353,21 @@
     settings_file(context, {k: v for k, v in SETTINGS.items() if k != "platform"})
 
 
+@given("a settings file of the platform in which changes have {term:d} ms")
+def step_term(context, term):
+    settings_file(context, {**SETTINGS, "bounds": {"config_apply_ms": term}})
+
+
+@when("an instance is made from it")
+def step_made(context):
+    context.process = process.Process(deployment.read(context.path))
+
+
+@then("it goes by a configuration for {seconds:g} s after it was surely the newest")
+def step_goes_by(context, seconds):
+    assert context.process.catalog.most_age == seconds
+
+
 @then("the settings name the instance and the store")
 def step_settings_read(context):
     found = deployment.read(context.path)
