Show, failing, that best-effort work comes to a tail that is too high

Users of a task that serves had answers over its target for seconds while batch tasks started beside it one after the other.

Both scenarios fail: the other job's task is started beside a tail of 60 ms against a target of 18, and a job with nothing running goes to the worker whose tail is high, since the model sees more room there.

--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -293,6 +293,37 @@
     And 30 rounds pass
     Then the best-effort task works at 0 percent
 
+  Scenario: No best-effort work comes to a tail that is too high
+    # The users of a task that serves bear slow answers for seconds. Best-effort work
+    # beside it is stopped where it is and presses no more, so to the model there is
+    # room at once; what started into that room kept the answers slow, and each look
+    # stopped only what had come since the last.
+    Given workers "w1" and a leader
+    And a job of 1 task that serves
+    And a job of 1 best-effort task
+    When 4 rounds pass
+    And the best-effort task works beside low tail latencies
+    And their tail latencies are too high
+    And 1 round passes
+    And another job of 1 best-effort task comes
+    And 2 rounds pass
+    Then the other job's task does not run
+    When their tail latencies are low again
+    And 3 rounds pass
+    Then the other job's task runs
+
+  Scenario: A job with nothing running goes beside the tail that is not too high
+    # The caller's release has to run somewhere; the users on the worker whose tail is
+    # high already are spared, though the model sees more room there.
+    Given workers "w1" and a leader
+    And worker "w2" with the label "fast"
+    And a task that serves on each of them
+    When 4 rounds pass
+    And the tail on "w1" is too high, and "w2" has less room by what is known
+    And a job of 1 best-effort task comes
+    And 30 rounds pass
+    Then 1 of the best-effort tasks runs, on "w2"
+
   Scenario: Tasks that stand still go on elsewhere
     # The caller waits about two seconds, not until the worker recovers. The worker
     # answers every call and makes no progress.
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -16,6 +16,9 @@
 SERVING = "00000000000000cc"
 TASK = f"{ID}.0.0.0"
 PLENTY = 6
+#: Tail latencies in milliseconds far below and above the target of 18.
+LOW_TAIL = 3.0
+HIGH_TAIL = 60.0
 
 
 def submit(context, job):
@@ -40,6 +43,13 @@
             worker.end(task, outcome)
 
 
+def set_tails(context, tail):
+    for worker in workers(context):
+        for task in worker.running:
+            if task.startswith(SERVING):
+                worker.latencies[task] = tail
+
+
 @given('workers "{names}" and a leader')
 def step_world(context, names):
     context.world = fakes.World(random.Random(7))
@@ -66,6 +76,7 @@
 
 
 @given("a job of {count:d} best-effort task")
+@when("a job of {count:d} best-effort task comes")
 @given("a job of {count:d} best-effort tasks comes")
 @when("a job of {count:d} best-effort tasks comes")
 def step_best_effort(context, count):
@@ -241,8 +252,7 @@
 
 @when("another job of 1 best-effort task comes and finds no room")
 def step_no_room(context):
-    step = fakes.step(1, best_effort=True, image="filler", checkpointing=True)
-    submit(context, fakes.job(URGENT, step, priority=2))
+    step_another(context)
     context.world.leader.round(2)
     waiting = context.world.leader.task(f"{URGENT}.0.0.0")
     assert not waiting.live, waiting.phase
@@ -400,10 +410,67 @@
 
 @when("their tail latencies are too high")
 def step_tails(context):
-    for worker in workers(context):
-        for task in worker.running:
-            if task.startswith(SERVING):
-                worker.latencies[task] = 60.0
+    set_tails(context, HIGH_TAIL)
+
+
+@when("their tail latencies are low again")
+def step_tails_low(context):
+    set_tails(context, LOW_TAIL)
+
+
+@when("the best-effort task works beside low tail latencies")
+def step_works_beside(context):
+    (worker,) = workers(context)
+    worker.latencies[TASK] = fakes.NEED.cpus * 1000
+    set_tails(context, LOW_TAIL)
+    context.world.leader.scheduler.model.pressure["server", "filler"] = 0.0
+    context.world.leader.round(2)
+
+
+@when("another job of 1 best-effort task comes")
+def step_another(context):
+    step = fakes.step(1, best_effort=True, image="filler", checkpointing=True)
+    submit(context, fakes.job(URGENT, step, priority=2))
+
+
+@then("the other job's task does not run")
+def step_other_waits(context):
+    starts = context.world.starts(f"{URGENT}.0.0.0")
+    assert not starts, starts
+
+
+@given("a task that serves on each of them")
+def step_serving_each(context):
+    quick = fakes.step(continuous=True, image="server", latency_target=18.0, label="r1")
+    slow = fakes.step(
+        continuous=True, image="slow server", latency_target=100.0, label="fast"
+    )
+    submit(context, fakes.job(SERVING, quick))
+    submit(context, fakes.job(URGENT, slow))
+
+
+@when('the tail on "{high}" is too high, and "{other}" has less room by what is known')
+def step_one_high(context, high, other):
+    calls = context.world.calls.workers
+    model = context.world.leader.scheduler.model
+    for image, pressure in (("server", 0.0), ("slow server", 9.0)):
+        model.pressure[image, "filler"] = pressure
+    for first, second in ((LOW_TAIL, 60.0), (16.0, 70.0)):
+        calls[high].latencies[f"{SERVING}.0.0.0"] = first
+        calls[other].latencies[f"{URGENT}.0.0.0"] = second
+        context.world.leader.round()
+    step = fakes.step(1, best_effort=True, image="filler")
+    rooms = [
+        model.room_for(step, context.world.leader.worker(name))
+        for name in (high, other)
+    ]
+    assert 0.0 > rooms[0] > rooms[1], rooms
+
+
+@then('{count:d} of the best-effort tasks runs, on "{name}"')
+def step_count_on(context, count, name):
+    step_count(context, count)
+    assert context.world.runs(TASK) == [name], context.world.runs(TASK)
 
 
 @then("the task works at full speed")
