Start no best-effort work beside a tail latency that is too high

Cause: the model places best-effort work by the pressure that is planned beside a task. What was stopped for a high tail counts as none, so after each stop there was room again, and the next one started at full speed beside a tail that was still high. Each look stopped what it found; since other images ran at each look, the model learned nothing. A job with nothing running went there too, as to the worker with most room.

Mend: a worker with a tail that was too high at its last look takes no best-effort work, whatever the model says; once a look shows the tail low it does again. A job with nothing running goes elsewhere first, and there if there is no other place.

--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -45,6 +45,11 @@
     return step.latency_target > 0 and not step.best_effort
 
 
+def disturbed(worker: fleet.Worker) -> bool:
+    """Tell whether a tail latency on the worker was too high at its last look."""
+    return any(task.high_since is not None for task in worker.tasks.values())
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Learned:
     """What is worth keeping of a model when another instance leads."""
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -99,10 +99,15 @@
         ]
         if not able:
             return []
-        best = max(able, key=lambda worker: self.model.room_for(step_run.step, worker))
+        best = max(able, key=lambda worker: self._spared(step_run.step, worker))
         best.reserve(tasks[0])
         return [Choice(tasks[0], best)]
 
+    def _spared(self, step: messages.Step, worker: fleet.Worker) -> tuple[bool, float]:
+        """Return how little a best-effort task would harm there; more is better."""
+        room = self.model.room_for(step, worker)
+        return not interference.disturbed(worker), room
+
     def _candidates(
         self, step: messages.Step, service: str, now: float
     ) -> list[fleet.Worker]:
@@ -148,6 +153,10 @@
             return None
         score = score_of(step, worker)
         if step.best_effort and worker.latency_critical:
+            if interference.disturbed(worker):
+                # What is stopped there counts as no pressure. To the model there was
+                # room again after each stop, and a new one kept the latency high.
+                return None
             room = self.model.room_for(step, worker)
             if room < LEAST_ROOM:
                 return None
