Show, failing, that a best-effort job at the end of a long queue never runs

Callers of large best-effort jobs saw them queued for 37 s and more after they had been accepted, while the workers had memory and more than half of their cores for it.

The scenario has more such jobs waiting than the rounds of a second look for room for: 40 of 60 have nothing running 12 s after they came. Their first tasks need no more room than those of the 20 others.

--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -284,6 +284,16 @@
     And 30 rounds pass
     Then 1 of the best-effort tasks runs
 
+  Scenario: Every job gets on where more wait than a round can look for room for
+    # The caller's release used to wait for ever, with most workers' memory free: a round
+    # gives up after some searches in vain, and those in front used them up in each.
+    # The jobs in front run their first task, then look for room for the second; the last
+    # one gets its first task within seconds all the same, as no new job comes.
+    Given worker "w1" with memory for all and a leader
+    And 60 jobs of 2 best-effort tasks
+    When 12 seconds pass
+    Then each of the 60 jobs has a task running
+
   Scenario: Best-effort work beside a high tail is stopped, and the others go on
     Given workers "w1" and a leader
     And a job of 1 task that serves
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -114,6 +114,28 @@
     submit(context, fakes.job(URGENT, fakes.step()))
 
 
+@given('worker "{name}" with memory for all and a leader')
+def step_much_memory(context, name):
+    context.world = fakes.World(random.Random(7))
+    much = dataclasses.replace(fakes.CAPACITY, memory_gb=1000)
+    context.world.add_worker(name, capacity=much)
+    context.first = context.world.lead("a")
+
+
+@given("{count:d} jobs of {tasks:d} best-effort tasks")
+def step_many_best_effort(context, count, tasks):
+    step = fakes.step(tasks, best_effort=True, image="filler")
+    for number in range(count):
+        submit(context, fakes.job(f"{number:016x}", step, priority=2))
+
+
+@then("each of the {count:d} jobs has a task running")
+def step_each_runs(context, count):
+    running = {task.partition(".")[0] for task in all_running(context)}
+    missing = {f"{number:016x}" for number in range(count)} - running
+    assert not missing, sorted(missing)
+
+
 @given("all workers lose their answers")
 def step_lose(context):
     for worker in workers(context):
