Count a step that a round puts off as one that waits for room

A job with nothing running gets one task 1.2 s after it began to wait, unless it is left out for others that can end in time.

A round gives up after 6 searches in vain, and passes over the best-effort steps behind them. Only a step that had been searched for was noted as waiting, so those that were passed over in each round never counted as starving. The comment said that they come first in a later round: with hundreds of steps in front, each of which searches again every second, they did not.

Ruled out: slow or set-aside workers (all 176 usable from 31 s on), room held for tasks that are over (7,484 of some 11,300 cores free at 40 s), the bound on records (it tells from about 180 tasks on; the jobs had 62 to 140), failures and times before which nothing starts (three of the jobs had no run at all), being left out (nothing is, 5 s after the last job).

Now a step that is passed over is noted too. Past the bound go the jobs that get one task in any case: those that starve and are not left out. Those left out went past it as well once they had been searched for.

--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -165,8 +165,15 @@
                 continue
             best_effort = step_run.step.best_effort
             costly = best_effort and placing.searches_all(step_run, now)
-            if costly and failures >= MOST_FAILURES and not starves(step_run, now):
-                # It is among the first to be tried that way in one of the next rounds.
+            if (
+                costly
+                and failures >= MOST_FAILURES
+                and not self._overdue(step_run, now)
+            ):
+                # It waits for room like those that were tried. Where many wait, those
+                # in front use up the bound in every round: when this was not noted, a
+                # job at the end never starved, and never ran.
+                blocked_since(step_run, now)
                 continue
             placed = self._place_step(step_run, tasks, full, now)
             failures += costly and not placed
@@ -231,7 +238,7 @@
         if not self._advised(step_run, now):
             return False
         service = self.service_of(step_run.job.job)
-        if starves(step_run, now) and not self.planner.left_out(step_run, now):
+        if self._overdue(step_run, now):
             chosen = self.placer.place_one(step_run, tasks, service, now)
         elif any(hopeless(step_run, service, seen) for seen in full):
             self._blocked(step_run, len(tasks), service, now)
@@ -249,6 +256,10 @@
             self._begin(step_run, chosen)
         return bool(chosen)
 
+    def _overdue(self, step_run: progress.StepRun, now: float) -> bool:
+        """Tell whether a job must not wait any longer with nothing running."""
+        return starves(step_run, now) and not self.planner.left_out(step_run, now)
+
     def _advised(self, step_run: progress.StepRun, now: float) -> bool:
         """Tell whether a step may be placed, after advice if its queue needs any."""
         queue = self._queue(step_run.job.job.queue)
@@ -282,9 +293,7 @@
         self, step_run: progress.StepRun, missing: int, service: str, now: float
     ) -> None:
         """Make room for a step that has waited long enough."""
-        if step_run.blocked_since is None:
-            step_run.blocked_since = now
-        if now < step_run.blocked_since + preemption.PATIENCE:
+        if now < blocked_since(step_run, now) + preemption.PATIENCE:
             return
         found = preemption.victims(step_run, missing, service, self.workers, now)
         for victim in found:
@@ -314,6 +323,13 @@
         return self.queues.get(name)
 
 
+def blocked_since(step_run: progress.StepRun, now: float) -> float:
+    """Return since when a step has waited for room: from now on if not before."""
+    if step_run.blocked_since is None:
+        step_run.blocked_since = now
+    return step_run.blocked_since
+
+
 def starves(step_run: progress.StepRun, now: float) -> bool:
     """Tell whether a job has waited long with nothing running."""
     since = step_run.blocked_since
