Let a leader of the random histories write one transaction after the other

The machine called `write` again while one that had met a fault of the store waited to be sent again.

By the trace of a history that failed, links 1.22 (late) and 1.23 were on their way at once, and 1.22 was taken for landed at 1.28.

The machine now begins a write once the last one is over. The pause before a write is sent again goes by the leader's clock, as its other pauses do; in the program that is the same pause. By the processor's time, histories differed from run to run.

The promises are checked as before. A new scenario has four writes of an end fail in each of the three ways and wants the end listed until it is kept. With the earlier machine all three rows fail; with the mended one all pass.

--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -258,7 +258,7 @@
                     return version
             reason = type(done.err_value).__name__.lower()
             self.counters.count(f"journal.retry.{reason}")
-            gevent.sleep(RETRY_INTERVAL)
+            self.clock.sleep(RETRY_INTERVAL)
 
     def _landed(self) -> int | None:
         """Return the version of our link if it is the chain's last, None if not."""
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -61,6 +61,8 @@
         self.world = world
         self.name = name
         self.looks = {}
+        #: The write that was begun last; the next one begins once it is over.
+        self.writing = None
         #: What goes on beside its turns.
         self.greenlets = []
         lead = fakes.leadership.Leadership(
@@ -96,10 +98,10 @@
                 self.looks[worker.name] = gevent.spawn(look, worker)
         settle()
         self.scheduler.rounds.place()
-        if self.world.rows.fault != "down" and not self.world.rows.once:
-            self.write()
-        elif self.world.rows.once:
-            self.greenlets.append(gevent.spawn(self.write))
+        # A journal writes one transaction after the other. A write beside one that is
+        # sent again would take the link, and the place in the chain, of the other.
+        if self.writing is None or self.writing.ready():
+            self.writing = gevent.spawn(self.write)
         settle()
 
     def write(self):
@@ -109,7 +111,10 @@
             return
 
     def end(self):
-        gevent.killall([*self.looks.values(), *self.greenlets], block=False)
+        ending = [*self.looks.values(), *self.greenlets]
+        if self.writing is not None:
+            ending.append(self.writing)
+        gevent.killall(ending, block=False)
         settle()
 
 
--- a/tests/scheduler/random.feature
+++ b/tests/scheduler/random.feature
@@ -24,3 +24,19 @@
     Then its run is nowhere
     When the late start arrives
     Then no task runs twice and the job ends
+
+  Scenario Outline: An end is kept before its worker forgets it, whatever becomes of the write
+    # The write of a task's end meets faults of the store. The leader sends it again
+    # until it takes effect, and begins no other write meanwhile. Until then the worker
+    # lists the end again; had it forgotten it, the next leader would start the task.
+    Given a task that has ended done at its worker
+    When 4 writes of its end are <fault>, and the leader goes on for 0.15 s
+    Then its worker lists the end still
+    When 1 s passes
+    Then its end is kept, and its worker has forgotten it
+
+    Examples:
+      | fault |
+      | lost  |
+      | late  |
+      | down  |
--- a/tests/scheduler/steps/random_steps.py
+++ b/tests/scheduler/steps/random_steps.py
@@ -55,6 +55,42 @@
     context.worker.late.pop(0)(context.worker)
 
 
+@given("a task that has ended done at its worker")
+def ended_done(context):
+    history = context.history = machine.Scheduling()
+    history.hand_in([1])
+    history.lead_on(2)
+    (context.worker,) = [worker for worker in history.living() if worker.running]
+    (context.task,) = context.worker.running
+    context.worker.end(context.task)
+
+
+@when("{writes:d} writes of its end are {fault}, and the leader goes on for {term:g} s")
+def writes_fail(context, writes, fault, term):
+    for _ in range(writes):
+        context.history.break_store(fault)
+    context.history.lead_on(round(term / machine.TURN))
+
+
+@then("its worker lists the end still")
+def lists_end(context):
+    (end,) = context.worker.ended
+    assert end.task == context.task, end
+
+
+@when("1 s passes")
+def second_passes(context):
+    context.history.lead_on(SECOND)
+
+
+@then("its end is kept, and its worker has forgotten it")
+def kept_and_forgotten(context):
+    assert context.history.kept_as_done(context.task)
+    (end,) = context.worker.noted
+    assert end.task == context.task, end
+    context.history.teardown()
+
+
 def places(context):
     """Return the workers that run the first job's task."""
     job_id = min(context.history.jobs)
