Read the change again: say which connections a page is read on

Whether rows were read on the connections for whole shards followed from whether a caller wanted to hear of the pieces of the answer, which no reader would guess; the connections are handed on now.

Tried and not kept: the test of whether a task has a row is written out in the room of a record, beside Task.begun. Calling that took 2.1 ms in place of 0.3 ms for 5,000 tasks, and 0.28 in place of 0.03 ms for 400 (best of five times 50), in each round of placing. A comment tells so.

--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -71,7 +71,7 @@
             query["limit"] = "1"
         else:
             query["target"] = names[-1] + AFTER_PREFIX
-        found = self._page(query)
+        found = self._page(query, self.caller)
         if isinstance(found, result.Err):
             return found
         wanted = set(keys)
@@ -87,7 +87,7 @@
         query = {"table": kind, "part": shard, "from": first, "limit": str(limit)}
         if name:
             query["target"] = name + AFTER_PREFIX
-        found = self._page(query)
+        found = self._page(query, self.caller)
         return found.map(lambda page: [row_of(row) for row in page.rows])
 
     def read_all(
@@ -138,7 +138,7 @@
         rows: list[table.Row] = []
         version = None
         while True:
-            found = self._page(query, heard)
+            found = self._page(query, self.bulk, heard)
             if isinstance(found, result.Err):
                 return found
             page = found.ok_value
@@ -214,10 +214,12 @@
         return result.Err(errors.Uncertain(f"status {reply.status}"))
 
     def _page(
-        self, query: dict[str, str], heard: ports.Heard | None = None
+        self,
+        query: dict[str, str],
+        caller: http_caller.Caller,
+        heard: ports.Heard | None = None,
     ) -> result.Result[wire.Page, errors.Unavailable]:
         path = "/-/rows-get?" + urllib.parse.urlencode(query)
-        caller = self.bulk if heard else self.caller
         answer = caller.call("GET", path, timeout=READ_TIMEOUT, heard=heard)
         return decoded(answer, wire.Page)
 
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -357,6 +357,8 @@
 
     def _room(self) -> int:
         """Return how many bytes more the record may take."""
+        # `Task.begun` written out: each round asks this of large jobs, and calling it
+        # took 2.1 ms in place of 0.3 ms for 5,000 tasks.
         new, done = Phase.WAITING, Phase.DONE
         begun = [
             task
