Cancel a task again until it has ended

Cause: Cancelling took any Ok of Work.cancel for the end of its duty, also the one that says "claimed" since the worker's answer to the order to stop was lost.

Shown by a new scenario in which orders to stop are lost for 3 s: "cancelling" with 3 tasks running after 15 s, work.cancel_in_doubt 3, jobs.retry.cancel 0. Ruled out: the task's row (settle follows it and it never changes) and late starts (the tasks had run for 1 s).

--- a/src/mangosail/jobs/cancelling.py
+++ b/src/mangosail/jobs/cancelling.py
@@ -10,6 +10,8 @@
 
 #: Most cancellations in hand at a time.
 CANCEL_TASKS = 16
+#: Longest time in seconds until a cancellation that ended nothing is tried again.
+LONGEST_PAUSE = 2.0
 
 
 class Cancelling:
@@ -41,18 +43,29 @@
 
     def _cancel_each(self, job: held.HeldJob) -> None:
         for index in list(job.tally.indices(tally.Standing.RUNNING)):
-            self.pool.spawn(self._cancel_task, job, index)
+            self.pool.spawn(self._cancel_task, job, index, 0)
 
-    def _cancel_task(self, job: held.HeldJob, index: int) -> None:
+    def _cancel_task(self, job: held.HeldJob, index: int, tries: int) -> None:
+        """Cancel a task once, and come back to it if that has not ended it.
+
+        An answer need not be an end: the order to stop may be lost on its way to the
+        worker or to the task's holder, or the lease be in doubt for a moment. When any
+        answer was taken for one, the job was shown as cancelling for as long as such a
+        task ran. A task that can't be reached must not keep others waiting, so between
+        the tries it has no place in the pool.
+        """
+        if job.tally.standings[index] != tally.Standing.RUNNING:
+            return
         request = job.request(index)
-        failures = 0
-        while job.tally.standings[index] == tally.Standing.RUNNING:
-            answer = self.run.cancel(request.team, request.request_id)
-            if isinstance(answer, result.Ok):
-                self.ends.settle(job, index, request.request_id, answer.ok_value.state)
-                # Where it runs elsewhere, its row tells of the end.
-                job.follow(index, self.clock.monotonic())
-                return
-            self.counters.count("jobs.retry.cancel")
-            failures += 1
-            self.clock.sleep(ends.backoff(failures))
+        answer = self.run.cancel(request.team, request.request_id)
+        if isinstance(answer, result.Ok):
+            self.ends.settle(job, index, request.request_id, answer.ok_value.state)
+        if job.tally.standings[index] != tally.Standing.RUNNING:
+            return
+        # Where it runs elsewhere, its row tells of the end.
+        job.follow(index, self.clock.monotonic())
+        self.counters.count("jobs.retry.cancel")
+        pause = min(ends.backoff(tries), LONGEST_PAUSE)
+        gevent.spawn_later(
+            pause, self.pool.spawn, self._cancel_task, job, index, tries + 1
+        )
--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -37,6 +37,17 @@
     Then every instance sees "j-3" "cancelled" with 0 of 600 tasks within 15 seconds
     And no task of "j-3" runs or starts any more
 
+  Scenario: A cancelled job ends though the orders to stop its tasks got no answer
+    The caller deletes a job whose tasks run. The orders to stop are lost on their way
+    to the workers; asked what became of the tasks, the workers say that the tasks run.
+    That answer was taken for what became of the cancellation: nobody asked for it
+    again (`work.cancel_in_doubt` 3, `jobs.retry.cancel` 0), and the job was shown as
+    "cancelling" with 3 tasks "running" until they had run to their ends.
+    When a job "j-5" of 3 tasks of 50 seconds is submitted to "shymkent-0"
+    And 3 tasks of "j-5" run and it is deleted while orders to stop are lost for 3 seconds
+    Then every instance sees "j-5" "cancelled" with 0 of 3 tasks within 15 seconds
+    And no task of "j-5" runs or starts any more
+
   Scenario: A job that fails everywhere ends with its reason
     Every task fails on every worker. Retrying 500 of them to their last attempt
     would keep the slots from work that can succeed, so the job is given up once
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -169,6 +169,24 @@
     assert answer.status in (200, 202), answer
 
 
+@when(
+    '{count:d} tasks of "{job_id}" run and it is deleted '
+    "while orders to stop are lost for {seconds:d} seconds"
+)
+def delete_in_vain(context, count, job_id, seconds):
+    stage.wait_until(
+        lambda: progress(context, "shymkent-0", job_id).get("running") == count, 20
+    )
+    # The starts were answered too by then, so that no order is on its way.
+    time.sleep(1.0)
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, lose_voids=True)
+    delete(context, count, job_id, "shymkent-0")
+    time.sleep(seconds)
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, lose_voids=False)
+
+
 @then('no task of "{job_id}" runs or starts any more')
 def stopped(context, job_id):
     starts = entries(context, job_id, "start")
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -7,7 +7,11 @@
 it behaves while it runs::
 
     {"fail_all": false, "slow": 1.0, "black_hole": false, "lose_starts": false,
-     "leaving": false, "stall_seconds": 0.0, "answers": "whole"}
+     "lose_voids": false, "leaving": false, "stall_seconds": 0.0,
+     "answers": "whole"}
+
+``lose_starts`` loses the answers of starts, ``lose_voids`` the orders to stop
+themselves: they have no effect.
 
 ``answers`` may be ``truncated`` (half of each quote's answer, then the end) or
 ``mismatched`` (another task's id in it). ``{"silence_open_connections": true}``
@@ -118,6 +122,7 @@
             "slow": 1.0,
             "black_hole": False,
             "lose_starts": False,
+            "lose_voids": False,
             "leaving": False,
             "stall_seconds": 0.0,
             "answers": "whole",
@@ -355,6 +360,10 @@
 
     def on_post_void(self, req, resp):
         self.gate()
+        if self.worker.faults["lose_voids"]:
+            gevent.sleep(30)
+            resp.status = 503
+            return
         task_id = req.media["task_id"]
         generation = req.media["generation"]
         voided = self.worker.voided
