--- a/src/mangosail/work/cancellations.py
+++ b/src/mangosail/work/cancellations.py
@@ -41,7 +41,13 @@
         self.ends = end
 
     def cancel_task(self, task: registry.Task) -> None:
-        """Stop a task in hand for good, unless it has ended."""
+        """Stop a task in hand for good, unless it has ended.
+
+        What can't be done now, `Runner.sweep` does: a lost order to stop was forgotten
+        once the worker had said that the task runs, and a release that its caller had
+        cancelled ran to its end.
+        """
+        task.cancelling = True
         with task.lock:
             if task.pending is not None:
                 self.ends.write_pending(task)
--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -34,6 +34,8 @@
         self.lock = gevent.lock.RLock()
         #: True while it is not known whether the start took effect.
         self.in_doubt = False
+        #: True once its cancellation was asked for, until the task has left.
+        self.cancelling = False
         #: The next row, if the table has not yet taken it.
         self.pending: messages.WorkRow | None = None
         #: The row once the task is no longer in hand; None if that is unread.
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -221,6 +221,8 @@
                 self.ends.move(task, outcomes.worker_gone(task.row))
             elif not self.ctx.may_act(task.owned):
                 self._drop_if_lost(task)
+            elif task.cancelling:
+                self.cancellations.cancel_task(task)
             elif task.in_doubt:
                 self.starts.clear_up(task)
 
--- a/tests/work/faults.feature
+++ b/tests/work/faults.feature
@@ -67,6 +67,14 @@
     Then each of them ends with the same outcome everywhere
     And no release started twice, nor one that was called not_run
 
+  Scenario: The order that stops a cancelled release is lost
+    The caller is told that nothing certain is known yet, and asks what became of the
+    release. The worker had said meanwhile that it runs, and with that the cancellation
+    was forgotten (`work.cancel_in_doubt` 1, no `work.cancelled.placed`): the release
+    ran to its end, 50 s later, though its caller had cancelled it.
+    When a release of 50 seconds is cancelled while orders to stop are lost
+    Then it is told "cancelled" everywhere after one start
+
   Scenario: Cancelled before it was ordered
     When the unused id "early" is cancelled, then ordered
     Then the order is told "not_run", and nothing started
--- a/tests/work/steps/fault_steps.py
+++ b/tests/work/steps/fault_steps.py
@@ -262,6 +262,27 @@
     assert starts(context)[context.request_id] == 0
 
 
+@when("a release of {seconds:d} seconds is cancelled while orders to stop are lost")
+def cancel_in_vain(context, seconds):
+    context.request_id = "stopped"
+    order(context, context.pair[0], context.request_id, seconds, timeout=0.5)
+    assert starts(context)[context.request_id] == 1
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, lose_voids=True)
+    answer = cancel(context, context.pair[1], context.request_id)
+    assert answer.json()["retry_after"], answer
+    time.sleep(1.0)
+    for worker in context.stage.workers:
+        context.stage.worker_faults(worker, lose_voids=False)
+
+
+@then('it is told "{state}" everywhere after one start')
+def told_state(context, state):
+    told = [outcome_at(context, i, context.request_id) for i in context.pair]
+    assert {t["state"] for t in told} == {state}, told
+    assert starts(context)[context.request_id] == 1
+
+
 @when('the unused id "{request_id}" is cancelled, then ordered')
 def cancel_early(context, request_id):
     context.request_id = request_id
