Tell a busy worker, and a busy instance, from a connection gone silent

Cause: the time counted the instance's own delay before it sent, the making of a new connection and the worker's delay. A new line for each such order shows it: of 134 beside busy processes 2 were on new connections, 0.20 and 0.39 s under way at a patience of 0.015 s, while the worker took 0.10 s for the question that overtook the order. Ruled out: silent connections (the stand-in silenced none) and lost questions.

Now the time counts from when the order goes out, only a connection that has carried an answer can have gone silent, and the order must have been under way for twice as long as the question took.

--- a/src/mangosail/dispatch/http.py
+++ b/src/mangosail/dispatch/http.py
@@ -10,7 +10,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec
-from mangosail.dispatch import connections, errors, messages
+from mangosail.dispatch import connections, errors, messages, target
 from mangosail.telemetry import counters as telemetry
 
 T = t.TypeVar("T")
@@ -44,11 +44,14 @@
         )
 
     def run(
-        self, start: messages.Start, deadline: float
+        self,
+        start: messages.Start,
+        deadline: float,
+        on_sent: target.OnSent = target.unheeded,
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Run an idempotent task and return its answer in the same exchange."""
         answer = self._exchange(
-            self.requests, "/run", start, deadline, answer_to(start.task_id)
+            self.requests, "/run", start, deadline, answer_to(start.task_id), on_sent
         )
         return answer.and_then(succeeded)
 
@@ -157,6 +160,7 @@
         order: t.Any,
         deadline: float,
         read: cabc.Callable[[bytes], result.Result[T, errors.DispatchError]],
+        on_sent: target.OnSent = target.unheeded,
     ) -> result.Result[T, errors.DispatchError]:
         """Send `order` and return what `read` makes of the whole answer.
 
@@ -167,6 +171,7 @@
         if connection is None:
             self.counters.count("dispatch.not_sent.connections")
             return result.Err(errors.NotSent("connections"))
+        on_sent(connection.proven)
         try:
             with gevent.Timeout(left):
                 response = connection.client.post(path, body=codec.to_json(order))
--- a/src/mangosail/dispatch/target.py
+++ b/src/mangosail/dispatch/target.py
@@ -7,12 +7,19 @@
 
 from mangosail.dispatch import errors, messages
 
+#: Called when an order goes out, with whether its connection has carried answers.
+OnSent = cabc.Callable[[bool], None]
+
+
+def unheeded(used: bool) -> None:
+    """Take no note of when an order goes out."""
+
 
 class Target(t.Protocol):
     """The service on one worker. Deadlines are monotonic seconds."""
 
     def run(
-        self, start: messages.Start, deadline: float
+        self, start: messages.Start, deadline: float, on_sent: OnSent = unheeded
     ) -> result.Result[messages.Report, errors.DispatchError]:
         """Run an idempotent task and return its answer in the same exchange."""
 
--- a/src/mangosail/front/attempts.py
+++ b/src/mangosail/front/attempts.py
@@ -11,6 +11,7 @@
 
 import gevent
 import gevent.queue
+import logbook
 import result
 
 from mangosail import clock as clocks
@@ -24,10 +25,15 @@
 from mangosail.placement import placer, workers
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("attempts")
+
 #: Seconds that a worker may take to say what became of an attempt.
 VOID_TIMEOUT = 1.0
 #: Seconds between such questions.
 VOID_INTERVAL = 0.25
+#: How many times as long as the worker takes to answer that question an order must have
+#: been on its way, unseen, for its connection to be taken for silent.
+VOID_FACTOR = 2.0
 
 Answer = result.Result[dispatch_messages.Report, dispatch_errors.DispatchError]
 
@@ -43,10 +49,33 @@
     target_seconds: float | None
     greenlet: gevent.Greenlet | None = None
     answer: Answer | None = None
-    #: Monotonic time until which an attempt that is not seen may be on its way.
-    suspect_at: float = 0.0
-    #: Monotonic time at which it was given up, if it was.
-    given_up_at: float | None = None
+    #: Monotonic time at which the order went out, and whether its connection had
+    #: carried answers before.
+    sent_at: float | None = None
+    used: bool = False
+    #: Seconds for which an order that is not seen may be on its way.
+    patience: float = 0.0
+    #: Monotonic time at which it was given up, or its answer lost.
+    given_up_at: float = 0.0
+
+    def sent(self, at: float, used: bool) -> None:
+        """Take note that the order went out."""
+        self.sent_at = at
+        self.used = used
+
+    def silenced(self, void_seconds: float) -> bool:
+        """Tell whether the connection is to blame for an order that was never seen.
+
+        Its worker said so within `void_seconds`. What is new has not lost track of its
+        two ends. And where the worker itself, or this process, was held up, the order
+        was not on its way for much longer than the question that overtook it: taken for
+        silence, each such moment cost all idle connections of a sound worker.
+        """
+        if self.sent_at is None or not self.used:
+            return False
+        under_way = self.given_up_at - self.sent_at
+        return under_way >= max(self.patience, VOID_FACTOR * void_seconds)
+
     #: True once the loss of the attempt was held against its worker.
     blamed: bool = False
 
@@ -110,7 +139,7 @@
         if fresh:
             owned.target.retire_idle()
         attempt = Attempt(owned, start, now, request.declared.target_p99_seconds)
-        attempt.suspect_at = now + patience
+        attempt.patience = patience
         if avoid:
             self.extra.add(attempt)
         attempt.greenlet = gevent.spawn(self._run, attempt, request.deadline, answers)
@@ -133,7 +162,12 @@
         deadline: float,
         answers: "gevent.queue.SimpleQueue[Attempt]",
     ) -> None:
-        attempt.answer = attempt.owned.target.run(attempt.start, deadline)
+        attempt.answer = attempt.owned.target.run(
+            attempt.start,
+            deadline,
+            lambda used: attempt.sent(self.clock.monotonic(), used),
+        )
+        attempt.given_up_at = self.clock.monotonic()
         self._observe(attempt)
         task_id = attempt.start.task_id
         answers.put(attempt)
@@ -166,9 +200,11 @@
         while self.clock.wall() < lease_end:
             deadline = self.clock.monotonic() + VOID_TIMEOUT
             target = attempt.owned.target
+            asked_at = self.clock.monotonic()
             voided = target.void(start.task_id, start.generation, deadline)
             if isinstance(voided, result.Ok):
-                self._note(attempt, voided.ok_value.state)
+                took = self.clock.monotonic() - asked_at
+                self._note(attempt, voided.ok_value.state, took)
                 break
             # A worker out of reach is at fault until it says otherwise.
             self._blame(attempt)
@@ -178,15 +214,30 @@
         self.placer.withdraw(start.task_id)
         self.extra.discard(attempt)
 
-    def _note(self, attempt: Attempt, state: dispatch_messages.TaskState) -> None:
+    def _note(
+        self,
+        attempt: Attempt,
+        state: dispatch_messages.TaskState,
+        void_seconds: float,
+    ) -> None:
         if state is not dispatch_messages.TaskState.VOID:
             self.counters.count("dispatch.settled.slow_worker")
             self._blame(attempt)
             return
-        given_up_at = attempt.given_up_at
-        if given_up_at is not None and given_up_at < attempt.suspect_at:
-            # The other attempt won before this one's order had arrived; taken
-            # for silence, it would cost the idle connections of a sound worker.
+        silenced = attempt.silenced(void_seconds)
+        sent_at = attempt.sent_at
+        log.info(
+            "order not seen", task=attempt.start.task_id, worker=attempt.owned.name,
+            silenced=silenced, used=attempt.used, patience=round(attempt.patience, 4),
+            under_way=None if sent_at is None else round(
+                attempt.given_up_at - sent_at, 4
+            ),
+            since_begun=round(attempt.given_up_at - attempt.started_at, 4),
+            void_took=round(void_seconds, 4),
+        )  # fmt: skip
+        if not silenced:
+            # The other attempt won before this one's order had arrived, or the worker
+            # is new to us, or busy.
             self.counters.count("dispatch.settled.unseen")
             return
         # The worker never saw the order: held against it, the loss would keep
--- a/tests/dispatch/dispatch.feature
+++ b/tests/dispatch/dispatch.feature
@@ -37,6 +37,28 @@
     And the counter "dispatch.settled.silent_connection" has not grown
     And nothing stays reserved
 
+  Scenario Outline: What holds a worker or the instance up is not held against a connection
+    A quote's first attempt is given up as another one won, and its worker says that it
+    never saw the order. On a busy machine that was taken for a connection gone silent,
+    and all idle ones of a sound worker were closed. Lines of such runs: an order on a
+    new connection, 0.2 to 0.39 s on its way, while the question that overtook it was
+    answered in 0.10 s; an order that the instance had not sent yet when it was given up.
+    Then an order <sent> s on its way over <connection>, where patience is <patience> s and the worker answers in <answer> s, is <verdict>
+
+    Examples: as logged
+      | sent   | connection            | patience | answer | verdict  |
+      | 0.5125 | an earlier connection | 0.0210   | 0.0022 | silenced |
+      | 0.4004 | an earlier connection | 0.0148   | 0.1064 | silenced |
+      | 0.0341 | an earlier connection | 0.0210   | 0.0029 | silenced |
+      | 0.2000 | a new connection      | 0.0148   | 0.1036 | unseen   |
+      | 0.3857 | a new connection      | 0.0148   | 0.1041 | unseen   |
+      | 0.0582 | an earlier connection | 0.1058   | 0.0174 | unseen   |
+
+    Examples: worked out
+      | sent   | connection            | patience | answer | verdict  |
+      | 0.1000 | an earlier connection | 0.0210   | 0.0800 | unseen   |
+      | never  | no connection         | 0.0210   | 0.0010 | unseen   |
+
   Scenario Outline: Half an answer or a stranger's never reaches a caller
     The worker's answers are <answers>. A caller gets another worker's whole
     answer if there is one, else a refusal; and as every attempt fails, the
--- a/tests/dispatch/steps/dispatch_steps.py
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -8,6 +8,7 @@
 from tests.support import stage, teams
 
 from mangosail.dispatch import budget
+from mangosail.front import attempts
 
 TOKEN = "fuel-desk-token"
 NUMBERS = itertools.count()
@@ -232,6 +233,18 @@
     assert quote(context, instance="taraz-0").status == 200
 
 
+@then(
+    "an order {sent} s on its way over {connection}, where patience is {patience:g} s "
+    "and the worker answers in {answer:g} s, is {verdict}"
+)
+def judged(context, sent, connection, patience, answer, verdict):
+    attempt = attempts.Attempt(None, None, 0.0, None, patience=patience)
+    if sent != "never":
+        attempt.sent(10.0, used=connection == "an earlier connection")
+        attempt.given_up_at = 10.0 + float(sent)
+    assert attempt.silenced(answer) == (verdict == "silenced")
+
+
 @then("no worker held more than {most:d} connections")
 def connections(context, most):
     for worker in context.stage.workers:
