Let a new watch try a second worker, on a connection of its own

Cause: a watch has 5 s to find a worker, and one try may take all 5: on an idle connection that has gone silent, or at a worker that answers nothing. Ruled out: quotes that take all connections (six at most of 32).

Why it holds: a watch opens a connection of its own, and two workers are tried at least.

--- a/src/mangosail/dispatch/connections.py
+++ b/src/mangosail/dispatch/connections.py
@@ -52,20 +52,26 @@
         self.counters = counters
         self.idle: list[Connection] = []
 
-    def acquire(self, timeout: float) -> Connection | None:
+    def acquire(self, timeout: float, fresh: bool = False) -> Connection | None:
         """Return a connection, or None when all stay in use for `timeout` seconds.
 
         Idle ones are used before a new one is opened, so that idle and busy ones
-        together stay within the limit.
+        together stay within the limit; a `fresh` one takes the place of an idle one.
         """
         if not self.free.acquire(timeout=timeout):
             return None
         now = self.clock.monotonic()
+        if fresh and self.idle:
+            self._close(self.idle.pop(0), "replaced")
+            return self._open(timeout, now)
         while self.idle:
             connection = self.idle.pop()
             if now < connection.idle_deadline:
                 return connection
             self._close(connection, "idle")
+        return self._open(timeout, now)
+
+    def _open(self, timeout: float, now: float) -> Connection:
         client = geventhttpclient.HTTPClient(
             self.host,
             port=self.port,
--- a/src/mangosail/dispatch/http.py
+++ b/src/mangosail/dispatch/http.py
@@ -123,7 +123,9 @@
         an error only when the worker ended the stream as a whole;
         `Lost` after `silence` seconds without an event, or on half an event.
         """
-        connection = self.requests.acquire(timeout=silence)
+        # One that had gone silent would take all the time that the caller gives to the
+        # opening. A watch keeps its connection, so nothing is saved by an earlier one.
+        connection = self.requests.acquire(timeout=silence, fresh=True)
         if connection is None:
             yield result.Err(errors.NotSent("connections"))
             return
--- a/src/mangosail/front/attempts.py
+++ b/src/mangosail/front/attempts.py
@@ -63,6 +63,18 @@
         self.sent_at = at
         self.used = used
 
+    def summary(self, since: float) -> dict[str, object]:
+        """Return what a log line tells of it, its times in seconds from `since`."""
+        sent = None if self.sent_at is None else round(self.sent_at - since, 3)
+        answer = "" if self.answer is None else type(self.answer).__name__
+        return {
+            "worker": self.owned.name,
+            "begun": round(self.started_at - since, 3),
+            "sent": sent,
+            "used": self.used,
+            "answer": answer,
+        }
+
     def silenced(self, void_seconds: float) -> bool:
         """Tell whether the connection is to blame for an order that was never seen.
 
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -3,6 +3,7 @@
 import collections.abc as cabc
 
 import gevent.queue
+import logbook
 import result
 
 from mangosail import clock as clocks
@@ -15,6 +16,8 @@
 from mangosail.placement import placer, workers
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("quotes")
+
 #: Attempts that one quote may cost here, the first included.
 MOST_ATTEMPTS = 3
 #: Retries that requests earn, as a share of them, and how many may be saved up.
@@ -150,7 +153,7 @@
         self.tried: list[attempts.Attempt] = []
         #: Why the last attempt found no place.
         self.refused = NO_ROOM
-        now = quotes.clock.monotonic()
+        now = self.began_at = quotes.clock.monotonic()
         self.patience = max(quotes.latencies.high(request.kind), SHORTEST_PATIENCE)
         self.hedge_at = now + self.patience
         self.lost_at = now + (request.deadline - now) * LOST_SHARE
@@ -182,6 +185,7 @@
             ended = self._next()
             if ended is None:
                 if self.quotes.clock.monotonic() >= self.request.deadline:
+                    self._log_out_of_time()
                     return self.quotes.refuse(TIMED_OUT, "deadline", messages.UNKNOWN)
                 waiting += self._add()
                 continue
@@ -201,6 +205,18 @@
                 return None
             waiting += 1
 
+    def _log_out_of_time(self) -> None:
+        """Say where the caller's time went: to this instance, or to which worker."""
+        now = self.quotes.clock.monotonic()
+        log.info(
+            "out of time",
+            request=self.request.request_id,
+            taken=round(now - self.began_at, 3),
+            over=round(now - self.request.deadline, 3),
+            patience=round(self.patience, 3),
+            attempts=[attempt.summary(self.began_at) for attempt in self.tried],
+        )
+
     def _next(self) -> attempts.Attempt | None:
         """Return the next attempt that ended, or None when it takes too long."""
         until = min(self.hedge_at, self.lost_at, self.request.deadline)
--- a/src/mangosail/front/streams.py
+++ b/src/mangosail/front/streams.py
@@ -26,6 +26,8 @@
 #: Seconds without an open stream after which a watch ends: the caller's next
 #: connection may reach an instance that has a worker to read from.
 NO_WORKER_TERM = 5.0
+#: Workers on which an opening is tried, however long the first ones took.
+LEAST_TRIED = 2
 #: Events read ahead for a slow caller.
 READ_AHEAD = 16
 #: Watches that one instance carries.
@@ -105,6 +107,8 @@
         self.ending = ""
         #: Monotonic time at which the watch ends if no worker opens the stream.
         self.open_deadline = watches.clock.monotonic() + NO_WORKER_TERM
+        #: Workers tried since the last event.
+        self.tried: set[str] = set()
 
     def stream(self) -> cabc.Iterator[bytes]:
         """Yield the lines for the caller."""
@@ -149,12 +153,15 @@
         """Read from one worker after the other until the stream ends."""
         clock = self.watches.clock
         previous: workers.OwnedWorker | None = None
-        while clock.monotonic() < self.open_deadline:
+        while True:
             owned = self._choose(previous)
+            if clock.monotonic() >= self.open_deadline and not self._untried(owned):
+                break
             if owned is None:
                 clock.sleep(RESUME_INTERVAL)
                 continue
             previous = owned
+            self.tried.add(owned.name)
             before = self.last
             if self._follow(owned):
                 self.lines.put(End(""))
@@ -164,6 +171,16 @@
                 clock.sleep(RESUME_INTERVAL)
         self.lines.put(End("no_worker"))
 
+    def _untried(self, owned: workers.OwnedWorker | None) -> bool:
+        """Tell whether a worker gets a try although the time for openings is over.
+
+        One worker that answers nothing takes all of it: a new watch was told that there
+        is no worker while others were well.
+        """
+        if owned is None or owned.name in self.tried:
+            return False
+        return len(self.tried) < LEAST_TRIED
+
     def _choose(
         self, previous: workers.OwnedWorker | None
     ) -> workers.OwnedWorker | None:
@@ -192,6 +209,7 @@
     def _take(self, event: dict[str, t.Any]) -> None:
         """Pass an event on unless it was passed on before."""
         self.open_deadline = self.watches.clock.monotonic() + NO_WORKER_TERM + SILENCE
+        self.tried.clear()
         if not event:
             return
         sequence = event.get("sequence")
--- a/tests/dispatch/dispatch.feature
+++ b/tests/dispatch/dispatch.feature
@@ -13,6 +13,22 @@
     And the counter "dispatch.settled.silent_connection" has grown
     And nothing stays reserved
 
+  Scenario: A new watch does not begin on a connection that went silent
+    The caller opens a watch while the open connections of all workers are silent. The
+    watch took one of these, waited 5.0 s for its stream to open, which was all the time
+    that it had, and was told "no_worker" though four workers were well
+    (`front.watch.broken.lost` 1). What is new works, and a watch keeps its connection.
+    Given 12 quotes asked at a time
+    When the open connections of all workers go silent
+    Then a new watch of 3 events is told them all within 2 s
+
+  Scenario: A new watch is not ended by one worker that answers nothing
+    The worker that is chosen first answers nothing. The wait for it took 5.0 s, which
+    was all the time that the opening had, and the caller was told "no_worker" while
+    another worker was well.
+    When 3 of the workers answer nothing
+    Then a new watch of 3 events is told them all within 9 s
+
   Scenario: A slow worker is not taken for a silent connection
     The caller sees a fast answer. Its worker has the order and runs it slowly;
     a hedge on another worker wins, and the loser is stopped, which tells the
@@ -39,8 +55,8 @@
 
   Scenario Outline: What holds a worker or the instance up is not held against a connection
     A quote's first attempt is given up as another one won, and its worker says that it
-    never saw the order. On a busy machine that was taken for a connection gone silent,
-    and all idle ones of a sound worker were closed. Lines of such runs: an order on a
+    never saw the order. On a busy machine that was taken for a connection gone silent;
+    all idle ones of a sound worker were closed. Lines of such runs: an order on a
     new connection, 0.2 to 0.39 s on its way, while the question that overtook it was
     answered in 0.10 s; an order that the instance had not sent yet when it was given up.
     Then an order <sent> s on its way over <connection>, where patience is <patience> s and the worker answers in <answer> s, is <verdict>
--- a/tests/dispatch/steps/dispatch_steps.py
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -1,5 +1,6 @@
 import concurrent.futures
 import itertools
+import json
 import time
 
 import hypothesis
@@ -55,6 +56,17 @@
         context.stage.worker_faults(worker, silence_open_connections=True)
 
 
+@then("a new watch of {count:d} events is told them all within {seconds:g} s")
+def watched(context, count, seconds):
+    path = f"/v1/watches/fuel/tail-watch?subject=UP-{next(NUMBERS)}:{count}&after=0"
+    bearer = teams.bearer(TOKEN)
+    answer = context.stage.call("shymkent-0", "GET", path, headers=bearer, timeout=20)
+    lines = [json.loads(line) for line in answer.body.splitlines() if line.strip()]
+    told = [line.get("sequence") for line in lines]
+    assert told == list(range(1, count + 1)), (answer, context.status()["counters"])
+    assert answer.seconds < seconds, answer
+
+
 @when("worker {which} runs everything {times:g} times slower")
 @when("{which} workers run everything {times:g} times slower")
 def slow(context, which, times):
@@ -82,6 +94,12 @@
         context.stage.worker_faults(worker, slow=1000.0, black_hole=True)
 
 
+@when("{count:d} of the workers answer nothing")
+def answer_nothing(context, count):
+    for worker in list(context.stage.workers)[:count]:
+        context.stage.worker_faults(worker, black_hole=True)
+
+
 @when("the black holes end")
 def lift(context):
     for worker in context.stage.workers:
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -16,5 +16,10 @@
     context.stage.start_balancer()
 
 
+def after_scenario(context, scenario):
+    if scenario.status.has_failed():
+        context.stage.tell("fuel-desk-token")
+
+
 def after_all(context):
     context.stage.close()
--- a/tests/support/stage.py
+++ b/tests/support/stage.py
@@ -179,6 +179,10 @@
             "balancer", "-m", "tests.standins.balancer", "--address", self.balancer,
             "--backends", *self.instances.values(),
         )  # fmt: skip
+        # Without this a scenario that was run alone began before it listened.
+        wait_until(
+            lambda: call(self.balancer, "GET", "/healthz").status, what="balancer"
+        )
 
     def write_settings(self, team, settings):
         """Write a team's settings straight into the table, as a change would."""
