--- a/tests/dispatch/dispatch.feature
+++ b/tests/dispatch/dispatch.feature
@@ -28,6 +28,8 @@
     another worker was well.
     When 3 of the workers answer nothing
     Then a new watch of 3 events is told them all within 9 s
+    When the black holes end
+    Then all workers take quotes again
 
   Scenario: A slow worker is not taken for a silent connection
     The caller sees a fast answer. Its worker has the order and runs it slowly;
--- a/tests/dispatch/steps/dispatch_steps.py
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -170,6 +170,16 @@
     stage.wait_until(lambda: reserved(context) == 0, 5, "ledgers empty")
 
 
+@then("all workers take quotes again")
+def all_taken(context):
+    # More than three of the four workers have slots for.
+    def taken():
+        answers = at_a_time(lambda: quote(context), 25)
+        return all(answer.status == 200 for answer in answers)
+
+    stage.wait_until(taken, 10, "workers taking quotes")
+
+
 @then("something stays reserved")
 def something_reserved(context):
     assert reserved(context) > 0
