--- a/src/mangosail/dispatch/target.py
+++ b/src/mangosail/dispatch/target.py
@@ -11,7 +11,7 @@
 OnSent = cabc.Callable[[bool], None]
 
 
-def unheeded(used: bool) -> None:
+def unheeded(proven: bool) -> None:
     """Take no note of when an order goes out."""
 
 
--- a/src/mangosail/front/attempts.py
+++ b/src/mangosail/front/attempts.py
@@ -52,16 +52,19 @@
     #: Monotonic time at which the order went out, and whether its connection had
     #: carried answers before.
     sent_at: float | None = None
-    used: bool = False
-    #: Seconds for which an order that is not seen may be on its way.
-    patience: float = 0.0
+    proven: bool = False
+    #: Monotonic time until which an order that is not seen may be on its way.
+    suspect_at: float = 0.0
     #: Monotonic time at which it was given up, or its answer lost.
     given_up_at: float = 0.0
+    #: True once the loss of the attempt was held against its worker.
+    blamed: bool = False
 
-    def sent(self, at: float, used: bool) -> None:
-        """Take note that the order went out."""
+    def sent(self, at: float, patience: float, proven: bool) -> None:
+        """Take note that the order went out; unseen, it is suspect after `patience`."""
         self.sent_at = at
-        self.used = used
+        self.suspect_at = at + patience
+        self.proven = proven
 
     def summary(self, since: float) -> dict[str, object]:
         """Return what a log line tells of it, its times in seconds from `since`."""
@@ -71,7 +74,7 @@
             "worker": self.owned.name,
             "begun": round(self.started_at - since, 3),
             "sent": sent,
-            "used": self.used,
+            "proven": self.proven,
             "answer": answer,
         }
 
@@ -83,13 +86,11 @@
         was not on its way for much longer than the question that overtook it: taken for
         silence, each such moment cost all idle connections of a sound worker.
         """
-        if self.sent_at is None or not self.used:
+        if self.sent_at is None or not self.proven:
             return False
         under_way = self.given_up_at - self.sent_at
-        return under_way >= max(self.patience, VOID_FACTOR * void_seconds)
-
-    #: True once the loss of the attempt was held against its worker.
-    blamed: bool = False
+        late = under_way >= VOID_FACTOR * void_seconds
+        return late and self.given_up_at >= self.suspect_at
 
 
 class Attempts:
@@ -151,10 +152,11 @@
         if fresh:
             owned.target.retire_idle()
         attempt = Attempt(owned, start, now, request.declared.target_p99_seconds)
-        attempt.patience = patience
         if avoid:
             self.extra.add(attempt)
-        attempt.greenlet = gevent.spawn(self._run, attempt, request.deadline, answers)
+        attempt.greenlet = gevent.spawn(
+            self._run, attempt, request.deadline, patience, answers
+        )
         return result.Ok(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
@@ -172,12 +174,13 @@
         self,
         attempt: Attempt,
         deadline: float,
+        patience: float,
         answers: "gevent.queue.SimpleQueue[Attempt]",
     ) -> None:
         attempt.answer = attempt.owned.target.run(
             attempt.start,
             deadline,
-            lambda used: attempt.sent(self.clock.monotonic(), used),
+            lambda proven: attempt.sent(self.clock.monotonic(), patience, proven),
         )
         attempt.given_up_at = self.clock.monotonic()
         self._observe(attempt)
@@ -237,16 +240,14 @@
             self._blame(attempt)
             return
         silenced = attempt.silenced(void_seconds)
-        sent_at = attempt.sent_at
         log.info(
-            "order not seen", task=attempt.start.task_id, worker=attempt.owned.name,
-            silenced=silenced, used=attempt.used, patience=round(attempt.patience, 4),
-            under_way=None if sent_at is None else round(
-                attempt.given_up_at - sent_at, 4
-            ),
-            since_begun=round(attempt.given_up_at - attempt.started_at, 4),
+            "order not seen",
+            silenced=silenced,
             void_took=round(void_seconds, 4),
-        )  # fmt: skip
+            given_up=round(attempt.given_up_at - attempt.started_at, 4),
+            suspect=round(attempt.suspect_at - attempt.started_at, 4),
+            **attempt.summary(attempt.started_at),
+        )
         if not silenced:
             # The other attempt won before this one's order had arrived, or the worker
             # is new to us, or busy.
--- a/tests/dispatch/steps/dispatch_steps.py
+++ b/tests/dispatch/steps/dispatch_steps.py
@@ -266,9 +266,9 @@
     "and the worker answers in {answer:g} s, is {verdict}"
 )
 def judged(context, sent, connection, patience, answer, verdict):
-    attempt = attempts.Attempt(None, None, 0.0, None, patience=patience)
+    attempt = attempts.Attempt(None, None, 0.0, None)
     if sent != "never":
-        attempt.sent(10.0, used=connection == "an earlier connection")
+        attempt.sent(10.0, patience, proven=connection == "an earlier connection")
         attempt.given_up_at = 10.0 + float(sent)
     assert attempt.silenced(answer) == (verdict == "silenced")
 
