Log each run that is lost with its worker, with its age

After a worker is lost one line told how many tasks it had, and one each that they wait again. Which of them had only just been started there, whose start had no answer, and how long the worker had been silent could not be told, and so not which of them may have crashed it. No decision changes.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -85,6 +85,7 @@
             self.token,
             task.step_run.tickets.get(worker.name, ""),
         )
+        task.ordered_at = now
         gevent.spawn_later(ANSWER_TERM, self.settle_late, task, worker, run)
         answer = self.calls.start(worker.entry, order)
         self.counters.time("orders.start", self.clock.elapsed() - now)
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -89,6 +89,7 @@
         "moves",
         "name",
         "not_before",
+        "ordered_at",
         "percent",
         "phase",
         "run",
@@ -121,6 +122,9 @@
         self.percent = 0
         self.moved_at = 0.0
         self.started_at = 0.0
+        #: Elapsed time at which this leader sent the present run's start; None if it
+        #: has not.
+        self.ordered_at: float | None = None
         #: True if the present run began without a checkpoint.
         self.whole = False
         #: Elapsed time, progress and run at the look from which speed is judged.
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -66,13 +66,31 @@
 
     def lost(self, worker: fleet.Worker, why: str) -> None:
         """Take note that all runs of the worker are over."""
+        now = self.clock.elapsed()
         self.counters.count(f"workers.lost.{why}")
         log.warning(
-            "worker lost", worker=worker.name, reason=why, tasks=len(worker.tasks)
-        )
+            "worker lost", worker=worker.name, reason=why, tasks=len(worker.tasks),
+            draining=worker.entry.draining, silent=round(now - worker.heard_at, 3),
+        )  # fmt: skip
         for task in list(worker.tasks.values()):
+            self._run_lost(worker, task)
             self._free(worker, task, "worker_lost")
 
+    def _run_lost(self, worker: fleet.Worker, task: progress.Task) -> None:
+        """Log what is known of a run that ended with its worker.
+
+        `age` is how long before the worker was last heard its start was sent; less than
+        nothing if nothing was heard since, and None if another leader sent it.
+        """
+        age = None
+        if task.ordered_at is not None:
+            age = round(worker.heard_at - task.ordered_at, 3)
+        self.counters.count("reports.runs_lost")
+        log.info(
+            "run lost", task=task.name, run=task.run, worker=worker.name, age=age,
+            phase=task.phase.name.lower(), failures=task.failures,
+        )  # fmt: skip
+
     def _ended(self, worker: fleet.Worker, end: messages.End) -> None:
         task = self.find(end.task)
         self.counters.count(f"reports.ended.{end.outcome.value}")
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -285,6 +285,7 @@
             task.checkpoint = saved if gang else task.checkpoint
             task.whole = not task.checkpoint
             task.worker = choice.worker.name
+            task.ordered_at = None
             task.barred_at = None
         self.journal.record(job)
         self.journal.then(lambda: self._send(chosen))
