Show, failing, that a task that crashes its workers is started for ever

The stand-ins of workers crash under such a task and come back some seconds later as another life; the random histories play it, racks that crash, and capacity that changes. The histories no longer take any job for one that may have failed: its tasks must have used up their attempts, or two workers must have crashed under one of them.

--- /dev/null
+++ b/tests/scheduler/crashes.feature
@@ -0,0 +1,66 @@
+Feature: Tasks that crash the workers that start them
+
+  A task may crash each worker that starts it. The worker is back some seconds later, as
+  another one at its address, and lists nothing of what ran there.
+
+  Scenario Outline: A task that crashes each worker that starts it is given up <when>
+    # Each crash ends all that runs beside it; the task was started again for ever.
+    Given 5 workers, away for <away> s after a crash
+    And <jobs> jobs of short tasks
+    And a job with a task that crashes each worker that starts it
+    When 30 s pass, with <event>
+    Then no task was started 6 times
+    And the job with that task is shown as failed
+    And the other jobs are shown as completed
+
+    Examples:
+      | when                             | away | jobs | event                         |
+      | at once                          | 3    | 0    | nothing else                  |
+      | beside other work                | 3    | 6    | nothing else                  |
+      | where the leases run out first   | 9    | 6    | nothing else                  |
+      | though the leader changes        | 3    | 6    | a new leader at each crash    |
+      | though the starts have no answer | 3    | 6    | each answer of a start lost   |
+
+  Scenario: A job is not given up as its rack crashed twice
+    # The caller's order would be shown as failed though it could be done.
+    Given 5 workers, away for 3 s after a crash
+    And 12 jobs of short tasks
+    When all but one of the workers crash together, and again once all tasks run
+    And 20 s pass, with nothing else
+    Then the other jobs are shown as completed
+
+  Scenario: A task is not blamed for a worker that was cut off and runs on
+    Given 5 workers, away for 3 s after a crash
+    And a job whose task lasts
+    When its worker is cut off for 7 s, 3 times, and the task starts elsewhere
+    Then no crash counts against it
+
+  Scenario: A task is not blamed for a worker that drained before it left
+    Given 5 workers, away for 3 s after a crash
+    And a job whose task lasts
+    When its worker drains and leaves
+    Then no crash counts against it
+
+  Scenario: A run that goes on well clears its task
+    # A task that lasts meets many crashes in its time.
+    Given 5 workers, away for 3 s after a crash
+    And a job whose task lasts
+    When its worker crashes, 6 times, each after the task has run for 7 s
+    Then no crash counts against it
+    And that job is still shown as running
+
+  Scenario: A suspect starts where no other one is, and least is lost
+    Given 5 workers, away for 3 s after a crash
+    And 3 jobs of short tasks
+    When the workers of these tasks crash one after the other, and their tasks start again
+    Then each of these tasks is on a worker of its own
+
+  Scenario Outline: Crashes are remembered by <reader>
+    Given a record of a task under which a worker crashed
+    When it is read by <reader>
+    Then <known>
+
+    Examples:
+      | reader                       | known                                   |
+      | the next leader              | the crash counts against the task       |
+      | an instance of an older build | it reads the rest, and passes over that |
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -4,6 +4,8 @@
 sends, and time passes only when a test says so.
 """
 
+import collections
+import dataclasses
 import sys
 
 import gevent
@@ -33,6 +35,8 @@
 MINUTE = 60.0
 #: Seconds after which a client gives up a silent connection.
 UNANSWERED = 3.0
+#: Seconds after which a leader has to know that a worker's capacity has shrunk.
+SHRUNK_TERM = 4.5
 
 
 class Rows:
@@ -156,6 +160,11 @@
         self.standing_still = False
         self.refusals = 0
         self.tickets = []
+        #: True once it has crashed: it answers nothing until another life does.
+        self.crashed = False
+        #: When its capacity shrank last, and starts that came to it with no room.
+        self.shrunk_at = 0.0
+        self.overfilled = []
 
     @property
     def clock(self):
@@ -168,6 +177,21 @@
         self.ended.append(messages.End(self.count, task, run, how, checkpoint))
         self.barred[task] = run
 
+    def resize(self, cpus):
+        """Change the cores that it has, while it runs."""
+        before = self.entry.capacity
+        if cpus < before.cpus:
+            self.shrunk_at = self.time.now
+        capacity = dataclasses.replace(before, cpus=cpus)
+        self.entry = dataclasses.replace(self.entry, capacity=capacity)
+
+    def check_room(self, task):
+        """Note a start for which there is no room, once that should be known."""
+        if self.time.now <= self.shrunk_at + SHRUNK_TERM:
+            return
+        if len(self.running) * NEED.cpus > self.entry.capacity.cpus:
+            self.overfilled.append(task)
+
     def expire(self):
         if self.running and self.clock > self.deadline:
             for task in list(self.running):
@@ -183,9 +207,14 @@
 
     def __init__(self):
         self.workers = {}
+        #: Tasks that crash each worker that starts them.
+        self.crashing = set()
+        self.on_crash = lambda worker: None
 
     def _call(self, entry, effect, order=True):
         worker = self.workers[entry.name]
+        if worker.crashed and worker.fault != "replaced":
+            return result.Err(errors.Silent("crashed"))
         worker.expire()
         if worker.mute_once and order:
             worker.mute_once = False
@@ -223,6 +252,9 @@
             worker.running[order.task] = order.run
             worker.tickets.append(order.ticket)
             worker.deadline = max(worker.deadline, order.deadline)
+            worker.check_room(order.task)
+            if order.task in self.crashing:
+                self.on_crash(worker)
             return result.Ok(worker.clock)
 
         return self._call(entry, effect)
@@ -378,6 +410,12 @@
         self.counters = counters.StatsdCounters(None, 0)
         self.rand = rand
         self.leader = None
+        self.calls.on_crash = self.crash
+        #: Seconds for which a worker that crashed is away; when each comes back.
+        self.away_term = 3.0
+        self.returns = []
+        #: Workers that crashed under each task.
+        self.crashed_under = collections.Counter()
         self.catalog = messages.Catalog(1, (), (messages.Service("pool"),))
         self.advisor = Advisor()
         #: Data centres to whose workers nothing more may be sent.
@@ -388,15 +426,51 @@
     def add_worker(self, name, **facts):
         worker = Worker(name, self.clock, **facts)
         self.calls.workers[name] = worker
-        self.rows.put(WORKERS_PREFIX + name, {"name": name})
+        self.list(worker)
         return worker
 
+    def list(self, worker):
+        """Write the worker's entry as it is now."""
+        name, cpus = worker.entry.name, worker.entry.capacity.cpus
+        self.rows.put(WORKERS_PREFIX + name, {"name": name, "cpus": cpus})
+
+    def unlist(self, worker):
+        """Drop the worker's entry."""
+        write = table.Write(WORKERS_PREFIX + worker.entry.name, None)
+        self.rows._apply(table.Transaction((), (write,)))
+
     def entry_of(self, name, text):
         """Decode an entry as the platform's adapter does: anything may stand there."""
         worker = self.calls.workers.get(name)
-        if worker is None or text != codec.to_json({"name": name}):
+        try:
+            found = codec.from_json(text, dict)
+        except codec.DecodeError:
+            found = {}
+        if worker is None or found.get("name") != name:
             return result.Err(errors.BadEntry(errors.Fault.UNREADABLE))
-        return result.Ok(worker.entry)
+        cpus = found.get("cpus", worker.entry.capacity.cpus)
+        capacity = dataclasses.replace(worker.entry.capacity, cpus=cpus)
+        return result.Ok(dataclasses.replace(worker.entry, capacity=capacity))
+
+    def crash(self, worker):
+        """End a worker's life; another one comes at its address some seconds later."""
+        self.crashed_under.update(worker.running.keys())
+        worker.running.clear()
+        worker.late.clear()
+        worker.crashed = True
+        self.returns.append((self.clock.now + self.away_term, worker))
+
+    def come_back(self):
+        """Begin the next lives of crashed workers that are due."""
+        due = [worker for at, worker in self.returns if at <= self.clock.now]
+        self.returns = [each for each in self.returns if each[0] > self.clock.now]
+        for worker in due:
+            self.unlist(worker)
+            worker.fault = "replaced"
+            entry = worker.entry
+            self.add_worker(
+                f"{entry.name}+", address=entry.address, capacity=entry.capacity
+            )
 
     def lead(self, name):
         self.leader = Leader(self, name)
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -5,6 +5,7 @@
 rule says so, and wakes whoever sleeps until then.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -26,6 +27,11 @@
 LAST_TURNS = 600
 WORKERS = 3
 ATTEMPTS = 3
+#: A task that crashes its workers may be given up from the second crash on, and after
+#: the third one it may not be started three times more.
+LEAST_CRASHES = 2
+CRASHES = 3
+MORE_STARTS = 3
 FAULTS = st.sampled_from(["", "", "silent", "lost", "late"])
 STORE_FAULTS = st.sampled_from(["lost", "late", "down"])
 
@@ -189,6 +195,7 @@
             for leader in self.leaders:
                 leader.turn()
             self.world.clock.now += TURN
+            self.world.come_back()
             settle()
 
     @stateful.rule(
@@ -196,6 +203,8 @@
     )
     def start_on_broken_worker(self, fault, turns, pick):
         """Orders meet a fault that is over soon after."""
+        if not self.living():
+            return
         worker = pick.choice(self.living())
         before, worker.fault = worker.fault, fault
         self.lead_on(turns)
@@ -215,22 +224,45 @@
 
     @stateful.rule(fault=FAULTS, pick=st.randoms(use_true_random=False))
     def break_worker(self, fault, pick):
-        worker = pick.choice(self.living())
-        worker.fault = fault
+        if self.living():
+            pick.choice(self.living()).fault = fault
 
     @stateful.rule(pick=st.randoms(use_true_random=False))
     def replace_worker(self, pick):
         """A worker crashes; the next life at its address runs nothing."""
+        if not self.living():
+            return
         worker = pick.choice(self.living())
         worker.fault = "replaced"
         worker.running.clear()
         worker.late.clear()
-        self.world.rows.kept.pop(fakes.WORKERS_PREFIX + worker.entry.name, None)
-        self.world.rows.history.append(
-            (self.world.rows.kept.version, fakes.WORKERS_PREFIX + worker.entry.name)
-        )
+        self.world.unlist(worker)
         self.add_worker(worker.entry.address)
 
+    @stateful.rule(counts=st.lists(st.integers(1, 3), min_size=1, max_size=2))
+    def hand_in_crashing(self, counts):
+        """A job of which one task crashes each worker that starts it."""
+        self.hand_in(counts)
+        job_id = max(self.jobs)
+        self.world.calls.crashing.add(f"{job_id}.0.{len(counts) - 1}.0")
+
+    @stateful.rule(count=st.integers(1, 2), pick=st.randoms(use_true_random=False))
+    def crash_workers(self, count, pick):
+        """One worker crashes, or a rack; they are back some seconds later."""
+        living = self.living()
+        for worker in pick.sample(living, min(count, len(living))):
+            self.world.crash(worker)
+
+    @stateful.rule(
+        cpus=st.sampled_from([2, 4, 8]), pick=st.randoms(use_true_random=False)
+    )
+    def resize_worker(self, cpus, pick):
+        """A worker has other capacity from now on, and soon says so."""
+        if self.living():
+            worker = pick.choice(self.living())
+            worker.resize(cpus)
+            self.world.list(worker)
+
     @stateful.rule(pick=st.randoms(use_true_random=False))
     def late_order_arrives(self, pick):
         """One of the late orders, as they may overtake each other."""
@@ -262,6 +294,7 @@
     @stateful.rule(seconds=st.sampled_from([0.5, 2.0, 6.0]))
     def pass_time(self, seconds):
         self.world.clock.now += seconds
+        self.world.come_back()
         settle()
         for worker in self.living():
             worker.expire()
@@ -289,6 +322,17 @@
         for task in self.noted:
             assert self.kept_as_done(task), task
 
+    @stateful.invariant()
+    def crashing_tasks_are_given_up(self):
+        for task in self.world.calls.crashing:
+            starts = self.world.starts(task)
+            assert len(starts) < CRASHES + MORE_STARTS, (task, starts)
+
+    @stateful.invariant()
+    def no_start_overfills(self):
+        for worker in self.all_workers():
+            assert not worker.overfilled, (worker.entry.name, worker.overfilled)
+
     @stateful.invariant()
     def tokens_rise(self):
         tokens = [leader.scheduler.journal.token for leader in self.leaders]
@@ -313,6 +357,8 @@
         self.world.rows.once.clear()
         for worker in self.living():
             worker.fault = ""
+            worker.resize(fakes.CAPACITY.cpus)
+            self.world.list(worker)
         for worker in self.living():
             late, worker.late = worker.late, []
             for effect in late:
@@ -328,13 +374,32 @@
                     worker.end(task)
             self.one_run_at_a_time()
             self.nothing_starts_after_a_noted_end()
+            self.crashing_tasks_are_given_up()
+            self.no_start_overfills()
         for job_id in self.jobs:
             state = self.world.rows.state(job_id)
-            wanted = {"completed", "failed"}
+            wanted = {"completed", *self.causes_of_failure(job_id)}
             if job_id in self.cancelled:
                 wanted.add("cancelled")
             assert state in wanted, (job_id, state)
 
+    def causes_of_failure(self, job_id):
+        """Return `failed` if the job may be shown so: by its ends, or by crashes."""
+        failed = collections.Counter(
+            end.task
+            for worker in self.all_workers()
+            for end in (*worker.noted, *worker.ended)
+            if end.outcome is messages.Outcome.FAILED
+        )
+        by_ends = any(
+            count >= ATTEMPTS for task, count in failed.items() if job_id in task
+        )
+        under = self.world.crashed_under
+        by_crashes = any(
+            count >= LEAST_CRASHES for task, count in under.items() if job_id in task
+        )
+        return {"failed"} if by_ends or by_crashes else set()
+
     def over(self, job_id):
         row = self.world.rows.kept.get(keys.state(job_id))
         return row is not None and progress.decode(row.value).state in messages.FINAL
@@ -343,15 +408,15 @@
 
     def add_worker(self, address):
         name = f"w{next(self.numbers)}"
-        worker = fakes.Worker(name, self.world.clock, address=address)
-        self.world.calls.workers[name] = worker
-        self.world.rows.put(fakes.WORKERS_PREFIX + name, {"name": name})
+        self.world.add_worker(name, address=address)
 
     def all_workers(self):
         return list(self.world.calls.workers.values())
 
     def living(self):
-        return [w for w in self.all_workers() if w.fault != "replaced"]
+        return [
+            w for w in self.all_workers() if w.fault != "replaced" and not w.crashed
+        ]
 
 
 class BeyondReach(Scheduling):
--- /dev/null
+++ b/tests/scheduler/steps/crashes_steps.py
@@ -0,0 +1,261 @@
+import dataclasses
+
+from behave import given, then, when
+from tests.scheduler import fakes, machine
+
+from mangosail import codec
+from mangosail.scheduler import keys, progress
+
+LASTING = "00000000000000ee"
+#: Seconds that a short task takes.
+TASK_TERM = 0.6
+
+
+class History(machine.Scheduling):
+    """A history in which short tasks end by themselves."""
+
+    def __init__(self, workers, away):
+        super().__init__()
+        self.world.away_term = away
+        for _ in range(workers - machine.WORKERS):
+            self.add_worker(f"address-{next(self.numbers)}")
+        self.begun = {}
+        self.short = []
+        #: What happens besides, each turn.
+        self.event = lambda: None
+
+    def hand_in_short(self):
+        self.hand_in([2])
+        self.short.append(max(self.jobs))
+
+    def pass_seconds(self, seconds):
+        until = self.world.clock.now + seconds
+        while self.world.clock.now < until:
+            self.lead_on(1)
+            self.event()
+            self.end_short()
+
+    def end_short(self):
+        now = self.world.clock.now
+        for worker in self.living():
+            worker.expire()
+            for task, run in list(worker.running.items()):
+                began_at = self.begun.setdefault((task, run), now)
+                if task[:16] in self.short and now > began_at + TASK_TERM:
+                    worker.end(task)
+
+    def state(self, job_id):
+        return self.world.rows.state(job_id)
+
+    def task(self, name):
+        return self.leaders[-1].scheduler.find(name)
+
+    def worker_of(self, task):
+        return next((w for w in self.living() if task in w.running), None)
+
+
+@given("{count:d} workers, away for {away:d} s after a crash")
+def step_workers(context, count, away):
+    context.history = History(count, away)
+    context.history.pass_seconds(0.5)
+
+
+@given("{count:d} jobs of short tasks")
+def step_short(context, count):
+    for _ in range(count):
+        context.history.hand_in_short()
+
+
+@given("a job with a task that crashes each worker that starts it")
+def step_crashing(context):
+    context.history.hand_in_crashing([2, 2])
+    context.crashing = max(context.history.jobs)
+
+
+@given("a job whose task lasts")
+def step_lasting(context):
+    history = context.history
+    job = fakes.job(LASTING, fakes.step(continuous=True))
+    history.jobs[LASTING] = job
+    history.world.rows.put(keys.job(LASTING), job)
+    history.pass_seconds(1.0)
+    context.task = f"{LASTING}.0.0.0"
+
+
+def new_leader_at_each_crash(history):
+    seen = []
+
+    def event():
+        crashes = sum(history.world.crashed_under.values())
+        if crashes > len(seen):
+            seen.extend([None] * (crashes - len(seen)))
+            history.depose()
+
+    return event
+
+
+def lost_answers(history):
+    def event():
+        for worker in history.living():
+            worker.fault = "lost"
+
+    return event
+
+
+EVENTS = {
+    "nothing else": lambda history: lambda: None,
+    "a new leader at each crash": new_leader_at_each_crash,
+    "each answer of a start lost": lost_answers,
+}
+
+
+@when("{seconds:d} s pass, with {event}")
+def step_pass(context, seconds, event):
+    context.history.event = EVENTS[event](context.history)
+    context.history.pass_seconds(seconds)
+
+
+@when("all but one of the workers crash together, and again once all tasks run")
+def step_rack(context):
+    history = context.history
+    # Tasks that have just begun are the ones that a crash speaks against most.
+    history.lead_on(2)
+    first = history.living()[1:]
+    for worker in first:
+        history.world.crash(worker)
+    hit = set(history.world.crashed_under)
+    while not any(hit & set(worker.running) for worker in history.living()):
+        history.pass_seconds(machine.TURN)
+    for worker in history.living()[1:]:
+        history.world.crash(worker)
+
+
+@when("its worker is cut off for {seconds:d} s, {times:d} times, and the task starts "
+      "elsewhere")  # fmt: skip
+def step_cut(context, seconds, times):
+    history = context.history
+    for _ in range(times):
+        worker = history.worker_of(context.task)
+        worker.fault = "silent"
+        history.pass_seconds(seconds)
+        assert history.worker_of(context.task) not in (worker, None)
+        worker.fault = ""
+        history.pass_seconds(1.0)
+
+
+@when("its worker drains and leaves")
+def step_drain(context):
+    history = context.history
+    worker = history.worker_of(context.task)
+    worker.entry = dataclasses.replace(worker.entry, draining=True)
+    worker.fault = "lost"
+    history.world.list(worker)
+    history.lead_on(1)
+    history.world.crash(worker)
+    history.pass_seconds(5.0)
+
+
+@when("its worker crashes, {times:d} times, each after the task has run for {term:d} s")
+def step_crash_late(context, times, term):
+    history = context.history
+    for _ in range(times):
+        history.pass_seconds(term)
+        history.world.crash(history.worker_of(context.task))
+        history.pass_seconds(5.0)
+
+
+@when(
+    "the workers of these tasks crash one after the other, and their tasks start again"
+)
+def step_crash_each(context):
+    history = context.history
+    history.lead_on(2)
+    for worker in history.living():
+        if worker.running:
+            history.world.crash(worker)
+            # Further apart than workers of a rack, which crash together.
+            history.lead_on(round(2.0 / machine.TURN))
+    tasks = set(history.world.crashed_under)
+    context.places = {}
+    for _ in range(round(6.0 / machine.TURN)):
+        history.lead_on(1)
+        for worker in history.living():
+            for task in tasks & set(worker.running):
+                context.places.setdefault(task, worker.entry.name)
+    context.tasks = tasks
+
+
+@then("no task was started {count:d} times")
+def step_starts(context, count):
+    history = context.history
+    history.crashing_tasks_are_given_up()
+    for task in history.world.calls.crashing:
+        assert 0 < len(history.world.starts(task)) < count, history.world.starts(task)
+
+
+@then("the job with that task is shown as failed")
+def step_failed(context):
+    assert context.history.state(context.crashing) == "failed"
+
+
+@then("the other jobs are shown as completed")
+def step_completed(context):
+    states = {job: context.history.state(job) for job in context.history.short}
+    assert set(states.values()) <= {"completed"}, states
+
+
+@then("no crash counts against it")
+def step_no_crash(context):
+    task = context.history.task(context.task)
+    assert task.suspicion == 0, task.suspicion
+
+
+@then("that job is still shown as running")
+def step_running(context):
+    assert context.history.state(LASTING) == "running"
+
+
+@then("each of these tasks is on a worker of its own")
+def step_apart(context):
+    places = context.places
+    assert set(places) == context.tasks and len(places) > 1, places
+    assert len(set(places.values())) == min(len(places), 5), places
+
+
+@given("a record of a task under which a worker crashed")
+def step_record(context):
+    context.job = progress.JobProgress(fakes.job(LASTING, fakes.step(3)))
+    _, task, _ = context.job.tasks()
+    task.run = 2
+    task.suspicion = 1
+    context.text = progress.encode(context.job.record())
+
+
+@when("it is read by the next leader")
+def step_next(context):
+    context.found = progress.JobProgress(context.job.job)
+    context.found.restore(progress.decode(context.text))
+
+
+@then("the crash counts against the task")
+def step_counts(context):
+    assert [task.suspicion for task in context.found.tasks()] == [0, 1, 0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OlderRecord:
+    state: str = ""
+    workers: tuple[str, ...] = ()
+    tasks: tuple[tuple[int, int, int, int, int, int, str], ...] = ()
+    done: tuple[tuple[int, int, str], ...] = ()
+    drop_at: float = 0.0
+
+
+@when("it is read by an instance of an older build")
+def step_older(context):
+    context.found = codec.from_json(context.text, OlderRecord)
+
+
+@then("it reads the rest, and passes over that")
+def step_rest(context):
+    assert context.found.tasks == ((0, 0, 1, 2, 0, -1, ""),), context.found
