Follow the capacity that a worker has now

Cause: a new entry of a known worker was taken in without its capacity. Of the same class, a first value taken for good: a start whose record was late to be written was sent although the room had gone meanwhile. Looked for elsewhere: the bound on continuous jobs and the model of pressure read the entry as it is now; the ledgers of the product's own interface keep the capacity with which a worker was adopted, which its platform does not change.

--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -65,6 +65,20 @@
         self.best_effort_images: frozenset[str] = frozenset()
         self.throttled_at = 0.0
 
+    def describe(self, entry: messages.WorkerEntry) -> None:
+        """Take in what the worker says of itself now; its capacity may have changed."""
+        before, self.entry = self.entry, entry
+        if entry.capacity == before.capacity:
+            return
+        self.free = self.free + entry.capacity - before.capacity
+        self.unused += entry.capacity.cpus - before.capacity.cpus
+        self.changed = next(self.changes)
+
+    @property
+    def overfull(self) -> bool:
+        """Tell whether more is set aside there than the worker has."""
+        return not resources.Resources().fits_in(self.free)
+
     def heard(self, clock: int, now: float) -> None:
         """Take in the worker's clock as it stood at the elapsed time `now`."""
         self.clock = float(clock)
--- a/src/mangosail/scheduler/listing.py
+++ b/src/mangosail/scheduler/listing.py
@@ -197,10 +197,12 @@
         if entry.draining and not worker.entry.draining:
             log.info("worker drains", worker=entry.name, remaining=entry.remaining)
         first = not worker.entry.address
-        if first:
-            worker.free = worker.free + entry.capacity - worker.entry.capacity
-            worker.unused += entry.capacity.cpus - worker.entry.capacity.cpus
-        worker.entry = entry
+        if entry.capacity != worker.entry.capacity:
+            log.info(
+                "capacity", worker=entry.name, cpus=entry.capacity.cpus,
+                before=worker.entry.capacity.cpus, free=round(worker.free.cpus, 1),
+            )  # fmt: skip
+        worker.describe(entry)
         worker.unlisted = False
         if first:
             self.keeper.attend(worker)
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -71,6 +71,10 @@
         if worker.gone or not task_wanted(task):
             self._void(task, worker, "not_wanted")
             return
+        if worker.overfull:
+            # Its capacity has shrunk while the record was written.
+            self._void(task, worker, "no_room")
+            return
         now = self.clock.elapsed()
         heard_at = worker.heard_at
         run = task.run
