--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -1,11 +1,11 @@
 """Which task crashed a worker, told from those that ran beside it.
 
-A worker that crashes lists nothing of what ran there, and one task may crash each worker
-that starts it. Without a count such a task is started for ever, and each time ends all
-that runs beside it. So the end of a worker's life counts against the tasks that had begun
-there lately. It does so clearly where the start was answered and was among the last, and
-no other worker fell silent at that time: racks and data centres crash too. A task is
-given up after two clear crashes, or four in all::
+A worker that crashes lists nothing of what ran there, and one task may crash each
+worker that starts it. Without a count such a task is started for ever, and each time
+ends all that runs beside it. So the end of a worker's life counts against the tasks
+that had begun there lately. It does so clearly where the start was answered and was
+among the last, and no other workers fell silent at that time: racks and data centres
+crash too. A task is given up after two clear crashes, or four in all::
 
     suspects = Judge(workers).over(worker, crashed=True)
     given_up = [suspect.task for suspect in suspects if guilty(suspect.task)]
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -216,7 +216,7 @@
 def quietest(scores: cabc.Mapping[fleet.Worker, float | None]) -> fleet.Worker | None:
     """Return the worker for a task that may crash it: where the least would be lost.
 
-    It goes beside no other suspect if it can, so that a crash tells which of them it was.
+    It goes beside no other suspect if it can, so that a crash tells them apart.
     """
     able = {worker: score for worker, score in scores.items() if score is not None}
 
--- a/tests/scheduler/steps/capacity_steps.py
+++ b/tests/scheduler/steps/capacity_steps.py
@@ -37,10 +37,14 @@
     context.history.lead_on(2)
 
 
-@when("it runs {count:d} tasks of 2 cores, shrinks to {cores:d} cores, and {more:d} "
-      "tasks more come")  # fmt: skip
-@when("it runs {count:d} tasks of 2 cores, grows to {cores:d} cores, and {more:d} tasks "
-      "more come")  # fmt: skip
+@when(
+    "it runs {count:d} tasks of 2 cores, shrinks to {cores:d} cores, "
+    "and {more:d} tasks more come"
+)
+@when(
+    "it runs {count:d} tasks of 2 cores, grows to {cores:d} cores, "
+    "and {more:d} tasks more come"
+)
 def step_resize(context, count, cores, more):
     hand_in(context, FIRST, count)
     context.history.lead_on(SECOND)
