Tell which life of a worker answers

Entries and looks say when the worker was born, where the worker tells it. Until now a restarted worker could only be guessed from runs that vanish; a line says now that another life answers, with both births and both clocks. No decision changes.

--- a/src/mangosail/platform/wire.py
+++ b/src/mangosail/platform/wire.py
@@ -191,6 +191,8 @@
     labels: list[str]
     #: Milliseconds for which a draining worker still serves at least.
     remaining_ms: float | None = None
+    #: Unix milliseconds at which this life of the worker began; earlier ones don't say.
+    born: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -225,6 +227,7 @@
     """A worker's answer to a look; rows are lists, as the page orders them."""
 
     clock_ms: float
+    born: int | None = None
     running: list[list] = dataclasses.field(default_factory=list)
     ended: list[list] = dataclasses.field(default_factory=list)
 
--- a/src/mangosail/platform/workers.py
+++ b/src/mangosail/platform/workers.py
@@ -201,4 +201,4 @@
         )
         for row in held.ended
     )
-    return messages.Look(int(held.clock_ms), running, ended)
+    return messages.Look(int(held.clock_ms), running, ended, held.born)
--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -89,7 +89,7 @@
         if isinstance(answer, result.Err):
             self._failed(worker, answer.err_value)
             return
-        ends = self._take_in(worker, answer.ok_value, now)
+        ends = self.take_in(worker, answer.ok_value, now)
         self._throttle(worker, answer.ok_value.running)
         if ends:
             self._acknowledge(worker)
@@ -130,11 +130,11 @@
         if isinstance(answer, result.Err) or worker.gone:
             self.counters.count("workers.look_now_failed")
             return False
-        if self._take_in(worker, answer.ok_value, sent_at):
+        if self.take_in(worker, answer.ok_value, sent_at):
             gevent.spawn(self._acknowledge, worker)
         return True
 
-    def _take_in(
+    def take_in(
         self, worker: fleet.Worker, look: messages.Look, sent_at: float
     ) -> bool:
         """Take in a look, and tell whether it listed new ends."""
@@ -146,6 +146,12 @@
             # An earlier leader may have extended the lease until just now.
             longest = look.clock + HOLD_TERM * 1000
             worker.deadline = max(worker.deadline, longest)
+        if look.born != worker.entry.born:
+            log.warning(
+                "another life answers", worker=worker.name, born=look.born,
+                listed=worker.entry.born, clock=look.clock,
+                before=round(worker.clock),
+            )  # fmt: skip
         taken_in = worker.taken_in
         self.reports.take_in(worker, look, sent_at)
         if worker.taken_in == taken_in:
--- a/src/mangosail/scheduler/messages.py
+++ b/src/mangosail/scheduler/messages.py
@@ -135,6 +135,8 @@
     clock: int
     running: tuple[Running, ...]
     ended: tuple[End, ...]
+    #: Which life of the worker answers, as in its entry; None if it doesn't say.
+    born: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,7 +155,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """A worker as the platform lists it; one name is one life of a worker."""
+    """A worker as the platform lists it."""
 
     name: str
     service: str
@@ -164,6 +166,9 @@
     draining: bool = False
     #: Seconds that a draining worker still serves at least.
     remaining: float | None = None
+    #: Unix milliseconds at which this life of the worker began. A later life may have a
+    #: lower number, as clocks jump. None if it doesn't say: its name tells its life.
+    born: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
