Show, failing, that a worker's second life inherits what was known of the first

The stand-ins of workers keep their names when they crash, begin their clocks and the numbers of their ends anew, and get the late orders of their earlier life; the random histories play it with takeovers, silence, lost and late orders. Histories of crashing tasks and of second lives share a module.

--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -129,11 +129,14 @@
         labels=("r1",),
         address=None,
         data_centre="dc",
+        born=None,
     ):
         address = address or f"{name}:1"
         self.entry = messages.WorkerEntry(
-            name, "pool", address, data_centre, capacity, frozenset(labels)
+            name, "pool", address, data_centre, capacity, frozenset(labels), born=born
         )
+        #: When its clock and its numbers of ends began.
+        self.began_at = 0.0 if born is None else clock.now
         self.time = clock
         self.token = 0
         self.running = {}
@@ -170,7 +173,7 @@
 
     @property
     def clock(self):
-        return int(self.time.now * 1000)
+        return int((self.time.now - self.began_at) * 1000)
 
     def end(self, task, outcome="done", checkpoint=""):
         run = self.running.pop(task)
@@ -209,6 +212,8 @@
 
     def __init__(self):
         self.workers = {}
+        #: Earlier lives of workers that started again under their names.
+        self.earlier = []
         #: Tasks that crash each worker that starts them.
         self.crashing = set()
         self.on_crash = lambda worker: None
@@ -320,7 +325,10 @@
                 )
                 for task, run in worker.running.items()
             )
-            return result.Ok(messages.Look(worker.clock, running, tuple(worker.ended)))
+            ended = tuple(worker.ended)
+            return result.Ok(
+                messages.Look(worker.clock, running, ended, worker.entry.born)
+            )
 
         return self._call(entry, effect, order=False)
 
@@ -449,7 +457,8 @@
     def list(self, worker):
         """Write the worker's entry as it is now."""
         name, cpus = worker.entry.name, worker.entry.capacity.cpus
-        self.rows.put(WORKERS_PREFIX + name, {"name": name, "cpus": cpus})
+        entry = {"name": name, "cpus": cpus, "born": worker.entry.born}
+        self.rows.put(WORKERS_PREFIX + name, entry)
 
     def unlist(self, worker):
         """Drop the worker's entry."""
@@ -467,16 +476,34 @@
             return result.Err(errors.BadEntry(errors.Fault.UNREADABLE))
         cpus = found.get("cpus", worker.entry.capacity.cpus)
         capacity = dataclasses.replace(worker.entry.capacity, cpus=cpus)
-        return result.Ok(dataclasses.replace(worker.entry, capacity=capacity))
+        born = found.get("born", worker.entry.born)
+        return result.Ok(
+            dataclasses.replace(worker.entry, capacity=capacity, born=born)
+        )
 
     def crash(self, worker):
         """End a worker's life; another one comes at its address some seconds later."""
         self.count_crash(worker)
         worker.running.clear()
-        worker.late.clear()
+        if worker.entry.born is None:
+            worker.late.clear()
         worker.crashed = True
         self.returns.append((self.clock.now + self.away_term, worker))
 
+    def restart(self, worker):
+        """Begin another life of a worker under its name, which knows nothing of before.
+
+        Orders to the earlier one that are late arrive in this one.
+        """
+        entry = worker.entry
+        born = entry.born + int(self.rand.choice([-7000, 1, 5000]))
+        self.calls.earlier.append(worker)
+        later = self.add_worker(
+            entry.name, address=entry.address, capacity=entry.capacity, born=born
+        )
+        later.late = worker.late
+        return later
+
     def count_crash(self, worker):
         """Take note of the tasks under which a worker crashes."""
         self.crashed_under.update(worker.running.keys())
@@ -487,9 +514,12 @@
         due = [worker for at, worker in self.returns if at <= self.clock.now]
         self.returns = [each for each in self.returns if each[0] > self.clock.now]
         for worker in due:
+            entry = worker.entry
+            if entry.born is not None:
+                self.restart(worker)
+                continue
             self.unlist(worker)
             worker.fault = "replaced"
-            entry = worker.entry
             self.add_worker(
                 f"{entry.name}+", address=entry.address, capacity=entry.capacity
             )
@@ -508,7 +538,7 @@
     def starts(self, task):
         return [
             start
-            for worker in self.calls.workers.values()
+            for worker in (*self.calls.earlier, *self.calls.workers.values())
             for start in worker.starts
             if start[0] == task
         ]
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -27,6 +27,8 @@
 WORKERS = 3
 #: Seconds for which a worker that crashed is away.
 AWAY_TERM = 1.0
+#: Unix milliseconds before which no worker was born.
+FIRST_BORN = 1_700_000_000_000
 ATTEMPTS = 3
 #: A task that crashes its workers may be given up from the second crash on, and after
 #: the third one it may not be started three times more.
@@ -137,6 +139,9 @@
 
     #: Workers that a leader attends to at most.
     most_workers = sys.maxsize
+    workers = WORKERS
+    #: True if workers say when they were born, and keep their names when they crash.
+    tells_life = False
     #: Seconds of virtual time that one turn of a leader takes.
     turn = TURN
 
@@ -151,7 +156,7 @@
         self.cancelled = set()
         #: Runs that each task had started when its end was noted as done.
         self.noted = {}
-        for _ in range(WORKERS):
+        for _ in range(self.workers):
             self.add_worker(f"address-{next(self.numbers)}")
         self.leaders = [Leader(self.world, "leader-0")]
 
@@ -237,6 +242,11 @@
         if not self.living():
             return
         worker = pick.choice(self.living())
+        if self.tells_life:
+            self.world.crash(worker)
+            self.world.returns.pop()
+            self.world.restart(worker)
+            return
         worker.fault = "replaced"
         self.world.count_crash(worker)
         worker.running.clear()
@@ -423,10 +433,11 @@
 
     def add_worker(self, address):
         name = f"w{next(self.numbers)}"
-        self.world.add_worker(name, address=address)
+        born = FIRST_BORN + next(self.numbers) if self.tells_life else None
+        self.world.add_worker(name, address=address, born=born)
 
     def all_workers(self):
-        return list(self.world.calls.workers.values())
+        return [*self.world.calls.earlier, *self.world.calls.workers.values()]
 
     def living(self):
         return [
@@ -434,6 +445,12 @@
         ]
 
 
+class SecondLives(Scheduling):
+    """The same, where workers that crash start again under their names."""
+
+    tells_life = True
+
+
 class BeyondReach(Scheduling):
     """The same, where the leaders attend to two of the three workers."""
 
--- a/tests/scheduler/random.feature
+++ b/tests/scheduler/random.feature
@@ -12,6 +12,11 @@
     choose others. What an earlier one started beyond them is still seen to its end.
     Then 60 random histories of up to 40 steps keep them too where leaders attend to two of three workers
 
+  Scenario: Random faults break no promise where workers start again under their names
+    As above, but a worker that crashes keeps its name, and late orders to its earlier
+    life reach the later one.
+    Then 80 random histories of up to 40 steps keep them too where workers start again
+
   Scenario: A start in doubt is barred where it was sent before the next one begins
     # The start gets no answer and is carried out seconds later. The worker does not list
     # the run, so it seems free to begin elsewhere; the late start would run beside it.
--- a/tests/scheduler/steps/crashes_steps.py
+++ b/tests/scheduler/steps/crashes_steps.py
@@ -1,64 +1,15 @@
 import dataclasses
 
 from behave import given, then, when
-from tests.scheduler import fakes, machine
+from tests.scheduler import fakes, lives
 
 from mangosail import codec
-from mangosail.scheduler import keys, progress
-
-LASTING = "00000000000000ee"
-#: Seconds that a short task takes.
-TASK_TERM = 0.6
-
-
-class History(machine.Scheduling):
-    """A history in which short tasks end by themselves."""
-
-    turn = 0.1
-
-    def __init__(self, workers, away):
-        super().__init__()
-        self.world.away_term = away
-        for _ in range(workers - machine.WORKERS):
-            self.add_worker(f"address-{next(self.numbers)}")
-        self.begun = {}
-        self.short = []
-        #: What happens besides, each turn.
-        self.event = lambda: None
-
-    def hand_in_short(self):
-        self.hand_in([2])
-        self.short.append(max(self.jobs))
-
-    def pass_seconds(self, seconds):
-        until = self.world.clock.now + seconds
-        while self.world.clock.now < until:
-            self.lead_on(1)
-            self.event()
-            self.end_short()
-
-    def end_short(self):
-        now = self.world.clock.now
-        for worker in self.living():
-            worker.expire()
-            for task, run in list(worker.running.items()):
-                began_at = self.begun.setdefault((task, run), now)
-                if LASTING not in task and now > began_at + TASK_TERM:
-                    worker.end(task)
-
-    def state(self, job_id):
-        return self.world.rows.state(job_id)
-
-    def task(self, name):
-        return self.leaders[-1].scheduler.find(name)
-
-    def worker_of(self, task):
-        return next((w for w in self.living() if task in w.running), None)
+from mangosail.scheduler import progress
 
 
 @given("{count:d} workers, away for {away:d} s after a crash")
 def step_workers(context, count, away):
-    context.history = History(count, away)
+    context.history = lives.History(count, away)
     context.history.pass_seconds(0.5)
 
 
@@ -76,12 +27,7 @@
 
 @given("a job whose task lasts")
 def step_lasting(context):
-    history = context.history
-    job = fakes.job(LASTING, fakes.step(continuous=True))
-    history.jobs[LASTING] = job
-    history.world.rows.put(keys.job(LASTING), job)
-    history.pass_seconds(1.0)
-    context.task = f"{LASTING}.0.0.0"
+    context.task = context.history.hand_in_lasting()
 
 
 def new_leader_at_each_crash(history):
@@ -127,7 +73,7 @@
         history.world.crash(worker)
     hit = set(history.world.crashed_under)
     while not any(hit & set(worker.running) for worker in history.living()):
-        history.pass_seconds(History.turn)
+        history.pass_seconds(lives.History.turn)
     for worker in history.living()[1:]:
         history.world.crash(worker)
 
@@ -176,10 +122,10 @@
         if worker.running:
             history.world.crash(worker)
             # Further apart than workers of a rack, which crash together.
-            history.lead_on(round(2.0 / History.turn))
+            history.lead_on(round(2.0 / lives.History.turn))
     tasks = set(history.world.crashed_under)
     context.places = {}
-    for _ in range(round(6.0 / History.turn)):
+    for _ in range(round(6.0 / lives.History.turn)):
         history.lead_on(1)
         for worker in history.living():
             for task in tasks & set(worker.running):
@@ -214,7 +160,7 @@
 
 @then("that job is still shown as running")
 def step_running(context):
-    assert context.history.state(LASTING) == "running"
+    assert context.history.state(lives.LASTING) == "running"
 
 
 @then("each of these tasks is on a worker of its own")
@@ -226,7 +172,7 @@
 
 @given("a record of a task under which a worker crashed")
 def step_record(context):
-    context.job = progress.JobProgress(fakes.job(LASTING, fakes.step(3)))
+    context.job = progress.JobProgress(fakes.job(lives.LASTING, fakes.step(3)))
     _, task, _ = context.job.tasks()
     task.run = 2
     task.crashes = 3
--- a/tests/scheduler/steps/random_steps.py
+++ b/tests/scheduler/steps/random_steps.py
@@ -29,6 +29,14 @@
     histories(context, count, steps, machine.BeyondReach)
 
 
+@then(
+    "{count:d} random histories of up to {steps:d} steps keep them too where workers "
+    "start again"
+)
+def second_lives(context, count, steps):
+    histories(context, count, steps, machine.SecondLives)
+
+
 #: Turns of a leader in a second.
 SECOND = round(1 / machine.TURN)
 
--- /dev/null
+++ b/tests/scheduler/steps/second_lives_steps.py
@@ -0,0 +1,220 @@
+from behave import given, then, when
+from tests.scheduler import lives
+
+from mangosail.scheduler import messages
+
+
+class SecondLives(lives.History):
+    """A history in which workers that crash start again under their names."""
+
+    tells_life = True
+
+
+def begin_again(context, listed=True):
+    """Crash each worker; its next life answers some turns later."""
+    history = context.history
+    for worker in history.living():
+        history.world.crash(worker)
+    history.world.returns.clear()
+    history.lead_on(5)
+    return [restart(context, worker, listed) for worker in crashed(history)]
+
+
+def hand_in(context, count):
+    for _ in range(count):
+        context.history.hand_in_short()
+
+
+def crashed(history):
+    return [w for w in history.world.calls.workers.values() if w.crashed]
+
+
+def restart(context, worker, listed=True):
+    if listed:
+        return context.history.world.restart(worker)
+    rows = context.history.world.rows
+    put, rows.put = rows.put, lambda key, value: None
+    try:
+        return context.history.world.restart(worker)
+    finally:
+        rows.put = put
+
+
+@given("{count:d} workers that keep their names")
+def step_workers(context, count):
+    context.history = SecondLives(count, 3)
+    context.history.pass_seconds(1.0)
+
+
+@given("{count:d} jobs of short tasks that are done")
+def step_done(context, count):
+    hand_in(context, count)
+    context.history.pass_seconds(5.0)
+    step_completed(context)
+
+
+@when("each worker crashes and starts again")
+def step_all_again(context):
+    context.second = begin_again(context)
+
+
+@when("each worker crashes and starts again, and only its looks tell")
+def step_unlisted_lives(context):
+    context.second = begin_again(context, listed=False)
+
+
+@when("each worker tells what it has, and {seconds:d} s go by")
+def step_tell(context, seconds):
+    for worker in context.second:
+        context.history.world.list(worker)
+    context.history.pass_seconds(seconds)
+
+
+@when("{count:d} more jobs of short tasks come, and {seconds:d} s go by")
+@when("{count:d} more jobs of short tasks come, and {seconds:d} s goes by")
+def step_more(context, count, seconds):
+    hand_in(context, count)
+    context.history.pass_seconds(seconds)
+
+
+@when("{count:d} jobs of short tasks come, and run")
+def step_run(context, count):
+    hand_in(context, count)
+    context.history.lead_on(3)
+    assert any(worker.running for worker in context.history.living())
+
+
+@when("{seconds:d} s go by")
+def step_seconds_pass(context, seconds):
+    context.history.pass_seconds(seconds)
+
+
+@given("a task whose start is late at one of them")
+def step_late(context):
+    history = context.history
+    for worker in history.living():
+        worker.fault = "late"
+    history.hand_in([1])
+    history.short.append(max(history.jobs))
+    history.lead_on(1)
+    (context.worker,) = [worker for worker in history.living() if worker.late]
+    for worker in history.living():
+        worker.fault = ""
+    # What is late is the start alone, not what is sent after it.
+    context.worker.late = context.worker.late[:1]
+
+
+@when("that worker crashes and starts again")
+def step_again(context):
+    context.history.world.crash(context.worker)
+    context.history.world.returns.clear()
+    context.worker = context.history.world.restart(context.worker)
+
+
+@when("the late start arrives in its second life")
+def step_arrives(context):
+    (effect,) = context.worker.late
+    context.worker.late = []
+    effect(context.worker)
+
+
+@when("a worker crashes and starts again, and a job comes before that is known")
+def step_unknown_life(context):
+    history = context.history
+    history.lead_on(2)
+    for worker in list(history.living()):
+        history.world.crash(worker)
+        history.world.returns.clear()
+        later = restart(context, worker, listed=False)
+        # Looks find it out only later; orders are answered at once.
+        later.mute_look_once = True
+    history.hand_in([2])
+    history.short.append(max(history.jobs))
+    history.lead_on(2)
+    for worker in history.living():
+        history.world.list(worker)
+
+
+@given("a task that runs in the second life of a worker")
+def step_second(context):
+    history = context.history
+    context.first = list(history.living())
+    context.second = begin_again(context)
+    history.pass_seconds(1.0)
+    context.task = history.hand_in_lasting()
+    context.worker = history.worker_of(context.task)
+    assert context.worker in context.second
+
+
+@when("an answer of its first life comes late")
+def step_stale(context):
+    history = context.history
+    scheduler = history.leaders[-1].scheduler
+    worker = scheduler.workers.get(context.worker.entry.name)
+    (first,) = [w for w in context.first if w.entry.name == worker.name]
+    ends = (messages.End(1, context.task, 1, messages.Outcome.FAILED, ""),)
+    look = messages.Look(first.clock, (), ends, first.entry.born)
+    sent_at = history.world.clock.now - 4.0
+    context.taken = scheduler.attendance.take_in(worker, look, sent_at)
+
+
+@then("the task runs on, in the second life")
+def step_runs_on(context):
+    context.history.pass_seconds(3.0)
+    assert context.history.worker_of(context.task) is context.worker
+    assert len(context.history.world.starts(context.task)) == 1
+
+
+@when("the entry of its first life is written once more")
+def step_entry_again(context):
+    (first,) = [w for w in context.first if w.entry.name == context.worker.entry.name]
+    context.history.world.list(first)
+
+
+@then("the task was started once, and runs")
+def step_started_once(context):
+    assert context.history.worker_of(context.task) is context.worker
+    assert len(context.history.world.starts(context.task)) == 1
+
+
+@then("nothing was started in a second life")
+def step_nothing(context):
+    assert not any(worker.starts for worker in context.second)
+
+
+@then("every job is completed")
+def step_completed(context):
+    states = {job: context.history.state(job) for job in context.history.short}
+    assert set(states.values()) == {"completed"}, states
+
+
+@then("every job is completed, and no task was started twice")
+def step_completed_once(context):
+    step_completed(context)
+    context.history.nothing_starts_after_a_noted_end()
+    starts = [
+        start for worker in context.history.all_workers() for start in worker.starts
+    ]
+    assert all(run == 1 for _, run, _ in starts), starts
+
+
+@then("no task ran twice at a time")
+def step_not_twice(context):
+    context.history.one_run_at_a_time()
+    context.history.nothing_starts_after_a_noted_end()
+
+
+@when("a job comes with a task that crashes each worker that starts it, and "
+      "{seconds:d} s go by")  # fmt: skip
+def step_crashing(context, seconds):
+    context.history.hand_in_crashing([2, 2])
+    context.crashing = max(context.history.jobs)
+    context.history.pass_seconds(seconds)
+
+
+@then("that job is failed, and the task was started less than {count:d} times")
+def step_given_up(context, count):
+    assert context.history.state(context.crashing) == "failed"
+    (task,) = context.history.world.calls.crashing
+    starts = context.history.world.starts(task)
+    assert 0 < len(starts) < count, starts
