Take a worker that starts again under its name for another life

Callers saw tasks run again that were done (TWICE), and jobs that never ended beside free workers (LOST). The platform lets a worker start again under its id; its clock and the numbers of its ends begin anew.

Cause: what is known of a worker was kept by name, and its second life inherited it. Ends with numbers up to the last one taken in were passed over, and that number was sent as the latest seen, so that the worker forgot ends that nobody had read. Their tasks vanished and were started again, until the numbers had passed the earlier ones. The class: a name taken for a life.

Now each life has its own record in the fleet. A look tells which life answers: the birth that it gives, or, where none is given, a clock that runs back. Births are in no order, so an answer is new only if it was asked for after the known life was heard of; anything else is an earlier life's and is passed over. What the earlier life had listed is over and counts as a crash; an order that it had not shown to have carried out may reach the later life, and is barred there before its task starts elsewhere. An entry of another life leads to a look, and nothing starts in a life before its own entry tells what it has. A look after a silence, or aside, confirms no ends: another life may answer it.

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -146,6 +146,7 @@
             self.counters,
             self.catalog.closed_data_centres,
             reach.bound(self.leadership.cores, self.workers.most),
+            self.settings.bounds.hold_max_ms / 1000,
         )
         keeping = gevent.spawn(self.leadership.keep, self.scheduler.stop)
         try:
--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -57,6 +57,7 @@
         model: interference.Model,
         changed: gevent.event.Event,
         on_gone: cabc.Callable[[fleet.Worker, str], None],
+        on_later_life: cabc.Callable[[fleet.Worker, messages.Look], fleet.Worker],
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
@@ -68,6 +69,7 @@
         self.throttler = throttling.Throttler(model)
         self.changed = changed
         self.on_gone = on_gone
+        self.on_later_life = on_later_life
         self.clock = clock
         self.counters = counters
 
@@ -90,6 +92,8 @@
             self._failed(worker, answer.err_value)
             return
         ends = self.take_in(worker, answer.ok_value, now)
+        if worker.gone:
+            return
         self._throttle(worker, answer.ok_value.running)
         if ends:
             self._acknowledge(worker)
@@ -110,7 +114,8 @@
             self.calls.look,
             worker.entry,
             self.journal.token,
-            worker.acknowledged,
+            # After a silence another life may answer, whose ends nobody has read yet.
+            worker.acknowledged if worker.reachable else 0,
             deadline,
             wait,
         )
@@ -125,7 +130,7 @@
         """Look once, beside the look that may be waiting; tell whether it answered."""
         sent_at = self.clock.elapsed()
         answer = self.calls.look(
-            worker.entry, self.journal.token, worker.acknowledged, None, 0.0, aside=True
+            worker.entry, self.journal.token, 0, None, 0.0, aside=True
         )
         if isinstance(answer, result.Err) or worker.gone:
             self.counters.count("workers.look_now_failed")
@@ -137,7 +142,25 @@
     def take_in(
         self, worker: fleet.Worker, look: messages.Look, sent_at: float
     ) -> bool:
-        """Take in a look, and tell whether it listed new ends."""
+        """Take in a look, and tell whether it listed new ends.
+
+        A worker may start again under its name. What is known of its earlier life does
+        not hold for the later one: the numbers of its ends and its clock begin anew.
+        """
+        life = worker.life_in(look, sent_at) if worker.known else fleet.Life.PRESENT
+        if life is not fleet.Life.PRESENT:
+            self.counters.count(f"workers.other_life.{life.value}")
+            log.warning(
+                "another life answers", worker=worker.name, life=life.value,
+                born=look.born, before=worker.born, clock=look.clock,
+                clock_before=round(worker.clock),
+            )  # fmt: skip
+        if life is fleet.Life.EARLIER:
+            return False
+        if life is fleet.Life.LATER:
+            worker = self.on_later_life(worker, look)
+        if not worker.known or worker.born is None:
+            worker.born = look.born if look.born is not None else worker.born
         if not worker.reachable:
             self.counters.count("workers.reached")
             log.info("worker reached", worker=worker.name)
@@ -146,12 +169,6 @@
             # An earlier leader may have extended the lease until just now.
             longest = look.clock + HOLD_TERM * 1000
             worker.deadline = max(worker.deadline, longest)
-        if look.born != worker.entry.born:
-            log.warning(
-                "another life answers", worker=worker.name, born=look.born,
-                listed=worker.entry.born, clock=look.clock,
-                before=round(worker.clock),
-            )  # fmt: skip
         taken_in = worker.taken_in
         self.reports.take_in(worker, look, sent_at)
         if worker.taken_in == taken_in:
@@ -159,14 +176,17 @@
         self.changed.set()
         return True
 
-    def ask(self, worker: fleet.Worker) -> None:
-        """Find out at once whether another life answers at a worker's address."""
-        answer = self.calls.look(
-            worker.entry, self.journal.token, worker.acknowledged, None, 0.0
-        )
-        if isinstance(answer, result.Err):
-            if isinstance(answer.err_value, errors.Replaced):
-                self.on_gone(worker, "replaced")
+    def ask(self, worker: fleet.Worker, entry: messages.WorkerEntry) -> None:
+        """Find out at once which life answers where an entry says."""
+        sent_at = self.clock.elapsed()
+        answer = self.calls.look(entry, self.journal.token, 0, None, 0.0, aside=True)
+        if worker.gone:
+            return
+        if isinstance(answer, result.Ok):
+            if self.take_in(worker, answer.ok_value, sent_at):
+                gevent.spawn(self._acknowledge, worker)
+        elif isinstance(answer.err_value, errors.Replaced):
+            self.on_gone(worker, "replaced")
 
     def _deadline(self, worker: fleet.Worker, now: float) -> int | None:
         """Return the lease's next end, or None if it must not be extended."""
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -1,6 +1,7 @@
 """The workers as their leader knows them: what they hold, when they were heard."""
 
 import collections.abc as cabc
+import enum
 import itertools
 
 from mangosail import resources
@@ -19,6 +20,19 @@
 Closed = cabc.Callable[[], frozenset[str]]
 
 
+class Life(enum.Enum):
+    """Which life of a worker an answer comes from, seen from the one that is known."""
+
+    EARLIER = "earlier"
+    PRESENT = "present"
+    LATER = "later"
+
+
+def same_life(first: int | None, second: int | None) -> bool:
+    """Tell whether two births may be the same; None is one that was not told."""
+    return first is None or second is None or first == second
+
+
 class Worker:
     """One life of a worker, and what runs there as far as the leader knows."""
 
@@ -32,6 +46,18 @@
         #: the later one has the higher number.
         self.changed = next(self.changes)
         self.name = entry.name
+        #: When this life began, as the worker tells it; None if it doesn't say.
+        self.born = entry.born
+        #: When earlier lives under this name began.
+        self.earlier: frozenset[int] = frozenset()
+        #: Elapsed time at which this life was first heard of.
+        self.since = 0.0
+        #: The newest entry that tells of another life, earlier or later.
+        self.other: messages.WorkerEntry | None = None
+        #: Elapsed time until which orders to an earlier life may be carried out here,
+        #: and the longest lease in seconds that they can bring.
+        self.strays_until = 0.0
+        self.longest_lease = 0.0
         #: Runs that may exist there, by the name of their task.
         self.tasks: dict[str, progress.Task] = {}
         self.free = entry.capacity
@@ -65,6 +91,31 @@
         self.best_effort_images: frozenset[str] = frozenset()
         self.throttled_at = 0.0
 
+    @property
+    def described(self) -> bool:
+        """Tell whether the entry is this life's: another may have other capacity."""
+        return same_life(self.entry.born, self.born)
+
+    def life_in(self, look: messages.Look, sent_at: float) -> Life:
+        """Tell which life has answered a look that was sent at `sent_at`.
+
+        Births are not in order, as clocks of day jump. But an answer to what was sent
+        after this life was heard of can't come from an earlier one; and no life's own
+        clock runs back.
+        """
+        if look.born in self.earlier:
+            return Life.EARLIER
+        if same_life(look.born, self.born):
+            unborn = look.born is None or self.born is None
+            return (
+                Life.LATER if unborn and self.runs_back(look, sent_at) else Life.PRESENT
+            )
+        return Life.LATER if sent_at >= self.since else Life.EARLIER
+
+    def runs_back(self, look: messages.Look, sent_at: float) -> bool:
+        """Tell whether the worker's clock shows less than before the look was sent."""
+        return sent_at >= self.heard_at and look.clock < self.clock
+
     def describe(self, entry: messages.WorkerEntry) -> None:
         """Take in what the worker says of itself now; its capacity may have changed."""
         before, self.entry = self.entry, entry
@@ -96,6 +147,8 @@
             return now > self.inherited_until
         passed = (now - self.heard_at) * 1000 * (1 - CLOCK_DRIFT)
         over = self.clock + passed > self.deadline + KILL_MARGIN
+        if now < self.strays_until + self.longest_lease:
+            return False
         return over and (self.known or now > self.inherited_until)
 
     def usable(self, now: float) -> bool:
@@ -106,6 +159,7 @@
             and not self.gone
             and not self.unlisted
             and not self.entry.draining
+            and self.described
             and self.entry.data_centre not in self.closed()
             and now >= self.avoid_until
         )
@@ -189,4 +243,19 @@
     def remove(self, worker: Worker) -> None:
         """Forget a worker whose life is over."""
         worker.gone = True
-        self.workers.pop(worker.name, None)
+        if self.workers.get(worker.name) is worker:
+            del self.workers[worker.name]
+
+    def succeed(self, worker: Worker, born: int | None, now: float) -> Worker:
+        """Begin to know the next life of a worker, of which nothing is known yet."""
+        self.remove(worker)
+        other = worker.other
+        entry = other if other is not None and other.born == born else worker.entry
+        later = self.add(entry)
+        later.born = born
+        later.since = now
+        later.unlisted = worker.unlisted
+        later.inherited_until = worker.inherited_until
+        if worker.born is not None:
+            later.earlier = worker.earlier | {worker.born}
+        return later
--- a/src/mangosail/scheduler/listing.py
+++ b/src/mangosail/scheduler/listing.py
@@ -36,6 +36,9 @@
     def ask_namesakes(self, entry: messages.WorkerEntry) -> None:
         """Find out which of several workers with one address lives."""
 
+    def ask(self, worker: fleet.Worker, entry: messages.WorkerEntry) -> None:
+        """Find out which life of a worker answers where an entry says."""
+
     def set_aside(self, worker: fleet.Worker) -> None:
         """Attend no longer to a worker that is well and runs nothing."""
 
@@ -196,6 +199,14 @@
             return
         if entry.draining and not worker.entry.draining:
             log.info("worker drains", worker=entry.name, remaining=entry.remaining)
+        if entry.born in worker.earlier:
+            self.counters.count("listing.earlier_life")
+            return
+        if worker.known and not fleet.same_life(entry.born, worker.born):
+            # Which of the two is the later one only the worker itself can tell.
+            worker.other = entry
+            self.keeper.ask(worker, entry)
+            return
         first = not worker.entry.address
         if entry.capacity != worker.entry.capacity:
             log.info(
@@ -203,6 +214,8 @@
                 before=worker.entry.capacity.cpus, free=round(worker.free.cpus, 1),
             )  # fmt: skip
         worker.describe(entry)
+        if not worker.known or worker.born is None:
+            worker.born = entry.born
         worker.unlisted = False
         if first:
             self.keeper.attend(worker)
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -29,6 +29,8 @@
 #: Seconds after which the answer to a start is late: some twenty times what it takes.
 #: Looking at the worker costs one call, so it may be late for no reason.
 ANSWER_TERM = 0.25
+#: Seconds within which an order without an answer may be carried out late.
+STRAY_TERM = 12.0
 #: Seconds between attempts to stop a run on a worker that does not answer.
 STOP_INTERVAL = 0.3
 #: Seconds for which a worker that refused for want of room gets nothing more.
@@ -93,11 +95,14 @@
         gevent.spawn_later(ANSWER_TERM, self.settle_late, task, worker, run)
         answer = self.calls.start(worker.entry, order)
         self.counters.time("orders.start", self.clock.elapsed() - now)
+        # Another life of the worker may have been heard of meanwhile.
+        worker = self.workers.get(worker.name) or worker
         if task.run != run or task.phase is not progress.Phase.STARTING:
             # A look has shown the run, or its end, or it was stopped as late.
             return
         if isinstance(answer, result.Ok):
-            worker.heard(answer.ok_value, self.clock.elapsed())
+            if now >= worker.since and answer.ok_value >= worker.clock:
+                worker.heard(answer.ok_value, self.clock.elapsed())
             task.phase = progress.Phase.RUNNING
             task.began = True
             task.job.begun = True
@@ -191,6 +196,18 @@
         )
         self.changed.set()
 
+    def hand_over(
+        self, task: progress.Task, worker: fleet.Worker, later: fleet.Worker
+    ) -> None:
+        """Set a run aside in a worker's later life, where its start may yet arrive."""
+        worker.release(task)
+        later.reserve(task)
+        if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
+            later.strays_until = self.clock.elapsed() + STRAY_TERM
+        if task.phase is progress.Phase.STOPPING:
+            task.barred_at = None
+            gevent.spawn(self._stop, task, later, task.run, False)
+
     def stop(self, task: progress.Task, worker: fleet.Worker, why: str) -> None:
         """Stop the task's present run, in the background and until answered."""
         if task.phase in (progress.Phase.STOPPING, progress.Phase.DONE):
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -101,6 +101,7 @@
         "high_since",
         "index",
         "job",
+        "listed",
         "moved_at",
         "moves",
         "name",
@@ -146,6 +147,8 @@
         self.ordered_at: float | None = None
         #: True once its worker has answered the present run's start, or listed the run.
         self.began = False
+        #: True once a look at the present life of its worker has listed the run.
+        self.listed = False
         #: True if the present run began without a checkpoint.
         self.whole = False
         #: Elapsed time, progress and run at the look from which speed is judged.
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -21,7 +21,7 @@
 log = logbook.Logger("reports")
 
 #: Reasons for which a worker is lost that prove that its life is over.
-PROOFS = frozenset({"replaced"})
+PROOFS = frozenset({"replaced", "restarted"})
 
 
 class Reports:
@@ -112,6 +112,30 @@
         else:
             self.on_change(task.job)
 
+    def succeeded(self, worker: fleet.Worker, later: fleet.Worker) -> None:
+        """Take note that a worker has begun another life under its name.
+
+        What the earlier life has listed is over. An order that it has not shown to have
+        carried out may reach the later one, also seconds from now.
+        """
+        log.warning(
+            "worker lost", worker=worker.name, reason="restarted",
+            tasks=len(worker.tasks), draining=worker.entry.draining,
+            silent=round(self.clock.elapsed() - worker.heard_at, 3),
+        )  # fmt: skip
+        self.counters.count("workers.lost.restarted")
+        tasks = list(worker.tasks.values())
+        for task in tasks:
+            self._run_lost(worker, task)
+        suspects = self.crashes.over(worker, crashed=True)
+        for task in tasks:
+            if task.listed:
+                self._free(worker, task, "worker_lost")
+            else:
+                self.orders.hand_over(task, worker, later)
+        for suspect in suspects:
+            self._suspected(worker, suspect, "restarted")
+
     def _run_lost(self, worker: fleet.Worker, task: progress.Task) -> None:
         """Log what is known of a run that ended with its worker.
 
@@ -232,6 +256,7 @@
                 self.orders.stop_unknown(worker, row)
             return
         now = self.clock.elapsed()
+        task.listed = True
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
             if task.phase is progress.Phase.DOUBTFUL:
                 # An earlier leader may have slowed it down; looks don't say.
@@ -257,7 +282,7 @@
         """Judge a run that the worker lists neither as running nor as ended."""
         phase = task.phase
         if phase is progress.Phase.DOUBTFUL:
-            if first:
+            if first and task.ordered_at is None:
                 # The worker has seen our token now: what an earlier leader sent
                 # is refused if it comes yet.
                 self._free(worker, task, "never_began")
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -287,6 +287,7 @@
             task.worker = choice.worker.name
             task.ordered_at = None
             task.began = False
+            task.listed = False
             task.barred_at = None
         self.journal.record(job)
         self.journal.then(lambda: self._send(chosen))
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -46,6 +46,8 @@
 
 #: Seconds for which a job's last state is kept beyond what is promised.
 KEEP_MARGIN = 30.0
+#: Seconds for which a worker lets a lease run at most, unless the settings say it.
+LONGEST_LEASE = 10.0
 #: Seconds between looks at whether leases of unlisted workers are over.
 EXPIRE_INTERVAL = 0.25
 #: Seconds between attempts to read everything after the lease was won.
@@ -69,8 +71,10 @@
         counters: telemetry.Counters,
         closed: fleet.Closed = frozenset,
         most_workers: int = sys.maxsize,
+        longest_lease: float = LONGEST_LEASE,
     ) -> None:
         self.rows = rows
+        self.longest_lease = longest_lease
         self.keep_term = keep_term
         self.clock = clock
         self.counters = counters
@@ -139,6 +143,7 @@
             self.model,
             self.changed,
             self._gone,
+            self._later_life,
             clock,
             counters,
         )
@@ -347,7 +352,12 @@
         """
         for worker in self.workers:
             if worker.entry.address == entry.address:
-                self.greenlets.spawn(self.attendance.ask, worker)
+                self.ask(worker, worker.entry)
+
+    def ask(self, worker: fleet.Worker, entry: messages.WorkerEntry) -> None:
+        """Find out which life of a worker answers where an entry says."""
+        if self.attending:
+            self.greenlets.spawn(self.attendance.ask, worker, entry)
 
     def add(self, entry: messages.WorkerEntry) -> fleet.Worker:
         """Begin to know a worker."""
@@ -376,6 +386,16 @@
         self.workers.remove(worker)
         self.judge.forget(worker)
 
+    def _later_life(self, worker: fleet.Worker, look: messages.Look) -> fleet.Worker:
+        """Begin to know the life that has answered a look at a worker."""
+        later = self.workers.succeed(worker, look.born, self.clock.elapsed())
+        later.longest_lease = self.longest_lease
+        self.judge.forget(worker)
+        self.reports.succeeded(worker, later)
+        self.attend(later)
+        self.changed.set()
+        return later
+
     def _gone(self, worker: fleet.Worker, why: str) -> None:
         """Forget a worker whose life is over, and free its tasks."""
         if worker.gone:
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -35,6 +35,8 @@
 MINUTE = 60.0
 #: Seconds after which a client gives up a silent connection.
 UNANSWERED = 3.0
+#: Milliseconds for which a worker lets a lease run at most.
+LONGEST_LEASE = 6000
 #: Seconds after which a leader has to know that a worker's capacity has shrunk.
 SHRUNK_TERM = 4.5
 
@@ -182,6 +184,10 @@
         self.ended.append(messages.End(self.count, task, run, how, checkpoint))
         self.barred[task] = run
 
+    def extend(self, deadline):
+        longest = self.clock + LONGEST_LEASE
+        self.deadline = max(self.deadline, min(deadline, longest))
+
     def resize(self, cpus):
         """Change the cores that it has, while it runs."""
         before = self.entry.capacity
@@ -259,7 +265,7 @@
                 worker.starts.append((order.task, order.run, order.checkpoint))
             worker.running[order.task] = order.run
             worker.tickets.append(order.ticket)
-            worker.deadline = max(worker.deadline, order.deadline)
+            worker.extend(order.deadline)
             worker.check_room(order.task)
             if order.task in self.crashing:
                 self.on_crash(worker)
@@ -313,7 +319,7 @@
             worker.acknowledged = max(worker.acknowledged, acknowledged)
             worker.noted += [e for e in worker.ended if e.number <= acknowledged]
             worker.ended = [e for e in worker.ended if e.number > acknowledged]
-            worker.deadline = max(worker.deadline, deadline or 0)
+            worker.extend(deadline or 0)
             worker.progress += not worker.standing_still
             running = tuple(
                 messages.Running(
