Wait out the longest lease that a look at an earlier life may have brought

A look that is on its way when a worker starts again reaches its later life with a deadline on the earlier one's clock, and its lease then runs for the longest term. Fallen silent after that, its tasks were started elsewhere at the end of the usual term, beside the runs that were still there. Tickets for the earlier life are forgotten, as the later one refuses them. The scenario fails without the mend: a task runs on both workers 4.8 s after the silence.

--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -166,9 +166,10 @@
             log.info("worker reached", worker=worker.name)
             self.changed.set()
         if not worker.known:
-            # An earlier leader may have extended the lease until just now.
-            longest = look.clock + HOLD_TERM * 1000
-            worker.deadline = max(worker.deadline, longest)
+            # An earlier leader may have extended the lease until just now, or a look at
+            # an earlier life, by a clock that showed far more.
+            longest = max(HOLD_TERM, worker.longest_lease)
+            worker.deadline = max(worker.deadline, look.clock + longest * 1000)
         taken_in = worker.taken_in
         self.reports.take_in(worker, look, sent_at)
         if worker.taken_in == taken_in:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -391,11 +391,18 @@
         later = self.workers.succeed(worker, look.born, self.clock.elapsed())
         later.longest_lease = self.longest_lease
         self.judge.forget(worker)
+        self._void_tickets(worker)
         self.reports.succeeded(worker, later)
         self.attend(later)
         self.changed.set()
         return later
 
+    def _void_tickets(self, worker: fleet.Worker) -> None:
+        """Forget the tickets for an earlier life; the later one refuses them."""
+        for job in self.jobs.values():
+            for step_run in job.steps.values():
+                step_run.tickets.pop(worker.name, None)
+
     def _gone(self, worker: fleet.Worker, why: str) -> None:
         """Forget a worker whose life is over, and free its tasks."""
         if worker.gone:
--- a/tests/scheduler/second_lives.feature
+++ b/tests/scheduler/second_lives.feature
@@ -60,6 +60,14 @@
     When each worker tells what it has, and 5 s go by
     Then every job is completed
 
+  Scenario: A lease that a look at the first life extended is waited out in the second
+    # Its deadline stands on a clock that showed far more, so it runs for the longest term.
+    Given 2 workers that keep their names
+    When 60 s go by
+    And each worker starts again while it is looked at, and gets a task, and falls silent
+    And 12 s go by in which nothing ends by itself
+    Then no task ran twice at a time
+
   Scenario: A task that crashes its workers is given up where they keep their names
     Given 5 workers that keep their names
     And 6 jobs of short tasks that are done
--- a/tests/scheduler/steps/second_lives_steps.py
+++ b/tests/scheduler/steps/second_lives_steps.py
@@ -77,6 +77,34 @@
     context.history.pass_seconds(seconds)
 
 
+@when(
+    "each worker starts again while it is looked at, and gets a task, and falls silent"
+)
+def step_while_looked_at(context):
+    history = context.history
+    for worker in list(history.living()):
+        history.world.crash(worker)
+        history.world.returns.clear()
+        restart(context, worker, listed=False)
+    # The next look is on its way already: it reaches the later life.
+    history.lead_on(1)
+    for worker in history.living():
+        history.world.list(worker)
+    hand_in(context, 1)
+    history.lead_on(3)
+    (first, *_) = [worker for worker in history.living() if worker.running]
+    first.fault = "silent"
+
+
+@when("{seconds:d} s go by in which nothing ends by itself")
+def step_nothing_ends(context, seconds):
+    history = context.history
+    until = history.world.clock.now + seconds
+    while history.world.clock.now < until:
+        history.lead_on(1)
+        history.one_run_at_a_time()
+
+
 @when("{count:d} jobs of short tasks come, and run")
 def step_run(context, count):
     hand_in(context, count)
