Use a second life whose earlier entry had lapsed

Jobs waited beside free workers: a worker whose entry lapsed before it started again was never used again by this leader (LOST). Its new entry told of another life, which led to a look, but left the name unlisted, and the later life inherited that. Found by the soak; the scenario fails on the code before.

--- a/src/mangosail/scheduler/listing.py
+++ b/src/mangosail/scheduler/listing.py
@@ -205,6 +205,7 @@
         if worker.known and not fleet.same_life(entry.born, worker.born):
             # Which of the two is the later one only the worker itself can tell.
             worker.other = entry
+            worker.unlisted = False
             self.keeper.ask(worker, entry)
             return
         first = not worker.entry.address
--- a/tests/scheduler/second_lives.feature
+++ b/tests/scheduler/second_lives.feature
@@ -60,6 +60,13 @@
     When each worker tells what it has, and 5 s go by
     Then every job is completed
 
+  Scenario: A second life is used whose earlier entry had lapsed before
+    # Jobs would wait beside it for as long as this leader leads.
+    Given 2 workers that keep their names
+    When each worker crashes, its entry lapses, and it starts again
+    And 6 more jobs of short tasks come, and 5 s go by
+    Then every job is completed
+
   Scenario: A lease that a look at the first life extended is waited out in the second
     # Its deadline stands on a clock that showed far more, so it runs for the longest term.
     Given 2 workers that keep their names
--- a/tests/scheduler/steps/second_lives_steps.py
+++ b/tests/scheduler/steps/second_lives_steps.py
@@ -58,6 +58,18 @@
     context.second = begin_again(context)
 
 
+@when("each worker crashes, its entry lapses, and it starts again")
+def step_lapsed(context):
+    history = context.history
+    for worker in history.living():
+        history.world.crash(worker)
+        history.world.unlist(worker)
+    history.world.returns.clear()
+    history.lead_on(5)
+    for worker in crashed(history):
+        restart(context, worker)
+
+
 @when("each worker crashes and starts again, and only its looks tell")
 def step_unlisted_lives(context):
     context.second = begin_again(context, listed=False)
