--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -80,6 +80,12 @@
     When it is looked at
     Then the look has both, and named the life of the worker that it meant
 
+  Scenario: A look tells which life of the worker has answered
+    Given a worker
+    And it lists nothing, and was born at 1792742400123
+    When it is looked at
+    Then the look is of the life that was born at 1792742400123
+
   Scenario: A worker that nobody listens for has certainly done nothing
     Given a worker whose port is closed
     When a run is started there
--- a/tests/adapter/entries.feature
+++ b/tests/adapter/entries.feature
@@ -8,6 +8,15 @@
     When an entry is read as a worker wrote it
     Then it names the worker with 16 cores at its address
 
+  Scenario Outline: An entry tells which life of the worker wrote it
+    When an entry is read that <tells>
+    Then its worker's birth is <born>
+
+    Examples:
+      | tells              | born          |
+      | has a birth        | 1792742400123 |
+      | tells no birth     | None          |
+
   Scenario Outline: An entry with <wrong> names no worker
     When an entry is read with <wrong>
     Then it is bad for its <fault>
@@ -18,6 +27,7 @@
       | no sequence         | unreadable |
       | slots as text       | unreadable |
       | a label that is 7   | unreadable |
+      | a birth as text     | unreadable |
       | a list around it    | unreadable |
       | nesting without end | unreadable |
       | half a character    | unreadable |
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -198,6 +198,17 @@
     context.platform.armed["/-/hold"] = [(200, reply)]
 
 
+@given("it lists nothing, and was born at {born:d}")
+def step_born(context, born):
+    reply = {"clock_ms": 3, "running": [], "ended": [], "born": born}
+    context.platform.armed["/-/hold"] = [(200, reply)]
+
+
+@then("the look is of the life that was born at {born:d}")
+def step_look_born(context, born):
+    assert context.done == result.Ok(messages.Look(3, (), (), born)), context.done
+
+
 @when("a run is started there")
 def step_start(context):
     order = messages.StartOrder(f"{JOB}.0.0.1", 1, "spec", "", 500, 3)
--- a/tests/adapter/steps/entries_steps.py
+++ b/tests/adapter/steps/entries_steps.py
@@ -29,6 +29,7 @@
     "no sequence": lambda entry: entry.pop("sequence"),
     "slots as text": lambda entry: entry.update(slots="8"),
     "a label that is 7": lambda entry: entry.update(labels=["a", 7]),
+    "a birth as text": lambda entry: entry.update(born="1792742400123"),
     "the state asleep": lambda entry: entry.update(state="asleep"),
     "no port": lambda entry: entry.update(address="10.128.0.9"),
     "port 0": lambda entry: entry.update(address="10.128.0.9:0"),
@@ -49,7 +50,7 @@
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
 )
-FIELDS = [*GOOD, "remaining_ms"]
+FIELDS = [*GOOD, "remaining_ms", "born"]
 
 
 @when("an entry is read as a worker wrote it")
@@ -57,6 +58,21 @@
     context.entry = entries.entry_of(NAME, json.dumps(GOOD))
 
 
+@when("an entry is read that has a birth")
+def read_born(context):
+    context.entry = entries.entry_of(NAME, json.dumps({**GOOD, "born": 1792742400123}))
+
+
+@when("an entry is read that tells no birth")
+def read_unborn(context):
+    read_good(context)
+
+
+@then("its worker's birth is {born}")
+def told_birth(context, born):
+    assert str(context.entry.unwrap().born) == born, context.entry
+
+
 @then("it names the worker with {cores:d} cores at its address")
 def good_entry(context, cores):
     entry = context.entry.unwrap()
