Count a crash against the latest starts, and let a suspect wait until it can begin alone

Only the latest starts count now, and all others where there are none; a suspect waits for up to 1 s for a worker on which nothing has begun for 0.3 s, which is kept free of other starts meanwhile.

--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -3,11 +3,11 @@
 A worker that crashes lists nothing of what ran there, and one task may crash each
 worker that starts it. Without a count such a task is started for ever, and each time
 ends all that runs beside it. So the end of a worker's life counts against the tasks
-that had begun there lately. A task whose start was among the last goes on alone: where
-nothing else has just begun, and nothing else begins for a moment. If its worker crashes
-then, and no others with it, as racks and data centres do, that clearly was its doing,
-and counts against it alone. A task is given up after two clear crashes, or four in
-all::
+whose starts were among the last there, or, if there are none, against all that had
+begun lately. Such a task goes on alone: where nothing else has just begun, and nothing
+else begins for a moment. If its worker crashes then, and no others with it, as racks
+and data centres do, that clearly was its doing. A task is given up after two clear
+crashes, or four in all::
 
     suspects = Judge(workers).over(worker, crashed=True)
     given_up = [suspect.task for suspect in suspects if guilty(suspect.task)]
@@ -70,27 +70,15 @@
         suspects = (*self.open.pop(worker, ()), *suspects_on(worker))
         if worker.entry.draining:
             return ()
-        culprit = None
+        late = tuple(suspect for suspect in suspects if suspect.late)
         if crashed:
-            culprit = self._culprit(worker, suspects)
+            if len(late) == 1 and late[0].began and not self._together(worker):
+                late[0].task.clear_crashes += 1
             self.losses.append(worker.heard_at)
-        if culprit is not None:
-            culprit.task.clear_crashes += 1
-            if culprit.task.crashes:
-                suspects = (culprit,)
-        for suspect in suspects:
+        for suspect in late or suspects:
             suspect.task.crashes += 1
             suspect.task.suspect |= suspect.late
-        return suspects
-
-    def _culprit(
-        self, worker: fleet.Worker, suspects: tuple[Suspect, ...]
-    ) -> Suspect | None:
-        """Return the one that clearly crashed a worker, or None if none did."""
-        late = [suspect for suspect in suspects if suspect.late]
-        if len(late) != 1 or not late[0].began or self._together(worker):
-            return None
-        return late[0]
+        return late or suspects
 
     def _together(self, worker: fleet.Worker) -> bool:
         """Tell whether other workers fell silent at about the same time."""
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -24,6 +24,8 @@
 #: Cores that it is worth to be near the data; far from it a task takes a multiple
 #: of its time.
 DATA_WEIGHT = 2000.0
+#: Seconds for which a suspect waits for a worker where nothing has just begun.
+ALONE_PATIENCE = 1.0
 #: Seconds after which a best-effort step is tried on all workers again, not only on
 #: those that have changed: what was learned elsewhere may have made room.
 SEARCH_ALL_TERM = 1.0
@@ -146,6 +148,11 @@
                 best = best_of(scores, task.avoid)
             if best is None:
                 break
+            if keeps_waiting(task, best, now):
+                # Until then nothing begins there, so that it can begin alone.
+                scores[best] = None
+                best.avoid_until = task.not_before = now + fleet.ALONE_TERM
+                continue
             best.reserve(task)
             chosen.append(Choice(task, best))
             scores[best] = self._score(step_run, best)
@@ -236,6 +243,14 @@
     return min(able, key=order, default=None)
 
 
+def keeps_waiting(task: progress.Task, worker: fleet.Worker, now: float) -> bool:
+    """Tell whether a suspect waits until nothing has just begun on a worker."""
+    if not task.suspect or task.step.gang or worker.quiet(now):
+        return False
+    since = task.step_run.blocked_since
+    return since is None or now < since + ALONE_PATIENCE
+
+
 def allowed(
     step: messages.Step, worker: fleet.Worker, service: str, now: float
 ) -> bool:
