--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -151,7 +151,7 @@
             return now > self.inherited_until
         passed = (now - self.heard_at) * 1000 * (1 - CLOCK_DRIFT)
         over = self.clock + passed > self.deadline + KILL_MARGIN
-        if now < self.strays_until + self.longest_lease:
+        if self.strays_until and now < self.strays_until + self.longest_lease:
             return False
         return over and (self.known or now > self.inherited_until)
 
