Let the soak crash workers by their tasks, keep their names, and change their capacity

Half of the workers start again under their names and say when they were born, one job in a hundred crashes its workers, and capacity shrinks and grows; a task that crashes its workers is to be given up in time, and no start may bring a worker over its capacity.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -42,6 +42,13 @@
 }
 
 
+#: Kinds of faults beside these where workers also keep their names.
+MORE_TERMS = {"resize_worker": (6.0, 12.0)}
+#: Status of a worker that a task has ended, and seconds for which it is away.
+CRASHED = 86
+CRASH_AWAY = 1.0
+
+
 class Faults:
     """Carries faults out; each method returns once its fault is over."""
 
@@ -61,6 +68,8 @@
                 stage.call(self.deployment.store, "POST", "/faults", faults)
                 time.sleep(fault.seconds if faults else 0)
             return
+        if self.processes[fault.target].poll() == CRASHED:
+            return
         getattr(self, fault.kind.removesuffix("_worker"))(fault.target, fault.seconds)
 
     def kill(self, name, seconds):
@@ -90,6 +99,25 @@
         time.sleep(seconds)
         self.relays[name].mend()
 
+    def resize(self, name, seconds):
+        for share in (0.25, 1):
+            resize = {"cpu": 1000 * deployed.CORES * share}
+            try:
+                stage.call(self.relays[name].address, "POST", "/resize", resize)
+            except OSError:
+                # The worker is away; its next life has all its cores.
+                return
+            time.sleep(seconds if share < 1 else 0)
+
+    def bring_back(self, until):
+        """Start workers again that crashed under a task, some seconds later."""
+        while time.monotonic() < until:
+            for name, process in list(self.processes.items()):
+                if name.startswith("worker") and process.poll() == CRASHED:
+                    time.sleep(CRASH_AWAY)
+                    self.deployment.restart(name)
+            time.sleep(0.1)
+
     def reset(self, name, seconds):
         self.relays[name].reset()
 
@@ -99,28 +127,36 @@
             self.deaths.append(f"{name}: ended with status {status}")
 
 
-def table_of():
+def table_of(terms=TERMS):
     """Return the kinds of faults with what they may hit."""
     instances = [f"instance-{number}" for number in range(deployed.INSTANCES)]
     workers = [f"worker-{number}" for number in range(deployed.WORKERS)]
-    targets = {kind: workers if "worker" in kind else instances for kind in TERMS}
+    targets = {kind: workers if "worker" in kind else instances for kind in terms}
     targets.update({kind: ["store"] for kind in STORE_FAULTS})
-    return [(kind, targets[kind], terms) for kind, terms in TERMS.items()]
+    return [(kind, targets[kind], span) for kind, span in terms.items()]
+
 
+def run(seconds, seed, gap=schedule.MEAN_GAP, settle=SETTLE, lives=False):
+    """Play a run, and return its verdicts and the folder with all logs.
 
-def run(seconds, seed, gap=schedule.MEAN_GAP, settle=SETTLE):
-    """Play a run, and return its verdicts and the folder with all logs."""
-    deployment = deployed.Deployment(seed)
+    With `lives` tasks crash workers, some keep their names, and capacity changes.
+    """
+    deployment = deployed.Deployment(seed, lives)
     faults = Faults(deployment)
     try:
         deployment.start_all()
-        planned = schedule.draw_from(seed, seconds, table_of(), gap)
+        terms = TERMS | MORE_TERMS if lives else TERMS
+        table = table_of(terms)
+        if lives:
+            # As often as all else that befalls workers.
+            table += [row for row in table if row[0] in MORE_TERMS] * 2
+        planned = schedule.draw_from(seed, seconds, table, gap)
         for fault in planned:
             print(
                 f"  {fault.at:6.1f} {fault.seconds:5.1f} s {fault.kind} {fault.target}"
             )
         sys.stdout.flush()
-        callers = [placed.Caller(n, seed, deployment) for n in range(CALLERS)]
+        callers = [placed.Caller(n, seed, deployment, lives) for n in range(CALLERS)]
         started = time.monotonic()
         threads = [
             threading.Thread(target=caller.run, args=(started + seconds,))
@@ -129,6 +165,11 @@
             threading.Thread(target=faults.carry_out, args=(fault, started))
             for fault in planned
         ]
+        if lives:
+            until = started + seconds + settle
+            threading.Thread(
+                target=faults.bring_back, args=(until,), daemon=True
+            ).start()
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -147,10 +188,11 @@
     parser.add_argument("--minutes", type=float, default=1.0)
     parser.add_argument("--seed", type=int, default=0, help="0 draws one")
     parser.add_argument("--gap", type=float, default=schedule.MEAN_GAP)
+    parser.add_argument("--lives", action="store_true", help="second lives, crashes")
     args = parser.parse_args()
     seed = args.seed or random.SystemRandom().randrange(1, 1_000_000)
     print(f"seed {seed}, {args.minutes:g} minutes", flush=True)
-    verdicts, folder = run(args.minutes * 60, seed, args.gap)
+    verdicts, folder = run(args.minutes * 60, seed, args.gap, lives=args.lives)
     print(f"seed {seed}, logs in {folder}")
     print(oracle.table_of(verdicts))
     sys.exit(1 if any(verdict.violations for verdict in verdicts) else 0)
--- a/tests/soak/placed.py
+++ b/tests/soak/placed.py
@@ -17,6 +17,15 @@
 #: Seconds after a cancel's answer after which nothing of the job may start: the
 #: platform's bound, and the longest faults that may keep the leader from it.
 CANCEL_TERM = 4.0 + 8.0
+#: Texts of jobs that can't be done, as the stand-in of workers reads them.
+FAILS = "fails"
+CRASHES = "crashes"
+#: Share of the jobs whose tasks crash the workers that start them.
+CRASHING_SHARE = 0.01
+#: Starts of a task that crashes its workers at most: three, and two more.
+MOST_STARTS = 5
+#: Seconds after which a leader has to know that a worker's capacity has shrunk.
+SHRUNK_TERM = 4.5
 REFUSALS = (429, 503)
 FINAL = ("completed", "failed", "cancelled")
 NEVER = float("inf")
@@ -40,7 +49,9 @@
 class Caller:
     """Hands jobs in, repeats, cancels and asks, at whichever instance comes up."""
 
-    def __init__(self, number, seed, deployment):
+    def __init__(self, number, seed, deployment, lives=False):
+        #: True if some jobs have tasks that crash the workers that start them.
+        self.lives = lives
         self.chance = random.Random(f"caller/{number}/{seed}")
         self.fronts = sorted(deployment.fronts.values())
         self.orders = []
@@ -76,6 +87,8 @@
         if not lasting and chance.random() < 0.5:
             steps.append({"count": chance.randint(1, 3), "cpu": 1000, "after": [0]})
         spec = "fails" if chance.random() < 0.05 else f"{chance.uniform(0.1, 0.8):.2f}"
+        if self.lives and not lasting and chance.random() < CRASHING_SHARE:
+            spec, steps = CRASHES, [{**steps[0], "count": 1}]
         body = {"spec": "lasts" if lasting else spec, "steps": steps}
         if not lasting and chance.random() < 0.1:
             first = int((time.time() + 1) * 1000)
@@ -150,6 +163,9 @@
             killed = [at for where, at in kills if where == address]
             before = [at for at in killed if at <= later["at"]]
             deaths[life["worker"]] = max(before, default=later["at"])
+    for entry in entries:
+        if entry["event"] == "crash":
+            deaths[entry["worker"]] = entry["at"]
     runs = []
     for start in (e for e in entries if e["event"] == "start"):
         worker = start["worker"]
@@ -183,6 +199,7 @@
         judge_order(orders, by_task),
         judge_asked(orders, runs),
         judge_told(orders, by_task),
+        *judge_lives(callers, orders, by_task, entries),
         oracle.Verdict("no instance ends by itself, or stops late", 1, faults.deaths),
     ]
 
@@ -191,7 +208,8 @@
     verdict = oracle.Verdict("what was accepted comes to its end")
     for order in orders.values():
         if order.accepted_at and not order.cancel_asked:
-            expected = "failed" if order.body["spec"] == "fails" else "completed"
+            hopeless = order.body["spec"] in (FAILS, CRASHES)
+            expected = "failed" if hopeless else "completed"
             told = {state for _, state in order.states}
             verdict.check(told == {expected}, f"{order.job_id}: {told or 'no end'}")
     return verdict
@@ -215,6 +233,42 @@
     return verdict
 
 
+def judge_lives(callers, orders, by_task, entries):
+    """Return what must hold where tasks crash workers and capacity changes."""
+    if not any(caller.lives for caller in callers):
+        return []
+    given_up = oracle.Verdict("a task that crashes its workers is given up")
+    for task, runs in by_task.items():
+        order = orders.get(task.partition(".")[0])
+        if order is not None and order.body["spec"] == CRASHES:
+            given_up.check(len(runs) <= MOST_STARTS, f"{task}: {len(runs)} starts")
+    return [given_up, judge_room(orders, by_task, entries)]
+
+
+def judge_room(orders, by_task, entries):
+    """Hold each start against the cores that its worker had then."""
+    verdict = oracle.Verdict("no start brings a worker over its capacity")
+    changes = grouped((e for e in entries if e["event"] == "capacity"), "worker")
+    runs = [(run, cpu_of(orders, run)) for each in by_task.values() for run in each]
+    for run, _ in runs:
+        changed = [e for e in changes[run.worker] if e["at"] <= run.since]
+        if not changed or run.since < changed[-1]["at"] + SHRUNK_TERM:
+            continue
+        used = sum(
+            cpu
+            for other, cpu in runs
+            if other.worker == run.worker and other.since <= run.since < other.until
+        )
+        verdict.check(used <= changed[-1]["cpu"], f"{run}: {used} on {changed[-1]}")
+    return verdict
+
+
+def cpu_of(orders, run):
+    job_id, _, step, _ = run.task.split(".")
+    order = orders.get(job_id)
+    return order.body["steps"][int(step)]["cpu"] if order else 0
+
+
 def judge_order(orders, by_task):
     verdict = oracle.Verdict("a step begins once the one before it is done")
     for task, runs in by_task.items():
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -23,3 +23,8 @@
       | seed | seconds | gap |
       | 5    | 12      | 1   |
       | 102  | 30      | 1.2 |
+
+  Scenario: A run in which tasks crash workers and these keep their names breaks nothing
+    # Half of the workers start again under their names; capacity shrinks and grows.
+    Given the platform's soak ran for 20 s with seed 13 and gap 1.2 s, with second lives
+    Then no promise was broken there
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -28,6 +28,20 @@
     context.verdicts, context.folder = deployment.run(seconds, seed, gap)
 
 
+@given(
+    "the platform's soak ran for {seconds:d} s with seed {seed:d} and gap {gap:g} s, "
+    "with second lives"
+)
+def step_lives(context, seconds, seed, gap):
+    context.verdicts, context.folder = deployment.run(seconds, seed, gap, lives=True)
+
+
+@then("no promise was broken there")
+def step_none_broken(context):
+    broken = [verdict for verdict in context.verdicts if verdict.violations]
+    assert not broken, (context.folder, broken)
+
+
 @then("each promise was exercised there, and held")
 def step_deployment_held(context):
     for verdict in context.verdicts:
--- a/tests/standins/pool.py
+++ b/tests/standins/pool.py
@@ -2,9 +2,11 @@
 
 ``python -m tests.standins.pool --address A --store B --log FILE`` is one life of one
 worker in a process of its own, which may be paused and killed; another life at the
-same address has another name. ``--many`` answers for every worker that an order names,
-for measurements of a leader. A job's text says how long its tasks take: "0.4" is
-seconds, "lasts" is for ever, "fails" ends failed at once.
+same address has another name, or with ``--name`` the same one, and says when it was
+born. ``--many`` answers for every worker that an order names, for measurements of a
+leader. A job's text says how long its tasks take: "0.4" is seconds, "lasts" is for
+ever, "fails" ends failed at once, "crashes" ends the worker. ``POST /resize`` changes
+its cores.
 """
 
 from gevent import monkey
@@ -28,6 +30,10 @@
 TERM = 1.5
 FOREVER = "lasts"
 FAILS = "fails"
+CRASHES = "crashes"
+#: Status with which a worker ends that a task has ended, and after how many seconds.
+CRASHED = 86
+CRASH_TERM = 0.01
 #: Longest lease in milliseconds.
 MOST_HOLD = 6000
 #: Seconds between looks at what is due, and between the worker's own entries.
@@ -38,15 +44,21 @@
 TAIL_SLOPE = 1.5
 
 
+BORN = time.monotonic()
+
+
 def now_ms():
-    return int(time.monotonic() * 1000)
+    """Return the worker's clock, which begins anew with each life."""
+    return int((time.monotonic() - BORN) * 1000)
 
 
 class Worker:
     """One worker: what runs there, and the ends that nobody has seen yet."""
 
-    def __init__(self, name, note=lambda **facts: None):
+    def __init__(self, name, note=lambda **facts: None, born=None):
         self.name = name
+        #: Unix milliseconds of its start, if it tells them.
+        self.born = born
         self.note = note
         self.token = 0
         self.deadline = 0
@@ -88,6 +100,8 @@
             heapq.heappush(self.due, (time.monotonic() + term_of(order), task, run))
         if order["spec"] == FAILS:
             self.end(task, "failed")
+        if order["spec"] == CRASHES:
+            gevent.spawn_later(CRASH_TERM, self.crash)
         return 200, {}
 
     def extend(self, order):
@@ -97,6 +111,10 @@
         deadline = min(order.get("deadline_ms", 0), now_ms() + MOST_HOLD)
         self.deadline = max(self.deadline, deadline)
 
+    def crash(self):
+        self.note(event="crash")
+        os._exit(CRASHED)
+
     def stop(self, order):
         task, run = order["task"], order["run"]
         if self.running.get(task) == run:
@@ -134,7 +152,8 @@
             self.news.wait(order["wait_ms"] / 1000)
         tail = BASE_TAIL + TAIL_SLOPE * len(self.due)
         rows = [[task, run, "", 40, tail] for task, run in self.running.items()]
-        return {"running": rows, "ended": self.ended}
+        held = {"running": rows, "ended": self.ended}
+        return held if self.born is None else {**held, "born": self.born}
 
 
 def term_of(order):
@@ -150,9 +169,13 @@
     def __init__(self, many=False):
         self.workers = {}
         self.many = many
+        #: What the worker writes about itself.
+        self.entry = {}
 
     def __call__(self, environ, start_response):
         order = json.loads(environ["wsgi.input"].read())
+        if environ["PATH_INFO"] == "/resize":
+            return self.resize(order, start_response)
         name = environ["HTTP_EXPECT_INSTANCE"]
         if self.many:
             self.workers.setdefault(name, Worker(name))
@@ -164,6 +187,13 @@
         start_response(f"{status} -", [("Content-Type", "application/json")])
         return [json.dumps(reply).encode()]
 
+    def resize(self, order, start_response):
+        self.entry["capacity"]["cpu"] = order["cpu"]
+        for worker in self.workers.values():
+            worker.note(event="capacity", cpu=order["cpu"])
+        start_response("200 -", [("Content-Type", "application/json")])
+        return [b"{}"]
+
     def run(self):
         while True:
             gevent.sleep(INTERVAL)
@@ -184,15 +214,17 @@
 
 
 def begin_life(pool, args):
-    """Begin a life under a new name, and list it at the store."""
-    name = f"w-{os.getpid()}-{now_ms()}"
+    """Begin a life under a new name or the one given, and list it at the store."""
+    born = int(time.time() * 1000)
+    name = args.name or f"w-{os.getpid()}-{born}"
+    life = f"{name}/{born}" if args.name else name
     log = open(args.log, "a", buffering=1)
 
     def note(**facts):
-        line = {"at": time.time(), "worker": name, **facts}
+        line = {"at": time.time(), "worker": life, **facts}
         log.write(json.dumps(line) + "\n")
 
-    pool.workers[name] = Worker(name, note)
+    pool.workers[name] = Worker(name, note, born if args.name else None)
     note(event="born", address=args.listed or args.address)
     entry = {
         "id": name,
@@ -207,6 +239,9 @@
         "capacity": {"cpu": args.cores * 1000, "mem_mb": 65536, "gpu": 0},
         "labels": ["a", "rack-1"],
     }
+    if args.name:
+        entry["born"] = born
+    pool.entry = entry
     gevent.spawn(beat, args.store, entry)
 
 
@@ -215,6 +250,9 @@
     parser.add_argument("--address", default="127.0.0.1:0")
     parser.add_argument("--listed", help="address that the entry gives instead")
     parser.add_argument("--store")
+    parser.add_argument(
+        "--name", help="name that each life has; a new one if not given"
+    )
     parser.add_argument("--log")
     parser.add_argument("--cores", type=int, default=16)
     parser.add_argument("--many", action="store_true")
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -41,6 +41,8 @@
         self.set_faults({})
         self.rand = random.Random(f"store/{seed}")
         self.heard = {}
+        #: What each worker last wrote about itself.
+        self.entries = {}
         self.kept_from = 0
         super().__init__(address)
 
@@ -104,7 +106,8 @@
         name = entry.pop("id")
         if self.down or self.hushed:
             return
-        if name not in self.heard:
+        if name not in self.heard or self.entries.get(name) != entry:
+            self.entries[name] = entry
             self.put("servers", "", name, json.dumps(entry))
         self.heard[name] = time.monotonic()
 
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -30,9 +30,11 @@
 class Deployment(stage.Stage):
     """All processes of a run, and the faults that hit them."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, lives=False):
         super().__init__()
         self.seed = seed
+        #: True if every other worker keeps its name when it starts again.
+        self.lives = lives
         self.relays = {}
         self.fronts = {}
         self.store = stage.free_address()
@@ -61,7 +63,11 @@
         self.start(name, "-m", "tests.standins.pool", "--address", address,
                    "--listed", self.relays[name].address, "--store", self.store,
                    "--log", str(self.logs / f"{name}.jsonl"),
-                   "--cores", str(CORES))  # fmt: skip
+                   "--cores", str(CORES), *self.name_of(name))  # fmt: skip
+
+    def name_of(self, name):
+        keeps = self.lives and int(name.rpartition("-")[2]) % 2 == 0
+        return ("--name", name) if keeps else ()
 
     def add_instance(self, name, host):
         self.relays[name] = relay.Relay(self.store)
