Settle on the worker's later life what was meant for the earlier one

Read again, and shown by a scenario and a new invariant of the random histories: a start whose record was still being written when its worker started again was given up on the earlier life, and its room stayed set aside in the later one. A look there would have stopped the task's next run, wherever it was. So what becomes of a start is settled on the life that holds its room; an answer to a stop that either life may have given counts for neither; and ends that the first look at a later life lists are confirmed.

--- a/src/mangosail/scheduler/attendance.py
+++ b/src/mangosail/scheduler/attendance.py
@@ -175,6 +175,8 @@
         if worker.taken_in == taken_in:
             return False
         self.changed.set()
+        if life is fleet.Life.LATER:
+            gevent.spawn(self._acknowledge, worker)
         return True
 
     def ask(self, worker: fleet.Worker, entry: messages.WorkerEntry) -> None:
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -56,7 +56,7 @@
         self.since = 0.0
         #: The newest entry that tells of another life, earlier or later.
         self.other: messages.WorkerEntry | None = None
-        #: The latest suspect that was placed there.
+        #: The latest suspect that was placed there, beside which nothing may begin.
         self.alone: progress.Task | None = None
         #: Elapsed time until which orders to an earlier life may be carried out here,
         #: and the longest lease in seconds that they can bring.
@@ -163,19 +163,12 @@
             and not self.gone
             and not self.unlisted
             and not self.entry.draining
-            and self.described
-            and not self._keeps_alone(now)
+            and (self.entry.born == self.born or self.described)
+            and (self.alone is None or not just_begun(self.alone, now))
             and self.entry.data_centre not in self.closed()
             and now >= self.avoid_until
         )
 
-    def _keeps_alone(self, now: float) -> bool:
-        """Tell whether a suspect has just begun there, beside which nothing may."""
-        alone = self.alone
-        if alone is None or self.tasks.get(alone.name) is not alone:
-            return False
-        return just_begun(alone, now)
-
     def quiet(self, now: float) -> bool:
         """Tell whether nothing has just begun there."""
         return not any(just_begun(task, now) for task in self.tasks.values())
@@ -205,6 +198,8 @@
         """Give the room of a task back."""
         if self.tasks.pop(task.name, None) is None:
             return
+        if task is self.alone:
+            self.alone = None
         step = task.step
         self.free += reserved(step)
         self.unused += used(step)
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -71,7 +71,7 @@
         if task.phase is not progress.Phase.STARTING or task.worker != worker.name:
             return
         if worker.gone or not task_wanted(task):
-            self._void(task, worker, "not_wanted")
+            self._void(task, self._present(worker), "not_wanted")
             return
         if worker.overfull:
             # Its capacity has shrunk while the record was written.
@@ -95,8 +95,7 @@
         gevent.spawn_later(ANSWER_TERM, self.settle_late, task, worker, run)
         answer = self.calls.start(worker.entry, order)
         self.counters.time("orders.start", self.clock.elapsed() - now)
-        # Another life of the worker may have been heard of meanwhile.
-        worker = self.workers.get(worker.name) or worker
+        worker = self._present(worker)
         if task.run != run or task.phase is not progress.Phase.STARTING:
             # A look has shown the run, or its end, or it was stopped as late.
             return
@@ -119,6 +118,10 @@
             return
         self._not_started(task, worker, answer.err_value)
 
+    def _present(self, worker: fleet.Worker) -> fleet.Worker:
+        """Return the life of a worker that holds its tasks now."""
+        return self.workers.get(worker.name) or worker
+
     def settle_late(self, task: progress.Task, worker: fleet.Worker, run: int) -> None:
         """Find out what became of a start, if its answer has not come by now.
 
@@ -202,7 +205,8 @@
         """Set a run aside in a worker's later life, where its start may yet arrive."""
         worker.release(task)
         later.reserve(task)
-        if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
+        unsent = task.phase is progress.Phase.STARTING and task.ordered_at is None
+        if not task.began and not unsent:
             later.strays_until = self.clock.elapsed() + STRAY_TERM
         if task.phase is progress.Phase.STOPPING:
             task.barred_at = None
@@ -248,6 +252,9 @@
                 self.clock.sleep(STOP_INTERVAL)
                 continue
             answer = self.calls.stop(worker.entry, task.name, run, self.token)
+            if worker.gone:
+                # Which life has answered is not known; the later one is told too.
+                return
             if isinstance(answer, result.Ok):
                 if task.run == run:
                     self._barred(task, worker, surely_there)
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -47,7 +47,7 @@
         self.workers = workers
         self.orders = sender
         self.health = judge
-        self.crashes = blame
+        self.blame = blame
         self.expected = expected
         self.speeds = speed
         self.clock = clock
@@ -60,7 +60,7 @@
         first = not worker.known
         worker.heard(look.clock, self.clock.elapsed())
         worker.known = True
-        self.crashes.heard(worker)
+        self.blame.heard(worker)
         for end in look.ended:
             if end.number > worker.taken_in:
                 worker.taken_in = end.number
@@ -85,9 +85,9 @@
         for task in tasks:
             self._run_lost(worker, task)
         if worker.gone:
-            suspects = self.crashes.over(worker, crashed=why in PROOFS)
+            suspects = self.blame.over(worker, crashed=why in PROOFS)
         else:
-            self.crashes.silent(worker)
+            self.blame.silent(worker)
             suspects = ()
         for task in tasks:
             self._free(worker, task, "worker_lost")
@@ -126,7 +126,7 @@
         tasks = list(worker.tasks.values())
         for task in tasks:
             self._run_lost(worker, task)
-        suspects = self.crashes.over(worker, crashed=True)
+        suspects = self.blame.over(worker, crashed=True)
         for task in tasks:
             if task.listed:
                 self._free(worker, task, "worker_lost")
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -348,6 +348,16 @@
         for worker in self.all_workers():
             assert not worker.overfilled, (worker.entry.name, worker.overfilled)
 
+    @stateful.invariant()
+    def room_is_set_aside_where_tasks_may_run(self):
+        for worker in self.leaders[-1].scheduler.workers:
+            astray = [
+                task.name
+                for task in worker.tasks.values()
+                if task.worker != worker.name or not task.live
+            ]
+            assert not astray, (worker.name, astray)
+
     @stateful.invariant()
     def tokens_rise(self):
         tokens = [leader.scheduler.journal.token for leader in self.leaders]
--- a/tests/scheduler/second_lives.feature
+++ b/tests/scheduler/second_lives.feature
@@ -38,6 +38,13 @@
     Then no task ran twice at a time
     And every job is completed
 
+  Scenario: A start whose record is written after its worker has started again
+    # It would be stopped on the worker that it runs on next, for the one it was meant for.
+    Given 2 workers that keep their names
+    When jobs wait for the store, each worker starts again, and the store is back
+    And 5 s go by
+    Then every job is completed, and no task was started twice
+
   Scenario: An answer of the first life that comes late says nothing of the second
     Given 2 workers that keep their names
     And a task that runs in the second life of a worker
--- a/tests/scheduler/steps/second_lives_steps.py
+++ b/tests/scheduler/steps/second_lives_steps.py
@@ -75,6 +75,23 @@
     context.second = begin_again(context, listed=False)
 
 
+@when("jobs wait for the store, each worker starts again, and the store is back")
+def step_waits_for_store(context):
+    history = context.history
+    history.world.rows.once.extend(["down"] * 40)
+    hand_in(context, 2)
+    history.lead_on(2)
+    for worker in list(history.living()):
+        history.world.crash(worker)
+        history.world.returns.clear()
+        restart(context, worker)
+    history.lead_on(2)
+    assert not any(worker.starts for worker in history.living())
+    history.world.rows.once.clear()
+    history.lead_on(2)
+    history.room_is_set_aside_where_tasks_may_run()
+
+
 @when("each worker tells what it has, and {seconds:d} s go by")
 def step_tell(context, seconds):
     for worker in context.second:
