--- a/tests/run.py
+++ b/tests/run.py
@@ -18,7 +18,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 #: Slices that take longest, longest first: begun last, one would run on alone.
-LONGEST = ("work", "jobs", "soak", "front", "ownership", "settings", "cli")
+LONGEST = ("scheduler", "work", "jobs", "soak", "front", "ownership", "settings", "cli")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
