Take note of a lost worker in one place

Read again: what becomes of a worker's tasks when its life is over stood twice, for a worker that is gone and for one that has begun another life, with the same line, counter, judging and reporting; they differed only in where a task goes that may yet begin. And whether a run had proved its task was compared twice. Nothing else changes.

--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -126,7 +126,7 @@
 
 def has_proved(worker: fleet.Worker, task: progress.Task) -> bool:
     """Tell whether a run had gone on for long when its worker was last heard."""
-    return task.began and worker.heard_at - task.started_at >= PROOF_TERM
+    return task.began and proves(task, worker.heard_at)
 
 
 def is_late(worker: fleet.Worker, task: progress.Task) -> bool:
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -73,8 +73,15 @@
             if task.name not in listed:
                 self._not_listed(worker, task, sent_at, first)
 
-    def lost(self, worker: fleet.Worker, why: str) -> None:
-        """Take note that all runs of the worker are over."""
+    def lost(
+        self, worker: fleet.Worker, why: str, later: fleet.Worker | None = None
+    ) -> None:
+        """Take note that all runs of the worker are over.
+
+        `later` is its next life under the same name, if it has one. An order that the
+        earlier life has not shown to have carried out may reach that one, also seconds
+        from now.
+        """
         now = self.clock.elapsed()
         self.counters.count(f"workers.lost.{why}")
         log.warning(
@@ -90,7 +97,10 @@
             self.blame.silent(worker)
             suspects = ()
         for task in tasks:
-            self._free(worker, task, "worker_lost")
+            if later is None or task.listed:
+                self._free(worker, task, "worker_lost")
+            else:
+                self.orders.hand_over(task, worker, later)
         for suspect in suspects:
             self._suspected(worker, suspect, why)
 
@@ -111,30 +121,6 @@
         else:
             self.on_change(task.job)
 
-    def succeeded(self, worker: fleet.Worker, later: fleet.Worker) -> None:
-        """Take note that a worker has begun another life under its name.
-
-        What the earlier life has listed is over. An order that it has not shown to have
-        carried out may reach the later one, also seconds from now.
-        """
-        log.warning(
-            "worker lost", worker=worker.name, reason="restarted",
-            tasks=len(worker.tasks), draining=worker.entry.draining,
-            silent=round(self.clock.elapsed() - worker.heard_at, 3),
-        )  # fmt: skip
-        self.counters.count("workers.lost.restarted")
-        tasks = list(worker.tasks.values())
-        for task in tasks:
-            self._run_lost(worker, task)
-        suspects = self.blame.over(worker, crashed=True)
-        for task in tasks:
-            if task.listed:
-                self._free(worker, task, "worker_lost")
-            else:
-                self.orders.hand_over(task, worker, later)
-        for suspect in suspects:
-            self._suspected(worker, suspect, "restarted")
-
     def _run_lost(self, worker: fleet.Worker, task: progress.Task) -> None:
         """Log what is known of a run that ended with its worker.
 
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -392,7 +392,7 @@
         later.longest_lease = self.longest_lease
         self.judge.forget(worker)
         self._void_tickets(worker)
-        self.reports.succeeded(worker, later)
+        self.reports.lost(worker, "restarted", later)
         self.attend(later)
         self.changed.set()
         return later
