--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -13,7 +13,6 @@
     messages,
     orders,
     progress,
-    throttling,
     worker_speeds,
 )
 from mangosail.telemetry import counters as telemetry
@@ -243,9 +242,12 @@
         now = self.clock.elapsed()
         task.listed = True
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
-            if task.phase is progress.Phase.DOUBTFUL:
-                # An earlier leader may have slowed it down; looks don't say.
-                task.speed_limit = 0 if task.step.best_effort else throttling.FULL
+            if task.phase is progress.Phase.DOUBTFUL and task.step.best_effort:
+                # An earlier leader may have slowed it down; looks don't say. It has
+                # stood still from now on at most: taken for stuck since ever, all such
+                # tasks were stopped at each change of leader.
+                task.speed_limit = 0
+                task.throttled_at = now
             task.phase = progress.Phase.RUNNING
             task.began = True
             task.job.begun = True
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -159,6 +159,8 @@
         self.late = []
         self.starts = []
         self.paces = {}
+        #: Changes of speed that are not made and get no answer, the next ones.
+        self.unpaced = 0
         self.latencies = {}
         self.acknowledged = 0
         self.progress = 0
@@ -306,6 +308,9 @@
 
     def throttle(self, entry, task, run, percent, token):
         def effect(worker):
+            if worker.unpaced:
+                worker.unpaced -= 1
+                return result.Err(errors.Silent("unpaced"))
             worker.paces[task] = percent
             return result.Ok(worker.clock)
 
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -123,6 +123,17 @@
     And 30 rounds pass
     Then the task works at full speed
 
+  Scenario: A new leader leaves tasks where they run well
+    # Guards against work being thrown away, and the lease lost, at each change of leader.
+    Given workers "w1 w2" and a leader
+    And a job of 4 best-effort tasks comes
+    When 2 rounds pass
+    And the workers leave the next 2 changes of speed unanswered
+    And another instance leads
+    And 40 rounds pass
+    Then each of 4 tasks was started once, and runs
+    And each of them works at full speed
+
   Scenario: A deposed leader writes nothing more, and its starts are refused
     # The caller sees its order carried out once. The leader is suspended with a
     # start on its way, another leads meanwhile, the first wakes up and goes on.
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -438,6 +438,12 @@
         worker.paces[TASK] = 0
 
 
+@when("the workers leave the next {count:d} changes of speed unanswered")
+def step_unpaced(context, count):
+    for worker in workers(context):
+        worker.unpaced = count
+
+
 @when("their tail latencies are too high")
 def step_tails(context):
     set_tails(context, HIGH_TAIL)
@@ -509,6 +515,13 @@
     assert paces == [100], paces
 
 
+@then("each of them works at full speed")
+def step_all_full(context):
+    for worker in workers(context):
+        paces = {task: worker.paces.get(task) for task in worker.running}
+        assert set(paces.values()) == {100}, paces
+
+
 @then("the best-effort task works at 0 percent")
 def step_stopped(context):
     paces = [w.paces.get(TASK) for w in workers(context)]
