--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -78,8 +78,11 @@
 
     def has_room(self, step_run: progress.StepRun, service: str, now: float) -> bool:
         """Tell whether one more task of the step could be placed now."""
-        candidates = self._candidates(step_run.step, service, now)
-        return any(self._score(step_run, worker) is not None for worker in candidates)
+        return any(
+            self._able(step_run.step, worker, service, now)
+            and self._score(step_run, worker) is not None
+            for worker in self.workers
+        )
 
     def place_one(
         self,
@@ -120,12 +123,18 @@
         self, step: messages.Step, service: str, now: float
     ) -> list[fleet.Worker]:
         return [
-            worker
-            for worker in self.workers
-            if allowed(step, worker, service, now)
+            worker for worker in self.workers if self._able(step, worker, service, now)
+        ]
+
+    def _able(
+        self, step: messages.Step, worker: fleet.Worker, service: str, now: float
+    ) -> bool:
+        """Tell whether a worker may run tasks of the step, and has room for one."""
+        return (
+            allowed(step, worker, service, now)
             and fits(step, worker)
             and (step.continuous or worker.name not in self.slow)
-        ]
+        )
 
     def _place_each(
         self,
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -46,6 +46,11 @@
 MOST_STARTS = 256
 #: Seconds between looks for tasks that stand still beside latency-critical ones.
 MOVE_INTERVAL = 0.25
+#: Seconds that a round looks for such tasks at most; no lease is renewed meanwhile.
+MOVE_TERM = 0.02
+#: Seconds after which a round is logged as long: a third of the time between renewals
+#: of the lease, for which nothing else has the processor.
+LONG_ROUND = 0.1
 #: Seconds between the lines that say how much waits.
 REPORT_INTERVAL = 2.0
 #: Seconds after which one task of a job with nothing running is placed although it
@@ -85,8 +90,10 @@
         self.clock = clock
         self.counters = counters
         self.starts = gevent.pool.Pool(MOST_STARTS)
-        #: Elapsed time from which tasks that stand still are looked for again.
+        #: Elapsed time from which tasks that stand still are looked for again, and the
+        #: workers that are still to be looked through by then.
         self.move_at = 0.0
+        self.to_search: list[fleet.Worker] = []
         #: The configuration in force, and its queues by name.
         self.known: messages.Catalog | None = None
         self.queues: dict[str, messages.Queue] = {}
@@ -145,6 +152,8 @@
             # to be written and sent.
             took = self.clock.elapsed() - began_at
             self.counters.time("rounds.place", took)
+            if took >= LONG_ROUND:
+                log.warning("long round", seconds=round(took, 3), jobs=len(self.jobs))
             self.clock.sleep(max(PLACE_INTERVAL, PLACE_PAUSES * took))
 
     def place(self) -> None:
@@ -179,20 +188,32 @@
             failures += costly and not placed
 
     def _move_slow(self, now: float) -> None:
-        """Stop tasks that stand still where other workers have room for them."""
-        if now < self.move_at:
+        """Stop tasks that stand still where other workers have room for them.
+
+        All workers at once kept the processor for a second after a change of leader:
+        the new leader renewed its lease too late, and lost it to another.
+        """
+        if not self.to_search:
+            if now < self.move_at:
+                return
+            self.move_at = now + MOVE_INTERVAL
+            self.to_search = list(self.workers)
+        deadline = self.clock.elapsed() + MOVE_TERM
+        while self.to_search:
+            self._move_from(self.to_search.pop(), now)
+            if self.clock.elapsed() >= deadline:
+                return
+
+    def _move_from(self, worker: fleet.Worker, now: float) -> None:
+        if not worker.reachable or worker.gone:
             return
-        self.move_at = now + MOVE_INTERVAL
-        for worker in self.workers:
-            if not worker.reachable:
-                continue
-            for task in list(worker.tasks.values()):
-                if throttling.stuck(task, now) and self._elsewhere(task, now):
-                    self.orders.stop(task, worker, "moved")
-            for straggler in stragglers.find(worker, now):
-                self._move_straggler(straggler, now)
-            if worker.name in self.placer.slow:
-                self._leave_slow(worker, now)
+        for task in list(worker.tasks.values()):
+            if throttling.stuck(task, now) and self._elsewhere(task, now):
+                self.orders.stop(task, worker, "moved")
+        for straggler in stragglers.find(worker, now):
+            self._move_straggler(straggler, now)
+        if worker.name in self.placer.slow:
+            self._leave_slow(worker, now)
 
     def _judge_speeds(self, now: float) -> None:
         slow = worker_speeds.slow(self.workers, now)
--- /dev/null
+++ b/tests/scheduler/steps/rounds_steps.py
@@ -0,0 +1,74 @@
+import random
+from unittest import mock
+
+from behave import given, then, when
+from tests.scheduler import fakes
+
+from mangosail.scheduler import keys, placing
+
+JOB = "00000000000000aa"
+#: Seconds for which the tasks have stood still: longer than a round bears.
+STOOD = 5.0
+
+
+@given("a leader with {tasks:d} task that stands still on {count:d} workers")
+@given("a leader with {tasks:d} tasks that stand still on {count:d} workers")
+def step_leader(context, tasks, count):
+    context.world = fakes.World(random.Random(5))
+    for number in range(count):
+        context.world.add_worker(f"w{number}")
+    context.leader = context.world.lead("first")
+    step = fakes.step(tasks, best_effort=True, checkpointing=True)
+    context.world.rows.put(keys.job(JOB), fakes.job(JOB, step))
+    context.leader.round(8)
+    context.tasks = [context.leader.task(f"{JOB}.0.0.{n}") for n in range(tasks)]
+    for task in context.tasks:
+        task.speed_limit = 0
+        task.throttled_at = context.world.clock.now - STOOD
+    context.world.clock.now += 1.0
+
+
+@given("a look for room elsewhere takes {milliseconds:d} ms")
+def step_slow_look(context, milliseconds):
+    placer = context.leader.scheduler.rounds.placer
+    has_room = placer.has_room
+
+    def slow(*args):
+        context.world.clock.now += milliseconds / 1000
+        return has_room(*args)
+
+    placer.has_room = slow
+
+
+@when("the leader places once")
+def step_place(context):
+    context.began_at = context.world.clock.now
+    context.leader.scheduler.rounds.place()
+
+
+@when("the leader has placed {count:d} times")
+def step_place_often(context, count):
+    for _ in range(count):
+        context.leader.scheduler.rounds.place()
+        context.world.clock.now += 0.05
+
+
+@then("it has looked for room for {milliseconds:d} ms at most")
+def step_looked(context, milliseconds):
+    took = context.world.clock.now - context.began_at
+    assert 0 < took <= milliseconds / 1000 + 1e-6, took
+
+
+@then("all {count:d} tasks have been told to stop")
+def step_stopped(context, count):
+    told = context.world.counters.snapshot()["orders.stop.moved"]
+    assert told == count, told
+
+
+@then("it finds room elsewhere with a look at {most:d} workers at most")
+def step_few_looks(context, most):
+    placer = context.leader.scheduler.rounds.placer
+    step_run = context.tasks[0].step_run
+    with mock.patch.object(placing, "allowed", wraps=placing.allowed) as allowed:
+        assert placer.has_room(step_run, "pool", context.world.clock.now)
+    assert allowed.call_count <= most, allowed.call_count
