--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -25,6 +25,7 @@
     progress,
     stragglers,
     throttling,
+    turns,
     worker_speeds,
 )
 from mangosail.telemetry import counters as telemetry
@@ -37,8 +38,11 @@
 #: different sizes waiting for 246 workers a round took 73 ms without this bound and
 #: 27 ms with it, on a busy machine; starts wait for it.
 MOST_FAILURES = 6
-#: Pauses between placements, in multiples of what the last one took.
+#: Pauses between placements, in multiples of what the last one took, and the longest.
 PLACE_PAUSES = 3
+LONGEST_PAUSE = PLACE_PAUSES * turns.TURN_TERM
+#: Pauses within a placement, in multiples of the work since the last one.
+TURN_PAUSES = 2
 #: Seconds after which placing is tried without a change, for tasks that become
 #: due and workers that are used again.
 QUIET_INTERVAL = 0.1
@@ -99,6 +103,7 @@
         self.queues: dict[str, messages.Queue] = {}
         #: True once a planned stop has begun.
         self.stopping = False
+        self.turns = turns.Turns(clock, TURN_PAUSES)
 
     def report_forever(self) -> None:
         """Log how much waits and how much room there is, now and again."""
@@ -141,23 +146,25 @@
             self.changed.clear()
             if self.stopping:
                 return
-            began_at = self.clock.elapsed()
             try:
                 self.place()
             except Exception:
                 # A fault with one job must not stop the others for good.
                 self.counters.count("rounds.place_failed")
                 log.exception("place failed")
-            # A quarter of the processor at most goes into placing; what was placed has
-            # to be written and sent.
-            took = self.clock.elapsed() - began_at
+            # A third of the processor at most goes into placing; what was placed has to
+            # be written and sent. A long round has paused before: after one of 0.8 s
+            # nothing was placed for another 2.5 s.
+            took = self.turns.total()
             self.counters.time("rounds.place", took)
             if took >= LONG_ROUND:
                 log.warning("long round", seconds=round(took, 3), jobs=len(self.jobs))
-            self.clock.sleep(max(PLACE_INTERVAL, PLACE_PAUSES * took))
+            pause = min(PLACE_PAUSES * took, LONGEST_PAUSE)
+            self.clock.sleep(max(PLACE_INTERVAL, pause))
 
     def place(self) -> None:
         """Place what waits, in order, as far as there is room."""
+        self.turns = turns.Turns(self.clock, TURN_PAUSES)
         now = self.clock.elapsed()
         wall = self.clock.wall()
         ready = [step_run for job in self.jobs.values() for step_run in job.ready(wall)]
@@ -168,6 +175,12 @@
         full: list[tuple[str, progress.StepRun]] = []
         failures = 0
         for step_run in ready:
+            self.turns.share()
+            if self.stopping:
+                return
+            if step_run.job.over or step_run.job.cancelled:
+                # It has ended since the round began.
+                continue
             tasks = [t for t in step_run.waiting() if t.not_before <= now]
             tasks = step_run.job.may_begin(step_run, tasks)
             if not tasks:
--- a/tests/scheduler/rounds.feature
+++ b/tests/scheduler/rounds.feature
@@ -13,3 +13,23 @@
     # Guards against rounds that grow with the square of the fleet.
     Given a leader with 1 task that stands still on 200 workers
     Then it finds room elsewhere with a look at 5 workers at most
+
+  Scenario: Others get their turn in the middle of a long round
+    # Guards against a leader that is deposed as one round keeps it from renewing.
+    Given a leader with 20 jobs to place, each of which takes 30 ms
+    When the leader places once
+    Then all 20 jobs have begun
+    And others had a turn after each 80 ms at most
+
+  Scenario: A job that is cancelled in the middle of a round is not begun
+    # Guards against starts of what nobody wants, and rows of it that come back.
+    Given a leader with 20 jobs to place, each of which takes 30 ms
+    And all jobs are cancelled while the others have their first turn
+    When the leader places once
+    Then 2 of the jobs have begun
+
+  Scenario: After a long round work is placed again soon
+    # Guards against jobs that wait for seconds though the leader has nothing to do.
+    Given a leader with 1 job to place, each of which takes 800 ms
+    When the leader goes on placing
+    Then it pauses for 150 ms at most after the round
--- a/tests/scheduler/steps/rounds_steps.py
+++ b/tests/scheduler/steps/rounds_steps.py
@@ -1,6 +1,7 @@
 import random
 from unittest import mock
 
+import gevent
 from behave import given, then, when
 from tests.scheduler import fakes
 
@@ -72,3 +73,77 @@
     with mock.patch.object(placing, "allowed", wraps=placing.allowed) as allowed:
         assert placer.has_room(step_run, "pool", context.world.clock.now)
     assert allowed.call_count <= most, allowed.call_count
+
+
+@given("a leader with {count:d} job to place, each of which takes {milliseconds:d} ms")
+@given("a leader with {count:d} jobs to place, each of which takes {milliseconds:d} ms")
+def step_jobs(context, count, milliseconds):
+    context.world = fakes.World(random.Random(6))
+    for number in range(count):
+        context.world.add_worker(f"w{number}")
+    context.leader = context.world.lead("first")
+    context.leader.round(4)
+    context.jobs = [f"{number:016x}" for number in range(count)]
+    for job_id in context.jobs:
+        context.world.rows.put(keys.job(job_id), fakes.job(job_id, fakes.step()))
+    for feed in context.leader.feeds:
+        feed.step(0)
+    rounds = context.leader.scheduler.rounds
+    place = rounds.placer.place
+
+    def slow(*args):
+        context.world.clock.now += milliseconds / 1000
+        return place(*args)
+
+    rounds.placer.place = slow
+    context.turns = []
+    context.on_turn = lambda: None
+    context.world.clock.sleep = lambda seconds: take_turn(context, seconds)
+
+
+def take_turn(context, seconds):
+    """Note when others had a turn, and for how long."""
+    context.turns.append((context.world.clock.now, seconds))
+    context.world.clock.now += seconds
+    context.on_turn()
+
+
+@given("all jobs are cancelled while the others have their first turn")
+def step_cancelled(context):
+    def cancel():
+        for job in context.leader.scheduler.jobs.values():
+            job.cancelled = True
+
+    context.on_turn = cancel
+
+
+@then("all {count:d} jobs have begun")
+@then("{count:d} of the jobs have begun")
+def step_begun(context, count):
+    begun = [j for j in context.jobs if context.leader.task(f"{j}.0.0.0").live]
+    assert len(begun) == count, begun
+
+
+@then("others had a turn after each {milliseconds:d} ms at most")
+def step_turns(context, milliseconds):
+    resumed_at = context.began_at
+    for at, seconds in [*context.turns, (context.world.clock.now, 0.0)]:
+        assert at - resumed_at <= milliseconds / 1000 + 1e-6, context.turns
+        resumed_at = at + seconds
+
+
+@when("the leader goes on placing")
+def step_goes_on(context):
+    def stop(seconds):
+        context.turns.append(seconds)
+        raise gevent.GreenletExit
+
+    context.world.clock.sleep = stop
+    context.leader.scheduler.changed.set()
+    gevent.spawn(context.leader.scheduler.rounds.run).join()
+
+
+@then("it pauses for {milliseconds:d} ms at most after the round")
+def step_pause(context, milliseconds):
+    (pause,) = context.turns
+    assert pause <= milliseconds / 1000 + 1e-6, pause
