--- a/src/mangosail/scheduler/listing.py
+++ b/src/mangosail/scheduler/listing.py
@@ -15,7 +15,8 @@
 import logbook
 import result
 
-from mangosail.scheduler import errors, fleet, messages, ports, reach
+from mangosail import clock as clocks
+from mangosail.scheduler import errors, fleet, messages, ports, reach, turns
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("listing")
@@ -56,6 +57,7 @@
         workers: fleet.Fleet,
         keeper: Keeper,
         catalog: cabc.Callable[[], messages.Catalog | None],
+        clock: clocks.Clock,
         counters: telemetry.Counters,
         most_workers: int,
     ) -> None:
@@ -70,6 +72,7 @@
         self.workers = workers
         self.keeper = keeper
         self.catalog = catalog
+        self.clock = clock
         self.counters = counters
         #: Entries of pools that the configuration does not name, or not yet.
         self.unnamed: dict[str, messages.WorkerEntry] = {}
@@ -81,7 +84,9 @@
     def take(self, changes: ports.Changes, whole: bool) -> None:
         """Take in what changed, or all there is."""
         good = set()
+        shared = turns.Turns(self.clock)
         for row in changes.rows:
+            shared.share()
             name = row.key.removeprefix(self.prefix)
             found = self.decode(name, row.value)
             if isinstance(found, result.Err):
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -38,6 +38,7 @@
     reports,
     rounds,
     sweeping,
+    turns,
     worker_speeds,
 )
 from mangosail.telemetry import counters as telemetry
@@ -92,6 +93,7 @@
             self.workers,
             self,
             catalog,
+            clock,
             counters,
             most_workers,
         )
@@ -162,7 +164,9 @@
             for feed in self.read_everything():
                 self.greenlets.spawn(feed.run)
             self.attending = True
+            shared = turns.Turns(self.clock)
             for worker in self.workers:
+                shared.share()
                 self.attend(worker)
             self.greenlets.spawn(self.rounds.run)
             self.greenlets.spawn(self._check_fence)
@@ -270,7 +274,9 @@
                 break
             self.clock.sleep(READ_INTERVAL)
         states = {}
+        shared = turns.Turns(self.clock)
         for row in found.ok_value.rows:
+            shared.share()
             job_id = keys.job_id(row.key)
             try:
                 states[job_id] = progress.decode(row.value)
@@ -286,8 +292,10 @@
 
     def _take_jobs(self, changes: ports.Changes, whole: bool) -> None:
         """Take in new jobs and requests to cancel."""
+        shared = turns.Turns(self.clock)
         for row in changes.rows:
             if not keys.is_cancellation(row.key):
+                shared.share()
                 self._accept(row.key, row.value)
         for row in changes.rows:
             if keys.is_cancellation(row.key):
--- a/tests/scheduler/rounds.feature
+++ b/tests/scheduler/rounds.feature
@@ -33,3 +33,10 @@
     Given a leader with 1 job to place, each of which takes 800 ms
     When the leader goes on placing
     Then it pauses for 150 ms at most after the round
+
+  Scenario: Others get their turn while a leader takes over
+    # Guards against a leader that is deposed as it reads what it has to know.
+    Given 60 jobs and 60 workers, each of which takes 5 ms to read
+    When another instance takes over from the leader
+    Then others had a turn after each 100 ms at most
+    And it knows 60 jobs and 60 workers
--- a/tests/scheduler/steps/rounds_steps.py
+++ b/tests/scheduler/steps/rounds_steps.py
@@ -5,13 +5,23 @@
 from behave import given, then, when
 from tests.scheduler import fakes
 
-from mangosail.scheduler import keys, placing
+from mangosail.scheduler import keys, placing, scheduler
 
 JOB = "00000000000000aa"
 #: Seconds for which the tasks have stood still: longer than a round bears.
 STOOD = 5.0
 
 
+def slowed(world, function, milliseconds):
+    """Return `function`, which now takes some time of the world's clock."""
+
+    def slow(*args):
+        world.clock.now += milliseconds / 1000
+        return function(*args)
+
+    return slow
+
+
 @given("a leader with {tasks:d} task that stands still on {count:d} workers")
 @given("a leader with {tasks:d} tasks that stand still on {count:d} workers")
 def step_leader(context, tasks, count):
@@ -32,13 +42,7 @@
 @given("a look for room elsewhere takes {milliseconds:d} ms")
 def step_slow_look(context, milliseconds):
     placer = context.leader.scheduler.rounds.placer
-    has_room = placer.has_room
-
-    def slow(*args):
-        context.world.clock.now += milliseconds / 1000
-        return has_room(*args)
-
-    placer.has_room = slow
+    placer.has_room = slowed(context.world, placer.has_room, milliseconds)
 
 
 @when("the leader places once")
@@ -88,14 +92,8 @@
         context.world.rows.put(keys.job(job_id), fakes.job(job_id, fakes.step()))
     for feed in context.leader.feeds:
         feed.step(0)
-    rounds = context.leader.scheduler.rounds
-    place = rounds.placer.place
-
-    def slow(*args):
-        context.world.clock.now += milliseconds / 1000
-        return place(*args)
-
-    rounds.placer.place = slow
+    placer = context.leader.scheduler.rounds.placer
+    placer.place = slowed(context.world, placer.place, milliseconds)
     context.turns = []
     context.on_turn = lambda: None
     context.world.clock.sleep = lambda seconds: take_turn(context, seconds)
@@ -147,3 +145,36 @@
 def step_pause(context, milliseconds):
     (pause,) = context.turns
     assert pause <= milliseconds / 1000 + 1e-6, pause
+
+
+@given("{jobs:d} jobs and {count:d} workers, each of which takes {took:d} ms to read")
+def step_known(context, jobs, count, took):
+    world = context.world = fakes.World(random.Random(8))
+    for number in range(count):
+        world.add_worker(f"w{number}")
+    context.leader = world.lead("first")
+    for number in range(jobs):
+        job_id = f"{number:016x}"
+        world.rows.put(keys.job(job_id), fakes.job(job_id, fakes.step()))
+    context.leader.round(4)
+    world.entry_of = slowed(world, world.entry_of, took)
+    context.accept = slowed(world, scheduler.Scheduler._accept, took)
+
+
+@when("another instance takes over from the leader")
+def step_takes_over(context):
+    context.turns = []
+    context.on_turn = lambda: None
+    context.world.clock.now += 2.0
+    with mock.patch.object(scheduler.Scheduler, "_accept", context.accept):
+        next_leader = fakes.Leader(context.world, "next", reads=False)
+        context.world.clock.sleep = lambda seconds: take_turn(context, seconds)
+        context.began_at = context.world.clock.now
+        next_leader.scheduler.read_everything()
+    context.leader = next_leader
+
+
+@then("it knows {jobs:d} jobs and {count:d} workers")
+def step_knows(context, jobs, count):
+    known = context.leader.scheduler
+    assert (len(known.jobs), len(known.workers)) == (jobs, count)
