--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -3,7 +3,7 @@
 import collections.abc as cabc
 import dataclasses
 
-from mangosail.scheduler import fleet, interference, messages, progress
+from mangosail.scheduler import fleet, interference, messages, progress, ranking
 
 #: Cores that it is worth to a latency-critical task to be with others: they gather on
 #: few workers, and best-effort tasks, which disturb them, have the rest to themselves.
@@ -19,8 +19,6 @@
 #: Cores that it is worth to other tasks to go beside latency-critical ones, where
 #: best-effort tasks can't use the room.
 LATENCY_CRITICAL_WEIGHT = 8.0
-#: Cores that it costs a task to go where its last run failed.
-AVOID_WEIGHT = 5000.0
 #: Cores that it is worth to be near the data; far from it a task takes a multiple
 #: of its time.
 DATA_WEIGHT = 2000.0
@@ -148,26 +146,28 @@
         Only the worker that was chosen is scored again. Scoring all of them for
         each task took 200 ms a pass with 150 tasks waiting and 24 workers.
         """
-        scores = {worker: self._score(step_run, worker) for worker in candidates}
+        ranked = ranking.Ranking(
+            {worker: self._score(step_run, worker) for worker in candidates}
+        )
         chosen = []
         for task in tasks:
             if task.suspect:
-                best = quietest(scores, now)
+                best = quietest(ranked.scores, now)
             else:
-                best = best_of(scores, task.avoid)
+                best = ranked.best(task.avoid)
             if best is None:
                 break
             if keeps_waiting(task, best, now):
                 # Until then nothing begins there, so that it can begin alone.
-                scores[best] = None
+                ranked.rank(best, None)
                 best.avoid_until = task.not_before = now + fleet.ALONE_TERM
                 continue
             best.reserve(task)
             chosen.append(Choice(task, best))
-            scores[best] = self._score(step_run, best)
+            ranked.rank(best, self._score(step_run, best))
             if task.suspect and not task.step.gang:
                 best.alone = task
-                scores[best] = None
+                ranked.rank(best, None)
         return chosen
 
     def _score(self, step_run: progress.StepRun, worker: fleet.Worker) -> float | None:
@@ -221,22 +221,6 @@
     return now >= step_run.search_all_at
 
 
-def best_of(
-    scores: cabc.Mapping[fleet.Worker, float | None], avoid: str
-) -> fleet.Worker | None:
-    """Return the worker with the highest score, that to `avoid` only if alone."""
-    best = None
-    best_score = 0.0
-    for worker, score in scores.items():
-        if score is None:
-            continue
-        if worker.name == avoid:
-            score -= AVOID_WEIGHT
-        if best is None or score > best_score:
-            best, best_score = worker, score
-    return best
-
-
 def quietest(
     scores: cabc.Mapping[fleet.Worker, float | None], now: float
 ) -> fleet.Worker | None:
--- a/tests/scheduler/rounds.feature
+++ b/tests/scheduler/rounds.feature
@@ -40,3 +40,7 @@
     When another instance takes over from the leader
     Then others had a turn after each 100 ms at most
     And it knows 60 jobs and 60 workers
+
+  Scenario: The best worker is found without a search through all
+    # Guards against a choice that differs from the search through all workers.
+    Then in whatever order scores change, the best worker is that with the highest
--- a/tests/scheduler/steps/rounds_steps.py
+++ b/tests/scheduler/steps/rounds_steps.py
@@ -1,11 +1,14 @@
+import dataclasses
 import random
 from unittest import mock
 
 import gevent
+import hypothesis
 from behave import given, then, when
+from hypothesis import strategies as st
 from tests.scheduler import fakes
 
-from mangosail.scheduler import keys, placing, scheduler
+from mangosail.scheduler import keys, placing, ranking, scheduler
 
 JOB = "00000000000000aa"
 #: Seconds for which the tasks have stood still: longer than a round bears.
@@ -178,3 +181,50 @@
 def step_knows(context, jobs, count):
     known = context.leader.scheduler
     assert (len(known.jobs), len(known.workers)) == (jobs, count)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Named:
+    """What a ranking needs to know of a worker."""
+
+    name: str
+
+
+def searched(scores, avoid):
+    """Return the worker with the highest score, by a search through all."""
+    best, best_score = None, 0.0
+    for worker, score in scores.items():
+        if score is None:
+            continue
+        if worker.name == avoid:
+            score -= ranking.AVOID_WEIGHT
+        if best is None or score > best_score:
+            best, best_score = worker, score
+    return best
+
+
+SCORES = st.one_of(
+    st.none(),
+    st.integers(-3, 3).map(float),
+    st.sampled_from([-ranking.AVOID_WEIGHT - 1, ranking.AVOID_WEIGHT + 1]),
+)
+NAMES = st.sampled_from([f"w{number}" for number in range(6)])
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=400, database=None)
+@hypothesis.given(
+    st.lists(SCORES, max_size=6),
+    st.lists(st.tuples(NAMES, st.integers(0, 5), SCORES), max_size=12),
+)
+def ranks_alike(first, changes):
+    workers = [Named(f"w{number}") for number in range(len(first))]
+    ranked = ranking.Ranking(dict(zip(workers, first, strict=True)))
+    for avoid, number, score in [("", 0, first[0] if first else None), *changes]:
+        if number < len(workers):
+            ranked.rank(workers[number], score)
+        assert ranked.best(avoid) is searched(ranked.scores, avoid)
+
+
+@then("in whatever order scores change, the best worker is that with the highest")
+def step_ranks(context):
+    ranks_alike()
