--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -124,8 +124,20 @@
     ) -> messages.Answer:
         late = refused.reason is placement_errors.Reason.DEADLINE
         status = TIMED_OUT if late else UNAVAILABLE
+        if refused.reason is placement_errors.Reason.NO_CAPACITY:
+            self._log_no_room()
         return self.refuse(status, refused.reason.value, outcome, refused.retry_after)
 
+    def _log_no_room(self) -> None:
+        """Say what own workers have left, and what peers last told of theirs."""
+        log.info(
+            "no room",
+            lease_holds=self.lease.valid(),
+            workers=[owned.summary() for owned in self.placer.owned],
+            peers=self.forwarding.peers.told_slots(),
+            extra=len(self.attempts.extra),
+        )
+
     def spend(self, extra: budget.Budget, what: str, reason: str) -> bool:
         """Take an extra attempt from a budget, and count it or its refusal."""
         if not extra.spend():
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -174,6 +174,14 @@
         peers = self._open_peers(data_centre)
         return [peer for peer in peers if not has_room(peer, needs)]
 
+    def told_slots(self) -> dict[str, int]:
+        """Return the free slots that each reachable peer last told of."""
+        return {
+            peer.listed.name: free.slots
+            for peer in self.reachable()
+            if (free := free_of(peer)) is not None
+        }
+
     def _open_peers(self, data_centre: str) -> list[Peer]:
         """Return the peers that take new work, in the order to ask them.
 
--- a/src/mangosail/placement/workers.py
+++ b/src/mangosail/placement/workers.py
@@ -54,6 +54,19 @@
             return False
         return self.handover_deadline is None
 
+    def summary(self) -> dict[str, object]:
+        """Return what a log line tells of the worker's room for quotes."""
+        free = self.ledger.free(durable=False)
+        return {
+            "worker": self.name,
+            "accepts": self.accepts(),
+            "reachable": self.reachable,
+            "free_slots": free.slots,
+            "free_cpus": round(free.cpus, 1),
+            "durable": len(self.ledger.reserved) - len(self.ledger.idempotent),
+            "quotes": len(self.ledger.idempotent),
+        }
+
     def free_cpus(self) -> float:
         """Return the cores that nothing has reserved."""
         return self.ledger.free().cpus
