--- a/src/mangosail/front/forwarding.py
+++ b/src/mangosail/front/forwarding.py
@@ -8,6 +8,7 @@
 from mangosail import codec, resources
 from mangosail.front import messages, methods
 from mangosail.membership import peers as membership
+from mangosail.placement import errors as placement_errors
 from mangosail.telemetry import counters as telemetry
 
 #: Seconds of a caller's time kept back for the way home from a peer.
@@ -17,6 +18,8 @@
 #: Share of the remaining time that the first of two peers is given.
 FIRST_PEER_SHARE = 0.6
 
+#: What a peer without room refuses with.
+NO_ROOM = placement_errors.Reason.NO_CAPACITY.value
 OK = 200
 UNAVAILABLE = 503
 TIMED_OUT = 504
@@ -29,6 +32,7 @@
         self,
         peers: membership.Peers,
         data_centre: str,
+        bare: cabc.Callable[[], bool],
         retry: cabc.Callable[[str], bool],
         refuse: cabc.Callable[[int, str, str], messages.Answer],
         clock: clocks.Clock,
@@ -36,6 +40,8 @@
     ) -> None:
         self.peers = peers
         self.data_centre = data_centre
+        #: Tells whether this instance has no worker of its own to use.
+        self.bare = bare
         #: Takes an extra attempt, for the reason given, from the budget of all quotes.
         self.retry = retry
         self.refuse = refuse
@@ -86,11 +92,15 @@
         What peers told of their room is up to four seconds old. Where it leaves one
         peer alone, another is asked too: when that one was frozen, each quote was
         refused until the next heartbeat told of the room that others had by then.
+        Where it leaves none, a peer may have taken a worker since, or ended what filled
+        its own: all are asked for an instance that depends on them, else a few.
         """
         peers = self.peers.with_room(needs, self.data_centre)
-        if len(peers) == 1:
+        if not peers and not self.bare() and not self.retry("forward_no_room"):
+            return []
+        if len(peers) <= 1:
             peers += self.peers.without_room(needs, self.data_centre)
-            peers.sort(key=lambda peer: peer.silent)
+            peers.sort(key=membership.unlikely)
         return peers[:MOST_PEERS]
 
     def _ask(
@@ -100,6 +110,7 @@
         message = forwarded(request, timeout)
         answer = peer.channel.call(methods.FORWARD, message, timeout)
         peer.silent = isinstance(answer, result.Err)
+        peer.full = isinstance(answer, result.Ok) and answer.ok_value.body == NO_ROOM
         if isinstance(answer, result.Err):
             self.counters.count(f"front.forward_failed.{answer.err_value}")
         return answer
--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -74,6 +74,7 @@
         self.forwarding = forwarding.Forwarding(
             peers,
             lease.row.data_centre,
+            lambda: not any(owned.accepts() for owned in place.owned),
             lambda reason: self.spend(self.retries, "retry", reason),
             self.refuse,
             clock,
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -47,6 +47,8 @@
         self.reachable_deadline = 0.0
         #: True if it left a request unanswered and was not heard of since.
         self.silent = False
+        #: True if it had no room for the last request that was passed on to it.
+        self.full = False
         #: True while the peer is sent heartbeats.
         self.beating = False
         self.dropped = False
@@ -139,7 +141,7 @@
             # three peers elsewhere, and refused quotes that the third had room for.
             now = self.clock.monotonic()
             peer.reachable_deadline = now + REACHABLE_INTERVALS * FAR_INTERVAL
-            peer.silent = False
+            peer.silent = peer.full = False
 
     def heartbeat(self, message: messages.Heartbeat) -> messages.Heartbeat:
         """Take in a peer's state and return our own."""
@@ -186,10 +188,11 @@
         """Return the peers that take new work, in the order to ask them.
 
         Silent ones come last: a frozen peer counts as reachable for up to 12 s, and
-        each request that asked it first waited in vain.
+        each request that asked it first waited in vain. Before them come those that had
+        no room for what was passed on to them last.
         """
         open_peers = [
-            (peer.silent, peer.listed.data_centre != data_centre, -free.slots, peer)
+            (unlikely(peer), peer.listed.data_centre != data_centre, -free.slots, peer)
             for peer in self.reachable()
             if (free := free_of(peer)) is not None
         ]
@@ -227,12 +230,17 @@
         if now >= peer.reachable_deadline:
             log.info("peer reached", peer=peer.listed.name)
         peer.state = dataclasses.replace(answer.ok_value, known=())
-        peer.silent = False
+        peer.silent = peer.full = False
         peer.reachable_deadline = now + REACHABLE_INTERVALS * interval
         if answer.ok_value.known:
             self._learn(answer.ok_value.known)
 
 
+def unlikely(peer: Peer) -> tuple[bool, bool]:
+    """Return what orders peers by how likely they are to serve, the best first."""
+    return peer.silent, peer.full
+
+
 def free_of(peer: Peer) -> resources.Resources | None:
     """Return the room that a peer last told of; None if it takes no new work."""
     if peer.state is None or peer.state.draining:
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -38,3 +38,18 @@
     When "frozen" answers nothing and "third" serves
     And "third" sends a heartbeat
     Then a quote is served by "third" after "frozen" was asked
+
+  Scenario: No peer told of room, and one has taken a worker since
+    # Guards against quotes refused at once by an instance that depends on its peers.
+    Given a peer "bare" without and a peer "taker" without
+    When "bare" refuses "no_capacity" as "not_run" and "taker" serves
+    Then a quote is served by "taker" after "bare" was asked
+    And a quote is served by "taker" at once
+    When "bare" serves and sends a heartbeat
+    Then a quote is served by "bare" at once
+
+  Scenario: Where own workers are full too, peers without room are asked now and again
+    # Guards against each refusal asking all peers while everybody is full.
+    Given a peer "full" without and a peer "other" without
+    And own workers that are full, and no retries to spend
+    Then a quote finds no peer to ask
--- a/tests/front/steps/forwarding_steps.py
+++ b/tests/front/steps/forwarding_steps.py
@@ -63,10 +63,12 @@
     context.peers = peers.Peers("own", "taraz", None, context.clock, counts)
     add_peer(context, first, room)
     add_peer(context, second, other_room)
+    context.bare = context.retries = True
     context.forwarding = forwarding.Forwarding(
         context.peers,
         "taraz",
-        lambda reason: True,
+        lambda: context.bare,
+        lambda reason: context.retries,
         lambda *refusal: result.Err(
             messages.Refusal(refusal[0], refusal[1], 1.0, refusal[2])
         ),
@@ -89,6 +91,26 @@
     context.peers.by_name[other].channel.answer = served_by(other)
 
 
+@given("own workers that are full, and no retries to spend")
+def own_full(context):
+    context.bare = context.retries = False
+
+
+@when('"{full}" refuses "{reason}" as "{outcome}" and "{other}" serves')
+def one_refuses(context, full, reason, outcome, other):
+    by_name = context.peers.by_name
+    by_name[full].channel.answer = messages.ForwardedAnswer(
+        "q-1", 503, reason, outcome=outcome
+    )
+    by_name[other].channel.answer = served_by(other)
+
+
+@then("a quote finds no peer to ask")
+def none_asked(context):
+    assert ask(context) is None
+    assert context.asked == [], context.asked
+
+
 @when('"{name}" serves and sends a heartbeat')
 def heard_again(context, name):
     context.peers.by_name[name].channel.answer = served_by(name)
