--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -86,9 +86,13 @@
         """Return the seed that was set, or one drawn for each who asks."""
         return self.process.seed or random.getrandbits(32)
 
-    def _workers_listed(self) -> bool:
-        """Tell whether the platform lists workers that this instance may own."""
-        return bool(self.listed.live(self.process.data_centre))
+    def _may_own(self) -> bool:
+        """Tell whether this instance may come to own a worker within seconds.
+
+        Without the table it can take none: a caller's watch waited 5 s for nothing.
+        """
+        listed = self.listed.live(self.process.data_centre)
+        return bool(listed) and self.lease.may_take()
 
     def _know_peers(self) -> None:
         """Make what is asked of peers and told to them."""
@@ -202,7 +206,7 @@
             jobs=self.jobs,
             owned=self.workers,
             watches=streams.Watches(
-                self.workers, self._workers_listed, self.clock, self.counters
+                self.workers, self._may_own, self.clock, self.counters
             ),
             clock=self.clock,
             counters=self.counters,
--- a/src/mangosail/ownership/session.py
+++ b/src/mangosail/ownership/session.py
@@ -46,6 +46,8 @@
         self.version: int | None = None
         #: Monotonic time at which the lease ends; 0 before the first renewal.
         self.deadline = 0.0
+        #: True if the table was out of reach at the latest renewal.
+        self.away = False
         #: True after a planned stop: the row is never written again.
         self.closed = False
 
@@ -58,6 +60,10 @@
         """Tell whether the lease holds now; ask before each side effect."""
         return self.clock.monotonic() < self.deadline
 
+    def may_take(self) -> bool:
+        """Tell whether workers may be taken, now or once the lease is renewed."""
+        return self.valid() or not self.away
+
     def start_deadline(self) -> float:
         """Return the wall time until which a start sent now may begin.
 
@@ -87,6 +93,13 @@
 
     def renew(self) -> result.Result[None, errors.CommitError]:
         """Move the lease on; `Conflict` means that it was taken away for good."""
+        renewed = self._renew()
+        self.away = isinstance(renewed, result.Err) and not isinstance(
+            renewed.err_value, errors.Conflict
+        )
+        return renewed
+
+    def _renew(self) -> result.Result[None, errors.CommitError]:
         if self.closed:
             return result.Ok(None)
         if self.version is None:
--- a/tests/ownership/ownership.feature
+++ b/tests/ownership/ownership.feature
@@ -85,6 +85,14 @@
     Then all leases hold within 5 seconds and no worker changed its owner
     And no worker was ever given more than it can carry
 
+  Scenario: An instance owns no worker when the table goes down
+    # Guards against callers who wait in vain, or are refused although peers have room.
+    Given a stage of 3 instances and 1 worker in one data centre
+    And quotes and releases arrive at every instance
+    When the table is down until every lease has lapsed
+    Then quotes are answered at every instance
+    And a new watch is refused at once by the instances that own no worker
+
   Scenario: A data centre is cut off from the platform
     Unlike a table that refuses, the platform is silent: every call hangs until
     its timeout. Quotes must not wait for any of them.
--- a/tests/ownership/steps/ownership_steps.py
+++ b/tests/ownership/steps/ownership_steps.py
@@ -41,6 +41,18 @@
     context.before = owners(context)
 
 
+@given("a stage of 3 instances and 1 worker in one data centre")
+def stage_of_one_worker(context):
+    context.stage = stage.Stage()
+    context.stage.start_platform()
+    context.stage.write_settings("fuel-desk", teams.example("fuel-desk"))
+    context.stage.start_workers("shymkent", 1, slots=18)
+    for number in range(3):
+        context.stage.start_instance(f"i{number}", "shymkent")
+    context.stage.wait_ready()
+    stage.wait_until(lambda: len(owners(context)) == 1, 10, "the worker owned")
+
+
 def cut_pair(context, first, second):
     """Let the two see each other through relays, so that they can be parted."""
     context.relays = {
@@ -304,6 +316,18 @@
         assert [line.get("sequence") for line in lines] == [1, 2], answer
 
 
+@then("a new watch is refused at once by the instances that own no worker")
+def watches_refused(context):
+    headers = teams.bearer("fuel-desk-token")
+    owning = {owner[0] for owner in owners(context).values()}
+    for name in sorted(set(context.stage.instances) - owning):
+        path = "/v1/watches/fuel/tail-watch?subject=UP-1:2&after=0"
+        answer = context.stage.call(name, "GET", path, headers=headers)
+        assert answer.status == 503 and answer.seconds < 1.0, answer
+        assert answer.json()["title"] == "no_capacity", answer
+        assert "retry-after" in answer.headers, answer
+
+
 @when("the table is up again")
 def table_up(context):
     context.stage.faults(table="up")
