--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -34,6 +34,9 @@
 MOST_BYTES = 50_000
 #: Seconds between renewals of the lease; a third of what standbys wait.
 RENEWAL_INTERVAL = 0.3
+#: Share of the longest time between renewals that still counts at the next one, so that
+#: half of it is forgotten in 4 s.
+INTERVAL_KEPT = 0.95
 #: Renewals of the lease between writes of what is kept now and again.
 EXTRA_RENEWALS = 7
 #: Seconds before a transaction that was refused is sent again.
@@ -57,6 +60,8 @@
     released: bool = False
     #: Speed of the holder, in cores.
     cores: float = 1.0
+    #: Seconds between the holder's renewals, the longest of late.
+    interval: float = RENEWAL_INTERVAL
     #: Cores that continuous jobs may take together; None if not known yet.
     continuous_bound: float | None = None
     #: Accepted jobs of each queue of which nothing has started.
@@ -105,6 +110,8 @@
         self.wanted = gevent.event.Event()
         self.links = 0
         self.renew_at = 0.0
+        #: Elapsed time of the latest renewal, or of the claim.
+        self.renewed_at = clock.elapsed()
         #: Elapsed time at which the latest transaction that took effect was sent.
         self.confirmed_at = clock.elapsed()
         self.deposed = False
@@ -221,16 +228,24 @@
     def _renew(self) -> list[table.Write]:
         """Return what a renewal of the lease writes, the lease last."""
         renewals = self.held.lease.renewals + 1
-        self.renew_at = self.clock.elapsed() + RENEWAL_INTERVAL
+        now = self.clock.elapsed()
+        passed, self.renewed_at = now - self.renewed_at, now
+        self.renew_at = now + RENEWAL_INTERVAL
         extra = self.now_and_again() if renewals % EXTRA_RENEWALS == 0 else ()
         lease = self._write_lease(
             renewals=renewals,
+            interval=self._interval(passed),
             pending=self.pending(),
             continuous_bound=self.continuous_bound(),
             released=False,
         )
         return [*extra, lease]
 
+    def _interval(self, passed: float) -> float:
+        """Return the longest time between renewals of late, `passed` being the last."""
+        kept = INTERVAL_KEPT * self.held.lease.interval
+        return round(max(passed, kept, RENEWAL_INTERVAL), 3)
+
     def _write_lease(self, **facts: t.Any) -> table.Write:
         """Return the write of the lease, changed in these facts."""
         lease = dataclasses.replace(self.held.lease, **facts)
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -26,6 +26,16 @@
 #: A holder that is deposed too soon costs a takeover of about 0.1 s; a lost one
 #: costs all of this.
 TERM = 0.9
+#: The same where the holder's own renewals were further apart of late, in multiples of
+#: that: it lives and has much to do, and its successor would have as much and more.
+MISSED_RENEWALS = 3.0
+#: The same for a holder that has just taken over, the most that a leader has to do at a
+#: time, and for how many seconds from then on.
+TAKEOVER_TERM = 2.0
+TAKEOVER_SPAN = 5.0
+#: The same at most, whatever the holder says: with it and a takeover, leases of workers
+#: go on.
+LONGEST_TERM = 2.0
 #: How often the time of a standby's own reading is added: a renewal takes about three
 #: times as long, and where the store is slow it is the store that is late.
 READ_FACTOR = 4.0
@@ -74,6 +84,8 @@
     since: float
     #: Elapsed time at which its holder was first seen to lead.
     led_since: float
+    #: Elapsed time at which it was seen to take over from another; None if it was not.
+    taken_at: float | None = None
 
 
 class Leadership:
@@ -165,11 +177,13 @@
         now = self.clock.elapsed()
         self.read_term = now - sent_at
         since = self.seen.since if same and self.seen else now
-        led_since = now
+        led_since, taken_at = now, None
         if self.seen and self.seen.lease and lease:
             if self.seen.lease.token == lease.token:
-                led_since = self.seen.led_since
-        self.seen = Seen(lease, lease_version, since, led_since)
+                led_since, taken_at = self.seen.led_since, self.seen.taken_at
+            else:
+                taken_at = now
+        self.seen = Seen(lease, lease_version, since, led_since, taken_at)
         return True
 
     def _free(self, now: float) -> bool:
@@ -182,7 +196,8 @@
         if seen.lease.holder == self.name:
             # An earlier run of this very instance: it has ended.
             return True
-        term = TERM + READ_FACTOR * self.read_term + self.stagger + handicap
+        term = term_of(seen.lease.interval, seen.taken_at, now)
+        term += READ_FACTOR * self.read_term + self.stagger + handicap
         return now - seen.since >= term
 
     def _handicap(self, lease: journal.Lease | None, now: float) -> float:
@@ -213,6 +228,7 @@
             self.incarnation,
             token,
             cores=self.cores,
+            interval=seen.lease.interval if seen.lease else journal.RENEWAL_INTERVAL,
             # What all instances go by stays in force until this one knows better.
             # Without the bound, all continuous work was let in between two leaders.
             continuous_bound=seen.lease.continuous_bound if seen.lease else None,
@@ -229,3 +245,18 @@
         log.info("lease won", token=token, previous=previous, unchanged=age)
         self.counters.count("leadership.claimed")
         return journal.Held(lease, version, version)
+
+
+def term_of(interval: float, taken_at: float | None, now: float) -> float:
+    """Return the seconds without a renewal after which a holder counts as lost.
+
+    `interval` is what lies between its renewals. Leaders of large fleets were late by
+    0.1 s and deposed, their successors too, and nobody looked at workers for seconds::
+
+        >>> term_of(0.3, None, 9.0), term_of(0.6, None, 9.0), term_of(0.3, 5.0, 9.0)
+        (0.9, 1.8, 2.0)
+    """
+    term = max(TERM, MISSED_RENEWALS * interval)
+    if taken_at is not None and now < taken_at + TAKEOVER_SPAN:
+        term = max(term, TAKEOVER_TERM)
+    return min(term, LONGEST_TERM)
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -49,3 +49,23 @@
     Given an instance of 1 core leads and works as fast as ever
     When one piece of its work takes 50 times as long
     Then it keeps the lease
+
+  Scenario: A holder that lives is not deposed for being late
+    # Guards against leaders that depose each other while each has too much to do.
+    Given an instance of 2 cores leads and renews its lease each 0.6 s
+    When a standby of 2 cores watches for 6 seconds
+    And the holder is 1.7 s late once
+    Then the standby does not lead
+
+  Scenario: A holder that has just taken over is given time
+    # Guards against a takeover that is met by the next one.
+    Given a standby of 2 cores saw another instance take over
+    Then the standby leads 2 to 3.2 s after the holder's last renewal
+    When the holder has led for 8 seconds before it dies
+    Then the standby leads 0.9 to 2.1 s after the holder's last renewal
+
+  Scenario: A late holder that dies is replaced while leases of workers go on
+    # Guards against a holder that says it renews seldom and is waited for too long.
+    Given an instance of 2 cores leads and renews its lease each 1.5 s
+    When it dies, seen by a standby of 2 cores
+    Then the standby leads 2 to 3.2 s after the holder's last renewal
--- a/tests/scheduler/steps/leadership_steps.py
+++ b/tests/scheduler/steps/leadership_steps.py
@@ -21,6 +21,7 @@
 
 
 def begin(context):
+    context.interval = context.renewed_at = 0.0
     context.world = fakes.World(random.Random(11))
 
 
@@ -42,6 +43,62 @@
     )
 
 
+@given("an instance of {cores:g} cores leads and renews its lease each {interval:g} s")
+def step_leads_late(context, cores, interval):
+    step_leads(context, cores)
+    context.interval = interval
+    for _ in range(6):
+        context.world.clock.now += interval
+        renew(context)
+
+
+@given("a standby of {cores:g} cores saw another instance take over")
+def step_saw(context, cores):
+    step_died(context, cores)
+    context.standby = instance(context, "second", cores)
+    context.standby.watch()
+    held = claim(context, instance(context, "third", cores))
+    context.standby.watch()
+    context.journal = journal.Journal(
+        context.world.rows, held, context.world.clock, context.world.counters
+    )
+    renew(context)
+    die(context)
+
+
+@when("the holder is {seconds:g} s late once")
+def step_late_once(context, seconds):
+    context.interval = seconds
+    context.leads = watch(context, [context.standby], seconds + 0.1)
+
+
+@when("the holder has led for {seconds:d} seconds before it dies")
+def step_led(context, seconds):
+    step_saw(context, context.standby.cores)
+    context.journal = context.last
+    assert watch(context, [context.standby], seconds) is None
+    die(context)
+
+
+@when("it dies, seen by a standby of {cores:g} cores")
+def step_dies(context, cores):
+    context.standby = instance(context, "second", cores)
+    assert watch(context, [context.standby], 5) is None
+    die(context)
+
+
+def die(context):
+    """Let the holder renew no more."""
+    context.last, context.journal = context.journal, None
+
+
+@then("the standby leads {least:g} to {most:g} s after the holder's last renewal")
+def step_leads_after(context, least, most):
+    assert watch(context, [context.standby], 8) is context.standby
+    passed = context.world.clock.now - context.renewed_at
+    assert least <= passed <= most, passed
+
+
 @given("an instance of {cores:g} cores led and died")
 def step_died(context, cores):
     step_leads(context, cores)
@@ -66,11 +123,19 @@
                     return candidate
                 due[candidate] = clock.now + candidate.pause()
         if context.journal is not None:
-            context.journal.write()
+            renew(context)
         clock.now += 0.05
     return None
 
 
+def renew(context):
+    """Let the holder write, if it gets to that."""
+    now = context.world.clock.now
+    if now >= context.renewed_at + context.interval:
+        context.journal.write()
+        context.renewed_at = now
+
+
 @when("a standby of {cores:g} cores watches for {seconds:d} seconds")
 def step_watch(context, cores, seconds):
     context.standby = instance(context, "second", cores)
