--- a/src/mangosail/scheduler/reach.py
+++ b/src/mangosail/scheduler/reach.py
@@ -16,7 +16,7 @@
 from mangosail.scheduler import messages
 
 #: Workers that a leader attends to for each core that it has.
-WORKERS_PER_CORE = 700
+WORKERS_PER_CORE = 400
 #: Workers that any leader attends to: one with a small part of a core is soon replaced
 #: by a faster one, and is the last one left where there is none.
 LEAST_WORKERS = 300
@@ -31,7 +31,7 @@
     `connections` is how many workers its connections are enough for::
 
         >>> bound(2.0, 2400), bound(2.0, 1000), bound(0.3, 1000)
-        (1400, 1000, 300)
+        (800, 800, 300)
     """
     return min(max(int(cores * WORKERS_PER_CORE), LEAST_WORKERS), connections)
 
--- a/tests/scheduler/reach.feature
+++ b/tests/scheduler/reach.feature
@@ -11,9 +11,9 @@
     Examples:
       | cores | descriptors | workers |
       | 0.297 | 4100        | 300     |
-      | 1.07  | 4100        | 749     |
-      | 2.15  | 4100        | 1100    |
-      | 2.15  | 8192        | 1505    |
+      | 1.07  | 4100        | 428     |
+      | 2.15  | 2000        | 400     |
+      | 2.15  | 8192        | 860     |
 
   Scenario: Some workers of each rack are within reach
     A task may ask for a rack. Were the first workers by name taken, whole racks would
