--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -250,8 +250,9 @@
 def term_of(interval: float, taken_at: float | None, now: float) -> float:
     """Return the seconds without a renewal after which a holder counts as lost.
 
-    `interval` is what lies between its renewals. Leaders of large fleets were late by
-    0.1 s and deposed, their successors too, and nobody looked at workers for seconds::
+    `interval` is what lies between its renewals. Leaders of large fleets were deposed
+    for being a little late, and their successors too; nobody looked at workers
+    meanwhile::
 
         >>> term_of(0.3, None, 9.0), term_of(0.6, None, 9.0), term_of(0.3, 5.0, 9.0)
         (0.9, 1.8, 2.0)
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -153,8 +153,7 @@
                 self.counters.count("rounds.place_failed")
                 log.exception("place failed")
             # A third of the processor at most goes into placing; what was placed has to
-            # be written and sent. A long round has paused before: after one of 0.8 s
-            # nothing was placed for another 2.5 s.
+            # be written and sent. A long round has paused in between.
             took = self.turns.total()
             self.counters.time("rounds.place", took)
             if took >= LONG_ROUND:
@@ -203,8 +202,8 @@
     def _move_slow(self, now: float) -> None:
         """Stop tasks that stand still where other workers have room for them.
 
-        All workers at once kept the processor for a second after a change of leader:
-        the new leader renewed its lease too late, and lost it to another.
+        All workers in one round kept the processor for so long after a change of leader
+        that the new one lost its lease.
         """
         if not self.to_search:
             if now < self.move_at:
