--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -62,6 +62,8 @@
     cores: float = 1.0
     #: Seconds between the holder's renewals, the longest of late.
     interval: float = RENEWAL_INTERVAL
+    #: Workers that the holder attends to.
+    workers: int = 0
     #: Cores that continuous jobs may take together; None if not known yet.
     continuous_bound: float | None = None
     #: Accepted jobs of each queue of which nothing has started.
@@ -101,6 +103,7 @@
         self.counters = counters
         #: Return what the lease's row tells all instances.
         self.pending: cabc.Callable[[], dict[str, int]] = dict
+        self.workers: cabc.Callable[[], int] = lambda: 0
         self.continuous_bound: cabc.Callable[[], float | None] = lambda: None
         #: Returns rows that are kept now and again, with a renewal of the lease.
         self.now_and_again: cabc.Callable[[], tuple[table.Write, ...]] = tuple
@@ -235,6 +238,7 @@
         lease = self._write_lease(
             renewals=renewals,
             interval=self._interval(passed),
+            workers=self.workers(),
             pending=self.pending(),
             continuous_bound=self.continuous_bound(),
             released=False,
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -29,9 +29,10 @@
 #: The same where the holder's own renewals were further apart of late, in multiples of
 #: that: it lives and has much to do, and its successor would have as much and more.
 MISSED_RENEWALS = 3.0
-#: The same for a holder that has just taken over, the most that a leader has to do at a
-#: time, and for how many seconds from then on.
-TAKEOVER_TERM = 2.0
+#: Seconds that are added for a holder that has just taken over, for each worker that it
+#: attends to with each of its cores: they are all looked at at once, the most that a
+#: leader has to do at a time. And for how many seconds from then on.
+TAKEOVER_TERM = 0.0028
 TAKEOVER_SPAN = 5.0
 #: The same at most, whatever the holder says: with it and a takeover, leases of workers
 #: go on.
@@ -196,7 +197,8 @@
         if seen.lease.holder == self.name:
             # An earlier run of this very instance: it has ended.
             return True
-        term = term_of(seen.lease.interval, seen.taken_at, now)
+        fresh = seen.taken_at is not None and now < seen.taken_at + TAKEOVER_SPAN
+        term = term_of(seen.lease, fresh)
         term += READ_FACTOR * self.read_term + self.stagger + handicap
         return now - seen.since >= term
 
@@ -229,6 +231,7 @@
             token,
             cores=self.cores,
             interval=seen.lease.interval if seen.lease else journal.RENEWAL_INTERVAL,
+            workers=seen.lease.workers if seen.lease else 0,
             # What all instances go by stays in force until this one knows better.
             # Without the bound, all continuous work was let in between two leaders.
             continuous_bound=seen.lease.continuous_bound if seen.lease else None,
@@ -247,17 +250,17 @@
         return journal.Held(lease, version, version)
 
 
-def term_of(interval: float, taken_at: float | None, now: float) -> float:
+def term_of(lease: journal.Lease, fresh: bool) -> float:
     """Return the seconds without a renewal after which a holder counts as lost.
 
-    `interval` is what lies between its renewals. Leaders of large fleets were deposed
-    for being a little late, and their successors too; nobody looked at workers
-    meanwhile::
+    `fresh` tells that it has just taken over. Leaders of large fleets were deposed for
+    being a little late, and their successors too; nobody looked at workers meanwhile::
 
-        >>> term_of(0.3, None, 9.0), term_of(0.6, None, 9.0), term_of(0.3, 5.0, 9.0)
-        (0.9, 1.8, 2.0)
+        >>> lease = journal.Lease("a", "", 7, cores=2.0, workers=800)
+        >>> term_of(lease, fresh=False), term_of(lease, fresh=True)
+        (0.9, 2.0)
     """
-    term = max(TERM, MISSED_RENEWALS * interval)
-    if taken_at is not None and now < taken_at + TAKEOVER_SPAN:
-        term = max(term, TAKEOVER_TERM)
+    term = max(TERM, MISSED_RENEWALS * lease.interval)
+    if fresh:
+        term = max(term, TERM + TAKEOVER_TERM * lease.workers / lease.cores)
     return min(term, LONGEST_TERM)
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -106,6 +106,7 @@
         self.journal.now_and_again = self._kept_now_and_again
         self.sweeper = sweeping.Sweeper(rows, self.ended.discard, clock, counters)
         self.journal.continuous_bound = self.continuous_bound
+        self.journal.workers = self.attended
         self.returns = admission.Returns(rows, self.jobs, clock, counters)
         self.orders = orders.Orders(
             calls, held.lease.token, self.workers, self.changed, clock, counters
@@ -216,6 +217,12 @@
             return self.journal.held.lease.continuous_bound
         return admission.bound(self.workers) or None
 
+    def attended(self) -> int:
+        """Return how many workers are attended to; the earlier leader's before that."""
+        if not self.attending:
+            return self.journal.held.lease.workers
+        return len(self.workers)
+
     def _kept_now_and_again(self) -> tuple[table.Write, ...]:
         text = codec.to_json(self.model.learned())
         return (table.Write(keys.LEARNED, text),)
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -57,13 +57,18 @@
     And the holder is 1.7 s late once
     Then the standby does not lead
 
-  Scenario: A holder that has just taken over is given time
+  Scenario: A holder that has just taken over many workers is given time
     # Guards against a takeover that is met by the next one.
-    Given a standby of 2 cores saw another instance take over
+    Given a standby of 2 cores saw another instance take over 800 workers
     Then the standby leads 2 to 3.2 s after the holder's last renewal
     When the holder has led for 8 seconds before it dies
     Then the standby leads 0.9 to 2.1 s after the holder's last renewal
 
+  Scenario: A holder that has just taken over few workers is replaced as soon as another
+    # Guards against starts that wait where leaders are lost one after the other.
+    Given a standby of 2 cores saw another instance take over 30 workers
+    Then the standby leads 0.9 to 2.1 s after the holder's last renewal
+
   Scenario: A late holder that dies is replaced while leases of workers go on
     # Guards against a holder that says it renews seldom and is waited for too long.
     Given an instance of 2 cores leads and renews its lease each 1.5 s
--- a/tests/scheduler/steps/leadership_steps.py
+++ b/tests/scheduler/steps/leadership_steps.py
@@ -52,8 +52,9 @@
         renew(context)
 
 
-@given("a standby of {cores:g} cores saw another instance take over")
-def step_saw(context, cores):
+@given("a standby of {cores:g} cores saw another instance take over {count:d} workers")
+def step_saw(context, cores, count):
+    context.count = count
     step_died(context, cores)
     context.standby = instance(context, "second", cores)
     context.standby.watch()
@@ -62,7 +63,9 @@
     context.journal = journal.Journal(
         context.world.rows, held, context.world.clock, context.world.counters
     )
+    context.journal.workers = lambda: count
     renew(context)
+    context.standby.watch()
     die(context)
 
 
@@ -74,7 +77,7 @@
 
 @when("the holder has led for {seconds:d} seconds before it dies")
 def step_led(context, seconds):
-    step_saw(context, context.standby.cores)
+    step_saw(context, context.standby.cores, context.count)
     context.journal = context.last
     assert watch(context, [context.standby], seconds) is None
     die(context)
