--- a/src/mangosail/front/quotes.py
+++ b/src/mangosail/front/quotes.py
@@ -1,6 +1,7 @@
 """Quotes: latency-critical, idempotent, answered in the same exchange."""
 
 import collections.abc as cabc
+import itertools
 
 import gevent.queue
 import logbook
@@ -39,6 +40,8 @@
 LOST_SHARE = 0.5
 #: Seconds after which a caller that found no room should come back.
 COME_BACK = 1.0
+#: Own workers, and peers, that the line of a refusal tells of; it comes with each one.
+MOST_TOLD = 8
 #: Refusals after which a peer may still have room.
 FORWARDED_REASONS = frozenset(
     {placement_errors.Reason.NO_CAPACITY, placement_errors.Reason.DEADLINE}
@@ -134,8 +137,11 @@
         log.info(
             "no room",
             lease_holds=self.lease.valid(),
-            workers=[owned.summary() for owned in self.placer.owned],
-            peers=self.forwarding.peers.told_slots(),
+            workers=[
+                owned.summary()
+                for owned in itertools.islice(self.placer.owned, MOST_TOLD)
+            ],
+            peers=self.forwarding.peers.told_slots(MOST_TOLD),
             extra=len(self.attempts.extra),
         )
 
--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -176,11 +176,11 @@
         peers = self._open_peers(data_centre)
         return [peer for peer in peers if not has_room(peer, needs)]
 
-    def told_slots(self) -> dict[str, int]:
-        """Return the free slots that each reachable peer last told of."""
+    def told_slots(self, most: int) -> dict[str, int]:
+        """Return the free slots that up to `most` reachable peers last told of."""
         return {
             peer.listed.name: free.slots
-            for peer in self.reachable()
+            for peer in self.reachable()[:most]
             if (free := free_of(peer)) is not None
         }
 
