Let one caller at a time claim what an earlier claim left

Callers saw: two callers who ordered the same release at two instances got 500 (KeyError in Registry.claim), and the order stayed claimed and unknown for good.

Cause: when a claim ends without a task, all who wait for it go on at once. Each registered a claim of its own over the other's; the first to end removed the mark, the second one's removal raised after its task had been registered, so that nothing started it. An evicted task was claimed anew without waiting at all, with the same result.

Ruled out: the table's check, which let only one of them write; placement, whose reservation under the same id is released by either.

The mend: who waits looks again whether somebody claims by now, evicted work waits too and joins a task that is there, and a claim of what is claimed or registered is refused before anything is written. The check and the mark have no yield between them, so no second claim can come in between.

Only suspected: jobs/takeover.py may hold a job a second time while its submission waits for the answer of the write that created it; the tasks keep their ids, so nothing starts twice.

--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -7,6 +7,7 @@
 import collections.abc as cabc
 import contextlib
 
+import gevent
 import gevent.event
 import gevent.lock
 
@@ -102,13 +103,25 @@
             task.removed.set(row)
 
     def await_claim(self, task_id: str, seconds: float) -> bool:
-        """Wait for a claim in progress; return whether it has finished in time."""
-        event = self.claiming.get(task_id)
-        return event is None or event.wait(timeout=seconds)
+        """Wait until nobody claims `task_id`; return whether that was so in time.
+
+        When a claim comes to nothing, all who waited for it go on, and the first of
+        them may claim anew before the others run.
+        """
+        with gevent.Timeout(seconds, False):
+            while (event := self.claiming.get(task_id)) is not None:
+                event.wait()
+            return True
+        return False
 
     @contextlib.contextmanager
     def claim(self, task_id: str) -> cabc.Iterator[None]:
-        """Mark `task_id` as being claimed, so that no other greenlet claims it."""
+        """Mark `task_id` as being claimed, so that no other greenlet claims it.
+
+        The caller has made sure, without yielding since, that it is not in here.
+        """
+        if task_id in self:
+            raise ValueError(f"{task_id} is claimed already")
         event = gevent.event.Event()
         self.claiming[task_id] = event
         try:
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -125,16 +125,20 @@
         `unknown` with the time to ask again; the work continues. No row is read
         before the claim, whose version check fails if there is one.
         """
-        task_id = messages.task_id_of(request)
-        remaining = max(deadline - self.ctx.clock.monotonic(), 0.0)
-        if not self.ctx.registry.await_claim(task_id, remaining):
+        if not self._await_claim(request, deadline):
             return result.Ok(outcomes.unknown_outcome(request.request_id, "claiming"))
-        if self.ctx.registry.get(task_id) is not None:
+        if self.ctx.registry.get(messages.task_id_of(request)) is not None:
             return self._resubmit(request, deadline)
         if not self.has_room(request) or not self.ctx.lease.valid():
             return self._submit_without_room(request, deadline, forward)
         return self._claim(request, None, deadline)
 
+    def _await_claim(self, request: messages.Request, deadline: float) -> bool:
+        """Wait until nobody claims `request` here; return whether that was in time."""
+        remaining = max(deadline - self.ctx.clock.monotonic(), 0.0)
+        task_id = messages.task_id_of(request)
+        return self.ctx.registry.await_claim(task_id, remaining)
+
     def has_room(self, request: messages.Request) -> bool:
         """Return whether `request` would now be placed or refused for good."""
         return self.placer.wait_reason(placing.placement_work(request)) is None
@@ -351,11 +355,21 @@
         if row.state in messages.FINAL_STATES:
             return result.Ok(outcomes.outcome_of(row))
         if row.state is messages.State.EVICTED:
-            return self._claim(row.request, stored, deadline)
+            return self._resume(stored, deadline)
         return result.Ok(
             self.waiter.wait_for_row(request.team, request.request_id, deadline)
         )
 
+    def _resume(self, stored: claims.StoredRow, deadline: float) -> Submitted:
+        """Claim evicted work anew, unless another caller has done so meanwhile."""
+        request = stored.row.request
+        if not self._await_claim(request, deadline):
+            return result.Ok(outcomes.unknown_outcome(request.request_id, "claiming"))
+        task = self.ctx.registry.get(messages.task_id_of(request))
+        if task is not None:
+            return result.Ok(self.waiter.wait_for_task(task, deadline))
+        return self._claim(request, stored, deadline)
+
     def _is_same_request(
         self, request: messages.Request, row: messages.WorkRow
     ) -> bool:
--- a/tests/work/promises.feature
+++ b/tests/work/promises.feature
@@ -47,3 +47,15 @@
     When the platform calls the worker gone
     Then the release is unknown for good, because "worker_lost"
     And the batch task resumes elsewhere as generation 2
+
+  Scenario Outline: Work whose claim came to nothing is claimed again by one caller
+    Guards against two callers that wait for a claim and then both claim the work: the
+    second one's error left a task registered that nobody started.
+    When 3 callers order <work> at once, and the first claim meets <obstacle>
+    Then none of the callers meets an exception
+    And the work was started <starts> times, each generation once
+
+    Examples:
+      | work              | obstacle            | starts |
+      | a release         | a table that is down | 1     |
+      | an evicted task   | the evicted row     | 2      |
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -11,6 +11,7 @@
 from mangosail.dispatch import messages as dispatch
 from mangosail.platform import batching, errors, table
 from mangosail.telemetry import counters
+from mangosail.work import messages
 
 
 @then("{count:d} random histories of up to {steps:d} steps keep every guarantee")
@@ -252,3 +253,57 @@
 def resumes(context, generation):
     context.first.submit("t", restartable=True)
     assert ("start", "team/t", generation, "") in context.world.workers["w1"].log
+
+
+class SlowCommits:
+    """A table whose commits let other greenlets run before they take effect."""
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    def read(self, keys):
+        gevent.sleep(0.001)
+        return self.rows.read(keys)
+
+    def commit(self, transaction):
+        fault, self.rows.world.table_fault = self.rows.world.table_fault, ""
+        gevent.sleep(0.002)
+        self.rows.world.table_fault = fault
+        return self.rows.commit(transaction)
+
+
+@when("{count:d} callers order {work} at once, and the first claim meets {obstacle}")
+def order_at_once(context, count, work, obstacle):
+    context.world = world = fakes.World()
+    worker = fakes.Worker(world, "w0")
+    instance = fakes.Instance(world, "a")
+    instance.take(worker, 1)
+    evicted = work == "an evicted task"
+    if evicted:
+        instance.submit("t", restartable=True)
+        assert instance.runner.evict("team/t", "pressure").is_ok()
+    if obstacle == "a table that is down":
+        world.table_fault = "down"
+    slow = SlowCommits(instance.runner.ctx.claims.rows)
+    instance.runner.ctx.claims.rows = slow
+    request = messages.Request(
+        "team", "t", "kind", fakes.NEEDS, {"id": "t"}, restartable=evicted
+    )
+    deadline = world.clock.now + 0.1
+    context.callers = [
+        gevent.spawn(instance.runner.submit, request, deadline) for _ in range(count)
+    ]
+    gevent.joinall(context.callers, timeout=5)
+
+
+@then("none of the callers meets an exception")
+def no_exception(context):
+    assert all(caller.ready() for caller in context.callers)
+    errors_met = [c.exception for c in context.callers if c.exception is not None]
+    assert not errors_met, errors_met
+
+
+@then("the work was started {count:d} times, each generation once")
+def started_each_once(context, count):
+    generations = [entry[2] for entry in starts(context.world)]
+    assert generations == list(range(1, count + 1)), generations
