Look at changed workers only before asking whether they fit

A best-effort step that found no room is tried on workers that have changed since, but all workers were asked whether they fit first.

The order of the candidates is the same, so the choice is; the slice's tests pass.

--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -61,15 +61,19 @@
         """Choose workers for as many tasks as fit, and reserve their resources."""
         step = step_run.step
         change_number = next(self.workers.change_numbers)
-        candidates = self._candidates(step, service, now)
         if step.gang:
+            candidates = self._candidates(step, service, self.workers, now)
             return self._place_gang(step_run, tasks, candidates, now)
         full_search = needs_full_search(step_run, now)
+        searched: cabc.Iterable[fleet.Worker] = self.workers
         if not full_search:
             # The others had no room for it before, and nothing has changed there.
-            candidates = [
-                c for c in candidates if c.last_change > step_run.searched_change
+            searched = [
+                worker
+                for worker in self.workers
+                if worker.last_change > step_run.searched_change
             ]
+        candidates = self._candidates(step, service, searched, now)
         placements = self._place_tasks(step_run, tasks, candidates, now)
         if len(placements) < len(tasks):
             step_run.searched_change = change_number
@@ -126,11 +130,15 @@
         return not interference.has_high_latency(worker), room, worker.idle_cpus
 
     def _candidates(
-        self, step: messages.Step, service: str, now: float
+        self,
+        step: messages.Step,
+        service: str,
+        searched: cabc.Iterable[fleet.Worker],
+        now: float,
     ) -> list[fleet.Worker]:
         return [
             worker
-            for worker in self.workers
+            for worker in searched
             if self._is_candidate(step, worker, service, now)
         ]
 
