Tell the pressure of best-effort work from the demand on what it runs beside

It had learned pressures of 5.5 to 7.5 for half of the pairs of images.

Cause: a latency alone can't tell a high load from a high pressure. The gradient blamed half of each error on the load, which fell to its bound and left nothing to learn from.

How far tasks of a step differ is learned, so tasks that have little in common count for little.

Where a load alone leaves no headroom, work that adds next to nothing may still start.

--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -7,12 +7,16 @@
     y = load * (1 + sum of pressure[image, best-effort image] * cores / capacity)
 
 The load of each latency-critical task and the pressure of each pair of images are
-learned from the latencies that workers report. The model decides where a best-effort
-task may start and, with `throttling`, how fast running ones may work.
+learned from the latencies that workers report, with an extended Kalman filter: what is
+known least about is corrected most. Alone, a latency can't tell a high load from a high
+pressure. But the tasks of a step serve the same demand, so those without best-effort
+work beside them show the load of the others. The model decides where a best-effort task
+may start and, with `throttling`, how fast running ones may work.
 """
 
 import collections.abc as cabc
 import dataclasses
+import math
 import typing as t
 
 from mangosail import codec
@@ -27,18 +31,40 @@
 MAX_BASES_BYTES = 6_000
 #: Share of the target up to which a new task may raise a tail latency.
 PLACEMENT_TARGET_SHARE = 0.62
-#: Pressure assumed for two images that were never observed together: the relative
+#: Pressure assumed for two images as long as none were observed together: the relative
 #: increase of the load if the best-effort image used all cores of a worker.
 DEFAULT_PRESSURE = 6.0
-#: Learning rates of loads and pressures, as shares of the error. With these the mean
-#: error over the polls of a recorded day was 0.10 of busy time, against 0.29 with loads
-#: alone.
-LOAD_LEARNING_RATE = 0.25
-PRESSURE_LEARNING_RATE = 0.075
+#: Number of pairs for which this counts in the mean that is assumed for further pairs.
+PRIOR_PAIRS = 10
+#: Variance of the pressures of different pairs, and of one that was learned before.
+PRIOR_PRESSURE_VARIANCE = 16.0
+RESTORED_PRESSURE_VARIANCE = 1.0
+#: Highest pressure that is learned.
+MAX_PRESSURE = 30.0
+#: Variance of a reported utilization around that of the model.
+REPORT_VARIANCE = 0.0064
+#: Variance that a load gains in a second, as demand changes.
+LOAD_DRIFT_VARIANCE_PER_S = 0.02
+#: Variance assumed between the loads of a step's tasks, and the share of a new
+#: observation in it.
+INITIAL_SPREAD_VARIANCE = 0.004
+SPREAD_LEARNING_RATE = 0.01
+#: Variance of the load of a task of which only the sum with its pressures is known.
+UNKNOWN_LOAD_VARIANCE = 0.05
+#: Seconds over which the present load of a step is averaged, and its earlier load that
+#: shows the trend. Their difference is the change expected within about a second, in
+#: which a best-effort task begins and the next reports come.
+LOAD_TERM_S = 0.3
+EARLIER_LOAD_TERM_S = 1.3
+#: Utilization that best-effort tasks may add where a load alone leaves no headroom: a
+#: tenth of the distance between a load at rest and its target.
+NEGLIGIBLE_UTILIZATION = 0.04
 #: Bounds on the load of a latency-critical task; they keep a wrong estimate from
 #: diverging.
 MIN_LOAD = 0.05
 MAX_LOAD = 0.95
+#: Load assumed until a latency was reported.
+DEFAULT_LOAD = 0.5
 #: Base latency assumed until latencies were observed, as a share of the target.
 DEFAULT_BASE_SHARE = 0.25
 
@@ -53,6 +79,51 @@
     return any(task.latency_high_since is not None for task in worker.tasks.values())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """A load, the variance of its error, and the elapsed time of its observation."""
+
+    load: float
+    variance: float
+    at: float
+
+    def variance_at(self, now: float) -> float:
+        """Return the variance by now, with the changes of demand since."""
+        return self.variance + LOAD_DRIFT_VARIANCE_PER_S * max(now - self.at, 0.0)
+
+    def combined(self, other: "LoadEstimate", now: float) -> "LoadEstimate":
+        """Return the best estimate by now from this and an independent one."""
+        own, others = self.variance_at(now), other.variance_at(now)
+        weight = own / (own + others)
+        load = self.load + weight * (other.load - self.load)
+        return LoadEstimate(load, own * (1 - weight), now)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepLoad:
+    """The load of a step's tasks, and a longer average that lags behind it."""
+
+    load: float
+    earlier: float
+    at: float
+
+    def updated(self, observed: float, now: float) -> "StepLoad":
+        """Return the loads after one more observation."""
+        passed = max(now - self.at, 0.0)
+        present = 1 - math.exp(-passed / LOAD_TERM_S)
+        lagging = 1 - math.exp(-passed / EARLIER_LOAD_TERM_S)
+        return StepLoad(
+            self.load + present * (observed - self.load),
+            self.earlier + lagging * (observed - self.earlier),
+            now,
+        )
+
+    @property
+    def trend(self) -> float:
+        """Return how much the load will rise within a second; negative if it falls."""
+        return self.load - self.earlier
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelSnapshot:
     """The part of a model that is stored for the next leader."""
@@ -70,8 +141,15 @@
         self.pressure: dict[tuple[str, str], float] = {}
         #: Lowest tail latency observed for an image, in milliseconds.
         self.base: dict[str, float] = {}
+        #: Variances of the pressures that were learned here, and the sum of all means.
+        self.pressure_variance: dict[tuple[str, str], float] = {}
+        self.pressure_sum = 0.0
         #: Load by name of the latency-critical task.
-        self.load: dict[str, float] = {}
+        self.load: dict[str, LoadEstimate] = {}
+        #: Load of each step, from its tasks that had no best-effort work beside them.
+        self.step_load: dict[progress.StepRun, StepLoad] = {}
+        #: Variance between the loads of the tasks of a step.
+        self.spread = INITIAL_SPREAD_VARIANCE
 
     def snapshot(self) -> ModelSnapshot:
         """Return what is to be stored: the values learned last, as far as they fit."""
@@ -84,6 +162,7 @@
     def restore(self, stored: ModelSnapshot) -> None:
         """Restore what an earlier leader has learned."""
         self.pressure = {(first, second): p for first, second, p in stored.pressures}
+        self.pressure_sum = sum(self.pressure.values())
         self.base = dict(stored.bases)
 
     def utilization(self, step: messages.Step, latency: float) -> float:
@@ -93,13 +172,23 @@
 
     def added_load_factor(self, image: str, shares: cabc.Mapping[str, float]) -> float:
         """Return what best-effort images add to the load of `image`, as a factor."""
+        unknown = self.typical_pressure
         return sum(
-            self.pressure.get((image, other), DEFAULT_PRESSURE) * share
+            self.pressure.get((image, other), unknown) * share
             for other, share in shares.items()
         )
 
+    @property
+    def typical_pressure(self) -> float:
+        """Return the pressure assumed for a pair that was never observed."""
+        count = len(self.pressure) + PRIOR_PAIRS
+        return (DEFAULT_PRESSURE * PRIOR_PAIRS + self.pressure_sum) / count
+
     def learn(
-        self, worker: fleet.Worker, running: tuple[messages.RunningTask, ...]
+        self,
+        worker: fleet.Worker,
+        running: tuple[messages.RunningTask, ...],
+        now: float,
     ) -> None:
         """Learn from the latencies on a worker and the best-effort work beside them."""
         shares = measured_shares(worker, running)
@@ -114,41 +203,113 @@
                 and is_latency_critical(task.step)
                 and report.measurement > 0
             ):
-                self._learn_latency(task, report.measurement, shares)
+                self._learn_latency(task, report.measurement, shares, now)
 
     def _learn_latency(
-        self, task: progress.Task, latency: float, shares: dict[str, float]
+        self,
+        task: progress.Task,
+        latency: float,
+        shares: dict[str, float],
+        now: float,
     ) -> None:
         image = task.step.image
         # Removing and reinserting the image moves it to the end, as the one learned
         # last.
         self.base[image] = min(self.base.pop(image, latency), latency)
         utilization = self.utilization(task.step, latency)
-        load = self.load.get(task.name)
-        if load is None or not shares:
-            load = utilization / (1 + self.added_load_factor(image, shares))
-            self.load[task.name] = min(max(load, MIN_LOAD), MAX_LOAD)
+        if not shares:
+            self.load[task.name] = LoadEstimate(
+                bounded_load(utilization), REPORT_VARIANCE, now
+            )
+            self._learn_step_load(task.step_run, utilization, now)
             return
-        error = utilization - min(
-            load * (1 + self.added_load_factor(image, shares)), 1.0
+        expected = self._expected_load(task, utilization, shares, now)
+        self._correct(task, expected, shares, utilization)
+
+    def _learn_step_load(
+        self, step_run: progress.StepRun, load: float, now: float
+    ) -> None:
+        """Learn the load of a step, and how far its tasks differ, from one of them."""
+        known = self.step_load.get(step_run)
+        if known is None:
+            self.step_load[step_run] = StepLoad(load, load, now)
+            return
+        deviation = load - known.load
+        self.spread += SPREAD_LEARNING_RATE * (deviation**2 - self.spread)
+        self.step_load[step_run] = known.updated(load, now)
+
+    def _expected_load(
+        self,
+        task: progress.Task,
+        utilization: float,
+        shares: dict[str, float],
+        now: float,
+    ) -> LoadEstimate:
+        """Return what the load of a task should be, without its present latency."""
+        factor = 1 + self.added_load_factor(task.step.image, shares)
+        unknown = LoadEstimate(utilization / factor, UNKNOWN_LOAD_VARIANCE, now)
+        own = self.load.get(task.name, unknown)
+        of_step = self.step_load.get(task.step_run)
+        if of_step is None:
+            return LoadEstimate(own.load, own.variance_at(now), now)
+        others = LoadEstimate(of_step.load, self.spread, of_step.at)
+        return own.combined(others, now)
+
+    def _correct(
+        self,
+        task: progress.Task,
+        expected: LoadEstimate,
+        shares: dict[str, float],
+        utilization: float,
+    ) -> None:
+        """Correct a load and the pressures on it by the error of the prediction."""
+        load, variance = expected.load, expected.variance
+        image = task.step.image
+        factor = 1 + self.added_load_factor(image, shares)
+        pairs = {(image, other): share for other, share in shares.items()}
+        variances = {pair: self._pressure_variance(pair) for pair in pairs}
+        total = (
+            REPORT_VARIANCE
+            + factor**2 * variance
+            + sum(
+                (load * share) ** 2 * variances[pair] for pair, share in pairs.items()
+            )
+        )
+        error = utilization - min(load * factor, 1.0)
+        for pair, share in pairs.items():
+            gain = variances[pair] * load * share / total
+            self._change_pressure(pair, gain * error)
+            self.pressure_variance[pair] = variances[pair] * (1 - gain * load * share)
+        gain = variance * factor / total
+        self.load[task.name] = LoadEstimate(
+            bounded_load(load + gain * error),
+            variance * (1 - gain * factor),
+            expected.at,
         )
-        total = sum(share * share for share in shares.values()) + 0.002
-        for other, share in shares.items():
-            pressure = self.pressure.pop((image, other), DEFAULT_PRESSURE)
-            change = PRESSURE_LEARNING_RATE * error * share / total / max(load, 0.2)
-            self.pressure[image, other] = max(pressure + change, 0.0)
-        load += LOAD_LEARNING_RATE * error
-        self.load[task.name] = min(max(load, MIN_LOAD), MAX_LOAD)
+
+    def _pressure_variance(self, pair: tuple[str, str]) -> float:
+        if pair not in self.pressure:
+            return PRIOR_PRESSURE_VARIANCE
+        return self.pressure_variance.get(pair, RESTORED_PRESSURE_VARIANCE)
+
+    def _change_pressure(self, pair: tuple[str, str], change: float) -> None:
+        """Change a pressure, and move the pair to the end, as the one learned last."""
+        before = self.pressure.pop(pair, None)
+        start = self.typical_pressure if before is None else before
+        after = min(max(start + change, 0.0), MAX_PRESSURE)
+        self.pressure[pair] = after
+        self.pressure_sum += after - (before or 0.0)
 
     def forget(self, task: progress.Task) -> None:
         """Drop the load of a latency-critical task that ended."""
         self.load.pop(task.name, None)
+        self.step_load.pop(task.step_run, None)
 
     def headroom(self, step: messages.Step, worker: fleet.Worker) -> float:
         """Return the utilization headroom that would remain beside a new task.
 
-        Negative if a latency would come too close to its target; 1 if no
-        latency-critical task is there.
+        Negative if a latency would come too close to its target, unless best-effort
+        work has no part in that; 1 if no latency-critical task is there.
         """
         if not worker.latency_critical_count:
             return 1.0
@@ -156,17 +317,44 @@
         added = step.need.cpus / worker.entry.capacity.cpus
         shares[step.image] = shares.get(step.image, 0.0) + added
         return min(
-            self.utilization(
-                task.step, task.step.latency_target * PLACEMENT_TARGET_SHARE
-            )
-            - self.load_of(task) * (1 + self.added_load_factor(task.step.image, shares))
+            self._headroom_of(task, shares)
             for task in worker.tasks.values()
             if task.step.continuous and not task.step.best_effort
         )
 
+    def _headroom_of(
+        self, task: progress.Task, shares: cabc.Mapping[str, float]
+    ) -> float:
+        """Return the headroom of one latency-critical task beside best-effort work."""
+        step = task.step
+        load = self.load_of(task)
+        added = load * self.added_load_factor(step.image, shares)
+        limit = self.utilization(step, step.latency_target * PLACEMENT_TARGET_SHARE)
+        if added <= NEGLIGIBLE_UTILIZATION:
+            return max(limit - load - added, 0.0)
+        return limit - load - added
+
     def load_of(self, task: progress.Task) -> float:
-        """Return the load of a latency-critical task, or a default."""
-        return self.load.get(task.name, 0.5 if is_latency_critical(task.step) else 0.0)
+        """Return the load of a latency-critical task in a moment, or a default.
+
+        While demand rises, that is more than it is now: work that is placed by the
+        present load presses hardest when the load has risen.
+        """
+        known = self.load.get(task.name)
+        of_step = self.step_load.get(task.step_run)
+        if known is not None:
+            load = known.load
+        elif of_step is not None:
+            load = of_step.load
+        else:
+            return DEFAULT_LOAD if is_latency_critical(task.step) else 0.0
+        rise = max(of_step.trend, 0.0) if of_step is not None else 0.0
+        return min(load + rise, MAX_LOAD)
+
+
+def bounded_load(load: float) -> float:
+    """Return the load, within the bounds of a plausible one."""
+    return min(max(load, MIN_LOAD), MAX_LOAD)
 
 
 def newest_within(rows: cabc.Sequence[EntryT], max_bytes: int) -> tuple[EntryT, ...]:
--- a/src/mangosail/scheduler/polling.py
+++ b/src/mangosail/scheduler/polling.py
@@ -238,7 +238,7 @@
 
     def _throttle(self, worker: fleet.Worker, running: tuple) -> None:
         now = self.clock.elapsed()
-        self.model.learn(worker, running)
+        self.model.learn(worker, running, now)
         for pace in self.throttler.limits(worker, running, now):
             worker.throttled_at = now
             gevent.spawn(self.orders.throttle, pace.task, worker, pace.percent)
--- a/src/mangosail/scheduler/throttling.py
+++ b/src/mangosail/scheduler/throttling.py
@@ -24,6 +24,8 @@
 THROTTLE_ALL_S = 2.4
 #: Seconds for which a task is paused before it is moved to another worker.
 STUCK_S = 1.2
+#: Utilization that a task may add without being paused after others were.
+NEGLIGIBLE_ADDED = interference.NEGLIGIBLE_UTILIZATION / 4
 #: Speed in percent of a task that is not throttled.
 FULL_SPEED = 100
 
@@ -107,7 +109,7 @@
         active = [task for task in best_effort if task.speed_limit]
         added = {task: self._added_utilization(worker, task, worst) for task in active}
         for task in sorted(active, key=lambda task: added[task], reverse=True):
-            if limits and headroom >= 0:
+            if limits and (headroom >= 0 or added[task] <= NEGLIGIBLE_ADDED):
                 break
             limits.append(SpeedLimit(task, 0))
             headroom += added[task]
