Replay loads on the scheduler's decisions, without sockets or a store

Invalid input ends in a plan: tasks without work or of 10^9 s, a job of 5,000 tasks, one larger than any worker, 300 jobs of one account in a second, no worker at all.

--- /dev/null
+++ b/src/mangosail/simulation/replay.py
@@ -0,0 +1,321 @@
+"""Replays a load on a leader, step by step of simulated time."""
+
+import dataclasses
+import math
+import random
+
+import gevent
+import result
+
+from mangosail import codec, resources
+from mangosail.platform import table
+from mangosail.scheduler import (
+    advice,
+    journal,
+    keys,
+    leadership,
+    messages,
+    polling,
+    progress,
+    scheduler,
+)
+from mangosail.simulation import load as loads
+from mangosail.simulation import store, workers
+from mangosail.telemetry import counters as telemetry
+
+#: Seconds of simulated time from one step to the next.
+STEP_S = 0.05
+#: Seconds before the load in which continuous jobs start.
+LEAD_IN_S = 3.0
+#: Seconds after the load within which jobs may end.
+FINISH_S = 14.0
+#: A job that ends within its objective times this is late, and no more use after.
+LATE_TIMES = 3.0
+#: Elapsed time at which a replay begins. The wall clock is the same.
+BEGINS_AT = 1000.0
+#: Parts of a queue's jobs by size that are told apart.
+FIFTHS = 5
+WORKER_PREFIX = "workers//"
+
+
+class SimulatedClock:
+    """A clock that only the replay sets; sleeping lets others run."""
+
+    def __init__(self) -> None:
+        self.now = BEGINS_AT
+
+    def monotonic(self) -> float:
+        """Return the simulated time."""
+        return self.now
+
+    def elapsed(self) -> float:
+        """Return the simulated time."""
+        return self.now
+
+    def wall(self) -> float:
+        """Return the simulated time."""
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        """Let other greenlets run, in no time."""
+        gevent.sleep(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobEnd:
+    """How a job ended; `took` is infinite for one that did not."""
+
+    arrival: loads.Arrival
+    objective: float
+    took: float
+
+    @property
+    def in_time(self) -> bool:
+        """Return whether it ended within its objective."""
+        return self.took <= self.objective
+
+    @property
+    def of_use(self) -> bool:
+        """Return whether it ended while its caller still had use for it."""
+        return self.took <= LATE_TIMES * self.objective
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueReport:
+    """What became of the jobs of a queue."""
+
+    ends: tuple[JobEnd, ...]
+
+    @property
+    def in_time(self) -> float:
+        """Return the share of the jobs that ended in time."""
+        return share(self.ends, [end for end in self.ends if end.in_time])
+
+    @property
+    def of_use(self) -> float:
+        """Return the share of the jobs that ended while they were of use."""
+        return share(self.ends, [end for end in self.ends if end.of_use])
+
+    @property
+    def work_in_time(self) -> float:
+        """Return the share of the work that belongs to jobs that ended in time."""
+        total = sum(end.arrival.core_seconds for end in self.ends)
+        done = sum(end.arrival.core_seconds for end in self.ends if end.in_time)
+        return done / total if total else 1.0
+
+    @property
+    def by_size(self) -> list[float]:
+        """Return the share of the jobs that ended of use, by fifth of their size."""
+        ordered = sorted(self.ends, key=lambda end: end.arrival.core_seconds)
+        bounds = [round(i * len(ordered) / FIFTHS) for i in range(FIFTHS + 1)]
+        fifths = [ordered[bounds[i] : bounds[i + 1]] for i in range(FIFTHS)]
+        return [share(f, [end for end in f if end.of_use]) for f in fifths]
+
+    def slowdown(self, quantile: float) -> float:
+        """Return a quantile of the time taken, in longest chains of the jobs."""
+        ratios = sorted(end.took / end.arrival.longest_chain for end in self.ends)
+        return ratios[min(int(quantile * len(ratios)), len(ratios) - 1)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a replay has shown."""
+
+    queues: dict[str, QueueReport]
+    #: Share of their time that latency-critical tasks were over their target.
+    harmed: float
+    #: Core-seconds of work that was begun and lost.
+    wasted: float
+    #: Mean share of the cores that short tasks used while some waited.
+    used_while_waiting: float
+
+
+def share(whole: tuple | list, part: list) -> float:
+    """Return the share of a whole; 1 of nothing."""
+    return len(part) / len(whole) if whole else 1.0
+
+
+class NoAdvisor:
+    """Advises nothing: no simulated queue needs advice."""
+
+    def ask(
+        self, step: str, workers: list[str]
+    ) -> result.Result[advice.Tickets, advice.AdviceUnavailable]:
+        """Return no tickets."""
+        return result.Ok(advice.Tickets({}, 0.0))
+
+
+class Replay:
+    """One load, one seed, one leader."""
+
+    def __init__(self, load: loads.Load, seed: int) -> None:
+        self.load = load
+        self.rand = random.Random(seed)
+        self.clock = SimulatedClock()
+        self.rows = store.MemoryTable()
+        self.workers = workers.Workers(self.clock, self.rand)
+        draw = loads.Draw(load, seed)
+        self.standing = draw.standing()
+        self.coming = draw.arrivals()
+        self.queues = {each.queue.name: each.queue for each in load.classes}
+        self.catalog = messages.Catalog(
+            1, tuple(self.queues.values()), (messages.Service(loads.POOL),)
+        )
+        self.open_jobs: dict[str, progress.JobProgress] = {}
+        self.ended_at: dict[str, float] = {}
+        self.used: list[float] = []
+        self.troubles_begun: dict[loads.Trouble, list[workers.Worker]] = {}
+        for number, capacity in enumerate(load.capacities):
+            self._add_worker(number, capacity)
+        self.leader = self._lead()
+
+    def run(self) -> Report:
+        """Replay the load to its end, and report."""
+        for arrival in self.standing:
+            self._hand_in(arrival)
+        begins_at = BEGINS_AT + LEAD_IN_S
+        ends_at = begins_at + self.load.ends_at + FINISH_S
+        coming = list(reversed(self.coming))
+        while self.clock.now < ends_at:
+            now = self.clock.now - begins_at
+            self._apply_troubles(now)
+            while coming and coming[-1].at <= now:
+                self._hand_in(coming.pop())
+            self._step()
+            if not coming and self._all_ended():
+                break
+        return self._report()
+
+    def _add_worker(self, number: int, capacity: resources.Resources) -> None:
+        name = f"w{number}"
+        entry = messages.WorkerEntry(
+            name, loads.POOL, f"{name}:1", "dc", capacity, frozenset()
+        )
+        self.workers.by_name[name] = workers.Worker(entry)
+        self._put(WORKER_PREFIX + name, name)
+
+    def _lead(self) -> scheduler.Scheduler:
+        counters = telemetry.StatsdCounters(None, 0)
+        lead = leadership.Leadership(self.rows, "i", self.clock, counters, self.rand)
+        held = lead.check()
+        while held is None:
+            self.clock.now += journal.RENEWAL_INTERVAL_S
+            held = lead.check()
+        leader = scheduler.Scheduler(
+            self.rows,
+            self.workers,
+            held,
+            lambda: self.catalog,
+            lambda name, text: result.Ok(self.workers.by_name[name].entry),
+            WORKER_PREFIX,
+            FINISH_S,
+            NoAdvisor(),
+            self.clock,
+            counters,
+        )
+        self.workers.find_task = leader.find_task
+        self.watchers = leader.load()
+        return leader
+
+    def _put(self, key: str, text: str) -> None:
+        self.rows.commit(table.Transaction((), (table.Write(key, text),)))
+
+    def _hand_in(self, arrival: loads.Arrival) -> None:
+        job = dataclasses.replace(arrival.job, accepted_at=self.clock.wall())
+        for number, seconds in enumerate(arrival.seconds):
+            for index, each in enumerate(seconds):
+                name = messages.task_name(job.job_id, 0, number, index)
+                self.workers.work_left[name] = each, each
+        self._put(keys.job(job.job_id), codec.to_json(job))
+
+    def _apply_troubles(self, now: float) -> None:
+        for trouble in self.load.troubles:
+            begun = self.troubles_begun.get(trouble)
+            if begun is None and trouble.starts_at <= now:
+                well = [w for w in self.workers.by_name.values() if w.speed == 1.0]
+                hit = self.rand.sample(well, round(trouble.share * len(well)))
+                self.troubles_begun[trouble] = hit
+                for worker in hit:
+                    self.workers.lose(worker) if not trouble.speed else None
+                    worker.speed = trouble.speed
+            elif begun and now >= trouble.ends_at:
+                self.troubles_begun[trouble] = []
+                for worker in begun:
+                    worker.speed = 1.0
+
+    def _step(self) -> None:
+        """Run the leader once, then let time pass."""
+        for watcher in self.watchers:
+            watcher.read_once(0)
+        polls = [gevent.spawn(self.leader.poller.poll, w) for w in self._due_polls()]
+        while not all(poll.ready() for poll in polls):
+            gevent.sleep(0)
+            if self.leader.journal.pending_callbacks:
+                self.leader.journal.write()
+        self.leader.rounds.place()
+        self.leader.journal.write()
+        # Starts are sent and answered.
+        gevent.sleep(0)
+        gevent.sleep(0)
+        self._observe()
+        self.workers.advance(STEP_S)
+        self.workers.record_harm(STEP_S)
+        self.clock.now += STEP_S
+
+    def _due_polls(self) -> list:
+        """Return the workers with news, and those not polled for a while."""
+        now = self.clock.now
+        return [
+            worker
+            for worker in self.leader.workers
+            if self.workers.by_name[worker.name].has_news
+            or now >= worker.last_contact_at + polling.POLL_WAIT_S
+        ]
+
+    def _observe(self) -> None:
+        """Record the ends of jobs, and the use of cores while tasks wait."""
+        for job_id, job in self.leader.jobs.items():
+            if job_id not in self.ended_at:
+                self.open_jobs[job_id] = job
+        for job_id, job in list(self.open_jobs.items()):
+            if job.ended:
+                failed = job.state is not messages.State.COMPLETED
+                self.ended_at[job_id] = math.inf if failed else self.clock.now
+                del self.open_jobs[job_id]
+        waiting = any(
+            step_run.any_waiting()
+            for job in self.leader.jobs.values()
+            for step_run in job.ready_steps(self.clock.wall())
+            if not step_run.step.continuous
+        )
+        if waiting:
+            self.used.append(self._used_share())
+
+    def _used_share(self) -> float:
+        total = sum(w.entry.capacity.cpus for w in self.workers.by_name.values())
+        used = sum(
+            run.step.need.cpus * run.speed_limit / 100
+            for worker in self.workers.by_name.values()
+            for run in worker.runs.values()
+            if not run.step.continuous
+        )
+        return used / total if total else 0.0
+
+    def _all_ended(self) -> bool:
+        return all(a.job.job_id in self.ended_at for a in self.coming)
+
+    def _report(self) -> Report:
+        begins_at = BEGINS_AT + LEAD_IN_S
+        ends: dict[str, list[JobEnd]] = {}
+        for arrival in self.coming:
+            queue = self.queues[arrival.job.queue]
+            objective = queue.stretch * arrival.longest_chain + queue.target
+            ended_at = self.ended_at.get(arrival.job.job_id, math.inf)
+            end = JobEnd(arrival, objective, ended_at - begins_at - arrival.at)
+            ends.setdefault(queue.name, []).append(end)
+        return Report(
+            {name: QueueReport(tuple(of_queue)) for name, of_queue in ends.items()},
+            self.workers.harmed_seconds / max(self.workers.critical_seconds, STEP_S),
+            self.workers.wasted,
+            sum(self.used) / len(self.used) if self.used else 0.0,
+        )
--- /dev/null
+++ b/tests/simulation/loads.py
@@ -0,0 +1,76 @@
+"""Loads that are replayed: quotes, releases and watches on shared workers."""
+
+import dataclasses
+
+from mangosail import resources
+from mangosail.scheduler import messages
+from mangosail.simulation import load
+
+
+def queue(name, priority, stretch, target, attempts):
+    return messages.Queue(
+        name, "", "/", load.POOL, priority, attempts, 3.0, stretch, target
+    )
+
+
+QUOTE = load.JobClass(
+    queue("quote", 0, 1.5, 0.25, 4),
+    rate=0.9,
+    steps=1.6,
+    tasks_per_step=9.5,
+    tasks_spread=0.8,
+    max_tasks=57,
+    cpus=7.5,
+    memory_gb=15,
+    seconds=0.64,
+    seconds_spread=0.5,
+    unevenness=0.15,
+    estimate_error=0.9,
+)
+RELEASE = load.JobClass(
+    queue("release", 2, 2.0, 1.0, 2),
+    rate=1.1,
+    steps=2.0,
+    tasks_per_step=20,
+    tasks_spread=0.6,
+    max_tasks=80,
+    cpus=7.0,
+    memory_gb=13,
+    seconds=1.7,
+    seconds_spread=0.5,
+    unevenness=0.3,
+    estimate_error=0.5,
+    best_effort=True,
+    checkpointing=0.85,
+    images=18,
+)
+WATCH = load.JobClass(
+    queue("watch", 0, 2.2, 2.5, 2),
+    rate=0.0,
+    steps=1.0,
+    tasks_per_step=14,
+    tasks_spread=0.4,
+    max_tasks=28,
+    cpus=13,
+    memory_gb=26,
+    seconds=1e6,
+    seconds_spread=0.1,
+    unevenness=0.0,
+    estimate_error=0.2,
+    continuous=True,
+    images=10,
+    latency_target=18.0,
+    spread_out=0.5,
+)
+#: A twelfth of a fleet of 176 workers, a third of them half as large again.
+CAPACITIES = tuple(
+    resources.Resources(96 if n % 3 == 2 else 64, 250) for n in range(15)
+)
+CALM = load.Load((QUOTE, RELEASE, WATCH), CAPACITIES, ends_at=8.0, standing_share=0.4)
+#: Large orders come 2.6 times as often, some workers are slow, others are lost.
+LARGE_ORDERS = dataclasses.replace(
+    CALM,
+    ends_at=14.0,
+    bursts=(load.Burst(2.0, 8.0, 2.6, "release"), load.Burst(6.0, 8.0, 4.0, "quote")),
+    troubles=(load.Trouble(3.0, 9.0, 0.15, 0.25), load.Trouble(9.0, 12.0, 0.2, 0.0)),
+)
--- /dev/null
+++ b/tests/simulation/overload.feature
@@ -0,0 +1,36 @@
+Feature: Loads are replayed on the scheduler's decisions alone
+
+  Simulated workers, store and clock; the leader orders, places, throttles and moves.
+
+  Scenario: The same seed gives the same replay
+    When the calm load is replayed twice with seed 1
+    Then both replays tell the same
+
+  Scenario: With room for all, all are served, and nearly all in time
+    When the calm load is replayed with seeds 1, 2
+    Then 1.0 of the quotes and 1.0 of the releases are served
+    And 0.9 of the quotes and 0.9 of the releases are in time
+    And latency-critical tasks are over their target for 0.03 of their time at most
+
+  Scenario: Under overload in large orders quotes are served, and no size is left out
+    # Guards against quotes that wait for large orders, and against large orders that wait
+    # for ever behind small ones.
+    When the load of large orders is replayed with seeds 1, 2
+    Then 0.98 of the quotes and 0.5 of the releases are served
+    And the largest fifth of the releases is served half as often as all at least
+    And latency-critical tasks are over their target for 0.1 of their time at most
+
+  Scenario Outline: Whatever is handed in, the leader goes on with the rest
+    # Guards against one job, or none of the workers, that ends all planning.
+    Given the calm load with <oddity>
+    When it is replayed with seed 1
+    Then <served> of the quotes and <served> of the releases are served
+
+    Examples:
+      | oddity                              | served |
+      | tasks that take no time             | 1.0    |
+      | a task that takes 1000000000 s      | 1.0    |
+      | a job of 5000 tasks                 | 0.9    |
+      | a job larger than any worker        | 1.0    |
+      | 300 jobs of one account in a second | 0.9    |
+      | no worker at all                    | 0.0    |
--- /dev/null
+++ b/tests/simulation/steps/replay_steps.py
@@ -0,0 +1,125 @@
+import dataclasses
+
+from behave import given, then, when
+from tests.simulation import loads
+
+from mangosail import resources
+from mangosail.scheduler import messages
+from mangosail.simulation import load, replay
+
+#: Core-seconds and tasks of the jobs that are odd.
+ENDLESS_S = 1e9
+MANY_TASKS = 5000
+
+
+@when("the calm load is replayed twice with seed {seed:d}")
+def replay_twice(context, seed):
+    context.reports = [replay.Replay(loads.CALM, seed).run() for _ in range(2)]
+
+
+@then("both replays tell the same")
+def same(context):
+    first, second = context.reports
+    assert first == second
+
+
+@when("the calm load is replayed with seeds {seeds}")
+def replay_calm(context, seeds):
+    replay_seeds(context, loads.CALM, seeds)
+
+
+@when("the load of large orders is replayed with seeds {seeds}")
+def replay_large_orders(context, seeds):
+    replay_seeds(context, loads.LARGE_ORDERS, seeds)
+
+
+def replay_seeds(context, what, seeds):
+    numbers = [int(seed) for seed in seeds.split(",")]
+    context.reports = [replay.Replay(what, number).run() for number in numbers]
+
+
+def ends_of(context, queue):
+    """Return the ends of a queue's jobs in all replays, without the odd ones."""
+    return [
+        end
+        for report in context.reports
+        for end in report.queues[queue].ends
+        if end.arrival.job.spec != "odd"
+    ]
+
+
+@then("{quotes:g} of the quotes and {releases:g} of the releases are served")
+def served(context, quotes, releases):
+    for queue, least in (("quote", quotes), ("release", releases)):
+        ends = ends_of(context, queue)
+        found = sum(end.of_use for end in ends) / len(ends)
+        assert found >= least, (queue, found)
+
+
+@then("{quotes:g} of the quotes and {releases:g} of the releases are in time")
+def in_time(context, quotes, releases):
+    for queue, least in (("quote", quotes), ("release", releases)):
+        ends = ends_of(context, queue)
+        found = sum(end.in_time for end in ends) / len(ends)
+        assert found >= least, (queue, found)
+
+
+@then("the largest fifth of the releases is served half as often as all at least")
+def largest(context):
+    report = replay.QueueReport(tuple(ends_of(context, "release")))
+    assert report.by_size[-1] >= report.of_use / 2, (report.by_size, report.of_use)
+
+
+@then("latency-critical tasks are over their target for {most:g} of their time at most")
+def harmed(context, most):
+    found = [report.harmed for report in context.reports]
+    assert max(found) <= most, found
+
+
+@given("the calm load with {oddity}")
+def odd_load(context, oddity):
+    context.load = loads.CALM
+    context.odd = []
+    if oddity == "no worker at all":
+        context.load = dataclasses.replace(loads.CALM, capacities=())
+    elif oddity == "tasks that take no time":
+        context.odd = [odd_job(1.0, loads.RELEASE, seconds=0.0)]
+    elif oddity.startswith("a task that takes"):
+        context.odd = [odd_job(1.0, loads.RELEASE, seconds=ENDLESS_S)]
+    elif oddity.startswith("a job of"):
+        context.odd = [odd_job(1.0, loads.RELEASE, count=MANY_TASKS, seconds=0.1)]
+    elif oddity == "a job larger than any worker":
+        context.odd = [odd_job(1.0, loads.QUOTE, cpus=1000.0)]
+    else:
+        context.odd = [
+            odd_job(1.0 + n / 300, loads.RELEASE, number=n) for n in range(300)
+        ]
+
+
+def odd_job(at, job_class, count=1, seconds=0.2, cpus=1.0, number=0):
+    queue = job_class.queue
+    step = messages.Step(
+        count,
+        resources.Resources(cpus, 0.5),
+        estimate=seconds,
+        best_effort=job_class.best_effort,
+        image="odd",
+    )
+    job = messages.Job(
+        f"{0xF0000 + number:016x}",
+        queue.name,
+        load.POOL,
+        "odd",
+        (step,),
+        at,
+        priority=queue.priority,
+        attempts=queue.attempts,
+    )
+    return load.Arrival(at, job, ((seconds,) * count,))
+
+
+@when("it is replayed with seed {seed:d}")
+def replay_odd(context, seed):
+    played = replay.Replay(context.load, seed)
+    played.coming = sorted([*played.coming, *context.odd], key=lambda job: job.at)
+    context.reports = [played.run()]
