--- a/src/mangosail/scheduler/admission.py
+++ b/src/mangosail/scheduler/admission.py
@@ -23,8 +23,7 @@
 
 #: Share of all cores that continuous jobs may reserve. They must still fit when a data
 #: centre is lost, and best-effort work raises their tail latencies, so it needs workers
-#: of its own. At 0.5 three of ten releases were late on days of high load, at 0.45 one
-#: of ten (mean of two days each).
+#: of its own.
 CONTINUOUS_SHARE = 0.45
 #: Seconds between checks whether cores can be released.
 RECONCILE_INTERVAL_S = 1.0
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -58,9 +58,8 @@
 MAX_STAGGER_S = 0.25
 #: Additional delay, in seconds, of an instance with no processor share at all, in
 #: favour of one as fast as the last holder; slower instances wait a proportional part.
-#: It is about the longest check interval, so that a fast instance has checked by then.
-#: A day with 480 starts a second scored 0.20 to 0.43 with leaders of 0.3 cores, instead
-#: of 0.75 with leaders of 2 cores.
+#: It is about the longest check interval, so that a fast instance has checked by then:
+#: a small leader starts too little.
 MAX_CLAIM_DELAY_S = 0.9
 #: Additional delay, in seconds, of an instance that is slow at present.
 SLOW_CLAIM_DELAY_S = 1.0
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -9,8 +9,8 @@
 #: workers, and best-effort tasks, which raise their latencies, get the rest to
 #: themselves. More than any worker has, so that it outweighs free room.
 COLOCATION_WEIGHT = 1000.0
-#: Bonus in cores for a best-effort task that leaves headroom to latency-critical ones:
-#: the whole utilization counts as much as 40 cores.
+#: Bonus in cores for a best-effort task that leaves headroom to latency-critical ones,
+#: for the whole utilization.
 HEADROOM_WEIGHT = 40.0
 #: Utilization headroom that a best-effort task must leave to the latency-critical ones
 #: beside it.
@@ -28,9 +28,8 @@
 #: Seconds after which a best-effort step is tried on all workers again, not only on
 #: changed ones: what the model learned from other workers may have made room.
 FULL_SEARCH_INTERVAL_S = 1.0
-#: Share of its cores that must be idle for a best-effort task to start. A
-#: latency-critical task uses less than it reserves; at 0.75 up to 100 of 448 cores were
-#: idle while 300 tasks waited.
+#: Share of its cores that must be idle for a best-effort task to start: what is
+#: reserved beside it is not all used.
 MIN_IDLE_CPU_SHARE = 0.4
 
 
@@ -161,8 +160,7 @@
     ) -> list[Placement]:
         """Place one task after the other on the worker that is best by then.
 
-        Only the chosen worker is scored again. Scoring all workers for each task took
-        200 ms a round with 150 tasks waiting and 24 workers.
+        Only the chosen worker is scored again, so that a round stays short.
         """
         ranked = ranking.Ranking(
             {worker: self._score(step_run, worker) for worker in candidates}
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -403,7 +403,7 @@
     def _record_space_left(self) -> int:
         """Return the number of bytes that are left in the record."""
         # `Task.has_record` is inlined: this runs in each round for large jobs, and the
-        # calls took 2.1 ms instead of 0.3 ms for 5,000 tasks.
+        # calls take seven times as long.
         new, done = Phase.WAITING, Phase.DONE
         begun = [
             task
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -34,9 +34,8 @@
 
 #: Seconds between rounds, so that tasks that arrive together are placed together.
 ROUND_INTERVAL_S = 0.004
-#: Best-effort steps for which one round searches all workers without success. With 80
-#: steps of different sizes waiting for 246 workers a round took 73 ms without this
-#: bound and 27 ms with it, on a busy machine; starts are sent after the round.
+#: Best-effort steps for which one round searches all workers without success; starts
+#: are sent after the round.
 MAX_FAILED_SEARCHES = 6
 #: Pauses between rounds, as a multiple of the duration of the last one, and their
 #: maximum.
@@ -208,8 +207,8 @@
                 and not self._is_overdue(step_run, now)
             ):
                 # It waits for room like the steps that were tried. If many wait, those
-                # in front use up the bound in every round: when this wait was not
-                # recorded, a job at the end never counted as starving, and never ran.
+                # in front use up the bound in every round, and one at the end would
+                # never count as starving.
                 blocked_since(step_run, now)
                 continue
             placed = self._place_step(step_run, tasks, unplaced, now)
