Give the moving of tasks a module of its own

The moves are relocation.py now, with what they need handed to them; no statement changed but for names, and the field "slice" of the line "slow workers changed" says relocation.

--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -23,7 +23,7 @@
     planning,
     preemption,
     progress,
-    stragglers,
+    relocation,
     throttling,
     worker_speeds,
     yielding,
@@ -52,10 +52,6 @@
 IDLE_INTERVAL_S = 0.1
 #: Maximum number of concurrent starts.
 MAX_CONCURRENT_STARTS = 256
-#: Seconds between searches for tasks that are paused beside latency-critical ones.
-MOVE_INTERVAL_S = 0.25
-#: Maximum seconds that a round spends on this search; no lease is renewed meanwhile.
-MOVE_BUDGET_S = 0.02
 #: Seconds from which a round is logged as long: a third of the time between renewals of
 #: the lease, which can't run during the work of a round.
 LONG_ROUND_S = 0.1
@@ -87,7 +83,6 @@
         self.jobs = jobs
         self.workers = workers
         self.model = model
-        self.speeds = speeds
         self.placer = placing.Placer(workers, model)
         self.planner = planning.Planner(workers, estimator, self._queue)
         self.journal = job_journal
@@ -97,11 +92,16 @@
         self.changed = changed
         self.clock = clock
         self.counters = counters
+        self.relocator = relocation.Relocator(
+            workers,
+            self.placer,
+            speeds,
+            worker_orders,
+            self.service_of,
+            clock,
+            counters,
+        )
         self.starts = gevent.pool.Pool(MAX_CONCURRENT_STARTS)
-        #: Elapsed time of the next search for stuck tasks, and the workers that are
-        #: still to be searched before.
-        self.next_move_at = 0.0
-        self.workers_to_search: list[fleet.Worker] = []
         #: The configuration in force, and its queues by name.
         self.current_catalog: messages.Catalog | None = None
         self.queues: dict[str, messages.Queue] = {}
@@ -186,9 +186,9 @@
             step_run for job in self.jobs.values() for step_run in job.ready_steps(wall)
         ]
         self.planner.refresh(ready, now, wall)
-        self._update_slow_workers(now)
+        self.relocator.update_slow_workers(now)
         ready.sort(key=self.planner.sort_key)
-        self._move_stuck(now)
+        self.relocator.move_some(now)
         unplaced: list[tuple[str, progress.StepRun]] = []
         failed_searches = 0
         for step_run in ready:
@@ -238,71 +238,6 @@
             if self.clock.elapsed() >= deadline:
                 return
 
-    def _move_stuck(self, now: float) -> None:
-        """Stop stuck tasks where other workers have room for them.
-
-        Searching all workers in one round kept the processor for so long after a change
-        of leader that the new one lost its lease.
-        """
-        if not self.workers_to_search:
-            if now < self.next_move_at:
-                return
-            self.next_move_at = now + MOVE_INTERVAL_S
-            self.workers_to_search = list(self.workers)
-        deadline = self.clock.elapsed() + MOVE_BUDGET_S
-        while self.workers_to_search:
-            self._move_from(self.workers_to_search.pop(), now)
-            if self.clock.elapsed() >= deadline:
-                return
-
-    def _move_from(self, worker: fleet.Worker, now: float) -> None:
-        if not worker.reachable or worker.removed:
-            return
-        for task in list(worker.tasks.values()):
-            if throttling.is_stuck(task, now) and self._fits_elsewhere(task, now):
-                self.orders.stop(task, worker, "moved")
-        for straggler in stragglers.find_stragglers(worker, now):
-            self._move_straggler(straggler, now)
-        if worker.name in self.placer.slow_workers:
-            self._move_off_slow_worker(worker, now)
-
-    def _update_slow_workers(self, now: float) -> None:
-        slow = worker_speeds.slow_workers(self.workers, now)
-        if slow != self.placer.slow_workers:
-            log.info(
-                "slow workers changed",
-                workers=sorted(slow),
-                before=len(self.placer.slow_workers),
-            )
-            self.counters.count("rounds.slow_workers_changed")
-        self.placer.slow_workers = slow
-
-    def _move_off_slow_worker(self, worker: fleet.Worker, now: float) -> None:
-        """Stop tasks that would end sooner if they continued on another worker."""
-        for task in list(worker.tasks.values()):
-            if task.relocations >= stragglers.MAX_MOVES:
-                continue
-            if not self.speeds.worth_moving(task, worker, now):
-                continue
-            if self._fits_elsewhere(task, now):
-                task.relocations += 1
-                self.orders.stop(task, worker, "slow")
-
-    def _fits_elsewhere(self, task: progress.Task, now: float) -> bool:
-        service = self.service_of(task.job.job)
-        return self.placer.has_room(task.step_run, service, now)
-
-    def _move_straggler(self, straggler: stragglers.Straggler, now: float) -> None:
-        task, worker = straggler.task, straggler.worker
-        before = worker.avoid_until
-        worker.avoid_until = now + stragglers.QUARANTINE_S
-        if not self._fits_elsewhere(task, now):
-            worker.avoid_until = before
-            return
-        task.relocations += 1
-        task.avoided_worker = worker.name
-        self.orders.stop(task, worker, "stalled")
-
     def _place_step(
         self,
         step_run: progress.StepRun,
