Report refusals without a logged reason as before

The scenario of mangosail report failed: logs without the new field counted under another text. They count as they did; the reason is appended where the log has one.

--- a/src/mangosail/cli/report.py
+++ b/src/mangosail/cli/report.py
@@ -149,8 +149,8 @@
         )
         outcome = str(line.fields.get("outcome"))
         if outcome not in ("accepted", "repeated"):
-            reason = line.fields.get("reason") or "no reason logged"
-            reasons[f"handed in: {outcome}, {reason}"] += 1
+            reason = line.fields.get("reason")
+            reasons[f"handed in: {outcome}" + (f", {reason}" if reason else "")] += 1
     elif line.event == "job taken":
         timeline.accepted_at = (
             at if timeline.accepted_at is None else timeline.accepted_at
