Judge whether a start's answer is overdue by how long answers take

Cause: a busy leader reads answers late. After a fixed 0.25 s it took them for lost, polled the worker again and stopped the run, which had to be started once more. It made its own load: in 7 s 2,593 starts confirmed, 1,341 in doubt as late, 1,396 of these stopped, 975 of which had begun, while open jobs grew from 325 to 457.

The mend: the time follows the answers that come, three times what slow ones take, from 0.25 s to 1 s, for starts and polls; a check that comes late itself is put off until the start has expired. So a busy leader waits, and one at rest notices lost answers as before.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -18,7 +18,14 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail.scheduler import errors, fleet, messages, ports, progress
+from mangosail.scheduler import (
+    answer_timeout,
+    errors,
+    fleet,
+    messages,
+    ports,
+    progress,
+)
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("orders")
@@ -26,9 +33,13 @@
 #: Seconds after which a start expires if the worker has not begun it. Short, so that a
 #: delayed one does no harm for longer than this.
 START_TIMEOUT_S = 2.0
-#: Seconds after which the answer to a start is overdue: about twenty times the usual
-#: latency. Polling the worker costs one call, so this may be too early at times.
+#: Minimum and maximum seconds after which the answer to a start is overdue. The minimum
+#: is about twenty times the usual latency; polling the worker costs one call, so it may
+#: be too early at times.
 ANSWER_TIMEOUT_S = 0.25
+MAX_ANSWER_TIMEOUT_S = 1.0
+#: Seconds by which a check may itself be late without the leader being behind.
+LATE_CHECK_S = 0.1
 #: Seconds within which an order without an answer may still be carried out.
 MAX_ORDER_DELAY_S = 12.0
 #: Seconds between attempts to stop a run on a worker that does not answer.
@@ -64,6 +75,10 @@
         #: Polls a worker immediately, processes its report, and returns whether it
         #: answered.
         self.poll_now: cabc.Callable[[fleet.Worker], bool] = lambda worker: False
+        #: When an answer is overdue, which polls go by too.
+        self.answer_timeout = answer_timeout.AnswerTimeout(
+            ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S
+        )
         #: Set once a worker has seen a higher fencing token.
         self.fenced = gevent.event.Event()
 
@@ -95,9 +110,12 @@
             task.step_run.tickets.get(worker.name, ""),
         )
         task.start_sent_at = now
-        gevent.spawn_later(ANSWER_TIMEOUT_S, self.resolve_late_start, task, worker, run)
+        self._check_start_later(task, worker, run)
         answer = self.client.start(worker.entry, order)
-        self.counters.time("orders.start", self.clock.elapsed() - now)
+        took = self.clock.elapsed() - now
+        self.counters.time("orders.start", took)
+        if isinstance(answer, result.Ok):
+            self.answer_timeout.record(took)
         worker = self._current_incarnation(worker)
         if task.run != run or task.phase is not progress.Phase.STARTING:
             # A poll has listed the run or its end, or it was stopped as overdue.
@@ -125,21 +143,46 @@
         """Return the current incarnation of a worker, which holds its tasks."""
         return self.workers.get(worker.name) or worker
 
-    def resolve_late_start(
+    def _check_start_later(
         self, task: progress.Task, worker: fleet.Worker, run: int
     ) -> None:
-        """Settle a start whose answer has not come by now.
+        """Have a start settled if its answer has not come in time."""
+        seconds = self.answer_timeout.seconds
+        due_at = self.clock.elapsed() + seconds
+        gevent.spawn_later(seconds, self.resolve_late_start, task, worker, run, due_at)
+
+    def resolve_late_start(
+        self, task: progress.Task, worker: fleet.Worker, run: int, due_at: float
+    ) -> None:
+        """Settle a start whose answer should have come by `due_at`.
 
         If the worker does not list the run it is stopped, which bars it, so that the
         next run need not wait until the deadline of this start has passed.
         """
-        if not self._unanswered(task, run) or not self.poll_now(worker):
+        if not self._unanswered(task, run):
+            return
+        if self._is_behind(task, due_at):
+            self.counters.count("orders.checked_late")
+            self._check_start_later(task, worker, run)
+            return
+        if not self.poll_now(worker):
             return
         if self._unanswered(task, run):
             self.counters.count("orders.late")
             self._mark_doubtful(task, worker, "late")
             self.stop(task, worker, "doubt")
 
+    def _is_behind(self, task: progress.Task, due_at: float) -> bool:
+        """Return whether the leader is late itself, and may not have read the answer.
+
+        Past the start's own deadline that no longer matters.
+        """
+        now = self.clock.elapsed()
+        sent_at = task.start_sent_at
+        if sent_at is None or now >= sent_at + START_TIMEOUT_S:
+            return False
+        return now >= due_at + LATE_CHECK_S
+
     def _unanswered(self, task: progress.Task, run: int) -> bool:
         return task.run == run and task.phase is progress.Phase.STARTING
 
--- a/src/mangosail/scheduler/polling.py
+++ b/src/mangosail/scheduler/polling.py
@@ -124,7 +124,7 @@
             deadline,
             wait,
         )
-        call.join(wait + orders.ANSWER_TIMEOUT_S)
+        call.join(wait + self.orders.answer_timeout.seconds)
         if call.ready() or not self.poll_now(worker) or call.ready():
             return call.get()
         self.counters.count("workers.look_late")
