--- a/src/mangosail/simulation/load.py
+++ b/src/mangosail/simulation/load.py
@@ -1,4 +1,4 @@
-"""Loads as data: queues, jobs that come, bursts, and troubles of workers."""
+"""Loads as data: queues, jobs that come, bursts, and faults of workers."""
 
 import dataclasses
 import math
@@ -51,7 +51,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Trouble:
+class WorkerFault:
     """A share of the workers that is `speed` times as fast; at 0 they are lost."""
 
     starts_at: float
@@ -68,9 +68,8 @@
     capacities: tuple[resources.Resources, ...]
     ends_at: float
     bursts: tuple[Burst, ...] = ()
-    troubles: tuple[Trouble, ...] = ()
-    #: Mean cores of continuous jobs that are there from the beginning, as a share of
-    #: what may be reserved for them.
+    worker_faults: tuple[WorkerFault, ...] = ()
+    #: Share of all cores that continuous jobs reserve from the beginning.
     standing_share: float = 1.0
 
     def rate(self, job_class: JobClass, now: float) -> float:
--- a/src/mangosail/simulation/replay.py
+++ b/src/mangosail/simulation/replay.py
@@ -162,12 +162,16 @@
             1, tuple(self.queues.values()), (messages.Service(loads.POOL),)
         )
         self.open_jobs: dict[str, progress.JobProgress] = {}
+        #: Time at which each job ended; infinite if it failed.
         self.ended_at: dict[str, float] = {}
+        #: Shares of the cores that short tasks used while some waited.
         self.used: list[float] = []
-        self.troubles_begun: dict[loads.Trouble, list[workers.Worker]] = {}
+        #: Workers that each fault has hit and not left yet.
+        self.hit_by: dict[loads.WorkerFault, list[workers.Worker]] = {}
         for number, capacity in enumerate(load.capacities):
             self._add_worker(number, capacity)
         self.leader = self._lead()
+        self.watchers = self.leader.load()
 
     def run(self) -> Report:
         """Replay the load to its end, and report."""
@@ -178,7 +182,7 @@
         coming = list(reversed(self.coming))
         while self.clock.now < ends_at:
             now = self.clock.now - begins_at
-            self._apply_troubles(now)
+            self._apply_faults(now)
             while coming and coming[-1].at <= now:
                 self._hand_in(coming.pop())
             self._step()
@@ -195,6 +199,7 @@
         self._put(WORKER_PREFIX + name, name)
 
     def _lead(self) -> scheduler.Scheduler:
+        """Return a leader that holds the lease."""
         counters = telemetry.StatsdCounters(None, 0)
         lead = leadership.Leadership(self.rows, "i", self.clock, counters, self.rand)
         held = lead.check()
@@ -214,7 +219,6 @@
             counters,
         )
         self.workers.find_task = leader.find_task
-        self.watchers = leader.load()
         return leader
 
     def _put(self, key: str, text: str) -> None:
@@ -228,21 +232,27 @@
                 self.workers.work_left[name] = each, each
         self._put(keys.job(job.job_id), codec.to_json(job))
 
-    def _apply_troubles(self, now: float) -> None:
-        for trouble in self.load.troubles:
-            begun = self.troubles_begun.get(trouble)
-            if begun is None and trouble.starts_at <= now:
-                well = [w for w in self.workers.by_name.values() if w.speed == 1.0]
-                hit = self.rand.sample(well, round(trouble.share * len(well)))
-                self.troubles_begun[trouble] = hit
+    def _apply_faults(self, now: float) -> None:
+        """Begin the faults that are due, and end those that are over."""
+        for fault in self.load.worker_faults:
+            hit = self.hit_by.get(fault)
+            if hit is None and fault.starts_at <= now:
+                self.hit_by[fault] = self._begin_fault(fault)
+            elif hit and now >= fault.ends_at:
+                self.hit_by[fault] = []
                 for worker in hit:
-                    self.workers.lose(worker) if not trouble.speed else None
-                    worker.speed = trouble.speed
-            elif begun and now >= trouble.ends_at:
-                self.troubles_begun[trouble] = []
-                for worker in begun:
                     worker.speed = 1.0
 
+    def _begin_fault(self, fault: loads.WorkerFault) -> list[workers.Worker]:
+        """Slow down or lose a share of the workers that are well; return them."""
+        well = [w for w in self.workers.by_name.values() if w.speed == 1.0]
+        hit = self.rand.sample(well, round(fault.share * len(well)))
+        for worker in hit:
+            if not fault.speed:
+                self.workers.lose(worker)
+            worker.speed = fault.speed
+        return hit
+
     def _step(self) -> None:
         """Run the leader once, then let time pass."""
         for watcher in self.watchers:
--- a/src/mangosail/simulation/workers.py
+++ b/src/mangosail/simulation/workers.py
@@ -25,8 +25,6 @@
 LIGHT_PRESSURE = 0.7
 #: Highest utilization for which a latency is computed.
 MAX_UTILIZATION = 0.98
-#: Milliseconds by which a start must have arrived to be carried out.
-START_GRACE_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -152,7 +150,7 @@
                         self.harmed_seconds += seconds
 
     def lose(self, worker: Worker) -> None:
-        """Cut a worker off for good; all its runs are lost."""
+        """Lose what runs on a worker, which does not answer while its speed is 0."""
         worker.speed = 0.0
         for run in worker.runs.values():
             self._keep(run, saved=False)
--- a/tests/simulation/loads.py
+++ b/tests/simulation/loads.py
@@ -72,5 +72,8 @@
     CALM,
     ends_at=14.0,
     bursts=(load.Burst(2.0, 8.0, 2.6, "release"), load.Burst(6.0, 8.0, 4.0, "quote")),
-    troubles=(load.Trouble(3.0, 9.0, 0.15, 0.25), load.Trouble(9.0, 12.0, 0.2, 0.0)),
+    worker_faults=(
+        load.WorkerFault(3.0, 9.0, 0.15, 0.25),
+        load.WorkerFault(9.0, 12.0, 0.2, 0.0),
+    ),
 )
