Survive a fault with an urgent task in the pause after a round

Found by reading: urgent tasks are placed in the pause after a round too, and there an exception ended the placement loop for as long as this instance led; in the round itself it is logged and the round given up. Both run under the same guard now. The scenario fails without it, with the RuntimeError of the one job ending the loop.

--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -150,12 +150,7 @@
             self.changed.clear()
             if self.stopping:
                 return
-            try:
-                self.place()
-            except Exception:
-                # A fault with one job must not stop the others for good.
-                self.counters.count("rounds.place_failed")
-                log.exception("placement round failed")
+            self._run_logged(self.place)
             # Placement takes a third of the processor at most, as its results have to
             # be written and sent. A long round has already paused in between.
             took = self.yielder.total_worked()
@@ -167,6 +162,14 @@
             pause = min(PAUSE_RATIO * took, MAX_PAUSE_S)
             self._pause_until(self.clock.elapsed() + max(ROUND_INTERVAL_S, pause))
 
+    def _run_logged(self, place: cabc.Callable[[], None]) -> None:
+        """Place tasks; a fault with one job must not stop the others for good."""
+        try:
+            place()
+        except Exception:
+            self.counters.count("rounds.place_failed")
+            log.exception("placement round failed")
+
     def _pause_until(self, deadline: float) -> None:
         """Let other greenlets run, but for urgent tasks that become ready."""
         while True:
@@ -175,7 +178,7 @@
             if left <= URGENT_INTERVAL_S or self.stopping:
                 return
             if self.changed.is_set():
-                self._place_urgent(self.clock.elapsed())
+                self._run_logged(self._place_urgent)
 
     def place(self) -> None:
         """Place waiting tasks in order, as far as there is room."""
@@ -193,7 +196,7 @@
         failed_searches = 0
         for step_run in ready:
             if self.yielder.yield_if_due():
-                self._place_urgent(now)
+                self._place_urgent()
             if self.stopping:
                 return
             tasks = startable_tasks(step_run, now)
@@ -214,13 +217,14 @@
             placed = self._place_step(step_run, tasks, unplaced, now)
             failed_searches += searches_all and not placed
 
-    def _place_urgent(self, now: float) -> None:
+    def _place_urgent(self) -> None:
         """Place the tasks of urgent steps that have become ready since the round began.
 
         Under overload a round with its pauses takes half a second, mostly for
         best-effort steps that find no room; a quote is late by then.
         """
-        deadline = self.clock.elapsed() + URGENT_BUDGET_S
+        now = self.clock.elapsed()
+        deadline = now + URGENT_BUDGET_S
         wall = self.clock.wall()
         urgent = [
             step_run
--- a/tests/scheduler/rounds.feature
+++ b/tests/scheduler/rounds.feature
@@ -47,6 +47,15 @@
       | in the round    |
       | after the round |
 
+  Scenario: A fault with an urgent job in the pause after a round stops nobody
+    # Guards against one job that ends all placing until another instance leads.
+    Given 30 best-effort jobs to place, each of which takes 20 ms
+    And an urgent job comes while others have a turn after the round
+    And placing the urgent job fails
+    When the leader goes on placing
+    Then it pauses for 150 ms at most after the round
+    And failures of placing were counted
+
   Scenario: Other greenlets run while a leader takes over
     # Guards against a leader that can't renew its lease while it reads jobs and
     # workers.
--- a/tests/scheduler/steps/rounds_steps.py
+++ b/tests/scheduler/steps/rounds_steps.py
@@ -202,6 +202,24 @@
     context.on_turn = come
 
 
+@given("placing the urgent job fails")
+def step_placing_fails(context):
+    placer = context.leader.scheduler.rounds.placer
+    place = placer.place
+
+    def fail(step_run, *args):
+        if step_run.job.job.job_id == JOB:
+            raise RuntimeError("a fault with one job")
+        return place(step_run, *args)
+
+    placer.place = fail
+
+
+@then("failures of placing were counted")
+def step_failures(context):
+    assert context.world.counters.snapshot()["rounds.place_failed"] > 0
+
+
 @then("the urgent job has begun within {milliseconds:d} ms")
 def step_urgent_begun(context, milliseconds):
     assert context.leader.task(f"{JOB}.0.0.0").live
