Force the order in which two callers claim one release

Callers saw, before: 500 (KeyError in Registry.claim), and an order that stayed claimed and unknown.

Cause: when a claim ended without a task, all who waited for it went on at once. With a place for each of them, two or more wrote their claims; with one worker the second was refused for room, and its mark was the one removed. In both cases the caller whose write took effect could find no mark to remove.

Nothing in src changes.

--- /dev/null
+++ b/tests/work/claims.feature
@@ -0,0 +1,27 @@
+Feature: Claims of one piece of work that meet each other, in one process
+  Each write of the table waits until the scenario lets it go, so that the order of
+  events is the same in every run.
+
+  Scenario Outline: Callers wait for a claim that comes to nothing
+    Guards against two claims in progress for one release: all who wait for a claim go
+    on at once when it comes to nothing. Two of them claimed the release; the mark of
+    the second replaced that of the first, and the first to end removed it. The other
+    found no mark to remove: its caller got an internal error, its row was written and
+    its task registered, but nothing started it, neither a sweep nor an adoption scan.
+    Given an instance with <workers> worker(s)
+    When <callers> callers order a release, and its first claim fails
+    And the writes that follow are let go <order> first
+    Then no caller meets an internal error
+    And the release has been started once, and is claimed and registered
+    And it is reserved on its worker alone
+    When the release ends
+    Then no claim and no reservation is left
+
+    Examples:
+      | workers | callers | order  |
+      | 1       | 3       | oldest |
+      | 1       | 5       | newest |
+      | 2       | 3       | oldest |
+      | 2       | 3       | newest |
+      | 2       | 4       | oldest |
+      | 3       | 5       | newest |
--- /dev/null
+++ b/tests/work/steps/claim_steps.py
@@ -0,0 +1,138 @@
+import json
+
+import gevent
+import gevent.event
+from behave import given, then, when
+from tests.support import fakes
+
+from mangosail.dispatch import messages as dispatch
+from mangosail.work import messages
+
+TASK_ID = "team/t"
+#: Seconds for which the callers of a scenario wait for the end of their work.
+CALLER_TIMEOUT_S = 0.3
+
+
+class HeldCommits:
+    """A table whose commits wait until the scenario lets each of them go."""
+
+    def __init__(self, rows):
+        self.rows = rows
+        self.waiting = []
+
+    def read(self, keys):
+        return self.rows.read(keys)
+
+    def scan(self, *page):
+        return self.rows.scan(*page)
+
+    def commit(self, transaction):
+        released = gevent.event.AsyncResult()
+        self.waiting.append(released)
+        fault = released.get()
+        self.rows.world.table_fault = fault
+        return self.rows.commit(transaction)
+
+    def let_go(self, number=0, fault=""):
+        self.waiting.pop(number).set(fault)
+        settle()
+
+    def let_all_go(self, number=0):
+        while self.waiting:
+            self.let_go(number)
+
+
+def settle():
+    """Let all greenlets run until each of them waits."""
+    for _ in range(10):
+        gevent.sleep(0)
+
+
+def hold_commits(instance):
+    held = HeldCommits(instance.runner.ctx.claims.rows)
+    instance.runner.ctx.claims.rows = held
+    return held
+
+
+def order(instance):
+    request = messages.Request("team", "t", "kind", fakes.NEEDS, {"id": "t"})
+    deadline = instance.world.clock.now + CALLER_TIMEOUT_S
+    caller = gevent.spawn(instance.runner.submit, request, deadline)
+    settle()
+    return caller
+
+
+def row(world):
+    return json.loads(world.rows[f"work/{TASK_ID}"].value)
+
+
+def started(world):
+    return [
+        (worker.name, entry[2])
+        for worker in world.workers.values()
+        for entry in worker.log
+        if entry[0] == "start"
+    ]
+
+
+def reserved_on(instance):
+    return [o.name for o in instance.owned if TASK_ID in o.ledger.reserved]
+
+
+@given("an instance with {count:d} worker(s)")
+def instance_with_workers(context, count):
+    context.world = fakes.World()
+    context.instance = fakes.Instance(context.world, "a")
+    for number in range(count):
+        worker = fakes.Worker(context.world, f"w{number}")
+        context.instance.take(worker, 1)
+    context.held = hold_commits(context.instance)
+
+
+@when("{count:d} callers order a release, and its first claim fails")
+def order_and_fail(context, count):
+    context.callers = [order(context.instance) for _ in range(count)]
+    assert len(context.held.waiting) == 1, context.held.waiting
+    context.held.let_go(fault="down")
+
+
+@when("the writes that follow are let go {which} first")
+def let_go(context, which):
+    context.held.let_all_go({"oldest": 0, "newest": -1}[which])
+    gevent.joinall(context.callers, timeout=5)
+
+
+@then("no caller meets an internal error")
+def no_internal_error(context):
+    assert all(caller.ready() for caller in context.callers)
+    raised = [c.exception for c in context.callers if not c.successful()]
+    assert not raised, raised
+
+
+@then("the release has been started once, and is claimed and registered")
+def started_once(context):
+    assert len(started(context.world)) == 1, started(context.world)
+    assert row(context.world)["state"] == "claimed", row(context.world)
+    assert context.instance.runner.ctx.registry.get(TASK_ID) is not None
+
+
+@then("it is reserved on its worker alone")
+def reserved_once(context):
+    assert reserved_on(context.instance) == [row(context.world)["worker"]]
+
+
+@when("the release ends")
+def release_ends(context):
+    worker = context.world.workers[row(context.world)["worker"]]
+    worker.end(TASK_ID, dispatch.TaskState.DONE, "whole")
+    hearing = gevent.spawn(context.instance.hear, worker)
+    settle()
+    context.held.let_all_go()
+    hearing.get(timeout=5)
+
+
+@then("no claim and no reservation is left")
+def nothing_left(context):
+    assert row(context.world)["state"] == "completed", row(context.world)
+    assert TASK_ID not in context.instance.runner.ctx.registry
+    assert not reserved_on(context.instance)
