Release the reservation of a move that is dropped

Callers saw: nothing at first; one worker of the instance had room for one task less, for as long as it was owned, and refused work for want of room.

Cause: a task whose start certainly failed is moved: room is reserved on the next worker, then the row is written. If another instance has adopted the task by then, the write conflicts and the task is dropped. Dropping it released only its share of the worker that the last written row names, which is the first one.

Ruled out: a start on the next worker, which the row never named; the listeners that release placements, which hear of ends only; Placer._release_lost, which looks only at workers that are no longer owned.

The fix: a dropped task releases its placement, wherever that is. There is no yield between its removal and the release, so the reservation of a later claim of the same id can't be meant.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -99,6 +99,7 @@
         self.ctx.end_listeners.append(self._release_placement)
         self.leases = leases.Leases(self.ctx)
         self.transitions = transitions.TaskTransitions(self.ctx)
+        self.transitions.on_abandoned = self._release_abandoned
         self.starts = starts.Starts(
             self.ctx, self.transitions, moves.Moves(self.ctx, task_placer)
         )
@@ -286,6 +287,10 @@
         else:
             self.placer.release(task_id)
 
+    def _release_abandoned(self, task: registry.Task) -> None:
+        """Release the reserved resources, which may be on the next worker by now."""
+        self.placer.release(task.task_id)
+
     def _claimed_row(
         self,
         request: messages.Request,
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -16,6 +16,8 @@
         self.ctx = ctx
         #: Called with a task whose row now names its next worker.
         self.on_reassigned: cabc.Callable[[registry.Task], None] | None = None
+        #: Called with a task that another instance has adopted.
+        self.on_abandoned: cabc.Callable[[registry.Task], None] | None = None
 
     def handle_report(
         self, task: registry.Task, report: dispatch_messages.Report
@@ -72,6 +74,8 @@
         """Drop a task that another instance has adopted."""
         self.ctx.counters.count("work.forgotten")
         self.ctx.registry.remove(task, None)
+        if self.on_abandoned is not None:
+            self.on_abandoned(task)
 
     def _finish(self, task: registry.Task) -> None:
         row = task.row
--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -25,3 +25,20 @@
       | 2       | 3       | newest |
       | 2       | 4       | oldest |
       | 3       | 5       | newest |
+
+  Scenario Outline: A moved release is taken over before the move is written
+    Guards against a reservation that nothing releases: the start fails, the release is
+    moved to a second worker and reserved there, and the write of the move conflicts
+    with that of another instance, which has taken over the first worker. The task was
+    dropped, and its share of the second worker stayed taken for good.
+    Given an instance with 1 worker(s)
+    When a release can't start, and its move to a second worker waits to be written
+    And the first worker is taken over, and the write of the move <ends>
+    Then no caller meets an internal error
+    And the release is not_run, and nothing has started
+    And no reservation for it is left at either instance
+
+    Examples:
+      | ends                              |
+      | goes on                           |
+      | is refused, and then made anew    |
--- a/tests/work/steps/claim_steps.py
+++ b/tests/work/steps/claim_steps.py
@@ -136,3 +136,40 @@
     assert row(context.world)["state"] == "completed", row(context.world)
     assert TASK_ID not in context.instance.runner.ctx.registry
     assert not reserved_on(context.instance)
+
+
+@when("a release can't start, and its move to a second worker waits to be written")
+def move_waits(context):
+    context.callers = [order(context.instance)]
+    context.instance.take(fakes.Worker(context.world, "w1"), 1)
+    context.world.order_fault = "unreachable"
+    context.held.let_go()
+    assert len(context.held.waiting) == 1, context.held.waiting
+    assert reserved_on(context.instance) == ["w1"], reserved_on(context.instance)
+
+
+@when("the first worker is taken over, and the write of the move {ends}")
+def take_over_first(context, ends):
+    if ends.startswith("is refused"):
+        context.held.let_go(fault="down")
+    context.instance.owned.remove("w0")
+    context.taker = fakes.Instance(context.world, "b")
+    context.taker.take(context.world.workers["w0"], 2)
+    context.taker.sweep()
+    sweeping = gevent.spawn(context.instance.sweep)
+    settle()
+    context.held.let_all_go()
+    gevent.joinall([*context.callers, sweeping], timeout=5)
+
+
+@then("the release is not_run, and nothing has started")
+def not_run(context):
+    assert row(context.world)["state"] == "not_run", row(context.world)
+    assert not started(context.world)
+
+
+@then("no reservation for it is left at either instance")
+def none_reserved(context):
+    for instance in (context.instance, context.taker):
+        assert not reserved_on(instance), reserved_on(instance)
+        assert TASK_ID not in instance.runner.placer.active
