Release the reservation of a claim that raises

Callers saw: three releases with a body nested 955 to 957 deep got 500, and then an instance with one worker refused every release as no_capacity for good.

Cause: room is reserved before the row is encoded and written. An exception in between, here RecursionError as the row is encoded deeper than the body was decoded, left the reservation; so did the end of the caller's greenlet.

The fix: the reservation is released in any case unless the task is registered. A row that was written by then is found by the adoption scan and voided.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -251,32 +251,58 @@
         deadline: float,
     ) -> Submitted:
         """Claim `request`, resuming from `stored` if there is a row, and start it."""
-        task_id = messages.task_id_of(request)
-        with self.ctx.registry.claim(task_id):
+        with self.ctx.registry.claim(messages.task_id_of(request)):
             if not self.ctx.lease.valid():
                 return self._refuse_for_room(request, stored)
             placed = self.placer.place(placing.placement_work(request))
             if isinstance(placed, result.Err):
                 return self._refuse_for_room(request, stored, placed.err_value)
             owned = placed.ok_value.owned
-            row = self._claimed_row(request, stored, owned)
-            version = stored.version if stored else table.ABSENT
-            written = self.ctx.claims.write(row, version)
-            if isinstance(written, result.Err) and isinstance(
-                written.err_value, platform_errors.Uncertain
-            ):
-                # Repeats the identical write, which can take effect only once.
-                self.ctx.counters.count("work.retry.claim_uncertain")
-                written = self.ctx.claims.write(row, version)
-            if isinstance(written, result.Ok):
-                task = registry.Task(written.ok_value, owned, deadline)
-                self.ctx.registry.add(task)
-        if isinstance(written, result.Err):
-            self.placer.release(task_id)
-            return self._handle_claim_error(request, written.err_value, deadline)
+            claimed = self._register_claim(request, stored, owned, deadline)
+        if isinstance(claimed, result.Err):
+            return self._handle_claim_error(request, claimed.err_value, deadline)
+        task = claimed.ok_value
         self.ctx.spawn(self.starts.start, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
 
+    def _register_claim(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        owned: workers.OwnedWorker,
+        deadline: float,
+    ) -> result.Result[registry.Task, platform_errors.CommitError]:
+        """Write the claim and register its task, or release its reservation."""
+        task_id = messages.task_id_of(request)
+        try:
+            written = self._write_claim(request, stored, owned)
+            if isinstance(written, result.Err):
+                return written
+            task = registry.Task(written.ok_value, owned, deadline)
+            self.ctx.registry.add(task)
+            return result.Ok(task)
+        finally:
+            # Also if the write raised or its greenlet was killed.
+            if self.ctx.registry.get(task_id) is None:
+                self.placer.release(task_id)
+
+    def _write_claim(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        owned: workers.OwnedWorker,
+    ) -> result.Result[claims.StoredRow, platform_errors.CommitError]:
+        row = self._claimed_row(request, stored, owned)
+        version = stored.version if stored else table.ABSENT
+        written = self.ctx.claims.write(row, version)
+        if isinstance(written, result.Err) and isinstance(
+            written.err_value, platform_errors.Uncertain
+        ):
+            # Repeats the identical write, which can take effect only once.
+            self.ctx.counters.count("work.retry.claim_uncertain")
+            written = self.ctx.claims.write(row, version)
+        return written
+
     def _release_placement(
         self, outcome: messages.Outcome, row: messages.WorkRow
     ) -> None:
--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -42,3 +42,19 @@
       | ends                              |
       | goes on                           |
       | is refused, and then made anew    |
+
+  Scenario Outline: A claim ends by an exception
+    Guards against a reservation that nothing releases: the room was reserved, then
+    <what>. Its share of the worker stayed taken for good, and the same release was
+    refused for want of room ever after.
+    Given an instance with 1 worker(s)
+    When a release is claimed, and <what>
+    Then no reservation for it is left
+    When the same release is ordered again
+    Then the release has been started once, and is claimed and registered
+
+    Examples:
+      | what                      |
+      | its body can't be encoded |
+      | its caller is stopped     |
+      | the table raises          |
--- a/tests/work/steps/claim_steps.py
+++ b/tests/work/steps/claim_steps.py
@@ -54,8 +54,8 @@
     return held
 
 
-def order(instance):
-    request = messages.Request("team", "t", "kind", fakes.NEEDS, {"id": "t"})
+def order(instance, body="body"):
+    request = messages.Request("team", "t", "kind", fakes.NEEDS, body)
     deadline = instance.world.clock.now + CALLER_TIMEOUT_S
     caller = gevent.spawn(instance.runner.submit, request, deadline)
     settle()
@@ -173,3 +173,36 @@
     for instance in (context.instance, context.taker):
         assert not reserved_on(instance), reserved_on(instance)
         assert TASK_ID not in instance.runner.placer.active
+
+
+@when("a release is claimed, and its body can't be encoded")
+def claim_unencodable(context):
+    caller = order(context.instance, body=object())
+    assert isinstance(caller.exception, TypeError), caller
+
+
+@when("a release is claimed, and its caller is stopped")
+def claim_stopped(context):
+    caller = order(context.instance)
+    context.held.waiting.clear()
+    caller.kill()
+
+
+@when("a release is claimed, and the table raises")
+def claim_raises(context):
+    caller = order(context.instance)
+    context.held.waiting.pop().set_exception(RuntimeError("the table"))
+    settle()
+    assert isinstance(caller.exception, RuntimeError), caller
+
+
+@then("no reservation for it is left")
+def none_left(context):
+    assert not reserved_on(context.instance), reserved_on(context.instance)
+    assert TASK_ID not in context.instance.runner.placer.active
+
+
+@when("the same release is ordered again")
+def order_again(context):
+    context.callers = [order(context.instance)]
+    context.held.let_all_go()
