Refuse bodies that nest too deeply to be stored and read

Callers saw: a release whose body nests arrays 955 to 957 deep got 500; from 949 on its repetition got 500, from 953 on so did the question for its outcome.

Cause: decoding and encoding stop at Python's limit for recursion, which counts the calls in progress as well. A row holds the body two levels deeper than the request did, and is encoded and read with more calls in progress.

Ruled out: the size of the body, under 2 kB; the table, which was not reached.

The fix: at most 500 levels, else malformed and not_run, before anything is reserved. Half of the limit is left for calls and for what is put around a body. Bodies with few brackets are not walked.

Bodies of 501 to 948 levels were served before and are refused now.

--- a/src/mangosail/codec.py
+++ b/src/mangosail/codec.py
@@ -7,6 +7,8 @@
     Row(key='a', value='1', version=3)
 """
 
+import collections.abc as cabc
+import itertools
 import typing as t
 
 import msgspec
@@ -54,3 +56,26 @@
         return msgspec.msgpack.decode(data, type=kind)
     except DECODE_ERRORS as exc:
         raise DecodeError(str(exc)) from exc
+
+
+def is_nested_deeper(value: t.Any, levels: int) -> bool:
+    """Return whether decoded JSON nests lists and objects in more than `levels`::
+
+    >>> is_nested_deeper({"a": [1]}, 1)
+    True
+    """
+    containers = [value] if isinstance(value, dict | list) else []
+    for _ in range(levels):
+        if not containers:
+            return False
+        items = (_items(container) for container in containers)
+        containers = [
+            item
+            for item in itertools.chain.from_iterable(items)
+            if isinstance(item, dict | list)
+        ]
+    return bool(containers)
+
+
+def _items(container: dict[str, t.Any] | list[t.Any]) -> cabc.Iterable[t.Any]:
+    return container.values() if isinstance(container, dict) else container
--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -26,6 +26,9 @@
 RETRY_AFTER_S = 1
 #: Size limit of a request body.
 MAX_BODY_BYTES = 1024 * 1024
+#: Levels to which a body may nest lists and objects. A body that is decoded at Python's
+#: own limit can't be encoded or read again where a few more calls are in progress.
+MAX_BODY_LEVELS = 500
 #: Upper bound in seconds for the Request-Timeout that a caller may set.
 MAX_TIMEOUT_S = 3600.0
 #: Seconds within which the whole body must have been received.
@@ -91,6 +94,11 @@
             raise falcon.HTTPBadRequest(
                 title="malformed", description=str(exc)
             ) from exc
+        if is_too_deep(data, body):
+            raise falcon.HTTPBadRequest(
+                title="malformed",
+                description=f"the body: at most {MAX_BODY_LEVELS} levels",
+            )
         if not isinstance(body, dict):
             raise falcon.HTTPBadRequest(
                 title="not_an_object", description="the body: expected a JSON object"
@@ -146,6 +154,15 @@
         return data
 
 
+def is_too_deep(data: bytes, body: t.Any) -> bool:
+    """Return whether `body`, decoded from `data`, has too many levels.
+
+    A body with fewer brackets than levels is allowed can't have, and isn't walked.
+    """
+    brackets = data.count(b"[") + data.count(b"{")
+    return brackets > MAX_BODY_LEVELS and codec.is_nested_deeper(body, MAX_BODY_LEVELS)
+
+
 def body_too_large() -> falcon.HTTPError:
     """Return the error for a body that exceeds the size limit."""
     return falcon.HTTPContentTooLarge(
--- a/tests/front/front.feature
+++ b/tests/front/front.feature
@@ -15,6 +15,7 @@
       | a wrong method        | 405    | wrong_method        |
       | half a JSON body      | 400    | malformed           |
       | deep JSON             | 400    | malformed           |
+      | 501 levels            | 400    | malformed           |
       | a list as body        | 400    | not_an_object       |
       | a form as body        | 415    | wrong_content_type  |
       | a bad request id      | 400    | bad_request_id      |
@@ -31,6 +32,20 @@
       | a slow body           | 408    | slow_body           |
       | no HTTP               | 400    | malformed           |
 
+  Scenario Outline: A release whose body nests deeply can be asked for again
+    Guards against a body that is decoded at Python's own limit for nesting and then
+    can't be encoded or read where a few more calls are in progress: its caller met an
+    internal error, at once or with each repetition.
+    When a release whose body has <levels> levels is ordered, repeated and asked for
+    Then each answer is <status>
+
+    Examples:
+      | levels | status |
+      | 500    | 200    |
+      | 501    | 400    |
+      | 953    | 400    |
+      | 958    | 400    |
+
   Scenario: Hundreds of slow callers do not affect others
     200 callers send the start of a request and never finish it. Each may hold a
     connection only until the timeout for headers; quotes are served meanwhile.
--- a/tests/front/steps/front_steps.py
+++ b/tests/front/steps/front_steps.py
@@ -28,6 +28,7 @@
     "a wrong method": {"method": "PUT"},
     "half a JSON body": {"body": b'{"tail": "UP'},
     "deep JSON": {"body": b"[" * 100_000},
+    "501 levels": {"body": b'{"a":' + b"[" * 500 + b"]" * 500 + b"}"},
     "a list as body": {"body": b"[1]"},
     "a form as body": {"headers": {"Content-Type": "text/plain"}},
     "a bad request id": {"headers": {"Request-Id": "a/b"}},
@@ -117,6 +118,29 @@
     return answer
 
 
+@when("a release whose body has {levels:d} levels is ordered, repeated and asked for")
+def order_nested(context, levels):
+    lists = levels - 1
+    body = b'{"work_seconds":0.05,"a":' + b"[" * lists + b"]" * lists + b"}"
+    request_id = f"nested-{levels}"
+    headers = teams.bearer(TOKEN, Request_Id=request_id)
+    path = "/v1/services/fuel/release"
+    context.answers = [
+        context.stage.call("shymkent-0", "POST", path, body, headers) for _ in range(2)
+    ]
+    if context.answers[0].status == 200:
+        path = f"/v1/work/{request_id}"
+        headers = teams.bearer(TOKEN)
+        context.answers.append(
+            context.stage.call("shymkent-0", "GET", path, None, headers)
+        )
+
+
+@then("each answer is {status:d}")
+def each_answer(context, status):
+    assert {answer.status for answer in context.answers} == {status}, context.answers
+
+
 @when("{count:d} callers send their headers a byte at a time")
 def slow_callers(context, count):
     context.slow = [connect(context) for _ in range(count)]
