Tell of a claimed release that can't be placed now

Callers saw: a release ordered again under its id was refused, as no_capacity while it ran on a worker that had just been taken over, and as too_large, without a time to ask again, once no listed worker was large enough, also if it had completed. The first outcome is promised.

Cause: a claim reads no row, as its check tells whether there is one. A claim that isn't placed is never written, so there was no check either.

Ruled out: a second start, as nothing is claimed; a false not_run, as refusals of work are told as unknown; a lack of room, where the row was read before.

The fix: who can't be placed is refused only if there is no claimed or final row. Evicted work is refused as before, so that a job that can't be placed ends.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -252,19 +252,42 @@
     ) -> Submitted:
         """Claim `request`, resuming from `stored` if there is a row, and start it."""
         with self.ctx.registry.claim(messages.task_id_of(request)):
-            if not self.ctx.lease.valid():
-                return self._refuse_for_room(request, stored)
-            placed = self.placer.place(placing.placement_work(request))
-            if isinstance(placed, result.Err):
-                return self._refuse_for_room(request, stored, placed.err_value)
-            owned = placed.ok_value.owned
-            claimed = self._register_claim(request, stored, owned, deadline)
+            placed = self._place(request)
+            if isinstance(placed, result.Ok):
+                owned = placed.ok_value.owned
+                claimed = self._register_claim(request, stored, owned, deadline)
+        if isinstance(placed, result.Err):
+            return self._answer_unplaced(request, stored, placed.err_value, deadline)
         if isinstance(claimed, result.Err):
             return self._handle_claim_error(request, claimed.err_value, deadline)
         task = claimed.ok_value
         self.ctx.spawn(self.starts.start, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
 
+    def _place(
+        self, request: messages.Request
+    ) -> result.Result[placer.Placement, placement_errors.NotPlaced]:
+        if not self.ctx.lease.valid():
+            return result.Err(NO_ROOM)
+        return self.placer.place(placing.placement_work(request))
+
+    def _answer_unplaced(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        refused: placement_errors.NotPlaced,
+        deadline: float,
+    ) -> Submitted:
+        """Refuse work that was not placed, unless it was claimed before."""
+        if stored is None:
+            found = self.waiter.read(request.team, request.request_id)
+            if isinstance(found, result.Err):
+                return result.Err(errors.StoreUnavailable(outcomes.RETRY_AFTER_S))
+            held = found.ok_value
+            if held is not None and held.row.state is not messages.State.EVICTED:
+                return self._resubmit_row(request, held, deadline)
+        return self._refuse_for_room(request, stored, refused)
+
     def _register_claim(
         self,
         request: messages.Request,
--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -58,3 +58,30 @@
       | its body can't be encoded |
       | its caller is stopped     |
       | the table raises          |
+
+  Scenario Outline: A release that can't be placed now was claimed before
+    Guards against a refusal where there is an outcome to return. A claim reads no row;
+    its placement was refused, and so was the caller: as "no_capacity" if the worker
+    that runs the release was taken over and is not yet scanned for work, and for good
+    as "too_large" if the workers that were large enough are gone.
+    Given an instance with 1 worker(s)
+    When a release <runs>, and then <change>
+    And the same release is ordered again
+    Then its caller is told that it is <state>
+    When another body is ordered under the same id
+    Then its caller is refused for the body
+
+    Examples:
+      | runs        | change                         | state     |
+      | runs        | its worker is taken over       | claimed   |
+      | has run     | its worker is taken over       | completed |
+      | runs        | no worker is large enough      | claimed   |
+      | has run     | no worker is large enough      | completed |
+
+  Scenario: A release that can't be placed while the table is down
+    Whether it was claimed before is not known, so it is not refused for good.
+    Given an instance with 1 worker(s)
+    When no worker is large enough, and a release is ordered while the table is down
+    Then its caller is refused as "store_unavailable" with a time to ask again
+    When the same release is ordered again
+    Then its caller is refused as "too_large" for good
--- a/tests/work/steps/claim_steps.py
+++ b/tests/work/steps/claim_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 from tests.support import fakes
 
+from mangosail import resources
 from mangosail.dispatch import messages as dispatch
-from mangosail.work import messages
+from mangosail.work import errors, messages
 
 TASK_ID = "team/t"
 #: Seconds for which the callers of a scenario wait for the end of their work.
@@ -206,3 +207,75 @@
 def order_again(context):
     context.callers = [order(context.instance)]
     context.held.let_all_go()
+
+
+@when("a release {runs}, and then {change}")
+def run_then_change(context, runs, change):
+    caller = order(context.instance)
+    context.held.let_all_go()
+    caller.get(timeout=5)
+    if runs == "has run":
+        release_ends(context)
+    if change == "its worker is taken over":
+        context.instance = taken_over(context.instance)
+        context.held = hold_commits(context.instance)
+    else:
+        forget_large_workers(context.instance)
+
+
+def taken_over(instance):
+    """Return another instance that owns the worker, and has scanned it for no work."""
+    worker = instance.world.workers["w0"]
+    instance.owned.remove("w0")
+    taker = fakes.Instance(instance.world, "b")
+    reports = [
+        dispatch.Report(task_id, 1, worker.tasks[task_id].state, needs=fakes.NEEDS)
+        for task_id in worker.running()
+    ]
+    taker.take(worker, 2).ledger.rebuild(reports, 2)
+    return taker
+
+
+def forget_large_workers(instance):
+    """Let no worker be large enough, and no task be registered here."""
+    instance.runner.placer.sizes.capacities = lambda: [resources.Resources(cpus=0.5)]
+    for task in instance.runner.ctx.registry:
+        instance.runner.transitions.abandon(task)
+
+
+@then("its caller is told that it is {state}")
+def told_state(context, state):
+    answer = context.callers[0].get(timeout=5)
+    assert answer.is_ok() and answer.ok_value.state == state, answer
+
+
+@when("another body is ordered under the same id")
+def order_other_body(context):
+    context.callers = [order(context.instance, body="another")]
+    context.held.let_all_go()
+
+
+@then("its caller is refused for the body")
+def refused_for_body(context):
+    answer = context.callers[0].get(timeout=5)
+    assert answer.is_err() and isinstance(answer.err_value, errors.BodyConflict), answer
+
+
+@when("no worker is large enough, and a release is ordered while the table is down")
+def order_while_down(context):
+    forget_large_workers(context.instance)
+    context.world.table_fault = "down"
+    context.callers = [order(context.instance)]
+    context.world.table_fault = ""
+
+
+@then('its caller is refused as "{reason}" with a time to ask again')
+def refused_for_now(context, reason):
+    refusal = context.callers[0].get(timeout=5).err_value
+    assert refusal.reason == reason and refusal.retry_after, refusal
+
+
+@then('its caller is refused as "{reason}" for good')
+def refused_for_good(context, reason):
+    refusal = context.callers[0].get(timeout=5).err_value
+    assert refusal.reason.value == reason and refusal.retry_after is None, refusal
