--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -99,6 +99,7 @@
         self.ctx.end_listeners.append(self._release_placement)
         self.leases = leases.Leases(self.ctx)
         self.transitions = transitions.TaskTransitions(self.ctx)
+        self.transitions.on_abandoned = self._release_abandoned
         self.starts = starts.Starts(
             self.ctx, self.transitions, moves.Moves(self.ctx, task_placer)
         )
@@ -250,32 +251,81 @@
         deadline: float,
     ) -> Submitted:
         """Claim `request`, resuming from `stored` if there is a row, and start it."""
-        task_id = messages.task_id_of(request)
-        with self.ctx.registry.claim(task_id):
-            if not self.ctx.lease.valid():
-                return self._refuse_for_room(request, stored)
-            placed = self.placer.place(placing.placement_work(request))
-            if isinstance(placed, result.Err):
-                return self._refuse_for_room(request, stored, placed.err_value)
-            owned = placed.ok_value.owned
-            row = self._claimed_row(request, stored, owned)
-            version = stored.version if stored else table.ABSENT
-            written = self.ctx.claims.write(row, version)
-            if isinstance(written, result.Err) and isinstance(
-                written.err_value, platform_errors.Uncertain
-            ):
-                # Repeats the identical write, which can take effect only once.
-                self.ctx.counters.count("work.retry.claim_uncertain")
-                written = self.ctx.claims.write(row, version)
-            if isinstance(written, result.Ok):
-                task = registry.Task(written.ok_value, owned, deadline)
-                self.ctx.registry.add(task)
-        if isinstance(written, result.Err):
-            self.placer.release(task_id)
-            return self._handle_claim_error(request, written.err_value, deadline)
+        with self.ctx.registry.claim(messages.task_id_of(request)):
+            placed = self._place(request)
+            if isinstance(placed, result.Ok):
+                owned = placed.ok_value.owned
+                claimed = self._register_claim(request, stored, owned, deadline)
+        if isinstance(placed, result.Err):
+            return self._answer_unplaced(request, stored, placed.err_value, deadline)
+        if isinstance(claimed, result.Err):
+            return self._handle_claim_error(request, claimed.err_value, deadline)
+        task = claimed.ok_value
         self.ctx.spawn(self.starts.start, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
 
+    def _place(
+        self, request: messages.Request
+    ) -> result.Result[placer.Placement, placement_errors.NotPlaced]:
+        if not self.ctx.lease.valid():
+            return result.Err(NO_ROOM)
+        return self.placer.place(placing.placement_work(request))
+
+    def _answer_unplaced(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        refused: placement_errors.NotPlaced,
+        deadline: float,
+    ) -> Submitted:
+        """Refuse work that was not placed, unless it was claimed before."""
+        if stored is None:
+            found = self.waiter.read(request.team, request.request_id)
+            if isinstance(found, result.Err):
+                return result.Err(errors.StoreUnavailable(outcomes.RETRY_AFTER_S))
+            held = found.ok_value
+            if held is not None and held.row.state is not messages.State.EVICTED:
+                return self._resubmit_row(request, held, deadline)
+        return self._refuse_for_room(request, stored, refused)
+
+    def _register_claim(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        owned: workers.OwnedWorker,
+        deadline: float,
+    ) -> result.Result[registry.Task, platform_errors.CommitError]:
+        """Write the claim and register its task, or release its reservation."""
+        task_id = messages.task_id_of(request)
+        try:
+            written = self._write_claim(request, stored, owned)
+            if isinstance(written, result.Err):
+                return written
+            task = registry.Task(written.ok_value, owned, deadline)
+            self.ctx.registry.add(task)
+            return result.Ok(task)
+        finally:
+            # Also if the write raised or its greenlet was killed.
+            if self.ctx.registry.get(task_id) is None:
+                self.placer.release(task_id)
+
+    def _write_claim(
+        self,
+        request: messages.Request,
+        stored: claims.StoredRow | None,
+        owned: workers.OwnedWorker,
+    ) -> result.Result[claims.StoredRow, platform_errors.CommitError]:
+        row = self._claimed_row(request, stored, owned)
+        version = stored.version if stored else table.ABSENT
+        written = self.ctx.claims.write(row, version)
+        if isinstance(written, result.Err) and isinstance(
+            written.err_value, platform_errors.Uncertain
+        ):
+            # Repeats the identical write, which can take effect only once.
+            self.ctx.counters.count("work.retry.claim_uncertain")
+            written = self.ctx.claims.write(row, version)
+        return written
+
     def _release_placement(
         self, outcome: messages.Outcome, row: messages.WorkRow
     ) -> None:
@@ -286,6 +336,10 @@
         else:
             self.placer.release(task_id)
 
+    def _release_abandoned(self, task: registry.Task) -> None:
+        """Release the reserved resources, which may be on the next worker by now."""
+        self.placer.release(task.task_id)
+
     def _claimed_row(
         self,
         request: messages.Request,
