Cancel a task that a peer accepts after its job was cancelled

Callers saw a job that stayed "cancelling" for as long as one of its tasks ran at a peer, or a job recorded as cancelled while that task still held its room on a worker.

A placement round finds a waiting task, offers it to a peer, which takes up to 0.5 s, and then marks it as running. A cancellation during that wait counted the task as waiting, so it was not among the running tasks that are cancelled, and nobody cancelled it later: the recorder cancels only jobs that it takes for running, the peer reads only the row of the task, and the poll of that row settles the task once it has ended.

The round now cancels an offered task whose job was cancelled meanwhile, whatever the peer answered: the cancelled row keeps a lost or late claim from taking effect.

The scenario forces the order, with the end of the job recorded before and after the answer. Without the mend both cases fail, as no cancellation is sent; with it they pass.

--- a/src/mangosail/jobs/cancellation.py
+++ b/src/mangosail/jobs/cancellation.py
@@ -2,12 +2,15 @@
 
 import gevent
 import gevent.pool
+import logbook
 import result
 
 from mangosail import clock as clocks
 from mangosail.jobs import attempts, held, messages, tracker, work
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("jobs")
+
 #: Cancellations that run concurrently.
 MAX_CONCURRENT_CANCELLATIONS = 16
 #: Upper bound of the delay before a cancellation that had no effect is retried.
@@ -41,6 +44,17 @@
         """Cancel the running tasks of `job` in the background."""
         gevent.spawn(self._cancel_running_tasks, job)
 
+    def cancel_if_late(self, job: held.HeldJob, index: int) -> None:
+        """Cancel a task that began to run after the running ones were cancelled.
+
+        A peer may accept a task whose job was cancelled while the peer was asked. It
+        would then run to its end, as nobody knew of it when the others were cancelled.
+        """
+        if job.state is messages.State.CANCELLING:
+            self.counters.count("jobs.cancelled_late")
+            log.info("late task cancelled", job=job.spec.job_id, index=index)
+            gevent.spawn(self.pool.spawn, self._cancel_task, job, index, 0)
+
     def _cancel_running_tasks(self, job: held.HeldJob) -> None:
         for index in list(job.tracker.with_status(tracker.TaskStatus.RUNNING)):
             self.pool.spawn(self._cancel_task, job, index, 0)
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -244,6 +244,7 @@
             URGENT_OFFER_CLAIM_TIMEOUT_S if job.spec.urgent else OFFER_CLAIM_TIMEOUT_S
         )
         job.schedule_poll(index, self.clock.monotonic(), claim_timeout)
+        self.canceller.cancel_if_late(job, index)
 
     def _run(
         self, job: held.HeldJob, index: int, request: work_messages.Request
--- a/tests/jobs/offers.feature
+++ b/tests/jobs/offers.feature
@@ -46,3 +46,17 @@
       | kind       | seconds | least |
       | urgent     | 2.1     | 0.5   |
       | not urgent | 12      | 10    |
+
+  Scenario Outline: A job is cancelled while a peer is asked to run its task
+    The task waits when the job is cancelled, and is offered when the peer answers.
+    Guards against a task that the peer then runs to its end, while its job is reported
+    as cancelling, or has even been recorded as cancelled.
+    Given a holder without workers, whose job is cancelled while a peer is asked
+    And the end of the job is recorded <when> the peer answers
+    When the peer accepts the task
+    Then the task is cancelled, and the job ends as cancelled
+
+    Examples:
+      | when   |
+      | after  |
+      | before |
--- a/tests/jobs/steps/offers_steps.py
+++ b/tests/jobs/steps/offers_steps.py
@@ -8,6 +8,7 @@
 from mangosail import resources
 from mangosail.jobs import messages, offers, queue, recording, records
 from mangosail.telemetry import counters
+from mangosail.work import messages as work_messages
 
 #: Placement rounds between two recordings of the held jobs.
 ROUNDS_PER_RECORDING = int(recording.RECORD_INTERVAL_S / queue.IDLE_PLACE_INTERVAL_S)
@@ -158,16 +159,13 @@
         return result.Err("deadline_exceeded")
 
 
-@given("a holder without workers, the first answer to whose offers is lost")
-def losing_holder(context):
-    scene = context.scene = crowded.Crowded()
-    context.peer = LosingPeer(scene.clock)
-    peers = Peers([context.peer])
-    context.queue = queue.JobQueue(
+def make_holder(scene, peer):
+    """Return the jobs of an instance without workers that offers tasks to `peer`."""
+    return queue.JobQueue(
         records.Records(fakes.Table(fakes.World())),
         scene,
         scene.room,
-        make_offers(peers, scene, scene.room, scene.clock),
+        make_offers(Peers([peer]), scene, scene.room, scene.clock),
         fakes.Lease("i", "1"),
         lambda team: resources.Resources(cpus=100),
         scene.clock,
@@ -175,6 +173,13 @@
     )
 
 
+@given("a holder without workers, the first answer to whose offers is lost")
+def losing_holder(context):
+    scene = context.scene = crowded.Crowded()
+    context.peer = LosingPeer(scene.clock)
+    context.queue = make_holder(scene, context.peer)
+
+
 @when("a job that is {kind} is submitted")
 def submit_job(context, kind):
     needs = resources.Resources(12, 2, 0, 1)
@@ -193,3 +198,59 @@
 def offered_again(context, seconds, least):
     first, *again = context.peer.came_at
     assert again and least <= again[0] - first <= seconds, context.peer.came_at
+
+
+class CancelledMeanwhile(Peer):
+    """A peer that accepts a task, whose job is cancelled before its answer arrives."""
+
+    def __init__(self, context):
+        super().__init__("p", 0)
+        self.context = context
+
+    def call(self, method, message, timeout):
+        assert isinstance(self.context.queue.cancel("t", "j"), result.Ok)
+        # The answer takes long enough for the cancellation of running tasks to be over.
+        gevent.sleep(0.01)
+        if self.context.recorded_first:
+            self.context.queue.recorder.record()
+        return result.Ok(messages.OfferAnswer(True))
+
+
+class CancelledTasks(crowded.Crowded):
+    """In-memory workers with the tasks that were cancelled."""
+
+    def __init__(self):
+        super().__init__()
+        self.cancelled = []
+
+    def cancel(self, team, request_id, forward=True):
+        self.cancelled.append(request_id)
+        return result.Ok(types.SimpleNamespace(state=work_messages.State.CANCELLED))
+
+
+@given("a holder without workers, whose job is cancelled while a peer is asked")
+def cancelled_meanwhile(context):
+    context.scene = CancelledTasks()
+    context.queue = make_holder(context.scene, CancelledMeanwhile(context))
+
+
+@given("the end of the job is recorded {order} the peer answers")
+def recorded(context, order):
+    context.recorded_first = order == "before"
+
+
+@when("the peer accepts the task")
+def accepts_task(context):
+    needs = resources.Resources(12, 2, 0, 1)
+    job = messages.Job("t", "j", "k", 1, needs, None)
+    assert isinstance(context.queue.submit(job), result.Ok)
+    context.queue.place()
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+
+
+@then("the task is cancelled, and the job ends as cancelled")
+def task_cancelled(context):
+    assert context.scene.cancelled == ["j.0"], context.scene.cancelled
+    progress = context.queue.look_up("t", "j").ok_value
+    assert progress.state is messages.State.CANCELLED, progress
