Answer a call to a dropped peer with an error value

Callers got an internal error (HTTP 500) if the platform removed or replaced a peer while their quote was being passed on to another one. A request takes the list of peers to try once; while it waits for the first, the upkeep may drop the second and close its channel, on which gRPC raises a ValueError that nothing handles.

Ruled out: calls in progress when the channel closes. One to a slow server, whose channel was closed 0.3 s later, returned "cancelled".

A closed channel now answers "cancelled" too, without a call, for every method. The scenario drops the second peer during the call to the first. It ended with the ValueError before, and the quote is refused "peer_lost" now.

--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -28,6 +28,8 @@
     ("grpc.enable_http_proxy", 0),
 )
 
+#: Status of a call on a channel that is closed.
+CANCELLED = grpc.StatusCode.CANCELLED.name.lower()
 
 RequestT = t.TypeVar("RequestT")
 ResponseT = t.TypeVar("ResponseT")
@@ -117,6 +119,8 @@
         self.address = address
         self.name = name
         self.store = store
+        #: True once the peer was dropped: no call is made any more.
+        self.closed = False
         self._open()
 
     def _open(self) -> None:
@@ -133,7 +137,12 @@
         """Return the peer's answer, or the gRPC status as an Err.
 
         ``channel.call(methods.HEARTBEAT, own, HEARTBEAT_TIMEOUT_S)``
+
+        A caller that tries peers in turn may come to one that was dropped while it
+        waited for another. gRPC raises an error there, which callers got as a 500.
         """
+        if self.closed:
+            return result.Err(CANCELLED)
         if self.store is not None and self.store.version != self.version:
             # Pending calls complete on the old channel, which is closed later.
             gevent.spawn_later(OLD_CHANNEL_GRACE_S, self.channel.close)
@@ -154,5 +163,6 @@
         return call
 
     def close(self) -> None:
-        """Close the channel."""
+        """Close the channel; calls in progress and later ones are `CANCELLED`."""
+        self.closed = True
         self.channel.close()
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -52,3 +52,10 @@
     Given a peer "full" without and a peer "other" without
     And own workers that are full, and an exhausted retry budget
     Then a quote is forwarded to no peer
+
+  Scenario: A peer is removed from the list while another one is asked
+    A frozen peer is asked first. The next one is replaced meanwhile, and its channel is
+    closed. Guards against an internal error for the caller, who must be refused.
+    Given a peer "frozen" with capacity and a peer "gone" with less capacity
+    When "frozen" answers nothing and "gone" is removed from the list meanwhile
+    Then a quote is refused "peer_lost" with outcome "unknown"
--- a/tests/front/steps/forwarding_steps.py
+++ b/tests/front/steps/forwarding_steps.py
@@ -4,7 +4,7 @@
 from mangosail import clock, codec, resources
 from mangosail.front import forwarding, messages
 from mangosail.membership import messages as membership_messages
-from mangosail.membership import peers
+from mangosail.membership import peers, rpc
 from mangosail.platform import inventory
 from mangosail.settings import schema
 from mangosail.telemetry import counters
@@ -93,6 +93,21 @@
     context.peers.by_name[other].channel.answer = served_by(other)
 
 
+@when('"{silent}" answers nothing and "{gone}" is removed from the list meanwhile')
+def removed_meanwhile(context, silent, gone):
+    known = context.peers
+    known.start_heartbeats = lambda peer: None
+    known.by_name[gone].channel = rpc.Channel("127.0.0.1:1", gone)
+    left = known.by_name[silent]
+
+    def call(method, message, timeout):
+        known.update([left.listed])
+        assert list(known.by_name) == [silent]
+        return result.Err("deadline_exceeded")
+
+    left.channel.call = call
+
+
 @given("own workers that are full, and an exhausted retry budget")
 def own_workers_full(context):
     context.has_no_workers = context.retries_left = False
