Abandon a lost task only once

A worker could be given more than its capacity: a task that another instance had evicted was dropped twice, and the second time released the room of the next generation of the same work, which ran on the same worker.

The write of the end conflicts and the task is dropped, under its lock. A cancellation that waited for the lock looked at the pending row before it looked at whether the task was still held, and wrote the row again. During that write the work can be claimed anew. The registry compares tasks by identity, but ledgers release room by the id of the work.

A pending row is no longer written for a task that was removed, and a task is abandoned once. The scenario runs the steps in that order: before, the worker's ledger was empty while the resumed task ran; now the room stays reserved.

--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -49,8 +49,12 @@
         self.write_pending(task)
 
     def write_pending(self, task: registry.Task) -> None:
-        """Write the pending row, if there is one."""
-        if task.pending_row is None:
+        """Write the pending row, if there is one and the task was not abandoned.
+
+        A cancellation that waits for the write by which a task is lost comes here after
+        it. Abandoning the task again would release the room of a later claim.
+        """
+        if task.pending_row is None or task.removed.ready():
             return
         written = self.ctx.claims.write(
             task.pending_row, task.stored.version, task.row.worker
@@ -70,6 +74,8 @@
 
     def abandon(self, task: registry.Task) -> None:
         """Drop a task that another instance has adopted."""
+        if task.removed.ready():
+            return
         self.ctx.counters.count("work.forgotten")
         self.ctx.registry.remove(task, None)
 
--- a/tests/work/promises.feature
+++ b/tests/work/promises.feature
@@ -59,3 +59,11 @@
       | work              | obstacle            | starts |
       | a release         | a table that is down | 1     |
       | an evicted task   | the evicted row     | 2      |
+
+  Scenario: A task that was lost is not lost again when a later claim of it runs
+    Another instance takes a worker for gone and evicts its task; this one learns of that
+    by the conflict as it writes the end. A cancellation that waited for that write makes
+    it again, but the work has been resumed on the same worker. Guards against a running
+    task for which no room is reserved, so that its worker is given too much.
+    When an evicted task is resumed, and the end of its lost generation is written again
+    Then room is reserved for the resumed task
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -307,3 +307,30 @@
 def started_each_once(context, count):
     generations = [entry[2] for entry in starts(context.world)]
     assert generations == list(range(1, count + 1)), generations
+
+
+@when("an evicted task is resumed, and the end of its lost generation is written again")
+def lost_again(context):
+    context.world = world = fakes.World()
+    context.worker = fakes.Worker(world, "w0")
+    context.first = first = fakes.Instance(world, "a")
+    first.take(context.worker, 1)
+    first.submit("t", restartable=True)
+    lost = first.runner.ctx.registry.get("team/t")
+    context.worker.gone = True
+    assert fakes.Instance(world, "b").runner.look_up("team", "t").is_ok()
+    context.worker.gone = False
+    context.worker.end("team/t", dispatch.TaskState.DONE, "whole")
+    first.hear(context.worker)
+    assert lost.removed.ready()
+    first.submit("t", restartable=True)
+    first.runner.cancellations.cancel_task(lost)
+
+
+@then("room is reserved for the resumed task")
+def room_reserved(context):
+    assert starts(context.world)[-1][1:3] == ("team/t", 2), starts(context.world)
+    assert context.worker.running() == ["team/t"]
+    (owned,) = context.first.owned
+    assert list(owned.ledger.reserved) == ["team/t"], owned.ledger.reserved
+    assert list(context.first.runner.placer.active) == ["team/t"]
