Release the room of a move that another instance overtakes

A worker's room stayed reserved for as long as its instance owned it, for work that another instance had ended or taken over; callers were refused for lack of capacity.

A move reserves room on the next worker and then writes the row. If another instance has written it meanwhile (it found the first worker gone, or took it over), the task is dropped, which released the room on its first worker only.

A task that is abandoned now releases its placement. That also takes it out of the list by which placement estimates when a refused caller should return.

In the scenario the other instance writes between the claim and the move. Before, the release was still reserved on the next worker; now nothing is.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -99,6 +99,7 @@
         self.ctx.end_listeners.append(self._release_placement)
         self.leases = leases.Leases(self.ctx)
         self.transitions = transitions.TaskTransitions(self.ctx)
+        self.transitions.on_abandoned = task_placer.release
         self.starts = starts.Starts(
             self.ctx, self.transitions, moves.Moves(self.ctx, task_placer)
         )
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -16,6 +16,8 @@
         self.ctx = ctx
         #: Called with a task whose row now names its next worker.
         self.on_reassigned: cabc.Callable[[registry.Task], None] | None = None
+        #: Called with the id of a task that was abandoned.
+        self.on_abandoned: cabc.Callable[[str], object] | None = None
 
     def handle_report(
         self, task: registry.Task, report: dispatch_messages.Report
@@ -73,11 +75,17 @@
         self.ctx.counters.count("work.retry.end_not_written")
 
     def abandon(self, task: registry.Task) -> None:
-        """Drop a task that another instance has adopted."""
+        """Drop a task that another instance has adopted.
+
+        If it was being moved, its next worker has room reserved that nothing else
+        would release.
+        """
         if task.removed.ready():
             return
         self.ctx.counters.count("work.forgotten")
         self.ctx.registry.remove(task, None)
+        if self.on_abandoned is not None:
+            self.on_abandoned(task.task_id)
 
     def _finish(self, task: registry.Task) -> None:
         row = task.row
--- a/tests/work/promises.feature
+++ b/tests/work/promises.feature
@@ -60,6 +60,14 @@
       | a release         | a table that is down | 1     |
       | an evicted task   | the evicted row     | 2      |
 
+  Scenario: Work that is lost to another instance while it is moved holds no room
+    The worker is gone before the start arrives, and a caller asks another instance, which
+    records that. The first one has reserved room on its next worker by then. Guards
+    against room that stays reserved for as long as the instance owns that worker.
+    When a release is moved from a worker that another instance finds to be gone
+    Then its caller is told that the outcome is unknown for good
+    And no worker of the first instance has anything reserved
+
   Scenario: A task that was lost is not lost again when a later claim of it runs
     Another instance takes a worker for gone and evicts its task; this one learns of that
     by the conflict as it writes the end. A cancellation that waited for that write makes
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -309,6 +309,38 @@
     assert generations == list(range(1, count + 1)), generations
 
 
+@when("a release is moved from a worker that another instance finds to be gone")
+def moved_from_gone(context):
+    context.world = world = fakes.World()
+    context.first = fakes.Instance(world, "a")
+    for name in ("w0", "w1"):
+        context.first.take(fakes.Worker(world, name), 1)
+    other = fakes.Instance(world, "b")
+
+    def find_gone():
+        row = json.loads(world.rows["work/team/r"].value)
+        world.workers[row["worker"]].gone = True
+        found = other.runner.look_up("team", "r").ok_value
+        assert found.reason == "worker_lost", found
+
+    world.on_pause = find_gone
+    world.table_fault, world.order_fault = "paused", "unreachable"
+    context.reported = context.first.submit("r")
+
+
+@then("its caller is told that the outcome is unknown for good")
+def told_unknown(context):
+    reported = context.reported.ok_value
+    assert (reported.outcome, reported.retry_after) == ("unknown", None), reported
+
+
+@then("no worker of the first instance has anything reserved")
+def nothing_reserved(context):
+    reserved = {owned.name: owned.ledger.reserved for owned in context.first.owned}
+    assert not any(reserved.values()), reserved
+    assert not context.first.runner.placer.active
+
+
 @when("an evicted task is resumed, and the end of its lost generation is written again")
 def lost_again(context):
     context.world = world = fakes.World()
