Send a peer that is chosen again one stream of heartbeats

Callers see nothing; the instance and its peer spend more on heartbeats, until the process ends, each time the peer is chosen again soon after it was not.

In another data centre two peers are sent heartbeats every 4 s. If one of them leaves the platform's list, returns and leaves again within one pause, the greenlet of the third is started, told to end, and started again. The first one looks at the mark only after its pause, finds it set for the second, and goes on.

A peer now records whether a greenlet sends it heartbeats, and no second one is started.

--- a/src/mangosail/membership/peers.py
+++ b/src/mangosail/membership/peers.py
@@ -52,6 +52,8 @@
         self.at_capacity = False
         #: True while heartbeats are sent to the peer.
         self.receives_heartbeats = False
+        #: True while a greenlet sends them; it outlasts the above by one interval.
+        self.has_sender = False
         self.dropped = False
 
 
@@ -103,8 +105,14 @@
                 self.start_heartbeats(peer)
 
     def start_heartbeats(self, peer: Peer) -> None:
-        """Start the greenlet that sends heartbeats to `peer`."""
-        gevent.spawn(self._heartbeat_loop, peer)
+        """Start the greenlet that sends heartbeats to `peer`, unless it still runs.
+
+        One that was to end notices that only after its pause, and goes on if the peer
+        is to be sent heartbeats again by then. A second one would never end.
+        """
+        if not peer.has_sender:
+            peer.has_sender = True
+            gevent.spawn(self._heartbeat_loop, peer)
 
     def _heartbeat_recipients(self) -> set[str]:
         """Return the names of the peers that are sent heartbeats.
@@ -227,6 +235,7 @@
         while peer.receives_heartbeats and not peer.dropped:
             self._send_heartbeat(peer, interval)
             self.clock.sleep(interval)
+        peer.has_sender = False
         if peer.dropped:
             peer.channel.close()
 
--- a/tests/membership/membership.feature
+++ b/tests/membership/membership.feature
@@ -28,3 +28,11 @@
     Given an instance that is told of 2 local peers and 1 in each of 1 other data centres
     When "n0" is replaced and sends a heartbeat from "127.0.0.1:10"
     Then it sends heartbeats to "n0" at "127.0.0.1:10", and knows 3 peers as before
+
+  Scenario: A peer that is chosen again is sent one heartbeat at a time
+    An instance of another data centre leaves the platform's list and comes back, so that
+    the one next in order is sent heartbeats, then not, then again, all between two of
+    them. Guards against a further stream of heartbeats to it each time.
+    Given an instance that sends heartbeats to 2 of 3 peers in another data centre
+    When one of the 2 is missing from the list 3 times within a second
+    Then the third peer is sent 1 heartbeat in each interval
--- a/tests/membership/steps/membership_steps.py
+++ b/tests/membership/steps/membership_steps.py
@@ -1,7 +1,10 @@
 import json
 
+import gevent
+import gevent.event
+import result
 from behave import given, then, when
-from tests.support import stage, teams
+from tests.support import memory, stage, teams
 
 from mangosail import clock, resources
 from mangosail.membership import messages, peers
@@ -147,3 +150,69 @@
         peer.listed
     )
     assert len(context.peers.by_name) == count
+
+
+class SteppedClock(memory.Clock):
+    """A clock whose sleepers wait until the test lets them run."""
+
+    def __init__(self):
+        super().__init__()
+        self.woken = gevent.event.Event()
+
+    def sleep(self, seconds):
+        self.woken.wait()
+
+    def wake(self):
+        self.woken.set()
+        self.woken.clear()
+        gevent.sleep(0)
+
+
+class CountingChannel:
+    """Counts the heartbeats sent over it."""
+
+    def __init__(self):
+        self.sent = 0
+
+    def call(self, method, message, timeout):
+        self.sent += 1
+        return result.Err("unavailable")
+
+    def close(self):
+        pass
+
+
+@given("an instance that sends heartbeats to 2 of 3 peers in another data centre")
+def two_of_three(context):
+    context.clock = SteppedClock()
+    context.peers = peers.Peers(
+        "a", "dc0", lambda _: None, context.clock, counters.StatsdCounters("", 0)
+    )
+    context.entries = [
+        inventory.EntryInstance(f"f{i}", "dc1", f"127.0.0.1:{i + 1}") for i in range(3)
+    ]
+    context.peers.update(context.entries)
+    by_name = context.peers.by_name
+    (context.third,) = (p for p in by_name.values() if not p.receives_heartbeats)
+    for peer in by_name.values():
+        peer.channel = CountingChannel()
+
+
+@when("one of the 2 is missing from the list {count:d} times within a second")
+def missing(context, count):
+    chosen = next(e for e in context.entries if e != context.third.listed)
+    for _ in range(count):
+        context.peers.update(e for e in context.entries if e != chosen)
+        gevent.sleep(0)
+        context.peers.update(context.entries)
+        context.peers.by_name[chosen.name].channel = CountingChannel()
+    context.peers.update(e for e in context.entries if e != chosen)
+    gevent.sleep(0)
+
+
+@then("the third peer is sent {count:d} heartbeat in each interval")
+def sent_in_interval(context, count):
+    for _ in range(3):
+        before = context.third.channel.sent
+        context.clock.wake()
+        assert context.third.channel.sent - before == count, context.third.channel.sent
