Hold a job once while the write that creates it is answered late

Callers saw completed tasks of a job become waiting again; and a job that was cancelled, and had ended, before its submission was answered started its tasks all the same, which then ran to their ends although nobody held the job.

The scan for jobs to take over finds the state row of a job that this instance is creating. As it holds no such job, the scan takes the answer of the write for lost and holds it. When the answer comes, the submission replaces that record by an empty one, or holds the job after its end. Tasks were never started twice, as their rows let one claim win; the second record was settled by the conflict of its next write, up to a second later.

A submission now marks the job until it holds it or has failed, and the scan leaves marked jobs alone. The marks are counted, so that a repeated submission doesn't remove the first one's. A job whose answer is really lost is found by a later scan as before.

--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -1,6 +1,8 @@
 """The jobs that this instance holds, and the placement of their waiting tasks."""
 
+import collections
 import collections.abc as cabc
+import contextlib
 
 import gevent
 import gevent.event
@@ -76,6 +78,8 @@
         self.counters = counters
         self.ordering = policy or ordering.FairSharePolicy()
         self.jobs: dict[str, held.HeldJob] = {}
+        #: Submissions, by key of the job, that may have created it and not know yet.
+        self.creating: collections.Counter[str] = collections.Counter()
         self.attempt_handler = attempts.AttemptHandler(
             job_records, task_room, clock, counters, seed
         )
@@ -96,20 +100,41 @@
         own = self.lease.row
         state = messages.JobState(job.team, job.job_id, own.instance, own.incarnation)
         row = messages.JobRow(job, messages.job_digest(job), own.data_centre)
-        created = self.records.create(row, state)
-        if isinstance(created, result.Err):
-            reason = type(created.err_value).__name__.lower()
-            self.counters.count(f"jobs.refused.{reason}")
-            return created
-        found = created.ok_value
-        new = found.state is state
-        if new:
-            self.hold(held.HeldJob(found))
-            self.counters.count("jobs.submitted")
-        else:
-            self.counters.count("jobs.repeated")
+        with self._mark_creating(job):
+            created = self.records.create(row, state)
+            if isinstance(created, result.Err):
+                reason = type(created.err_value).__name__.lower()
+                self.counters.count(f"jobs.refused.{reason}")
+                return created
+            found = created.ok_value
+            new = found.state is state
+            if new:
+                self.hold(held.HeldJob(found))
+                self.counters.count("jobs.submitted")
+            else:
+                self.counters.count("jobs.repeated")
         return result.Ok((self._progress(found), new))
 
+    @contextlib.contextmanager
+    def _mark_creating(self, job: messages.Job) -> cabc.Iterator[None]:
+        """Mark `job` as being created, until it is held if that succeeded.
+
+        The marks are counted, as a caller may submit a job again before the first
+        submission has returned.
+        """
+        key = messages.job_key(job.team, job.job_id)
+        self.creating[key] += 1
+        try:
+            yield
+        finally:
+            self.creating[key] -= 1
+            if not self.creating[key]:
+                del self.creating[key]
+
+    def is_held(self, key: str) -> bool:
+        """Return whether a job is held here, or will be once its write is answered."""
+        return key in self.jobs or key in self.creating
+
     def look_up(
         self, team: str, job_id: str
     ) -> result.Result[messages.Progress, errors.ReadError]:
--- a/src/mangosail/jobs/takeover.py
+++ b/src/mangosail/jobs/takeover.py
@@ -70,7 +70,7 @@
     def _should_take_over(self, state: messages.JobState) -> bool:
         own = self.lease.row
         key = messages.job_key(state.team, state.job_id)
-        if key in self.jobs.jobs:
+        if self.jobs.is_held(key):
             return False
         if state.incarnation == own.incarnation:
             # Held by this instance through a write whose answer was lost.
