Drop a read of all rows that a later one has overtaken

An instance took a closed data centre for open until its next read, and a leader sent tasks there meanwhile.

Two greenlets read the configuration: the watcher and, for paths that match no queue, the callers. A read of all rows takes seconds on a slow link. If the second read was answered first, with a row that closes a data centre, the first one then delivered all rows as they had been before, and the watcher followed from that version. Catalogs are guarded by their own version and reads of changes by that of the watcher; reads of all rows were not.

A read of all rows is now dropped if a later version was delivered since it began. A lower version than the known one is still accepted otherwise, as the store may be set up anew.

The order is forced at the start and after a lost history; both cases failed before.

--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -196,10 +196,19 @@
         return found.err_value.reason
 
     def _read_all(self, sent_at: float, on_data: ports.OnData) -> str:
-        """Read all rows; return why that failed, or an empty text."""
+        """Read all rows; return why that failed, or an empty text.
+
+        The version may be lower than the known one if the store was set up anew, but
+        not lower than what another greenlet has read meanwhile.
+        """
+        before = self.version
         found = self.rows.read_all(self.prefix, on_data)
         if isinstance(found, result.Err):
             return found.err_value.reason
+        now = self.version
+        if now is not None and now != before and now > found.ok_value.version:
+            self.counters.count("following.overtaken")
+            return ""
         self._deliver(found.ok_value, True, sent_at)
         return ""
 
--- a/tests/scheduler/following.feature
+++ b/tests/scheduler/following.feature
@@ -15,3 +15,21 @@
     When the store is down from 1 s to 5 s
     Then one log line tells that the watch was interrupted, why, and at which version
     And one log line tells after how many seconds it resumed
+
+  Scenario Outline: A slow read of all rows does not undo a later change
+    On a slow link a read of all rows takes seconds. A read for a caller beside it is
+    answered first, with a data centre that was closed meanwhile. Guards against the
+    older answer that opens it again: tasks were sent there until the next read.
+    Given a store whose history is <history>, and a watcher that is reading all rows
+    When a data centre is closed, a second read learns of that, and the first one ends
+    Then the data centre is still closed, at the version of the second read
+
+    Examples:
+      | history        |
+      | not known yet  |
+      | lost           |
+
+  Scenario: A store that was set up anew is followed although its versions are lower
+    Given a store whose history is lost, and a watcher that is reading all rows
+    When the first read ends
+    Then the rows of the new store are delivered, at their version
--- a/tests/scheduler/steps/following_steps.py
+++ b/tests/scheduler/steps/following_steps.py
@@ -1,9 +1,13 @@
+import gevent
+import gevent.event
 import logbook
 import result
 from behave import given, then, when
 from tests.support import memory
 
+from mangosail.intake import catalogs
 from mangosail.platform import errors as store_errors
+from mangosail.platform import table
 from mangosail.scheduler import ports, row_watcher
 from mangosail.telemetry import counters
 
@@ -71,3 +75,66 @@
 def resumed(context):
     (line,) = [r for r in context.lines if r.message == "row watch resumed"]
     assert 3.5 <= line.kwargs["seconds"] <= 4.5, line.kwargs
+
+
+class SlowBulk(UnchangingRows):
+    """A store whose first read of all rows ends late, with the rows of its time."""
+
+    def __init__(self, clock, version):
+        super().__init__(clock)
+        self.version = version
+        self.rows = ()
+        self.reads = 0
+        self.may_end = gevent.event.Event()
+
+    def read_all(self, prefix, on_data):
+        self.reads += 1
+        answer = ports.Changes(self.rows, (), self.version)
+        if self.reads == 1:
+            self.may_end.wait()
+        return result.Ok(answer)
+
+    def changes(self, prefix, after, wait, on_data, max_bytes):
+        return result.Err(ports.HistoryLost())
+
+
+@given("a store whose history is {history}, and a watcher that is reading all rows")
+def reading_all(context, history):
+    context.clock = memory.Clock(0.0)
+    context.rows = SlowBulk(context.clock, 5)
+    context.catalogs = catalogs.Catalogs(
+        context.rows, "op//config", lambda text: None, context.clock,
+        counters.StatsdCounters(None, 0), closed_prefix="op//evacuate/",
+    )  # fmt: skip
+    context.watcher = context.catalogs.watcher
+    if history == "lost":
+        context.watcher.version = 100
+    context.first = gevent.spawn(context.watcher.read_once, 0)
+    gevent.sleep(0)
+
+
+@when("a data centre is closed, a second read learns of that, and the first one ends")
+def closed_meanwhile(context):
+    context.rows.version = 6
+    context.rows.rows = (table.Row("op//evacuate/dc", "", 6),)
+    assert context.watcher.read_once(0)
+    assert context.catalogs.closed_data_centres() == {"dc"}
+    first_ends(context)
+
+
+@when("the first read ends")
+def first_ends(context):
+    context.rows.may_end.set()
+    context.first.join()
+    assert context.first.value
+
+
+@then("the data centre is still closed, at the version of the second read")
+def still_closed(context):
+    assert context.catalogs.closed_data_centres() == {"dc"}
+    assert context.watcher.version == 6, context.watcher.version
+
+
+@then("the rows of the new store are delivered, at their version")
+def new_store(context):
+    assert context.watcher.version == 5, context.watcher.version
