Release a lease that is acquired while the instance stops

If a planned stop began while the instance claimed the lease, it led until its process ended and never released the lease. The next leader had to wait until the lease timed out, 0.9 to 2 s, in which nothing started.

The mark of the stop is looked at before a claim. During the claim's write there is no scheduler to be stopped, and afterwards the instance led all the same. Neither the scheduler nor the end of the process would have released the lease.

The scheduler is now stopped before it runs, so that its first write releases the lease. The scenario stops the instance during the claim; before, the scheduler ran unstopped.

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -150,6 +150,11 @@
             worker_limit.max_workers(self.leadership.cores, self.workers.max_workers),
             self.settings.bounds.hold_max_ms / 1000,
         )
+        if self.stopping:
+            # The shutdown began during the claim, when there was nothing to release.
+            # Without this the next leader would have to wait until the lease times out.
+            log.info("lease acquired while stopping", token=held.lease.token)
+            self.scheduler.stop()
         monitor = gevent.spawn(self.leadership.release_when_slow, self.scheduler.stop)
         try:
             self.scheduler.run()
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -150,6 +150,14 @@
     When an instance is created from it
     Then it uses a configuration for 3 s after it was known to be the newest
 
+  Scenario: An instance that is stopped as it acquires the lease releases it
+    The planned stop begins while the claim is on its way to the store. Guards against a
+    leader that leads until its process ends, and whose lease then has to time out.
+    Given a settings file of the platform that allows 3000 ms for changes
+    When an instance is created from it
+    And it is stopped while it claims the lease
+    Then it releases the lease at once and claims it no more
+
   Scenario: Settings without the store are refused, and the error names the field
     Given a settings file of the platform without the store
     Then reading it fails and names "platform"
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -1,5 +1,7 @@
 import json
 import tempfile
+import types
+import unittest.mock
 
 import result
 from behave import given, then, when
@@ -22,7 +24,7 @@
     workers,
 )
 from mangosail.scheduler import errors as order_errors
-from mangosail.scheduler import messages, ports
+from mangosail.scheduler import journal, messages, ports
 from mangosail.telemetry import counters
 
 JOB = "5c0e7a21d94b36f8"
@@ -381,6 +383,50 @@
     assert context.process.catalog.max_age == seconds
 
 
+class Stoppable:
+    """Stands in for the scheduler, and records whether it was stopped when it ran."""
+
+    def __init__(self, *args, **options):
+        self.stopped = False
+
+    def stop(self):
+        self.stopped = True
+
+    def run(self):
+        self.stopped_when_run = self.stopped
+
+
+@when("it is stopped while it claims the lease")
+def step_stopped_as_it_claims(context):
+    made = context.process
+    made.clock = memory.Clock()
+    made.limiter = types.SimpleNamespace(closing=False)
+    made.front = types.SimpleNamespace(
+        close=lambda: None, busy=lambda: False, stop=lambda timeout: None
+    )
+    context.claims, context.schedulers = 0, []
+
+    def claim():
+        context.claims += 1
+        made.stop()
+        return journal.HeldLease(journal.Lease("edge-1", "1", 7), 1, 1)
+
+    def create(*args, **options):
+        context.schedulers.append(Stoppable())
+        return context.schedulers[-1]
+
+    made.leadership.check = claim
+    with unittest.mock.patch.object(process.scheduler, "Scheduler", create):
+        made._lead_forever()
+
+
+@then("it releases the lease at once and claims it no more")
+def step_releases(context):
+    assert context.claims == 1, context.claims
+    (only,) = context.schedulers
+    assert only.stopped_when_run
+
+
 @then("the settings name the instance and the store")
 def step_settings_read(context):
     found = deployment.read(context.path)
