Leave the unclaimed tasks of a cancelled job to the canceller

A job was recorded as cancelled while one of its tasks ran at a peer, to its end.

If a task that was offered to a peer has no row when it is polled, it is placed again; if its job was cancelled, it counted as cancelled instead.

The poll now leaves such tasks alone. The canceller writes their rows, and repeats that until a row says how the task ended.

The scenario has the poll find no row while a cancellation that will conflict is under way.

--- a/src/mangosail/jobs/polling.py
+++ b/src/mangosail/jobs/polling.py
@@ -3,7 +3,7 @@
 import result
 
 from mangosail import clock as clocks
-from mangosail.jobs import attempts, held, records
+from mangosail.jobs import attempts, held, messages, records
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
 
@@ -47,8 +47,12 @@
                 self._requeue_unclaimed(job, index)
 
     def _requeue_unclaimed(self, job: held.HeldJob, index: int) -> None:
-        """Requeue a task that was offered to a peer but not claimed in time."""
-        if index not in job.polls:
+        """Requeue a task that was offered to a peer but not claimed in time.
+
+        The peer may still claim it. That does no harm to a task that is placed again.
+        Tasks of a cancelled job are left to the canceller, which writes their rows.
+        """
+        if index not in job.polls or job.state is messages.State.CANCELLING:
             return
         self.counters.count("jobs.retry.offer_lost")
         self.attempt_handler.requeue(job, index, 0)
--- a/tests/jobs/offers.feature
+++ b/tests/jobs/offers.feature
@@ -60,3 +60,11 @@
       | when   |
       | after  |
       | before |
+
+  Scenario: A peer claims an offered task just as its job is cancelled
+    The row of the task is polled before the claim, and the cancellation of the task
+    conflicts with it. Guards against a task that counts as cancelled because its row was
+    not there yet, and that the peer runs to its end.
+    Given a holder without workers, whose cancellation of a task conflicts with a claim
+    When an urgent task is offered, and its job is cancelled as the poll finds no claim
+    Then the task is cancelled again, and the job ends as cancelled
--- a/tests/jobs/steps/offers_steps.py
+++ b/tests/jobs/steps/offers_steps.py
@@ -1,6 +1,7 @@
 import types
 
 import gevent
+import gevent.event
 import result
 from behave import given, then, when
 from tests.support import crowded, fakes, memory
@@ -8,6 +9,7 @@
 from mangosail import resources
 from mangosail.jobs import messages, offers, queue, recording, records
 from mangosail.telemetry import counters
+from mangosail.work import errors as work_errors
 from mangosail.work import messages as work_messages
 
 #: Placement rounds between two recordings of the held jobs.
@@ -254,3 +256,56 @@
     assert context.scene.cancelled == ["j.0"], context.scene.cancelled
     progress = context.queue.look_up("t", "j").ok_value
     assert progress.state is messages.State.CANCELLED, progress
+
+
+class Accepting(Peer):
+    """A peer that accepts each task."""
+
+    def answer(self, message):
+        return messages.OfferAnswer(True)
+
+
+class ConflictingCancellation(CancelledTasks):
+    """The first cancellation is under way until it is told of the peer's claim."""
+
+    def __init__(self):
+        super().__init__()
+        self.claimed = gevent.event.Event()
+
+    def cancel(self, team, request_id, forward=True):
+        done = super().cancel(team, request_id)
+        if len(self.cancelled) > 1:
+            return done
+        self.claimed.wait()
+        return result.Err(work_errors.Undecided(1.0))
+
+
+@given("a holder without workers, whose cancellation of a task conflicts with a claim")
+def conflicting(context):
+    context.scene = ConflictingCancellation()
+    context.queue = make_holder(context.scene, Accepting("p", 0))
+
+
+@when("an urgent task is offered, and its job is cancelled as the poll finds no claim")
+def cancelled_as_polled(context):
+    needs = resources.Resources(12, 2, 0, 1)
+    job = messages.Job("t", "j", "k", 1, needs, None, urgent=True)
+    assert isinstance(context.queue.submit(job), result.Ok)
+    context.queue.place()
+    context.scene.clock.sleep(queue.URGENT_OFFER_CLAIM_TIMEOUT_S)
+    assert isinstance(context.queue.cancel("t", "j"), result.Ok)
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+    context.scene.claimed.set()
+
+
+@then("the task is cancelled again, and the job ends as cancelled")
+def cancelled_again(context):
+    # The retry is due within 0.25 s.
+    with gevent.Timeout(5):
+        while len(context.scene.cancelled) < 2:
+            gevent.sleep(0.01)
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+    progress = context.queue.look_up("t", "j").ok_value
+    assert progress.state is messages.State.CANCELLED, progress
