Use no worker whose claim is answered after the session was lost

For up to a second two instances could each use the whole capacity of one worker.

The lease is checked before a claim is sent. If the answer is late, the session can be lost meanwhile: a peer claims the worker, and the instance gives up what it owns, waits for its quotes and registers a new run, which peers take for the sign that the earlier one uses nothing. The claim's answer then put the worker into use, under the lease of the new run. The next refresh found the later generation. Without a claim of a peer the worker was claimed anew, its handle replaced, and the first monitor polled on until the process ended.

A worker is now used only if its row names the present run, no shutdown has begun, and nothing is being given up.

Two scenarios answer the claim after the new run was registered and while quotes are awaited.

--- a/src/mangosail/ownership/owners.py
+++ b/src/mangosail/ownership/owners.py
@@ -112,6 +112,8 @@
         self.epoch: int | None = None
         #: True once a planned shutdown has begun: no workers are acquired any more.
         self.releasing = False
+        #: True while everything is given up because the session was lost.
+        self.losing_session = False
 
     @property
     def data_centre(self) -> str:
@@ -152,11 +154,13 @@
         """
         self.counters.count("ownership.session_lost")
         log.warning("session lost")
+        self.losing_session = True
         given_up = list(self.owned_workers)
         for owned in given_up:
             self._give_up(owned, "ownership.lost")
         self._await_quotes(given_up, self.clock.monotonic() + HANDOVER_TIMEOUT_S)
         self.lease.restart()
+        self.losing_session = False
 
     def release_all(self, deadline: float) -> result.Result[None, errors.CommitError]:
         """Hand over all workers for a planned shutdown; peers can acquire them at once.
@@ -374,6 +378,18 @@
         return self.rows.commit(transaction)
 
     def _adopt(self, worker: inventory.Worker, row: messages.OwnerRow) -> None:
+        """Use a worker whose row names this run, unless that has given up everything.
+
+        The session may have been lost, or a shutdown begun, since the claim was sent.
+        Peers may then own the worker, and take it for unused by this instance.
+        """
+        if self.releasing or self.losing_session or not self._is_own(row):
+            self.counters.count("ownership.claim_outdated")
+            log.info(
+                "claim outdated", worker=worker.name, generation=row.generation,
+                releasing=self.releasing,
+            )  # fmt: skip
+            return
         owned = self.connector.connect(worker, row.generation)
         owned.ledger.promised = row.promised()
         self.owned_workers.add(owned)
--- a/tests/ownership/ownership.feature
+++ b/tests/ownership/ownership.feature
@@ -114,3 +114,18 @@
     Then quotes are answered at every instance
     And all leases hold within 1 seconds and no worker changed its owner
     And no worker's capacity was ever exceeded
+
+  Scenario: A claim that is answered after the session was lost is not used
+    The instance is slow or frozen while its claim is under way. Its lease expires, a peer
+    takes the worker over, and a new run of the instance is registered before the answer of
+    the claim is read. Guards against two instances that each use the whole worker.
+    Given two instances that share a table and one worker
+    When "a" claims the worker, and loses its session to "b" before the answer
+    Then "b" has the worker and "a" has none
+
+  Scenario: A claim that is answered while everything is given up is not used
+    The session is lost while quotes are in flight, so the instance waits for them. A new
+    run is registered only after that, when it must own nothing.
+    Given two instances that share a table and one worker
+    When "a" claims the worker, and is waiting for its quotes at the answer
+    Then "a" has no worker as its new run is registered
--- a/tests/ownership/steps/table_steps.py
+++ b/tests/ownership/steps/table_steps.py
@@ -1,5 +1,7 @@
 import json
 
+import gevent
+import gevent.event
 from behave import given, then, when
 from tests.support import fakes, memory
 
@@ -152,3 +154,60 @@
     context.b.owners.refresh([WORKER])
     assert context.a.refresh().ledger.free() == WORKER.capacity
     assert context.a.lease.row.incarnation == "a-1"
+
+
+@when('"a" claims the worker, and loses its session to "b" before the answer')
+def lost_before_answer(context):
+    a, b = context.a, context.b
+
+    def before_answer():
+        b.refresh()
+        context.clock.now += 4
+        # The session is ended in one refresh, and its workers are claimed in the next.
+        b.refresh()
+        b.refresh()
+        assert a.lease.renew().is_err()
+        a.owners.handle_session_loss()
+        assert a.lease.renew().is_ok()
+
+    assert a.lease.renew().is_ok()
+    context.world.on_pause = before_answer
+    context.world.table_fault = "paused"
+    a.owners.refresh([WORKER])
+
+
+@then('"b" has the worker and "a" has none')
+def b_has_it(context):
+    assert context.b.workers.get("w").generation == 2
+    owned = context.a.workers.get("w")
+    assert owned is None, owned.ledger.free()
+
+
+@when('"a" claims the worker, and is waiting for its quotes at the answer')
+def waiting_at_answer(context):
+    a = context.a
+    assert a.lease.renew().is_ok()
+    quote = inventory.Worker("q", "dc", "rack", "127.0.0.1:1", WORKER.capacity)
+    other = a.connect(quote, 1)
+    assert other.ledger.reserve("quote", resources.Resources(slots=1), durable=False)
+    a.workers.add(other)
+    loss = gevent.spawn(a.owners.handle_session_loss)
+    waiting = gevent.event.Event()
+
+    def wait(seconds):
+        waiting.set()
+        gevent.sleep(0)
+
+    context.clock.sleep = wait
+    # This refresh has found the lease valid, and its claim is answered after the loss.
+    context.world.on_pause = waiting.wait
+    context.world.table_fault = "paused"
+    a.owners._claim(WORKER, None)
+    other.ledger.release("quote")
+    loss.join()
+
+
+@then('"a" has no worker as its new run is registered')
+def has_none(context):
+    assert context.a.lease.row.incarnation != "a-1"
+    assert not list(context.a.workers), list(context.a.workers)
