--- a/tests/jobs/steps/offers_steps.py
+++ b/tests/jobs/steps/offers_steps.py
@@ -1,6 +1,7 @@
 import types
 
 import gevent
+import gevent.event
 import result
 from behave import given, then, when
 from tests.support import crowded, fakes, memory
@@ -8,6 +9,8 @@
 from mangosail import resources
 from mangosail.jobs import messages, offers, queue, recording, records
 from mangosail.telemetry import counters
+from mangosail.work import errors as work_errors
+from mangosail.work import messages as work_messages
 
 #: Placement rounds between two recordings of the held jobs.
 ROUNDS_PER_RECORDING = int(recording.RECORD_INTERVAL_S / queue.IDLE_PLACE_INTERVAL_S)
@@ -158,16 +161,13 @@
         return result.Err("deadline_exceeded")
 
 
-@given("a holder without workers, the first answer to whose offers is lost")
-def losing_holder(context):
-    scene = context.scene = crowded.Crowded()
-    context.peer = LosingPeer(scene.clock)
-    peers = Peers([context.peer])
-    context.queue = queue.JobQueue(
+def make_holder(scene, peer):
+    """Return the jobs of an instance without workers that offers tasks to `peer`."""
+    return queue.JobQueue(
         records.Records(fakes.Table(fakes.World())),
         scene,
         scene.room,
-        make_offers(peers, scene, scene.room, scene.clock),
+        make_offers(Peers([peer]), scene, scene.room, scene.clock),
         fakes.Lease("i", "1"),
         lambda team: resources.Resources(cpus=100),
         scene.clock,
@@ -175,6 +175,13 @@
     )
 
 
+@given("a holder without workers, the first answer to whose offers is lost")
+def losing_holder(context):
+    scene = context.scene = crowded.Crowded()
+    context.peer = LosingPeer(scene.clock)
+    context.queue = make_holder(scene, context.peer)
+
+
 @when("a job that is {kind} is submitted")
 def submit_job(context, kind):
     needs = resources.Resources(12, 2, 0, 1)
@@ -193,3 +200,112 @@
 def offered_again(context, seconds, least):
     first, *again = context.peer.came_at
     assert again and least <= again[0] - first <= seconds, context.peer.came_at
+
+
+class CancelledMeanwhile(Peer):
+    """A peer that accepts a task, whose job is cancelled before its answer arrives."""
+
+    def __init__(self, context):
+        super().__init__("p", 0)
+        self.context = context
+
+    def call(self, method, message, timeout):
+        assert isinstance(self.context.queue.cancel("t", "j"), result.Ok)
+        # The answer takes long enough for the cancellation of running tasks to be over.
+        gevent.sleep(0.01)
+        if self.context.recorded_first:
+            self.context.queue.recorder.record()
+        return result.Ok(messages.OfferAnswer(True))
+
+
+class CancelledTasks(crowded.Crowded):
+    """In-memory workers with the tasks that were cancelled."""
+
+    def __init__(self):
+        super().__init__()
+        self.cancelled = []
+
+    def cancel(self, team, request_id, forward=True):
+        self.cancelled.append(request_id)
+        return result.Ok(types.SimpleNamespace(state=work_messages.State.CANCELLED))
+
+
+@given("a holder without workers, whose job is cancelled while a peer is asked")
+def cancelled_meanwhile(context):
+    context.scene = CancelledTasks()
+    context.queue = make_holder(context.scene, CancelledMeanwhile(context))
+
+
+@given("the end of the job is recorded {order} the peer answers")
+def recorded(context, order):
+    context.recorded_first = order == "before"
+
+
+@when("the peer accepts the task")
+def accepts_task(context):
+    needs = resources.Resources(12, 2, 0, 1)
+    job = messages.Job("t", "j", "k", 1, needs, None)
+    assert isinstance(context.queue.submit(job), result.Ok)
+    context.queue.place()
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+
+
+@then("the task is cancelled, and the job ends as cancelled")
+def task_cancelled(context):
+    assert context.scene.cancelled == ["j.0"], context.scene.cancelled
+    progress = context.queue.look_up("t", "j").ok_value
+    assert progress.state is messages.State.CANCELLED, progress
+
+
+class Accepting(Peer):
+    """A peer that accepts each task."""
+
+    def answer(self, message):
+        return messages.OfferAnswer(True)
+
+
+class ConflictingCancellation(CancelledTasks):
+    """The first cancellation is under way until it is told of the peer's claim."""
+
+    def __init__(self):
+        super().__init__()
+        self.claimed = gevent.event.Event()
+
+    def cancel(self, team, request_id, forward=True):
+        done = super().cancel(team, request_id)
+        if len(self.cancelled) > 1:
+            return done
+        self.claimed.wait()
+        return result.Err(work_errors.Undecided(1.0))
+
+
+@given("a holder without workers, whose cancellation of a task conflicts with a claim")
+def conflicting(context):
+    context.scene = ConflictingCancellation()
+    context.queue = make_holder(context.scene, Accepting("p", 0))
+
+
+@when("an urgent task is offered, and its job is cancelled as the poll finds no claim")
+def cancelled_as_polled(context):
+    needs = resources.Resources(12, 2, 0, 1)
+    job = messages.Job("t", "j", "k", 1, needs, None, urgent=True)
+    assert isinstance(context.queue.submit(job), result.Ok)
+    context.queue.place()
+    context.scene.clock.sleep(queue.URGENT_OFFER_CLAIM_TIMEOUT_S)
+    assert isinstance(context.queue.cancel("t", "j"), result.Ok)
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+    context.scene.claimed.set()
+
+
+@then("the task is cancelled again, and the job ends as cancelled")
+def cancelled_again(context):
+    # The retry is due within 0.25 s.
+    with gevent.Timeout(5):
+        while len(context.scene.cancelled) < 2:
+            gevent.sleep(0.01)
+    gevent.sleep(0.01)
+    context.queue.recorder.record()
+    progress = context.queue.look_up("t", "j").ok_value
+    assert progress.state is messages.State.CANCELLED, progress
--- a/tests/work/steps/promise_steps.py
+++ b/tests/work/steps/promise_steps.py
@@ -307,3 +307,62 @@
 def started_each_once(context, count):
     generations = [entry[2] for entry in starts(context.world)]
     assert generations == list(range(1, count + 1)), generations
+
+
+@when("a release is moved from a worker that another instance finds to be gone")
+def moved_from_gone(context):
+    context.world = world = fakes.World()
+    context.first = fakes.Instance(world, "a")
+    for name in ("w0", "w1"):
+        context.first.take(fakes.Worker(world, name), 1)
+    other = fakes.Instance(world, "b")
+
+    def find_gone():
+        row = json.loads(world.rows["work/team/r"].value)
+        world.workers[row["worker"]].gone = True
+        found = other.runner.look_up("team", "r").ok_value
+        assert found.reason == "worker_lost", found
+
+    world.on_pause = find_gone
+    world.table_fault, world.order_fault = "paused", "unreachable"
+    context.reported = context.first.submit("r")
+
+
+@then("its caller is told that the outcome is unknown for good")
+def told_unknown(context):
+    reported = context.reported.ok_value
+    assert (reported.outcome, reported.retry_after) == ("unknown", None), reported
+
+
+@then("no worker of the first instance has anything reserved")
+def nothing_reserved(context):
+    reserved = {owned.name: owned.ledger.reserved for owned in context.first.owned}
+    assert not any(reserved.values()), reserved
+    assert not context.first.runner.placer.active
+
+
+@when("an evicted task is resumed, and the end of its lost generation is written again")
+def lost_again(context):
+    context.world = world = fakes.World()
+    context.worker = fakes.Worker(world, "w0")
+    context.first = first = fakes.Instance(world, "a")
+    first.take(context.worker, 1)
+    first.submit("t", restartable=True)
+    lost = first.runner.ctx.registry.get("team/t")
+    context.worker.gone = True
+    assert fakes.Instance(world, "b").runner.look_up("team", "t").is_ok()
+    context.worker.gone = False
+    context.worker.end("team/t", dispatch.TaskState.DONE, "whole")
+    first.hear(context.worker)
+    assert lost.removed.ready()
+    first.submit("t", restartable=True)
+    first.runner.cancellations.cancel_task(lost)
+
+
+@then("room is reserved for the resumed task")
+def room_reserved(context):
+    assert starts(context.world)[-1][1:3] == ("team/t", 2), starts(context.world)
+    assert context.worker.running() == ["team/t"]
+    (owned,) = context.first.owned
+    assert list(owned.ledger.reserved) == ["team/t"], owned.ledger.reserved
+    assert list(context.first.runner.placer.active) == ["team/t"]
