Keep a cancellation that comes during a slow claim

Callers saw: a release whose cancellation was answered as not known yet, claimed or undecided, started all the same.

Cause: a cancellation waits 2 s for a claim in progress, then goes on without regard to it. If the row was written and its answer was out, the cancellation was passed on to the holder, which is the same instance; if the claim's write came before that of the cancellation, that conflicted. Either way the claim's task was registered and started.

Ruled out: a false not_run, as a cancelled row that is written first makes the claim conflict.

The fix: the cancellation is kept with the claim in progress; the task that it registers is cancelled, in place of started.

Before: both rows of the new scenario failed with the release started. After: they pass, with the whole slices work and jobs.

--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -75,6 +75,8 @@
     def __init__(self) -> None:
         self.by_id: dict[str, Task] = {}
         self.claiming: dict[str, gevent.event.Event] = {}
+        #: Ids in `claiming` whose task is to be cancelled once it is registered.
+        self.cancelled_claims: set[str] = set()
 
     def __iter__(self) -> cabc.Iterator[Task]:
         return iter(list(self.by_id.values()))
@@ -91,7 +93,8 @@
         return [task for task in self if task.owned.name == name]
 
     def add(self, task: Task) -> None:
-        """Register a task."""
+        """Register a task, to be cancelled if that was requested during its claim."""
+        task.cancelling = task.task_id in self.cancelled_claims
         self.by_id[task.task_id] = task
 
     def remove(self, task: Task, row: messages.WorkRow | None) -> None:
@@ -114,6 +117,11 @@
             return True
         return False
 
+    def cancel_claim(self, task_id: str) -> None:
+        """Have the task that a claim in progress may register cancelled."""
+        if task_id in self.claiming:
+            self.cancelled_claims.add(task_id)
+
     @contextlib.contextmanager
     def claim(self, task_id: str) -> cabc.Iterator[None]:
         """Mark `task_id` as being claimed, so that no other greenlet claims it.
@@ -128,4 +136,5 @@
             yield
         finally:
             del self.claiming[task_id]
+            self.cancelled_claims.discard(task_id)
             event.set()
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -159,7 +159,9 @@
         was stopped if `failed` is set, or otherwise that it had ended before.
         """
         task_id = f"{team}/{request_id}"
-        self.ctx.registry.await_claim(task_id, context.ORDER_TIMEOUT_S)
+        if not self.ctx.registry.await_claim(task_id, context.ORDER_TIMEOUT_S):
+            # The claim's row may be written already, so that its task is registered.
+            self.ctx.registry.cancel_claim(task_id)
         task = self.ctx.registry.get(task_id)
         if task is not None:
             self.cancellations.cancel_task(task)
@@ -261,7 +263,8 @@
         if isinstance(claimed, result.Err):
             return self._handle_claim_error(request, claimed.err_value, deadline)
         task = claimed.ok_value
-        self.ctx.spawn(self.starts.start, task)
+        begin = self.cancellations.cancel_task if task.cancelling else self.starts.start
+        self.ctx.spawn(begin, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
 
     def _place(
--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -85,3 +85,19 @@
     Then its caller is refused as "store_unavailable" with a time to ask again
     When the same release is ordered again
     Then its caller is refused as "too_large" for good
+
+  Scenario Outline: A release is cancelled while its claim awaits the table's answer
+    Guards against a cancellation that is forgotten: it waits 2 s for a claim in
+    progress and then reads the row. <found>, and the release started once
+    the claim was answered, although nobody wanted it any more.
+    Given an instance with 1 worker(s)
+    When a release is claimed, and the table <writes> and doesn't answer
+    And it is cancelled, which takes longer than an order may
+    And the table answers
+    Then the release is cancelled, and nothing has started
+    And no reservation for it is left
+
+    Examples:
+      | writes      | found                       |
+      | writes      | The row was claimed already |
+      | holds back  | There was no row yet        |
--- a/tests/work/steps/claim_steps.py
+++ b/tests/work/steps/claim_steps.py
@@ -7,6 +7,7 @@
 
 from mangosail import resources
 from mangosail.dispatch import messages as dispatch
+from mangosail.work import context as work_context
 from mangosail.work import errors, messages
 
 TASK_ID = "team/t"
@@ -20,6 +21,8 @@
     def __init__(self, rows):
         self.rows = rows
         self.waiting = []
+        #: Whether a commit takes effect before it waits, and only its answer is held.
+        self.answers_late = False
 
     def read(self, keys):
         return self.rows.read(keys)
@@ -30,6 +33,10 @@
     def commit(self, transaction):
         released = gevent.event.AsyncResult()
         self.waiting.append(released)
+        if self.answers_late:
+            done = self.rows.commit(transaction)
+            released.get()
+            return done
         fault = released.get()
         self.rows.world.table_fault = fault
         return self.rows.commit(transaction)
@@ -279,3 +286,32 @@
 def refused_for_good(context, reason):
     refusal = context.callers[0].get(timeout=5).err_value
     assert refusal.reason.value == reason and refusal.retry_after is None, refusal
+
+
+@when("a release is claimed, and the table {writes} and doesn't answer")
+def claim_unanswered(context, writes):
+    context.held.answers_late = writes == "writes"
+    context.callers = [order(context.instance)]
+    context.held.answers_late = False
+
+
+@when("it is cancelled, which takes longer than an order may")
+def cancel_slowly(context):
+    cancelling = gevent.spawn(context.instance.runner.cancel, "team", "t")
+    gevent.sleep(work_context.ORDER_TIMEOUT_S + 0.1)
+    context.cancelling = cancelling
+
+
+@when("the table answers")
+def table_answers(context):
+    context.held.let_all_go()
+    gevent.joinall([*context.callers, context.cancelling], timeout=5)
+    context.held.let_all_go()
+
+
+@then("the release is cancelled, and nothing has started")
+def cancelled(context):
+    assert row(context.world)["state"] == "cancelled", row(context.world)
+    assert not started(context.world)
+    answer = context.cancelling.get(timeout=0)
+    print(answer)
