Let calls about one piece of work overlap in any order

The random histories make one call after the other. Here reads, writes and orders of two instances wait, and are let go in random order with faults, so that claims, cancellations, evictions, scans, changes of owner and stopped callers overlap.

--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -101,3 +101,11 @@
       | writes      | found                       |
       | writes      | The row was claimed already |
       | holds back  | There was no row yet        |
+
+  Scenario: Claims, cancellations, evictions and scans overlap in any order
+    Callers submit, cancel and are stopped at two instances; work is evicted and adopted,
+    workers change owners, leases end. Reads, writes and orders wait and are let go in
+    random order, some with faults. Nobody meets an exception, no order starts twice,
+    what was told of as not_run never ran, and at the end all work is final, with no
+    claim and no reservation left.
+    Then 300 random interleavings keep every guarantee
--- a/tests/work/steps/claim_steps.py
+++ b/tests/work/steps/claim_steps.py
@@ -4,6 +4,7 @@
 import gevent.event
 from behave import given, then, when
 from tests.support import fakes
+from tests.work import interleavings
 
 from mangosail import resources
 from mangosail.dispatch import messages as dispatch
@@ -315,3 +316,12 @@
     assert not started(context.world)
     answer = context.cancelling.get(timeout=0)
     print(answer)
+
+
+@then("{count:d} random interleavings keep every guarantee")
+def overlapping(context, count):
+    for seed in range(count):
+        print(f"seed {seed}")
+        history = interleavings.Interleaving(seed)
+        history.play()
+        history.check()
