--- a/tests/work/claims.feature
+++ b/tests/work/claims.feature
@@ -85,3 +85,27 @@
     Then its caller is refused as "store_unavailable" with a time to ask again
     When the same release is ordered again
     Then its caller is refused as "too_large" for good
+
+  Scenario Outline: A release is cancelled while its claim awaits the table's answer
+    Guards against a cancellation that is forgotten: it waits 2 s for a claim in
+    progress and then reads the row. <found>, and the release started once
+    the claim was answered, although nobody wanted it any more.
+    Given an instance with 1 worker(s)
+    When a release is claimed, and the table <writes> and doesn't answer
+    And it is cancelled, which takes longer than an order may
+    And the table answers
+    Then the release is cancelled, and nothing has started
+    And no reservation for it is left
+
+    Examples:
+      | writes      | found                       |
+      | writes      | The row was claimed already |
+      | holds back  | There was no row yet        |
+
+  Scenario: Claims, cancellations, evictions and scans overlap in any order
+    Callers submit, cancel and are stopped at two instances; work is evicted and adopted,
+    workers change owners, leases end. Reads, writes and orders wait and are let go in
+    random order, some with faults. Nobody meets an exception, no order starts twice,
+    what was told of as not_run never ran, and at the end all work is final, with no
+    claim and no reservation left.
+    Then 300 random interleavings keep every guarantee
