Tell an order as open only if its row was seen

Callers got 202 with a time to ask again for orders that nobody had claimed: they never ran, and a later lookup said 404 unknown_request.

Cause: an instance that passes an order on took every answer but a refusal for want of room for a claim, also a lost one, and a peer told of nothing else when it could not reach the table or did not know whether its claim stood. The row that nobody would write was polled until the deadline; then the order was told as open. The end of the wait for another caller's claim was told as open too.

Ruled out: a row that was lost (rows are never deleted, and none was written); a wait for another's claim (its reason differs); lost writes of a claim (503).

Now an outcome is returned only of work whose row was written or seen; all else is refused with 503, unknown, and a time to ask again. Peers tell why they have not claimed, in a field with a default, which older builds leave out. Without a row the order is refused at once and not after the deadline. The row found afterwards is compared with the order, so that an id in use with another body is a conflict.

--- a/src/mangosail/work/errors.py
+++ b/src/mangosail/work/errors.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from mangosail.work import messages
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyConflict:
@@ -23,7 +25,7 @@
     """A write or an order may have taken effect; retry with the same request id."""
 
     retry_after: float
-    reason: str = "undecided"
+    reason: str = messages.UNDECIDED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -6,6 +6,9 @@
 
 from mangosail import resources
 
+#: The reason of work of which it is not known whether it was claimed.
+UNDECIDED = "undecided"
+
 
 class State(enum.StrEnum):
     """The state of a piece of durable work."""
@@ -138,7 +141,11 @@
 class WorkAnswer:
     """Whether the peer refused to claim; everything else is in the work's row."""
 
+    #: True unless the peer has found or written a row of the work.
     refused: bool
+    #: Why it can't tell whether there is a row; empty if it has no capacity. Older
+    #: builds leave it out, and refuse for want of capacity alone.
+    reason: str = ""
 
 
 def task_id_of(request: Request) -> str:
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -37,16 +37,6 @@
     )
 
 
-def unknown_outcome(request_id: str, reason: str) -> messages.Outcome:
-    """Return the outcome of work whose state is not known yet."""
-    return messages.Outcome(
-        request_id,
-        messages.Told.UNKNOWN.value,
-        reason=reason,
-        retry_after=RETRY_AFTER_S,
-    )
-
-
 def row_after_report(
     row: messages.WorkRow, report: dispatch_messages.Report, checkpoint: str = ""
 ) -> messages.WorkRow:
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -8,6 +8,7 @@
 import collections.abc as cabc
 
 import gevent
+import logbook
 import result
 
 from mangosail import clock as clocks
@@ -44,6 +45,8 @@
     | placement_errors.NotPlaced
 )
 
+log = logbook.Logger("work")
+
 #: States that tell placement about the health of the worker and the job.
 LEARNED_STATES = frozenset(
     {messages.State.COMPLETED, messages.State.FAILED, messages.State.NOT_RUN}
@@ -124,9 +127,12 @@
         Waits for the end until the monotonic `deadline`, then returns an outcome of
         `unknown` with the time to ask again; the work continues. No row is read
         before the claim, whose version check fails if there is one.
+
+        An outcome is returned only if a row was written or seen. Work without one may
+        never run, which callers must not take for accepted.
         """
         if not self._await_claim(request, deadline):
-            return result.Ok(outcomes.unknown_outcome(request.request_id, "claiming"))
+            return self._refuse_undecided(request, "claim_awaited")
         if self.ctx.registry.get(messages.task_id_of(request)) is not None:
             return self._resubmit(request, deadline)
         if not self.has_room(request) or not self.ctx.lease.valid():
@@ -320,6 +326,7 @@
             return self._resubmit(request, deadline)
         kind = type(error).__name__.lower()
         self.ctx.counters.count(f"work.refused.claim_{kind}")
+        self._log_refusal(request, f"claim_{kind}")
         if isinstance(error, platform_errors.Unavailable):
             return result.Err(
                 errors.StoreUnavailable(
@@ -356,15 +363,13 @@
             return result.Ok(outcomes.outcome_of(row))
         if row.state is messages.State.EVICTED:
             return self._resume(stored, deadline)
-        return result.Ok(
-            self.waiter.wait_for_row(request.team, request.request_id, deadline)
-        )
+        return result.Ok(self.waiter.wait_for_row(stored, deadline))
 
     def _resume(self, stored: claims.StoredRow, deadline: float) -> Submitted:
         """Claim evicted work anew, unless another caller has done so meanwhile."""
         request = stored.row.request
         if not self._await_claim(request, deadline):
-            return result.Ok(outcomes.unknown_outcome(request.request_id, "claiming"))
+            return result.Ok(outcomes.outcome_of(stored.row))
         task = self.ctx.registry.get(messages.task_id_of(request))
         if task is not None:
             return result.Ok(self.waiter.wait_for_task(task, deadline))
@@ -393,14 +398,41 @@
             return self._resubmit_row(request, stored, deadline)
         if not forward or self.forwarding is None:
             return self._refuse_for_room(request, stored, refusal)
-        answer = self.forwarding.submit(request, deadline)
-        if answer is None:
-            return self._refuse_for_room(request, stored, refusal)
-        if isinstance(answer, result.Ok) and answer.ok_value.refused:
+        forwarded = self.forwarding.submit(request, deadline)
+        if forwarded is None:
             return self._refuse_for_room(request, stored, refusal)
-        return result.Ok(
-            self.waiter.wait_for_row(request.team, request.request_id, deadline)
-        )
+        return self._handle_forwarded(request, forwarded, deadline)
+
+    def _handle_forwarded(
+        self,
+        request: messages.Request,
+        forwarded: result.Result[None, forwarding.NotClaimed],
+        deadline: float,
+    ) -> Submitted:
+        """Wait for work that a peer has claimed, or return what is known of it.
+
+        A peer's word is not enough: those of older builds called claimed whatever they
+        had not refused for want of capacity.
+        """
+        found = self.waiter.read_until(request.team, request.request_id, deadline)
+        if isinstance(found, result.Err):
+            return result.Err(errors.StoreUnavailable(outcomes.RETRY_AFTER_S))
+        if found.ok_value is not None:
+            return self._resubmit_row(request, found.ok_value, deadline)
+        if isinstance(forwarded, result.Err):
+            self._log_refusal(request, forwarded.err_value.reason)
+            return forwarded
+        return self._refuse_undecided(request, "claim_not_found")
+
+    def _refuse_undecided(self, request: messages.Request, reason: str) -> Submitted:
+        """Refuse work that may have been claimed, but of which no row was seen."""
+        self.ctx.counters.count(f"work.refused.{reason}")
+        self._log_refusal(request, reason)
+        return result.Err(errors.Undecided(outcomes.RETRY_AFTER_S))
+
+    def _log_refusal(self, request: messages.Request, reason: str) -> None:
+        task_id = messages.task_id_of(request)
+        log.info("order refused", task=task_id, reason=reason)
 
     def _refuse_for_room(
         self,
@@ -419,17 +451,12 @@
             return outcomes.outcome_of(stored.row)
         self.forwarding.cancel(stored.row.holder, request.team, request.request_id)
         # The row has the result, whether or not the answer was lost.
-        now = self.ctx.clock.monotonic()
-        return self.waiter.wait_for_row(request.team, request.request_id, now)
+        return self.waiter.wait_for_row(stored, self.ctx.clock.monotonic())
 
     def submit_for_peer(self, message: messages.ForwardedWork) -> messages.WorkAnswer:
         """Claim a request that a peer forwarded, and answer within its timeout."""
         deadline = self.ctx.clock.monotonic() + message.timeout
-        answer = self.submit(message.request, deadline, forward=False)
-        refused = isinstance(answer, result.Err) and isinstance(
-            answer.err_value, placement_errors.NotPlaced
-        )
-        return messages.WorkAnswer(refused)
+        return answer_to_peer(self.submit(message.request, deadline, forward=False))
 
     def cancel_for_peer(self, message: messages.CancelWork) -> messages.WorkAnswer:
         """Cancel work that, according to a peer, this instance holds."""
@@ -441,3 +468,18 @@
     """Return the reason that a caller receives when the table refused a write."""
     busy = error.reason == "store_busy"
     return error.reason if busy else "store_unavailable"
+
+
+def answer_to_peer(answer: Submitted) -> messages.WorkAnswer:
+    """Return what a peer is told of work that it forwarded.
+
+    Only work that has a row is not refused; an id in use with another body has one.
+    """
+    if isinstance(answer, result.Ok) or isinstance(
+        answer.err_value, errors.BodyConflict
+    ):
+        return messages.WorkAnswer(refused=False)
+    error = answer.err_value
+    if isinstance(error, placement_errors.NotPlaced):
+        return messages.WorkAnswer(refused=True)
+    return messages.WorkAnswer(refused=True, reason=error.reason)
--- a/src/mangosail/work/waiting.py
+++ b/src/mangosail/work/waiting.py
@@ -27,25 +27,41 @@
         row = task.removed.get()
         if row is not None:
             return outcomes.outcome_of(row)
-        request = task.row.request
-        return self.wait_for_row(request.team, request.request_id, deadline)
+        return self.wait_for_row(task.stored, deadline)
 
-    def wait_for_row(
-        self, team: str, request_id: str, deadline: float
-    ) -> messages.Outcome:
-        """Wait for the end of work that another instance holds by polling its row."""
+    def wait_for_row(self, seen: claims.StoredRow, deadline: float) -> messages.Outcome:
+        """Wait for the end of work that another instance holds by polling its row.
+
+        `seen` is its row as it was last seen. Rows are never deleted, so the work has
+        an end even if the table does not answer any more.
+        """
+        request = seen.row.request
         interval = INITIAL_POLL_INTERVAL_S
         while True:
-            task = self.ctx.registry.get(f"{team}/{request_id}")
+            task = self.ctx.registry.get(messages.task_id_of(request))
             if task is not None:
                 return self.wait_for_task(task, deadline)
-            found = self.read(team, request_id)
-            stored = found.ok_value if isinstance(found, result.Ok) else None
-            if stored is not None and stored.row.state is not messages.State.CLAIMED:
-                return outcomes.outcome_of(stored.row)
+            found = self.read(request.team, request.request_id)
+            if isinstance(found, result.Ok) and found.ok_value is not None:
+                seen = found.ok_value
+                if seen.row.state is not messages.State.CLAIMED:
+                    return outcomes.outcome_of(seen.row)
             remaining = deadline - self.ctx.clock.monotonic()
             if remaining <= 0:
-                return timed_out_outcome(request_id, stored)
+                return outcomes.outcome_of(seen.row)
+            self.ctx.clock.sleep(min(interval, remaining))
+            interval = min(interval * 2, MAX_POLL_INTERVAL_S)
+
+    def read_until(
+        self, team: str, request_id: str, deadline: float
+    ) -> result.Result[claims.StoredRow | None, platform_errors.Unavailable]:
+        """Return the current row or None as soon as the table says which."""
+        interval = INITIAL_POLL_INTERVAL_S
+        while True:
+            found = self.read(team, request_id)
+            remaining = deadline - self.ctx.clock.monotonic()
+            if isinstance(found, result.Ok) or remaining <= 0:
+                return found
             self.ctx.clock.sleep(min(interval, remaining))
             interval = min(interval * 2, MAX_POLL_INTERVAL_S)
 
@@ -57,12 +73,3 @@
         if isinstance(found, result.Err) or found.ok_value is None:
             return found
         return result.Ok(self.adoption.resolve_orphan(found.ok_value))
-
-
-def timed_out_outcome(
-    request_id: str, stored: claims.StoredRow | None
-) -> messages.Outcome:
-    """Return the outcome of work that did not end before the deadline."""
-    if stored is None:
-        return outcomes.unknown_outcome(request_id, "store_unavailable")
-    return outcomes.outcome_of(stored.row)
