--- a/src/mangosail/jobs/polling.py
+++ b/src/mangosail/jobs/polling.py
@@ -4,7 +4,6 @@
 
 from mangosail import clock as clocks
 from mangosail.jobs import attempts, held, records
-from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages as work_messages
 
 #: Rows per read of the table.
@@ -19,12 +18,10 @@
         job_records: records.Records,
         attempt_handler: attempts.AttemptHandler,
         clock: clocks.Clock,
-        counters: telemetry.Counters,
     ) -> None:
         self.records = job_records
         self.attempt_handler = attempt_handler
         self.clock = clock
-        self.counters = counters
 
     def poll(self, job: held.HeldJob) -> None:
         """Read the rows of the tasks whose poll is due and apply their states."""
@@ -50,5 +47,4 @@
         """Requeue a task that was offered to a peer but not claimed in time."""
         if index not in job.polls:
             return
-        self.counters.count("jobs.retry.offer_lost")
-        self.attempt_handler.requeue(job, index, 0)
+        self.attempt_handler.requeue(job, index, "offer_lost")
--- a/src/mangosail/jobs/queue.py
+++ b/src/mangosail/jobs/queue.py
@@ -82,7 +82,7 @@
         self.canceller = cancellation.JobCanceller(
             runner, self.attempt_handler, clock, counters
         )
-        poller = polling.TaskPoller(job_records, self.attempt_handler, clock, counters)
+        poller = polling.TaskPoller(job_records, self.attempt_handler, clock)
         self.recorder = recording.JobRecorder(
             self.jobs, job_records, poller, self.canceller, lease, counters
         )
@@ -282,8 +282,7 @@
                 job, task[0], message.request_id, message.outcome
             )
         elif job.request(task[0]).request_id == message.request_id:
-            self.counters.count("jobs.retry.offer_failed")
-            self.attempt_handler.requeue(job, task[0], 0)
+            self.attempt_handler.requeue(job, task[0], "offer_failed")
         return messages.Acknowledgement()
 
     def _progress(self, found: records.StoredJob) -> messages.Progress:
--- a/src/mangosail/jobs/recording.py
+++ b/src/mangosail/jobs/recording.py
@@ -1,5 +1,6 @@
 """Writing the states of held jobs, and reading what other instances wrote there."""
 
+import logbook
 import result
 
 from mangosail.jobs import cancellation, held, messages, polling, records
@@ -7,6 +8,8 @@
 from mangosail.platform import errors as platform_errors
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("jobs")
+
 #: Interval at which job states are written and due polls are made.
 RECORD_INTERVAL_S = 1.0
 
@@ -49,7 +52,18 @@
         ended = self.records.write_end(job.stored, job.next_state())
         if isinstance(ended, result.Ok):
             del self.jobs[key]
-            self.counters.count(f"jobs.ended.{ended.ok_value.state.state}")
+            state = ended.ok_value.state
+            self.counters.count(f"jobs.ended.{state.state}")
+            log.info(
+                "job ended",
+                team=state.team,
+                job=state.job_id,
+                state=state.state.value,
+                reason=state.reason,
+                completed=state.counts.completed,
+                failed=state.counts.failed,
+                cancelled=state.counts.cancelled,
+            )
             return
         self._handle_write_error(key, job, ended.err_value)
 
--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -55,6 +55,13 @@
     Then every instance sees "j-4" "failed" with 0 of 500 tasks within 30 seconds
     And fewer than 60 tasks of "j-4" were started
 
+  Scenario: A task that fails is tried three times
+    Guards against a failure that counts twice because two greenlets report it: a task
+    was given up after its second attempt.
+    When a job "j-7" of 1 tasks that fail is submitted to "shymkent-0"
+    Then every instance sees "j-7" "failed" with 0 of 1 tasks within 20 seconds
+    And 3 tasks of "j-7" were started
+
   Scenario: A big task is not starved by small ones that overtake it
     Small tasks keep both workers busy and fill each gap as it opens, so the 32
     cores that the big one needs are never free together unless they are reserved.
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -266,3 +266,10 @@
 def resumed(context, job_id):
     starts = [e for _, e in entries(context, job_id, "start") if e["generation"] > 1]
     assert starts and all(e["done_seconds"] > 0 for e in starts), starts
+
+
+@then('{count:d} tasks of "{job_id}" were started')
+def started_count(context, count, job_id):
+    assert len(entries(context, job_id, "start")) == count, entries(
+        context, job_id, "start"
+    )
