Give a job up only if it fails on more than the instance's own worker

A job of five tasks ended failed, one of them cancelled, after one sick worker had failed them all once, though the data centre had two others that were well.

Cause: "fails everywhere" asks for failures on two workers, or as many as there are, counted among the workers of the instance that holds the job. That instance had one. Placement, which refuses a poisoned job for good, counted alike.

Ruled out: a lost retry (all instances told the job's end), ejection (nothing started again). Shown by the line "job given up": six failures on one worker.

Now all listed workers count, for jobs those that its tasks fit on; while none is listed, two are asked for. Two scenarios that failed before hold, in tests/jobs and tests/placement. Those of jobs that do fail everywhere hold as they did.

--- a/src/mangosail/jobs/attempts.py
+++ b/src/mangosail/jobs/attempts.py
@@ -91,7 +91,7 @@
             reason=row.reason if row else "",
             failed_attempts=job.failed_attempts[index],
         )
-        if job.poisoned(self.room.worker_count()):
+        if job.poisoned(self.room.listed_workers(job.spec.needs)):
             self.counters.count("jobs.poisoned")
             self._give_up(job, f"fails everywhere: {job.reason}")
         exhausted = job.failed_attempts[index] >= tracker.MAX_FAILED_ATTEMPTS
--- a/src/mangosail/jobs/held.py
+++ b/src/mangosail/jobs/held.py
@@ -94,12 +94,18 @@
             self.reason,
         )
 
-    def poisoned(self, workers: int) -> bool:
-        """Return whether the job fails on every worker and should be given up."""
+    def poisoned(self, listed_workers: int) -> bool:
+        """Return whether the job fails on every worker and should be given up.
+
+        `listed_workers` is the number of workers that its tasks could run on, 0 if that
+        is not known. One worker that fails everything proves nothing beside others.
+        """
         if self.tracker.counts[tracker.TaskStatus.COMPLETED]:
             return False
-        enough = self.failures >= POISON_MIN_FAILURES
-        return enough and len(self.failed_workers) >= min(POISON_MIN_WORKERS, workers)
+        if self.failures < POISON_MIN_FAILURES:
+            return False
+        workers = min(POISON_MIN_WORKERS, listed_workers or POISON_MIN_WORKERS)
+        return len(self.failed_workers) >= workers
 
     def stop(self, state: messages.State, reason: str) -> None:
         """Leave the running state and cancel all waiting tasks."""
--- a/src/mangosail/jobs/room.py
+++ b/src/mangosail/jobs/room.py
@@ -66,9 +66,12 @@
         #: Task ids of batch tasks whose eviction is in progress.
         self.evicting: set[str] = set()
 
-    def worker_count(self) -> int:
-        """Return the number of own workers that accept work."""
-        return sum(owned.accepts() for owned in self.owned)
+    def listed_workers(self, needs: resources.Resources) -> int:
+        """Return the number of listed workers, of all instances, that `needs` fit in.
+
+        It is 0 while the platform's list is unknown.
+        """
+        return self.placer.sizes.count_fitting(needs)
 
     def fits(self, request: work_messages.Request) -> bool:
         """Return whether a batch task can be started on an own worker now."""
--- a/src/mangosail/placement/ejection.py
+++ b/src/mangosail/placement/ejection.py
@@ -62,15 +62,21 @@
 
 
 class Ejection:
-    """Tracks outcomes by worker and job; `worker_names` returns the owned workers."""
+    """Tracks outcomes by worker and job.
+
+    `worker_names` returns the owned workers, `listed_workers` the number of all listed
+    ones, 0 if that is not known.
+    """
 
     def __init__(
         self,
         worker_names: cabc.Callable[[], list[str]],
+        listed_workers: cabc.Callable[[], int],
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
         self.worker_names = worker_names
+        self.listed_workers = listed_workers
         self.clock = clock
         self.counters = counters
         self.workers: dict[str, WorkerRecord] = {}
@@ -111,7 +117,10 @@
         if record.failures_by_worker.total() < MIN_POISON_FAILURES:
             return None
         healthy = [w for w in record.failures_by_worker if self._is_healthy(w)]
-        if len(healthy) < min(MIN_POISON_WORKERS, len(self.worker_names())):
+        # Not of the owned ones: the only worker of an instance may be the one that is
+        # sick, while the job would do well on those of others.
+        listed = self.listed_workers() or MIN_POISON_WORKERS
+        if len(healthy) < min(MIN_POISON_WORKERS, listed):
             return None
         return "fails_everywhere"
 
--- a/src/mangosail/placement/placer.py
+++ b/src/mangosail/placement/placer.py
@@ -81,7 +81,10 @@
         self.chooser = self._make_chooser(policy, seed or random.getrandbits(32))
         self.sizes = sizes.Sizes(capacities, counters)
         self.ejection = ejection.Ejection(
-            lambda: [worker.name for worker in owned], clock, counters
+            lambda: [worker.name for worker in owned],
+            lambda: len(capacities()),
+            clock,
+            counters,
         )
         self.usage = usages.Usage(owned, self.residents)
         self.fair_share = fairness.FairShare(quotas, self.usage.total, clock)
--- a/src/mangosail/placement/sizes.py
+++ b/src/mangosail/placement/sizes.py
@@ -48,6 +48,10 @@
         capacities = self.capacities()
         return not capacities or any(declared.fits_in(c) for c in capacities)
 
+    def count_fitting(self, declared: resources.Resources) -> int:
+        """Return the number of listed workers whose capacity `declared` fits in."""
+        return sum(declared.fits_in(capacity) for capacity in self.capacities())
+
     def needs(self, kind: str, declared: resources.Resources) -> resources.Resources:
         """Return the larger of declared and learned, up to a whole worker."""
         learned = resources.Resources(
--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -55,6 +55,15 @@
     Then every instance sees "j-4" "failed" with 0 of 500 tasks within 30 seconds
     And fewer than 60 tasks of "j-4" were started
 
+  Scenario: A job survives a sick worker that is the only one of its instance
+    Guards against a job that ends as failing everywhere although it failed on one of
+    two workers: only the workers of its own instance were counted.
+    Given each instance has one worker, and that of "shymkent-0" fails all it runs
+    When a job "j-6" of 8 tasks of 0.5 seconds with 4 cores is submitted to "shymkent-0"
+    And 8 attempts of "j-6" have failed and the worker is well again
+    Then every instance sees "j-6" "completed" with 8 of 8 tasks within 20 seconds
+    And every index of "j-6" completed exactly once
+
   Scenario: A task that fails is tried three times
     Guards against a failure that counts twice because two greenlets report it: a task
     was given up after its second attempt.
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -273,3 +273,28 @@
     assert len(entries(context, job_id, "start")) == count, entries(
         context, job_id, "start"
     )
+
+
+@given('each instance has one worker, and that of "{instance}" fails all it runs')
+def sick_worker(context, instance):
+    stage.wait_until(
+        lambda: all(len(workers_of(context, i)) == 1 for i in context.stage.instances),
+        what="one worker for each instance",
+    )
+    (worker,) = workers_of(context, instance)
+    context.sick = worker["name"]
+    context.stage.worker_faults(context.sick, fail_all=True)
+
+
+@when('{count:d} attempts of "{job_id}" have failed and the worker is well again')
+def worker_well(context, count, job_id):
+    stage.wait_until(lambda: len(entries(context, job_id, "end")) >= count, 20)
+    context.stage.worker_faults(context.sick, fail_all=False)
+
+
+@when(
+    'a job "{job_id}" of {tasks:d} tasks of {seconds:g} seconds '
+    'with {cpus:d} cores is submitted to "{instance}"'
+)
+def submit_small(context, job_id, tasks, seconds, cpus, instance):
+    post(context, instance, job(job_id, tasks, cpus, work_seconds=seconds))
--- a/tests/placement/decisions.feature
+++ b/tests/placement/decisions.feature
@@ -45,6 +45,20 @@
     Then job "j" is poisoned as "fails_everywhere"
     And "a" is not ejected
 
+  Scenario: A job that fails on the only worker of an instance is not poisoned
+    Guards against a job that is refused for good because one sick worker failed it,
+    though other instances have workers.
+    Given an instance with worker "a", which is one of 3 listed
+    When "fuel.quote" succeeds on every worker
+    And job "j" fails 6 times on "a" and 0 times on "b"
+    Then job "j" is not poisoned
+
+  Scenario: A job that fails on the only listed worker is poisoned
+    Given an instance with worker "a", which is one of 1 listed
+    When "fuel.quote" succeeds on every worker
+    And job "j" fails 6 times on "a" and 0 times on "b"
+    Then job "j" is poisoned as "fails_everywhere"
+
   Scenario: An unused share is lent, and reclaimed as work ends
     # Work of the borrower continues, but it may start no more until the team below its
     # quota has its share.
--- a/tests/placement/steps/decision_steps.py
+++ b/tests/placement/steps/decision_steps.py
@@ -22,6 +22,11 @@
     context.placing = placing.Placing(a, b, c)
 
 
+@given('an instance with worker "{name}", which is one of {count:d} listed')
+def one_of_listed(context, name, count):
+    context.placing = placing.Placing(name, listed=[placing.CAPACITY] * count)
+
+
 @when('tasks of "{kind}" that declare {cpus:d} cpus are measured at {real:d} cpus')
 def measured(context, kind, cpus, real):
     sizes = context.placing.placer.sizes
@@ -83,6 +88,11 @@
     assert context.placing.placer.ejection.poison_reason(job) == reason
 
 
+@then('job "{job}" is not poisoned')
+def not_poisoned(context, job):
+    assert context.placing.placer.ejection.poison_reason(job) is None
+
+
 @then('"{name}" is ejected and gets nothing')
 def ejected(context, name):
     assert context.placing.placer.ejection.is_ejected(name)
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -13,9 +13,9 @@
 
 
 class Placing:
-    """A placer and its workers."""
+    """A placer and its workers; `listed` are the capacities of all listed workers."""
 
-    def __init__(self, *names, policy=choice.Policy.LEARNED):
+    def __init__(self, *names, policy=choice.Policy.LEARNED, listed=None):
         self.clock = memory.Clock()
         self.workers = workers.Workers()
         self.counters = counters.StatsdCounters(None, 0)
@@ -33,7 +33,7 @@
             self.clock,
             self.counters,
             self.quotas.get,
-            lambda: [owned.worker.capacity for owned in self.workers],
+            lambda: listed or [owned.worker.capacity for owned in self.workers],
         )
 
     def work(self, kind, work_class=messages.WorkClass.QUOTE, **options):
