Keep the reason for which a job was given up

A job that was given up as failing everywhere was told with the reason of the last task that ended, "exit 1", and not as docs/operations/jobs.md says. Tasks that fail after the decision wrote their reason over it.

--- a/src/mangosail/jobs/attempts.py
+++ b/src/mangosail/jobs/attempts.py
@@ -79,8 +79,10 @@
             # for it, and the runner. The other one has applied it during the read.
             return
         if row is not None:
-            job.reason = row.reason
             job.failed_workers.add(row.worker)
+            if job.state is messages.State.RUNNING:
+                # The reason for which a job was given up or cancelled stands.
+                job.reason = row.reason
         job.failures += 1
         job.failed_attempts[index] += 1
         log.info(
--- a/tests/jobs/jobs.feature
+++ b/tests/jobs/jobs.feature
@@ -54,6 +54,7 @@
     When a job "j-4" of 500 tasks that fail is submitted to "shymkent-0"
     Then every instance sees "j-4" "failed" with 0 of 500 tasks within 30 seconds
     And fewer than 60 tasks of "j-4" were started
+    And every instance gives "fails everywhere: exit 1" as the reason of "j-4"
 
   Scenario: A job survives a sick worker that is the only one of its instance
     Guards against a job that ends as failing everywhere although it failed on one of
--- a/tests/jobs/steps/jobs_steps.py
+++ b/tests/jobs/steps/jobs_steps.py
@@ -298,3 +298,10 @@
 )
 def submit_small(context, job_id, tasks, seconds, cpus, instance):
     post(context, instance, job(job_id, tasks, cpus, work_seconds=seconds))
+
+
+@then('every instance gives "{reason}" as the reason of "{job_id}"')
+def gives_reason(context, reason, job_id):
+    for instance in context.stage.instances:
+        answer = progress(context, instance, job_id)
+        assert answer["reason"] == reason, (instance, answer)
