Let a planned stop wait for its requests, and hand its workers over

Peers had to wait for the lease of the stopped instance; `drained` was never logged.

Cause: the drain closes the listening socket after 1.5 s. gevent's `serve_forever` takes that for its own end, calls `stop` with its default of 1 s, kills all handlers and returns, and `Instance.run` ended with it. A trace showed `stop` beginning in the same millisecond as the close with requests in flight, and returning 1.002 s later.

`run` now waits for the drain itself (`Server.serve_until`). The hand-over runs for the first time.

Four scenarios fail before and pass after.

--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -6,11 +6,15 @@
 import typing as t
 
 import gevent
+import gevent.event
+import logbook
 from gevent import pool, pywsgi
 
 from mangosail import codec
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("front")
+
 #: Seconds that a connection may be idle between requests, and that a write may take.
 IDLE_TIMEOUT_S = 60.0
 #: Seconds within which the request line and headers must have been received.
@@ -27,6 +31,11 @@
 #: Probe paths, which are exempt from the limit.
 PROBE_PATHS = ("/healthz", "/readyz")
 
+#: Seconds between checks for requests in flight.
+POLL_INTERVAL_S = 0.02
+#: Consecutive checks without a request in flight after which none is expected.
+IDLE_POLLS = 5
+
 OVERLOADED = "overloaded"
 
 
@@ -198,6 +207,32 @@
         """Return whether any request is being read or answered."""
         return any(handler.busy for handler in self.handlers)
 
+    def serve_until(self, stopped: gevent.event.Event) -> None:
+        """Serve until `stopped` is set, whether or not `close` was called before.
+
+        `serve_forever` ends 1 s after `close` and kills all requests in flight then:
+        planned stops cut off every request that took longer.
+        """
+        self.start()
+        try:
+            stopped.wait()
+        finally:
+            self.stop(timeout=0)
+
+    def finish_requests(self, now: cabc.Callable[[], float], deadline: float) -> None:
+        """Wait until no request is in flight, or until `deadline` by the clock `now`.
+
+        Call `close` before, so that no further caller connects.
+        """
+        quiet = 0
+        while quiet < IDLE_POLLS:
+            if now() >= deadline:
+                self.counters.count("front.drain.cut_off")
+                log.warning("drain deadline passed with requests in flight")
+                return
+            quiet = 0 if self.busy() else quiet + 1
+            gevent.sleep(POLL_INTERVAL_S)
+
 
 def create(
     app: t.Any,
--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -2,6 +2,7 @@
 
 import collections.abc as cabc
 
+import gevent.event
 import logbook
 
 from mangosail import clock as clocks
@@ -13,10 +14,6 @@
 #: Seconds for which new requests are still served until the load balancer has noticed
 #: that this instance is not ready: three of its checks.
 NOT_READY_PERIOD_S = 1.5
-#: Seconds between checks for requests in flight.
-POLL_INTERVAL_S = 0.02
-#: Consecutive checks without a request in flight after which none is expected.
-IDLE_POLLS = 5
 
 
 class Drain:
@@ -46,13 +43,20 @@
         self.counters = counters
         self.timeout = timeout
         self.started = False
+        #: Set at the end; the process ends only then.
+        self.ended = gevent.event.Event()
 
     def run(self) -> None:
-        """Drain and stop the server; further calls do nothing."""
+        """Drain the instance; further calls do nothing."""
         if self.started:
             return
         self.started = True
-        deadline = self.clock.monotonic() + self.timeout
+        try:
+            self._drain(self.clock.monotonic() + self.timeout)
+        finally:
+            self.ended.set()
+
+    def _drain(self, deadline: float) -> None:
         log.info("draining")
         self.counters.count("front.drain.begun")
         self.front.draining = True
@@ -60,19 +64,7 @@
         self.clock.sleep(min(NOT_READY_PERIOD_S, self.timeout))
         self.front.watches.drain()
         self.httpd.close()
-        self._wait(deadline)
+        self.httpd.finish_requests(self.clock.monotonic, deadline)
         self.stop_peers(max(deadline - self.clock.monotonic(), 0.0))
         self.hand_over(deadline)
-        self.httpd.stop(timeout=0)
         log.info("drained")
-
-    def _wait(self, deadline: float) -> None:
-        """Wait until no request is in flight, or until the deadline."""
-        quiet = 0
-        while quiet < IDLE_POLLS:
-            if self.clock.monotonic() >= deadline:
-                self.counters.count("front.drain.cut_off")
-                log.warning("drain deadline passed with requests in flight")
-                return
-            quiet = 0 if self.httpd.busy() else quiet + 1
-            self.clock.sleep(POLL_INTERVAL_S)
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -260,9 +260,10 @@
         httpd = server.create(
             gate, self.process_settings.http_address, self.counters, tls
         )
-        gevent.signal_handler(signal.SIGTERM, self._drain(httpd, peer_server).run)
+        drain = self._drain(httpd, peer_server)
+        gevent.signal_handler(signal.SIGTERM, drain.run)
         log.info("serving", address=self.process_settings.http_address)
-        httpd.serve_forever()
+        httpd.serve_until(drain.ended)
         peer_server.stop(grace=0)
 
     def heartbeat_message(
--- /dev/null
+++ b/tests/front/steps/stopping_steps.py
@@ -0,0 +1,120 @@
+import itertools
+import json
+import signal
+import threading
+import time
+
+from behave import given, then, when
+from tests.support import stage, teams
+
+ORDER = "/v1/services/fuel/release"
+STOPPED = "duran-0"
+PEER = "duran-1"
+ORDERS = 3
+SEQUENCE_NUMBERS = itertools.count()
+#: Seconds that starting and ending the process itself may take.
+EXIT_MARGIN_S = 0.5
+
+
+def two_instances(context, drain_seconds=30):
+    """Start two instances, of which `STOPPED` stops within `drain_seconds`."""
+    context.stage = stage.Stage()
+    context.add_cleanup(context.stage.close)
+    context.stage.start_platform(lag=0.2)
+    context.stage.write_settings("fuel-desk", teams.example("fuel-desk"))
+    context.stage.start_workers("duran", 2)
+    env = {"MANGOSAIL_DRAIN_SECONDS": str(drain_seconds)}
+    for name in (STOPPED, PEER):
+        context.stage.start_instance(name, "duran", env)
+    context.stage.wait_ready()
+    stage.wait_until(lambda: len(set(owners(context))) == 2, 10, "a worker for each")
+
+
+def owners(context):
+    """Return the owner of each worker according to the table."""
+    rows = stage.call(context.stage.platform, "GET", "/rows?prefix=owner/").json()
+    owned = [json.loads(row["value"]) for row in rows]
+    return [row["instance"] for row in owned]
+
+
+def send_orders(context, seconds):
+    context.answers = []
+
+    def send(number):
+        body = {"order": f"o{number}", "work_seconds": seconds}
+        headers = teams.bearer(
+            "fuel-desk-token", Request_Id=f"o{number}", Request_Timeout=60
+        )
+        try:
+            answer = context.stage.call(STOPPED, "POST", ORDER, body, headers, 70)
+            context.answers.append((answer.status, answer.json()["outcome"]))
+        except (OSError, ValueError) as exc:
+            context.answers.append((0, repr(exc)))
+
+    context.callers = [
+        threading.Thread(target=send, args=(next(SEQUENCE_NUMBERS),), daemon=True)
+        for _ in range(ORDERS)
+    ]
+    for caller in context.callers:
+        caller.start()
+    starts = context.stage.execution_log
+    stage.wait_until(
+        lambda: len([e for e in starts() if e["event"] == "start"]) == ORDERS,
+        10,
+        "orders started",
+    )
+
+
+@given("two instances, and orders of {seconds:d} s in flight at one of them")
+def with_orders(context, seconds):
+    two_instances(context)
+    send_orders(context, seconds)
+
+
+@given(
+    "two instances, and orders of {seconds:d} s in flight at one that stops within"
+    " {limit:d} s"
+)
+def with_long_orders(context, seconds, limit):
+    two_instances(context, limit)
+    send_orders(context, seconds)
+
+
+@when("this instance is stopped")
+def stop(context):
+    stop_with(context, 0)
+
+
+@when("this instance is stopped and gets {count:d} more signals")
+def stop_with(context, count):
+    began_at = time.monotonic()
+    process = context.stage.processes[STOPPED]
+    for _ in range(count + 1):
+        context.stage.signal(STOPPED, signal.SIGTERM)
+        time.sleep(0.3 if count else 0)
+    context.exit_status = process.wait(timeout=40)
+    context.exited_at = time.monotonic()
+    context.took = context.exited_at - began_at
+
+
+@then("all orders are answered as completed")
+def completed(context):
+    for caller in context.callers:
+        caller.join(10)
+    assert context.answers == [(200, "completed")] * ORDERS, context.answers
+
+
+@then("it has exited with {status:d}")
+def has_exited(context, status):
+    assert context.exit_status == status, context.exit_status
+
+
+@then("it took at most {seconds:d} s")
+def in_time(context, seconds):
+    assert context.took < seconds + EXIT_MARGIN_S, context.took
+
+
+@then("the peer owns all workers within {seconds:d} s of its exit")
+def taken_over(context, seconds):
+    left = context.exited_at + seconds - time.monotonic()
+    stage.wait_until(lambda: owners(context) == [PEER, PEER], left, "all workers taken")
--- /dev/null
+++ b/tests/front/stopping.feature
@@ -0,0 +1,34 @@
+Feature: A planned stop cuts nothing off
+  On SIGTERM an instance becomes not ready, completes the requests in flight, hands its
+  workers over and exits with 0. Each scenario has two instances and two workers.
+
+  Scenario: Orders that take seconds are answered by an instance that stops
+    Callers were cut off 2.5 s after the signal, whatever the time limit of the stop. Its
+    listening socket was closed after 1.5 s; the server took this for its own end, killed
+    all requests 1 s later, and the process ended with workers and session still held.
+    Given two instances, and orders of 4 s in flight at one of them
+    When this instance is stopped
+    Then all orders are answered as completed
+    And it has exited with 0
+
+  Scenario: A peer takes the workers of a stopped instance at once
+    The stop ended before the hand-over, so peers waited until the lease had expired; the
+    workers were idle for that time, and callers were refused.
+    Given two instances, and orders of 4 s in flight at one of them
+    When this instance is stopped
+    Then the peer owns all workers within 2 s of its exit
+
+  Scenario: A stop ends at its time limit, with requests that take longer
+    A supervisor kills an instance that does not end, and then nothing is handed over.
+    Given two instances, and orders of 60 s in flight at one that stops within 4 s
+    When this instance is stopped
+    Then it has exited with 0
+    And it took at most 4 s
+    And the peer owns all workers within 2 s of its exit
+
+  Scenario: A second signal does no harm
+    Supervisors and operators may both stop an instance.
+    Given two instances, and orders of 4 s in flight at one of them
+    When this instance is stopped and gets 3 more signals
+    Then all orders are answered as completed
+    And it has exited with 0
