Write the last log lines and counts of a stopped instance

Operators could not see how a planned stop ended: `session released`, `drained` and the counter `front.drain.cut_off` got lost, and so did whatever else was logged in the last 0.2 s or counted in the last second.

Cause: both are written by tasks, and the process ended without a last flush. Ruled out: a hand-over that does not run (the peer had the workers) and dropped lines (there were four). With one flush of each they are written; the new scenario fails without either.

--- a/src/mangosail/cli/serve.py
+++ b/src/mangosail/cli/serve.py
@@ -21,11 +21,13 @@
 @flags.from_model(process.ProcessSettings)
 def serve(settings: process.ProcessSettings) -> None:
     """Run one entry instance until it receives SIGTERM."""
-    logs.setup(settings.instance, settings.data_centre, settings.log_level)
+    handler = logs.setup(settings.instance, settings.data_centre, settings.log_level)
     try:
         instance.Instance(settings).run()
     except errors.ConfigurationError as exc:
         exits.exit_with(exits.USAGE, str(exc))
+    finally:
+        handler.flush()
 
 
 def check(file: SettingsFile = None) -> None:
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -265,6 +265,7 @@
         log.info("serving", address=self.process_settings.http_address)
         httpd.serve_until(drain.ended)
         peer_server.stop(grace=0)
+        self.counters.flush()
 
     def heartbeat_message(
         self, asks_for_peers: bool = False
--- a/tests/front/steps/stopping_steps.py
+++ b/tests/front/steps/stopping_steps.py
@@ -1,6 +1,7 @@
 import itertools
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -23,7 +24,13 @@
     context.stage.start_platform(lag=0.2)
     context.stage.write_settings("fuel-desk", teams.example("fuel-desk"))
     context.stage.start_workers("duran", 2)
-    env = {"MANGOSAIL_DRAIN_SECONDS": str(drain_seconds)}
+    context.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(context.statsd.close)
+    context.statsd.bind(("127.0.0.1", 0))
+    env = {
+        "MANGOSAIL_DRAIN_SECONDS": str(drain_seconds),
+        "MANGOSAIL_STATSD_ADDRESS": f"127.0.0.1:{context.statsd.getsockname()[1]}",
+    }
     for name in (STOPPED, PEER):
         context.stage.start_instance(name, "duran", env)
     context.stage.wait_ready()
@@ -118,3 +125,22 @@
 def taken_over(context, seconds):
     left = context.exited_at + seconds - time.monotonic()
     stage.wait_until(lambda: owners(context) == [PEER, PEER], left, "all workers taken")
+
+
+@then('it has logged "{event}"')
+def has_logged(context, event):
+    lines = (context.stage.logs / f"{STOPPED}.log").read_text().splitlines()
+    events = [json.loads(line)["event"] for line in lines if line.startswith("{")]
+    assert event in events, events[-5:]
+
+
+@then('it has sent the counter "{name}" to statsd')
+def has_counted(context, name):
+    context.statsd.settimeout(0.2)
+    received = []
+    try:
+        while True:
+            received.append(context.statsd.recv(65536).decode())
+    except TimeoutError:
+        pass
+    assert any(f"mangosail.{name}:1|c" in packet for packet in received), len(received)
--- a/tests/front/stopping.feature
+++ b/tests/front/stopping.feature
@@ -32,3 +32,13 @@
     When this instance is stopped and gets 3 more signals
     Then all orders are answered as completed
     And it has exited with 0
+
+  Scenario: The last log lines and counts of a stopped instance are written
+    On-call engineers have only these to learn whether a stop cut callers off. What was
+    logged in the last 0.2 s, and counted in the last second, was never written.
+    Given two instances, and orders of 60 s in flight at one that stops within 4 s
+    When this instance is stopped
+    Then it has logged "drain deadline passed with requests in flight"
+    And it has logged "session released"
+    And it has logged "drained"
+    And it has sent the counter "front.drain.cut_off" to statsd
