Complete what is in flight when a process on the platform stops

A caller whose job took 2.5 s to arrive, begun 2 s after the signal, got a closed connection 3.3 s after the signal, although the kill comes after 6 s. So did a peer that passed such a job on.

Cause: the same as with instances: `close` ends `serve_forever`, which kills all handlers 1 s later, and the process ended with it. What peers pass on was not waited for.

The process now ends when its planned stop is complete: both servers finish their requests by the code that instances use, until 0.8 s before the kill.

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -5,6 +5,7 @@
 import signal
 
 import gevent
+import gevent.event
 import logbook
 
 from mangosail import clock as clocks
@@ -38,8 +39,6 @@
 NOT_READY_PERIOD_S = 2.3
 #: Seconds before the kill by which a planned shutdown must be complete.
 STOP_MARGIN_S = 0.8
-#: Interval in seconds for checking for requests in flight.
-POLL_INTERVAL_S = 0.02
 
 
 class Process:
@@ -95,6 +94,10 @@
             self.advisor = advisor.HttpAdvisor(settings.advice)
         self.scheduler: scheduler.Scheduler | None = None
         self.stopping = False
+        #: Set when the planned shutdown is complete; the process ends only then.
+        self.stopped = gevent.event.Event()
+        #: Those that serve callers, directly or through a peer.
+        self.fronts: list[server.Server] = []
 
     def run(self) -> None:
         """Serve until the process is stopped."""
@@ -106,9 +109,10 @@
         )
         ready.start()
         self.limiter = server.RequestLimiter(self.ingress.app, self.counters)
-        self.front = server.create(
+        front = server.create(
             self.limiter, self.settings.listen_addrs.front, self.counters
         )
+        self.fronts.append(front)
         metrics = server.create(
             exposition.Exposition(self.counters),
             f"{self.settings.ip}:{METRICS_PORT}",
@@ -116,13 +120,15 @@
         )
         metrics.start()
         if self.settings.peer_address:
-            server.create(
+            peer_front = server.create(
                 self.peer_ingress.app, self.settings.peer_address, self.counters
-            ).start()
+            )
+            peer_front.start()
+            self.fronts.append(peer_front)
             gevent.spawn(self.peers.run)
         gevent.spawn(self._lead_forever)
         log.info("started", data_centre=self.settings.zone, address=self.settings.ip)
-        self.front.serve_forever()
+        front.serve_until(self.stopped)
         log.info("stopped")
 
     def _lead_forever(self) -> None:
@@ -171,19 +177,25 @@
         if self.stopping:
             return
         self.stopping = True
+        deadline = self.clock.elapsed() + self.settings.bounds.grace_s - STOP_MARGIN_S
+        try:
+            self._stop(deadline)
+        finally:
+            self.stopped.set()
+
+    def _stop(self, deadline: float) -> None:
         log.info("stopping")
         self.readiness.draining = True
         self.limiter.closing = True
-        deadline = self.clock.elapsed() + self.settings.bounds.grace_s - STOP_MARGIN_S
         if self.scheduler is not None:
             self.scheduler.stop()
         if self.settings.peer_address:
             gevent.spawn(self.peers.deregister)
         self.clock.sleep(NOT_READY_PERIOD_S)
-        self.front.close()
-        while self.front.busy() and self.clock.elapsed() < deadline:
-            self.clock.sleep(POLL_INTERVAL_S)
-        self.front.stop(timeout=0)
+        for front in self.fronts:
+            front.close()
+        for front in self.fronts:
+            front.finish_requests(self.clock.elapsed, deadline)
 
 
 def main() -> None:
