Release the session of a stopped instance also beside a renewal

After a planned stop peers could wait 3 s for the lease although everything was handed over, and callers were refused meanwhile. Found by reading; shown by tests.

Cause: the last write checks the version of a row that is renewed once a second. A renewal in flight, or one whose answer was lost, changes the version; the write was made once, and its failure neither logged nor counted. Ruled out: a session that another run replaced (the row has the run's own incarnation).

The row is now read, checked for that incarnation and written until the time limit of the stop. A renewal that returns later does not make the lease valid again. Three of four new scenarios failed before; the fourth, a lost answer to the last write, did not.

--- a/src/mangosail/ownership/owners.py
+++ b/src/mangosail/ownership/owners.py
@@ -171,9 +171,12 @@
         self._await_quotes(given_up, deadline)
         for owned in given_up:
             self._give_up(owned, "ownership.handed_over")
-        closed = self.lease.release()
+        closed = self.lease.release(deadline)
         if isinstance(closed, result.Ok):
             log.info("session released", workers=len(given_up))
+        else:
+            self.counters.count("ownership.session_unreleased")
+            log.warning("session not released", why=repr(closed.err_value))
         return closed
 
     def _await_quotes(
--- a/src/mangosail/ownership/session.py
+++ b/src/mangosail/ownership/session.py
@@ -14,6 +14,8 @@
 LEASE_DURATION_S = 3.0
 #: Seconds between renewals.
 RENEWAL_INTERVAL_S = 1.0
+#: Seconds until a failed release is repeated.
+RELEASE_RETRY_INTERVAL_S = 0.05
 
 
 def new_session_row(
@@ -94,6 +96,9 @@
     def renew(self) -> result.Result[None, errors.CommitError]:
         """Extend the lease; `Conflict` means that the session was ended or replaced."""
         renewed = self._renew()
+        if self.closed:
+            # Released while the renewal was in flight: a conflict is no loss.
+            return result.Ok(None)
         self.table_unreachable = isinstance(renewed, result.Err) and not isinstance(
             renewed.err_value, errors.Conflict
         )
@@ -111,18 +116,32 @@
             return self._resolve_conflict(renewed.err_value)
         return renewed
 
-    def release(self) -> result.Result[None, errors.CommitError]:
-        """End the session, once nothing that it owned is in use any more."""
+    def release(self, deadline: float) -> result.Result[None, errors.CommitError]:
+        """End the session, once nothing that it owned is in use any more.
+
+        Repeated until the monotonic `deadline` if it fails: a renewal may be in flight,
+        which changes the row's version, and otherwise peers would wait for the lease.
+        """
         self.closed = True
         self.deadline = 0.0
-        if self.version is None:
+        while True:
+            released = self._write_released()
+            if isinstance(released, result.Ok) or self.clock.monotonic() >= deadline:
+                return released
+            self.clock.sleep(RELEASE_RETRY_INTERVAL_S)
+
+    def _write_released(self) -> result.Result[None, errors.CommitError]:
+        found = self.rows.read([self.key])
+        if isinstance(found, result.Err):
+            return found
+        stored = found.ok_value.get(self.key)
+        if stored is None:
+            return result.Ok(None)
+        present = codec.from_json(stored.value, messages.SessionRow)
+        if present.released or present.incarnation != self.row.incarnation:
             return result.Ok(None)
         row = dataclasses.replace(self.row, ended=True, released=True)
-        committed = self._commit(row, self.version)
-        if isinstance(committed, result.Err):
-            return committed
-        self.version = committed.ok_value
-        return result.Ok(None)
+        return self._commit(row, stored.version).map(lambda _: None)
 
     def _resolve_conflict(
         self, conflict: errors.Conflict
@@ -151,7 +170,8 @@
         if isinstance(committed, result.Err):
             return committed
         self.version = committed.ok_value
-        self.deadline = sent_at + self.lease_duration
+        if not self.closed:
+            self.deadline = sent_at + self.lease_duration
         return result.Ok(None)
 
     def _commit(
--- a/tests/ownership/ownership.feature
+++ b/tests/ownership/ownership.feature
@@ -22,6 +22,22 @@
     When "a" claims the worker and releases everything
     Then "b" has the whole worker after its next refresh
 
+  Scenario Outline: A planned shutdown hands over whatever happens to its last write
+    Callers were refused for 3 s, as peers waited for the lease to expire. A renewal, due
+    once a second, had changed the row whose version the last write checks; and that
+    write was not repeated.
+    Given two instances that share a table and one worker
+    When "a" claims the worker and releases everything, and <event>
+    Then "b" has the whole worker after its next refresh
+    And "a" has no lease, and did not take its session for lost
+
+    Examples:
+      | event                               |
+      | the answer to a renewal was lost    |
+      | a renewal is in flight              |
+      | the table refuses the first write   |
+      | the answer to the write is lost     |
+
   Scenario: What an earlier owner retained is reclaimed only after the row is written
     The write fails just when the earlier owner is known to have stopped. If its share
     were used before the write, the next owner would underestimate this one's share.
--- a/tests/ownership/steps/table_steps.py
+++ b/tests/ownership/steps/table_steps.py
@@ -1,5 +1,6 @@
 import json
 
+import result
 from behave import given, then, when
 from tests.support import fakes, memory
 
@@ -86,6 +87,52 @@
     assert context.a.workers.get("w") is None and context.a.lost == ["w"]
 
 
+def release_during_renewal(context):
+    """Release everything after the renewal took effect, before its answer came."""
+    context.world.on_pause = lambda: release(context)
+    context.world.table_fault = "paused"
+    context.renewed = context.a.lease.renew()
+
+
+def release_with(fault):
+    def act(context):
+        context.world.table_fault = fault
+        release(context)
+
+    return act
+
+
+def release_after_lost_renewal(context):
+    context.world.table_fault = "lost"
+    context.a.lease.renew()
+    release(context)
+
+
+RELEASES = {
+    "the answer to a renewal was lost": release_after_lost_renewal,
+    "a renewal is in flight": release_during_renewal,
+    "the table refuses the first write": release_with("down_once"),
+    "the answer to the write is lost": release_with("lost"),
+}
+
+
+def release(context):
+    context.a.owners.release_all(context.clock.now + 5)
+
+
+@when('"a" claims the worker and releases everything, and {event}')
+def release_all_despite(context, event):
+    assert context.a.refresh()
+    RELEASES[event](context)
+
+
+@then('"a" has no lease, and did not take its session for lost')
+def released_for_good(context):
+    assert not context.a.lease.valid()
+    assert context.a.lease.renew().is_ok()
+    assert getattr(context, "renewed", result.Ok(None)).is_ok(), context.renewed
+
+
 @then('"b" has the whole worker after its next refresh')
 def whole(context):
     owned = context.b.refresh()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -45,7 +45,7 @@
         self.objects = {}
         self.workers = {}
         self.late = []  # functions that apply delayed effects
-        self.table_fault = ""  # lost, late, down, paused
+        self.table_fault = ""  # lost, late, down, down_once, paused
         self.order_fault = ""  # lost, late, unreachable
         self.calls = 0
         self.crash_at = None
@@ -83,7 +83,7 @@
 
     def commit(self, transaction):
         fault, self.world.table_fault = self.world.table_fault, ""
-        if fault == "down":
+        if fault in ("down", "down_once"):
             return result.Err(errors.Unavailable("down"))
         if fault == "late":
             self.world.late.append(lambda: self.world.rows.apply(transaction))
