Keep the end of a stop's time limit for the hand-over

Cause: requests had the whole limit, and the hand-over, whose write waits 1 s, came after it. Ruled out: the wait for requests; with a table that refuses at once the stop took 4 s.

The last 2 s, at most half, are now kept for the hand-over. The outline has both outages; the silent one failed before, both stops take at most 4 s after.

--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -14,6 +14,11 @@
 #: Seconds for which new requests are still served until the load balancer has noticed
 #: that this instance is not ready: three of its checks.
 NOT_READY_PERIOD_S = 1.5
+#: Last seconds of the time limit, at most half of it, that are kept for the hand-over:
+#: two calls to a table that does not answer.
+HAND_OVER_PERIOD_S = 2.0
+#: Seconds that a call of the hand-over to the table may take.
+CALL_TIMEOUT_S = 1.0
 
 
 class Drain:
@@ -57,14 +62,15 @@
             self.ended.set()
 
     def _drain(self, deadline: float) -> None:
+        requests_deadline = deadline - min(HAND_OVER_PERIOD_S, self.timeout / 2)
         log.info("draining")
         self.counters.count("front.drain.begun")
         self.front.draining = True
         self.httpd.application.closing = True
-        self.clock.sleep(min(NOT_READY_PERIOD_S, self.timeout))
+        self.clock.sleep(min(NOT_READY_PERIOD_S, self.timeout / 2))
         self.front.watches.drain()
         self.httpd.close()
-        self.httpd.finish_requests(self.clock.monotonic, deadline)
-        self.stop_peers(max(deadline - self.clock.monotonic(), 0.0))
-        self.hand_over(deadline)
+        self.httpd.finish_requests(self.clock.monotonic, requests_deadline)
+        self.stop_peers(max(requests_deadline - self.clock.monotonic(), 0.0))
+        self.hand_over(deadline - CALL_TIMEOUT_S)
         log.info("drained")
--- a/src/mangosail/settings/process.py
+++ b/src/mangosail/settings/process.py
@@ -81,7 +81,7 @@
         30.0,
         ge=0,
         le=3600,
-        description="Longest time in seconds that a planned stop waits for requests.",
+        description="Longest time in seconds that a planned stop takes.",
     )
     abort_on_broken_invariant: bool = pydantic.Field(
         False, description="End the process on a broken invariant."
--- a/tests/front/steps/stopping_steps.py
+++ b/tests/front/steps/stopping_steps.py
@@ -92,6 +92,19 @@
     stop_with(context, 0)
 
 
+#: Faults of the platform by the state of its table.
+AWAY = {
+    "answers nothing": {"cut": [STOPPED]},
+    "refuses all": {"table": "down"},
+}
+
+
+@when("this instance is stopped while the table {state}")
+def stop_without_table(context, state):
+    context.stage.faults(**AWAY[state])
+    stop_with(context, 0)
+
+
 @when("this instance is stopped and gets {count:d} more signals")
 def stop_with(context, count):
     began_at = time.monotonic()
--- a/tests/front/stopping.feature
+++ b/tests/front/stopping.feature
@@ -42,3 +42,17 @@
     And it has logged "session released"
     And it has logged "drained"
     And it has sent the counter "front.drain.cut_off" to statsd
+
+  Scenario Outline: A stop ends at its time limit while the table is away
+    A supervisor kills an instance that takes longer, and then its last lines are lost.
+    The hand-over began at the time limit, and waits for the table.
+    Given two instances, and orders of 60 s in flight at one that stops within 4 s
+    When this instance is stopped while the table <state>
+    Then it has exited with 0
+    And it took at most 4 s
+    And it has logged "session not released"
+
+    Examples:
+      | state            |
+      | answers nothing  |
+      | refuses all      |
--- a/tests/soak/mutations.py
+++ b/tests/soak/mutations.py
@@ -132,7 +132,7 @@
     Mutation(
         "drain waits for what is in flight",
         "front/stopping.py",
-        "        self.httpd.finish_requests(self.clock.monotonic, deadline)\n",
+        "        self.httpd.finish_requests(self.clock.monotonic, requests_deadline)\n",
         "",
         ("front", "soak"),
     ),
