Close idle connections before a stopping instance hands over

A caller that sent a quote on an open connection while the instance handed over got 500 "Internal Server Error" as plain text after a worker had begun it, or 503 no_capacity.

Cause: only the listening socket was closed, so requests still came on open connections, and the drain looked no more after its wait. Ruled out: a wait that misses requests; those cut off were sent more than 0.8 s after it.

Once no request is in flight, the reading side of idle connections is shut down: what has arrived is answered, else the connection is closed. The hand-over begins when none is left. With TLS the server ignores an end without a farewell, which would send callers an alert.

--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,6 +1,7 @@
 """The WSGI server: low latency for short answers, limits for slow or many callers."""
 
 import collections.abc as cabc
+import contextlib
 import socket
 import ssl
 import typing as t
@@ -107,6 +108,14 @@
         finally:
             self.server.handlers.discard(self)
 
+    def stop_reading(self) -> None:
+        """Read only what has arrived; the connection is closed after that."""
+        with contextlib.suppress(OSError):
+            # A copy, since `shutdown` of a TLS socket would end the encryption.
+            number, family = self.socket.fileno(), self.socket.family
+            with socket.fromfd(number, family, socket.SOCK_STREAM) as copy:
+                copy.shutdown(socket.SHUT_RD)
+
     def handle_one_request(self) -> t.Any:
         """Serve one request, and mark the connection idle between requests."""
         try:
@@ -220,19 +229,37 @@
             self.stop(timeout=0)
 
     def finish_requests(self, now: cabc.Callable[[], float], deadline: float) -> None:
-        """Wait until no request is in flight, or until `deadline` by the clock `now`.
+        """Wait until all requests are answered and all connections are closed.
 
-        Call `close` before, so that no further caller connects.
+        Idle connections are closed once no request is in flight. Gives up at `deadline`
+        by the clock `now`. Call `close` before, so that no further caller connects.
         """
         quiet = 0
-        while quiet < IDLE_POLLS:
+        while quiet < IDLE_POLLS or self.handlers:
             if now() >= deadline:
-                self.counters.count("front.drain.cut_off")
-                log.warning("drain deadline passed with requests in flight")
+                self._log_cut_off()
                 return
             quiet = 0 if self.busy() else quiet + 1
+            if quiet >= IDLE_POLLS:
+                self._close_idle()
             gevent.sleep(POLL_INTERVAL_S)
 
+    def _close_idle(self) -> None:
+        """Close idle connections; a request that was sent already is still answered.
+
+        Left open, a request could arrive during the hand-over, and be cut off by the
+        end of the process after a worker had begun it.
+        """
+        for handler in self.handlers:
+            if not handler.busy:
+                handler.stop_reading()
+
+    def _log_cut_off(self) -> None:
+        count = sum(handler.busy for handler in self.handlers)
+        if count:
+            self.counters.count("front.drain.cut_off")
+            log.warning("drain deadline passed with requests in flight", count=count)
+
 
 def create(
     app: t.Any,
--- a/src/mangosail/tls/keys.py
+++ b/src/mangosail/tls/keys.py
@@ -73,6 +73,9 @@
     """Return the TLS context of the server for callers."""
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
+    # A connection that ends between requests is no error. Without this, callers got an
+    # alert on each idle connection that a planned stop closed.
+    context.options |= ssl.OP_IGNORE_UNEXPECTED_EOF
     load(context, keys)
     return context
 
--- a/tests/front/steps/stopping_steps.py
+++ b/tests/front/steps/stopping_steps.py
@@ -157,3 +157,79 @@
     except TimeoutError:
         pass
     assert any(f"mangosail.{name}:1|c" in packet for packet in received), len(received)
+
+
+@given("two instances, and {count:d} open connections to one of them")
+def with_connections(context, count):
+    two_instances(context)
+    host, _, port = context.stage.instances[STOPPED].rpartition(":")
+    context.connections = []
+    for _ in range(count):
+        connection = socket.create_connection((host, int(port)), timeout=10)
+        context.add_cleanup(connection.close)
+        context.connections.append(connection)
+
+
+@when("this instance is stopped beside a slow table")
+def stop_with_slow_table(context):
+    context.stage.faults(table="slow")
+    context.stage.signal(STOPPED, signal.SIGTERM)
+    context.signalled_at = time.monotonic()
+
+
+@when(
+    "a quote is sent on each connection, from {first:g} s to {last:g} s after the"
+    " signal"
+)
+def send_quotes(context, first, last):
+    context.responses = {}
+    interval = (last - first) / len(context.connections)
+    senders = []
+    for number, connection in enumerate(context.connections):
+        at = context.signalled_at + first + number * interval
+        senders.append(
+            threading.Thread(
+                target=send_quote, args=(context, connection, f"open-{number}", at)
+            )
+        )
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join()
+    context.stage.processes[STOPPED].wait(timeout=40)
+
+
+def send_quote(context, connection, request_id, at):
+    """Send a quote and note the whole response, empty if there is none."""
+    body = b'{"tail": "UP-1", "work_seconds": 0.05}'
+    head = (
+        "POST /v1/services/fuel/quote HTTP/1.1\r\nHost: x\r\n"
+        "Authorization: Bearer fuel-desk-token\r\n"
+        f"Request-Id: {request_id}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    context.responses[request_id] = b""
+    time.sleep(max(at - time.monotonic(), 0.0))
+    try:
+        connection.sendall(head.encode() + body)
+        context.responses[request_id] = connection.makefile("rb").read()
+    except OSError:
+        return
+
+
+@then(
+    "each of them is answered 200 or refused as not run, or its connection was closed"
+    " and no worker began it"
+)
+def answered_or_not_begun(context):
+    log = context.stage.execution_log()
+    started = " ".join(e["task_id"] for e in log if e["event"] == "start")
+    wrong = [
+        (request_id, response[:60])
+        for request_id, response in context.responses.items()
+        if not response.startswith(b"HTTP/1.1 200 ")
+        and b'"outcome":"not_run"' not in response
+        and (response or f"/{request_id}~" in started)
+    ]
+    assert len(context.responses) == len(context.connections)
+    assert not wrong, (len(wrong), wrong[:3])
--- a/tests/front/stopping.feature
+++ b/tests/front/stopping.feature
@@ -56,3 +56,13 @@
       | state            |
       | answers nothing  |
       | refuses all      |
+
+  Scenario: Requests on open connections are answered, or never begun, during a stop
+    A caller had a connection open, on which it sent nothing until no request was in
+    flight. A request that then came was begun during the hand-over and cut off at its
+    end: 500 as plain text, though a worker had answered. The table answers after 0.5 s, so
+    that the hand-over takes 1 s.
+    Given two instances, and 100 open connections to one of them
+    When this instance is stopped beside a slow table
+    And a quote is sent on each connection, from 1.64 s to 3 s after the signal
+    Then each of them is answered 200 or refused as not run, or its connection was closed and no worker began it
--- a/tests/tls/steps/tls_steps.py
+++ b/tests/tls/steps/tls_steps.py
@@ -1,6 +1,8 @@
 import json
 import pathlib
 import shutil
+import signal
+import socket
 import ssl
 import time
 import urllib.request
@@ -165,3 +167,27 @@
 def new_shown(context):
     stage.wait_until(lambda: serial(context, PAIR[0]) == context.serial, what="new key")
     assert reloads(context, "done") == 1
+
+
+@when("the first one is stopped while a caller has an idle connection to it")
+def stop_with_idle(context):
+    trust = ssl.create_default_context(cafile=str(context.authority.path))
+    host, _, port = context.stage.instances[PAIR[0]].rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=10) as plain:
+        with trust.wrap_socket(plain, server_hostname=host) as connection:
+            connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            response = b""
+            while not response.endswith(b"}"):
+                response += connection.recv(65536)
+            context.signalled_at = time.monotonic()
+            context.stage.signal(PAIR[0], signal.SIGTERM)
+            context.rest = connection.recv(65536)
+
+
+@then(
+    "the caller's connection is closed, and the instance has ended within {seconds:d} s"
+)
+def closed_and_ended(context, seconds):
+    assert context.rest == b"", context.rest
+    assert context.stage.processes[PAIR[0]].wait(timeout=20) == 0
+    assert time.monotonic() - context.signalled_at < seconds
--- a/tests/tls/tls.feature
+++ b/tests/tls/tls.feature
@@ -30,3 +30,10 @@
     Then the failed reload is counted
     And callers receive the new certificate
     And each goes on reaching the other
+
+  Scenario: An idle connection with TLS does not hold up a planned stop
+    The stop ends idle connections; one with TLS that stayed open would keep the instance
+    until its time limit.
+    Given two instances with certificates, one with its keys in the environment
+    When the first one is stopped while a caller has an idle connection to it
+    Then the caller's connection is closed, and the instance has ended within 4 s
