Tell callers that a stop's time limit cuts off what happened

Cause: handlers are ended by an exception that the application rightly lets pass, and the server answers and counts what it doesn't know as a fault of the program.

They get 504 `draining` with the outcome `unknown` now, in JSON; no 503, which says on the users' platform that nothing was done. Another one shows that a quote of 3 s that a peer passed on is answered by an instance that stops.

--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -38,6 +38,7 @@
 IDLE_POLLS = 5
 
 OVERLOADED = "overloaded"
+DRAINING = "draining"
 
 
 class RequestLimiter:
@@ -147,9 +148,36 @@
 
     def handle_error(self, kind: t.Any, error: t.Any, trace: t.Any) -> None:
         """Count an error that occurred while a response was being written."""
+        if isinstance(error, gevent.GreenletExit):
+            self._tell_cut_off()
+            return
         self.server.counters.count("front.internal_error")
         super().handle_error(kind, error, trace)
 
+    def _tell_cut_off(self) -> None:
+        """Answer a request that the time limit of a planned stop cuts off.
+
+        Its work may go on at a worker. So the answer is no refusal, by which callers
+        take it that nothing was done.
+        """
+        self.close_connection = True
+        if self.response_length:
+            return
+        self.server.counters.count(f"front.refused.{DRAINING}")
+        answer = {
+            "title": DRAINING,
+            "description": "this instance stops; ask another one",
+            "outcome": "unknown",
+        }
+        body = codec.to_json(answer).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        with contextlib.suppress(OSError):
+            self.start_response("504 Gateway Timeout", headers)
+            self.write(body)
+
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: t.Any = None
     ) -> t.Any:
--- a/tests/front/steps/stopping_steps.py
+++ b/tests/front/steps/stopping_steps.py
@@ -45,7 +45,7 @@
 
 
 def send_orders(context, seconds):
-    context.answers = []
+    context.answers, context.titles = [], []
 
     def send(number):
         body = {"order": f"o{number}", "work_seconds": seconds}
@@ -55,6 +55,7 @@
         try:
             answer = context.stage.call(STOPPED, "POST", ORDER, body, headers, 70)
             context.answers.append((answer.status, answer.json()["outcome"]))
+            context.titles.append(answer.json().get("title"))
         except (OSError, ValueError) as exc:
             context.answers.append((0, repr(exc)))
 
@@ -147,16 +148,75 @@
     assert event in events, events[-5:]
 
 
-@then('it has sent the counter "{name}" to statsd')
-def has_counted(context, name):
+def statsd_packets(context):
     context.statsd.settimeout(0.2)
     received = []
     try:
         while True:
             received.append(context.statsd.recv(65536).decode())
     except TimeoutError:
-        pass
-    assert any(f"mangosail.{name}:1|c" in packet for packet in received), len(received)
+        return "\n".join(received)
+
+
+@then('it has sent the counter "{name}" to statsd')
+def has_counted(context, name):
+    packets = statsd_packets(context)
+    assert f"mangosail.{name}:1|c" in packets, packets[-300:]
+
+
+@then('it has not sent the counter "{name}" to statsd')
+def has_not_counted(context, name):
+    packets = statsd_packets(context)
+    assert "mangosail." in packets and f"mangosail.{name}:" not in packets
+
+
+@then('all orders are answered {status:d} "{title}" with outcome "{outcome}"')
+def cut_off(context, status, title, outcome):
+    for caller in context.callers:
+        caller.join(10)
+    assert context.answers == [(status, outcome)] * ORDERS, context.answers
+    assert context.titles == [title] * ORDERS, context.titles
+
+
+@given("an instance with workers, and one without that has passed on a quote of 3 s")
+def quote_passed_on(context):
+    context.stage = stage.Stage()
+    context.add_cleanup(context.stage.close)
+    context.stage.start_platform(lag=0.2)
+    context.stage.write_settings("fuel-desk", teams.example("fuel-desk"))
+    context.stage.start_workers("duran", 2)
+    context.stage.start_instance(STOPPED, "duran")
+    context.stage.start_instance("taraz-0", "taraz")
+    context.stage.wait_ready()
+    context.answers = []
+    context.caller = threading.Thread(target=send_long_quote, args=(context,))
+    context.caller.start()
+    starts = context.stage.execution_log
+    stage.wait_until(lambda: any(e["event"] == "start" for e in starts()), 10, "start")
+
+
+def send_long_quote(context):
+    answer = context.stage.call(
+        "taraz-0",
+        "POST",
+        "/v1/services/fuel/quote",
+        {"tail": "UP-1", "work_seconds": 3.0},
+        teams.bearer("fuel-desk-token", Request_Id="long", Request_Timeout=10),
+        timeout=15,
+    )
+    context.answers.append((answer.status, answer.body))
+
+
+@when("the instance with workers is stopped")
+def stop_with_workers(context):
+    stop_with(context, 0)
+
+
+@then("the quote is answered {status:d}")
+def quote_answered(context, status):
+    context.caller.join(15)
+    assert [a[0] for a in context.answers] == [status], context.answers
+    assert context.took < 6, context.took
 
 
 @given("two instances, and {count:d} open connections to one of them")
--- a/tests/front/stopping.feature
+++ b/tests/front/stopping.feature
@@ -66,3 +66,18 @@
     When this instance is stopped beside a slow table
     And a quote is sent on each connection, from 1.64 s to 3 s after the signal
     Then each of them is answered 200 or refused as not run, or its connection was closed and no worker began it
+
+  Scenario: A quote that a peer passed on is answered by an instance that stops
+    The caller's instance has no worker. Its peer stops while one of its workers computes
+    the quote, and nobody else could answer.
+    Given an instance with workers, and one without that has passed on a quote of 3 s
+    When the instance with workers is stopped
+    Then the quote is answered 200
+
+  Scenario: A caller that a stop cuts off is told so
+    The caller got 500 as plain text, which says that the program is at fault, and nothing
+    about its order; and an internal error was counted. The order goes on at its worker.
+    Given two instances, and orders of 60 s in flight at one that stops within 4 s
+    When this instance is stopped
+    Then all orders are answered 504 "draining" with outcome "unknown"
+    And it has not sent the counter "front.internal_error" to statsd
