--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,16 +1,21 @@
 """The WSGI server: low latency for short answers, limits for slow or many callers."""
 
 import collections.abc as cabc
+import contextlib
 import socket
 import ssl
 import typing as t
 
 import gevent
+import gevent.event
+import logbook
 from gevent import pool, pywsgi
 
 from mangosail import codec
 from mangosail.telemetry import counters as telemetry
 
+log = logbook.Logger("front")
+
 #: Seconds that a connection may be idle between requests, and that a write may take.
 IDLE_TIMEOUT_S = 60.0
 #: Seconds within which the request line and headers must have been received.
@@ -27,7 +32,13 @@
 #: Probe paths, which are exempt from the limit.
 PROBE_PATHS = ("/healthz", "/readyz")
 
+#: Seconds between checks for requests in flight.
+POLL_INTERVAL_S = 0.02
+#: Consecutive checks without a request in flight after which none is expected.
+IDLE_POLLS = 5
+
 OVERLOADED = "overloaded"
+DRAINING = "draining"
 
 
 class RequestLimiter:
@@ -98,6 +109,14 @@
         finally:
             self.server.handlers.discard(self)
 
+    def stop_reading(self) -> None:
+        """Read only what has arrived; the connection is closed after that."""
+        with contextlib.suppress(OSError):
+            # A copy, since `shutdown` of a TLS socket would end the encryption.
+            number, family = self.socket.fileno(), self.socket.family
+            with socket.fromfd(number, family, socket.SOCK_STREAM) as copy:
+                copy.shutdown(socket.SHUT_RD)
+
     def handle_one_request(self) -> t.Any:
         """Serve one request, and mark the connection idle between requests."""
         try:
@@ -129,9 +148,36 @@
 
     def handle_error(self, kind: t.Any, error: t.Any, trace: t.Any) -> None:
         """Count an error that occurred while a response was being written."""
+        if isinstance(error, gevent.GreenletExit):
+            self._tell_cut_off()
+            return
         self.server.counters.count("front.internal_error")
         super().handle_error(kind, error, trace)
 
+    def _tell_cut_off(self) -> None:
+        """Answer a request that the time limit of a planned stop cuts off.
+
+        Its work may go on at a worker. So the answer is no refusal, by which callers
+        take it that nothing was done.
+        """
+        self.close_connection = True
+        if self.response_length:
+            return
+        self.server.counters.count(f"front.refused.{DRAINING}")
+        answer = {
+            "title": DRAINING,
+            "description": "this instance stops; ask another one",
+            "outcome": "unknown",
+        }
+        body = codec.to_json(answer).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        with contextlib.suppress(OSError):
+            self.start_response("504 Gateway Timeout", headers)
+            self.write(body)
+
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: t.Any = None
     ) -> t.Any:
@@ -198,6 +244,50 @@
         """Return whether any request is being read or answered."""
         return any(handler.busy for handler in self.handlers)
 
+    def serve_until(self, stopped: gevent.event.Event) -> None:
+        """Serve until `stopped` is set, whether or not `close` was called before.
+
+        `serve_forever` ends 1 s after `close` and kills all requests in flight then:
+        planned stops cut off every request that took longer.
+        """
+        self.start()
+        try:
+            stopped.wait()
+        finally:
+            self.stop(timeout=0)
+
+    def finish_requests(self, now: cabc.Callable[[], float], deadline: float) -> None:
+        """Wait until all requests are answered and all connections are closed.
+
+        Idle connections are closed once no request is in flight. Gives up at `deadline`
+        by the clock `now`. Call `close` before, so that no further caller connects.
+        """
+        quiet = 0
+        while quiet < IDLE_POLLS or self.handlers:
+            if now() >= deadline:
+                self._log_cut_off()
+                return
+            quiet = 0 if self.busy() else quiet + 1
+            if quiet >= IDLE_POLLS:
+                self._close_idle()
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def _close_idle(self) -> None:
+        """Close idle connections; a request that was sent already is still answered.
+
+        Left open, a request could arrive during the hand-over, and be cut off by the
+        end of the process after a worker had begun it.
+        """
+        for handler in self.handlers:
+            if not handler.busy:
+                handler.stop_reading()
+
+    def _log_cut_off(self) -> None:
+        count = sum(handler.busy for handler in self.handlers)
+        if count:
+            self.counters.count("front.drain.cut_off")
+            log.warning("drain deadline passed with requests in flight", count=count)
+
 
 def create(
     app: t.Any,
--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -2,6 +2,7 @@
 
 import collections.abc as cabc
 
+import gevent.event
 import logbook
 
 from mangosail import clock as clocks
@@ -13,10 +14,11 @@
 #: Seconds for which new requests are still served until the load balancer has noticed
 #: that this instance is not ready: three of its checks.
 NOT_READY_PERIOD_S = 1.5
-#: Seconds between checks for requests in flight.
-POLL_INTERVAL_S = 0.02
-#: Consecutive checks without a request in flight after which none is expected.
-IDLE_POLLS = 5
+#: Last seconds of the time limit, at most half of it, that are kept for the hand-over:
+#: two calls to a table that does not answer.
+HAND_OVER_PERIOD_S = 2.0
+#: Seconds that a call of the hand-over to the table may take.
+CALL_TIMEOUT_S = 1.0
 
 
 class Drain:
@@ -46,33 +48,29 @@
         self.counters = counters
         self.timeout = timeout
         self.started = False
+        #: Set at the end; the process ends only then.
+        self.ended = gevent.event.Event()
 
     def run(self) -> None:
-        """Drain and stop the server; further calls do nothing."""
+        """Drain the instance; further calls do nothing."""
         if self.started:
             return
         self.started = True
-        deadline = self.clock.monotonic() + self.timeout
+        try:
+            self._drain(self.clock.monotonic() + self.timeout)
+        finally:
+            self.ended.set()
+
+    def _drain(self, deadline: float) -> None:
+        requests_deadline = deadline - min(HAND_OVER_PERIOD_S, self.timeout / 2)
         log.info("draining")
         self.counters.count("front.drain.begun")
         self.front.draining = True
         self.httpd.application.closing = True
-        self.clock.sleep(min(NOT_READY_PERIOD_S, self.timeout))
+        self.clock.sleep(min(NOT_READY_PERIOD_S, self.timeout / 2))
         self.front.watches.drain()
         self.httpd.close()
-        self._wait(deadline)
-        self.stop_peers(max(deadline - self.clock.monotonic(), 0.0))
-        self.hand_over(deadline)
-        self.httpd.stop(timeout=0)
+        self.httpd.finish_requests(self.clock.monotonic, requests_deadline)
+        self.stop_peers(max(requests_deadline - self.clock.monotonic(), 0.0))
+        self.hand_over(deadline - CALL_TIMEOUT_S)
         log.info("drained")
-
-    def _wait(self, deadline: float) -> None:
-        """Wait until no request is in flight, or until the deadline."""
-        quiet = 0
-        while quiet < IDLE_POLLS:
-            if self.clock.monotonic() >= deadline:
-                self.counters.count("front.drain.cut_off")
-                log.warning("drain deadline passed with requests in flight")
-                return
-            quiet = 0 if self.httpd.busy() else quiet + 1
-            self.clock.sleep(POLL_INTERVAL_S)
