Use workers again after a loss of the session that met a fault

Found in the review of the mark for a session that is being lost: an exception while workers were given up would have left the mark for good, and the instance would have taken no worker any more. The mark is taken back in any case.

--- a/src/mangosail/ownership/owners.py
+++ b/src/mangosail/ownership/owners.py
@@ -155,12 +155,14 @@
         self.counters.count("ownership.session_lost")
         log.warning("session lost")
         self.losing_session = True
-        given_up = list(self.owned_workers)
-        for owned in given_up:
-            self._give_up(owned, "ownership.lost")
-        self._await_quotes(given_up, self.clock.monotonic() + HANDOVER_TIMEOUT_S)
-        self.lease.restart()
-        self.losing_session = False
+        try:
+            given_up = list(self.owned_workers)
+            for owned in given_up:
+                self._give_up(owned, "ownership.lost")
+            self._await_quotes(given_up, self.clock.monotonic() + HANDOVER_TIMEOUT_S)
+            self.lease.restart()
+        finally:
+            self.losing_session = False
 
     def release_all(self, deadline: float) -> result.Result[None, errors.CommitError]:
         """Hand over all workers for a planned shutdown; peers can acquire them at once.
