Have the soak see exceptions that instances log

Verdict 13 looked for lines that begin with "Traceback", but instances write them inside a line of JSON, as the field "exception".

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -458,7 +458,11 @@
         verdict.check(False, text)
     failed = 0
     for name, lines in logs.items():
-        bad = [i for i, line in enumerate(lines) if line.startswith("Traceback")]
+        bad = [
+            i
+            for i, line in enumerate(lines)
+            if line.startswith("Traceback") or '"exception":' in line
+        ]
         verdict.check(
             not bad,
             lambda n=name, ls=lines, b=bad: f"{n}: {' | '.join(ls[b[0] :][:14])}",
