Keep overlapping cuts of the soak from undoing each other's end

Cause: the new set of names was worked out before the lock was taken, so that the second of two cuts that ended while a worker was being started set the names of the first one again. The set is changed under the lock now.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -116,14 +116,15 @@
         self.cut_off(fault, [fault.target])
 
     def cut_off(self, fault, names):
-        self.set_cut(self.cut_off_names | set(names))
+        self.change_cut(begun=names)
         time.sleep(fault.seconds)
-        self.set_cut(self.cut_off_names - set(names))
+        self.change_cut(ended=names)
 
-    def set_cut(self, names):
+    def change_cut(self, begun=(), ended=()):
+        """Change who is cut off; cuts overlap, and each keeps to its own names."""
         with self.lock:
-            self.cut_off_names = names
-            self.stage.faults(cut=sorted(names))
+            self.cut_off_names = (self.cut_off_names | set(begun)) - set(ended)
+            self.stage.faults(cut=sorted(self.cut_off_names))
 
     def kill_worker(self, fault):
         process = self.stage.worker_hosts[fault.target]
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -29,3 +29,9 @@
     # Half of the workers keep their names when they restart; capacity shrinks and grows.
     Given the platform's soak ran for 20 s with seed 13 and gap 1.2 s, with crashing workers
     Then no promise was broken there
+
+  Scenario: Cuts that end together leave nobody cut off
+    Guards against an instance that stays cut off for the rest of a run, which then seems
+    to lose orders.
+    Given two cuts that end while a worker is being started
+    Then nobody is cut off once both have ended
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -1,5 +1,8 @@
+import threading
+import time
+
 from behave import given, then
-from tests.soak import deployment, oracle, run
+from tests.soak import deployment, faults, oracle, run, schedule
 
 
 @given("seed {seed:d} ran for {seconds:d} seconds with the faults")
@@ -46,3 +49,36 @@
 def step_deployment_held(context):
     for verdict in context.verdicts:
         assert verdict.state == "held", (context.folder, verdict)
+
+
+class CutStage:
+    """A stage that notes who was cut off last."""
+
+    instances = ()
+
+    def faults(self, cut):
+        self.cut = cut
+
+
+@given("two cuts that end while a worker is being started")
+def step_two_cuts(context):
+    context.stage = CutStage()
+    injected = faults.Faults(context.stage, None, None)
+    cuts = [
+        threading.Thread(
+            target=injected.cut, args=(schedule.Fault(0.0, 0.1, "cut", name),)
+        )
+        for name in ("a", "b")
+    ]
+    for cut in cuts:
+        cut.start()
+    time.sleep(0.05)
+    with injected.lock:
+        time.sleep(0.3)
+    for cut in cuts:
+        cut.join()
+
+
+@then("nobody is cut off once both have ended")
+def step_nobody_cut(context):
+    assert context.stage.cut == [], context.stage.cut
