Look at once for a claim that was left in doubt

Cause: a claim that stands although both its answers were lost is not started; the scan of its worker ends it not_run. That scan comes each minute once the worker has been owned for a minute. Ruled out: an order that has no row; its row was told.

--- a/src/mangosail/work/adoption.py
+++ b/src/mangosail/work/adoption.py
@@ -70,6 +70,11 @@
                 self._schedule(name, now)
                 self.ctx.spawn(self.scan, worker)
 
+    def scan_soon(self, worker: str) -> None:
+        """Scan a worker as often as one just taken over: a claim for it is in doubt."""
+        self.next_scan_at.pop(worker, None)
+        self.scan_counts.pop(worker, None)
+
     def _schedule(self, name: str, now: float) -> None:
         """Set the time of a worker's next scan."""
         count = self.scan_counts.get(name, 0) + 1
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -278,6 +278,8 @@
                 self.ctx.registry.add(task)
         if isinstance(written, result.Err):
             self.placer.release(task_id)
+            if isinstance(written.err_value, platform_errors.Uncertain):
+                self.adoption.scan_soon(owned.name)
             return self._handle_claim_error(request, written.err_value, deadline)
         self.ctx.spawn(self.starts.start, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
--- a/tests/work/acceptance.feature
+++ b/tests/work/acceptance.feature
@@ -57,6 +57,15 @@
     When an order with 8 seconds is sent to the instance
     Then it is refused for its body
 
+  Scenario: A claim whose answers were lost is settled within seconds
+    Guards against an order told as open for a minute, though it never starts: its row
+    was found by the next scan of its worker, which had been owned for long.
+    Given an instance that has owned its worker for 100 seconds
+    When an order is sent there, and the answers to its claim are lost
+    Then it is refused as "undecided", unknown, with a time to ask again
+    When 1 sweep has passed
+    Then it is told as "not_run" for good, and was never started
+
   Scenario: The claim that a caller waits for lasts beyond its deadline
     Guards against 202 for an order whose only claim then came to nothing.
     Given an instance whose table is so slow that it fails a claim after 0.3 seconds
--- a/tests/work/steps/acceptance_steps.py
+++ b/tests/work/steps/acceptance_steps.py
@@ -281,3 +281,38 @@
 def first_told(context, state):
     outcome = context.answer.ok_value
     assert (outcome.state, outcome.retry_after) == (state, 1.0), outcome
+
+
+@given("an instance that has owned its worker for {seconds:d} seconds")
+def owned_for_long(context, seconds):
+    with_worker(context)
+    until = context.world.clock.now + seconds
+    while context.world.clock.now < until:
+        context.instance.sweep()
+
+
+@when("an order is sent there, and the answers to its claim are lost")
+def answers_lost(context):
+    claims = context.instance.runner.ctx.claims
+    written = claims.write
+
+    def write(row, version, moved_from=""):
+        written(row, version, moved_from)
+        return result.Err(platform_errors.Uncertain("lost"))
+
+    claims.write = write
+    sent(context, 8)
+    claims.write = written
+
+
+@when("{count:d} sweep has passed")
+def swept(context, count):
+    for _ in range(count):
+        context.instance.sweep()
+
+
+@then('it is told as "{outcome}" for good, and was never started')
+def told_for_good(context, outcome):
+    told = context.instance.runner.look_up("team", "o").ok_value
+    assert (told.outcome, told.retry_after) == (outcome, None), told
+    assert not context.world.workers["w0"].log
