--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -306,9 +306,11 @@
     ) -> result.Result[registry.Task, platform_errors.CommitError]:
         """Write the claim and register its task, or release its reservation."""
         task_id = messages.task_id_of(request)
+        refused = False
         try:
             written = self._write_claim(request, stored, owned)
             if isinstance(written, result.Err):
+                refused = not isinstance(written.err_value, platform_errors.Uncertain)
                 return written
             task = registry.Task(written.ok_value, owned, deadline)
             self.ctx.registry.add(task)
@@ -317,6 +319,8 @@
             # Also if the write raised or its greenlet was killed.
             if self.ctx.registry.get(task_id) is None:
                 self.placer.release(task_id)
+                if not refused:
+                    self.adoption.scan_soon(owned.name)
 
     def _write_claim(
         self,
