Give the claiming of work a module of its own

Reserving a place, writing the row and registering the task are claiming.py now, which returns a task or why there is none; who starts it, and what callers are told, stays.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -17,11 +17,12 @@
 from mangosail.placement import errors as placement_errors
 from mangosail.placement import placer, workers
 from mangosail.platform import errors as platform_errors
-from mangosail.platform import objects, table
+from mangosail.platform import objects
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import (
     adoption,
     cancellations,
+    claiming,
     claims,
     context,
     errors,
@@ -52,11 +53,6 @@
     {messages.State.COMPLETED, messages.State.FAILED, messages.State.NOT_RUN}
 )
 
-#: Refusal of work for which this instance has no capacity.
-NO_ROOM = placement_errors.NotPlaced(
-    placement_errors.Reason.NO_CAPACITY, outcomes.RETRY_AFTER_S
-)
-
 Submitted = result.Result[messages.Outcome, SubmitError]
 
 
@@ -109,6 +105,7 @@
         self.adoption = adoption.Adoption(
             self.ctx, self.starts, self.transitions, self.leases
         )
+        self.claimer = claiming.Claimer(self.ctx, task_placer, self.adoption)
         self.waiter = waiting.OutcomeWaiter(self.ctx, self.adoption)
         self.evictions = evictions.Evictions(self.ctx, self.starts, self.transitions)
         self.cancellations = cancellations.Cancellations(
@@ -259,27 +256,17 @@
         deadline: float,
     ) -> Submitted:
         """Claim `request`, resuming from `stored` if there is a row, and start it."""
-        with self.ctx.registry.claim(messages.task_id_of(request)):
-            placed = self._place(request)
-            if isinstance(placed, result.Ok):
-                owned = placed.ok_value.owned
-                claimed = self._register_claim(request, stored, owned, deadline)
-        if isinstance(placed, result.Err):
-            return self._answer_unplaced(request, stored, placed.err_value, deadline)
+        claimed = self.claimer.claim(request, stored, deadline)
         if isinstance(claimed, result.Err):
-            return self._handle_claim_error(request, claimed.err_value, deadline)
+            error = claimed.err_value
+            if isinstance(error, placement_errors.NotPlaced):
+                return self._answer_unplaced(request, stored, error, deadline)
+            return self._handle_claim_error(request, error, deadline)
         task = claimed.ok_value
         begin = self.cancellations.cancel_task if task.cancelling else self.starts.start
         self.ctx.spawn(begin, task)
         return result.Ok(self.waiter.wait_for_task(task, deadline))
 
-    def _place(
-        self, request: messages.Request
-    ) -> result.Result[placer.Placement, placement_errors.NotPlaced]:
-        if not self.ctx.lease.valid():
-            return result.Err(NO_ROOM)
-        return self.placer.place(placing.placement_work(request))
-
     def _answer_unplaced(
         self,
         request: messages.Request,
@@ -297,48 +284,6 @@
                 return self._resubmit_row(request, held, deadline)
         return self._refuse_for_room(request, stored, refused)
 
-    def _register_claim(
-        self,
-        request: messages.Request,
-        stored: claims.StoredRow | None,
-        owned: workers.OwnedWorker,
-        deadline: float,
-    ) -> result.Result[registry.Task, platform_errors.CommitError]:
-        """Write the claim and register its task, or release its reservation."""
-        task_id = messages.task_id_of(request)
-        refused = False
-        try:
-            written = self._write_claim(request, stored, owned)
-            if isinstance(written, result.Err):
-                refused = not isinstance(written.err_value, platform_errors.Uncertain)
-                return written
-            task = registry.Task(written.ok_value, owned, deadline)
-            self.ctx.registry.add(task)
-            return result.Ok(task)
-        finally:
-            # Also if the write raised or its greenlet was killed.
-            if self.ctx.registry.get(task_id) is None:
-                self.placer.release(task_id)
-                if not refused:
-                    self.adoption.scan_soon(owned.name)
-
-    def _write_claim(
-        self,
-        request: messages.Request,
-        stored: claims.StoredRow | None,
-        owned: workers.OwnedWorker,
-    ) -> result.Result[claims.StoredRow, platform_errors.CommitError]:
-        row = self._claimed_row(request, stored, owned)
-        version = stored.version if stored else table.ABSENT
-        written = self.ctx.claims.write(row, version)
-        if isinstance(written, result.Err) and isinstance(
-            written.err_value, platform_errors.Uncertain
-        ):
-            # Repeats the identical write, which can take effect only once.
-            self.ctx.counters.count("work.retry.claim_uncertain")
-            written = self.ctx.claims.write(row, version)
-        return written
-
     def _release_placement(
         self, outcome: messages.Outcome, row: messages.WorkRow
     ) -> None:
@@ -349,30 +294,6 @@
         else:
             self.placer.release(task_id)
 
-    def _claimed_row(
-        self,
-        request: messages.Request,
-        stored: claims.StoredRow | None,
-        owned: workers.OwnedWorker,
-    ) -> messages.WorkRow:
-        own = self.ctx.lease.row
-        return claims.with_new_attempt(
-            messages.WorkRow(
-                request=request,
-                digest=claims.request_digest(request),
-                state=messages.State.CLAIMED,
-                holder=own.instance,
-                incarnation=own.incarnation,
-                attempt="",
-                generation=stored.row.generation + 1 if stored else 1,
-                worker=owned.name,
-                lease_deadline=self.ctx.clock.wall() + leases.TASK_LEASE_TERM_S,
-                checkpoint=stored.row.checkpoint if stored else "",
-                started=stored.row.started if stored else False,
-                boot=owned.boot,
-            )
-        )
-
     def _handle_claim_error(
         self,
         request: messages.Request,
@@ -446,7 +367,9 @@
         self, request: messages.Request, deadline: float, forward: bool
     ) -> Submitted:
         """Return an earlier outcome, or forward to a peer, or refuse."""
-        refusal = self.placer.wait_reason(placing.placement_work(request)) or NO_ROOM
+        refusal = (
+            self.placer.wait_reason(placing.placement_work(request)) or claiming.NO_ROOM
+        )
         found = self.waiter.read(request.team, request.request_id)
         if isinstance(found, result.Err):
             return result.Err(errors.StoreUnavailable(outcomes.RETRY_AFTER_S))
@@ -495,7 +418,7 @@
         self,
         request: messages.Request,
         stored: claims.StoredRow | None,
-        refused: placement_errors.NotPlaced = NO_ROOM,
+        refused: placement_errors.NotPlaced = claiming.NO_ROOM,
     ) -> Submitted:
         self.ctx.counters.count(f"work.refused.{refused.reason.value}")
         if stored is not None:
