Keep the soak from restarting an instance twice

The soak had started it twice.

Cause: each target has one fault at a time, with 4 s between two. Planned stops took 2.7 s at most, as they cut requests off; this one waited 5.5 s for its requests, and a kill of the instance was due 5.6 s after the stop began. Both restarted it. The instance itself had drained.

A stop or kill now waits until the one before has restarted the instance; its interval begins when it takes place, so no verdict excuses more. The same for the soak of the platform's processes.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import collections
 import random
 import signal
 import subprocess
@@ -61,6 +62,8 @@
         self.kills = []
         #: Descriptions of processes that ended by themselves or stopped too late.
         self.unexpected_exits = []
+        #: Held by a fault of a process until it is over, and the process restarted.
+        self.restarts = collections.defaultdict(threading.Lock)
 
     def carry_out(self, fault, started):
         time.sleep(max(started + fault.at - time.monotonic(), 0.0))
@@ -69,6 +72,10 @@
                 stage.call(self.deployment.store, "POST", "/faults", faults)
                 time.sleep(fault.seconds if faults else 0)
             return
+        with self.restarts[fault.target]:
+            self.carry_out_now(fault)
+
+    def carry_out_now(self, fault):
         if self.processes[fault.target].poll() == CRASH_EXIT_STATUS:
             return
         getattr(self, fault.kind.removesuffix("_worker"))(fault.target, fault.seconds)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Injects the faults of a schedule into a stage, with one thread for each fault."""
 
+import collections
 import signal
 import threading
 import time
@@ -10,6 +11,8 @@
 RESTART_TIMEOUT_S = 15.0
 #: Seconds within which an instance must exit after SIGTERM.
 STOP_TIMEOUT_S = 30.0
+#: Kinds of faults that end an instance and start it again.
+RESTARTING = ("kill", "stop")
 #: Kind of worker fault -> flag, value during the fault, value without it.
 WORKER_FLAGS = {
     "fail_all": ("fail_all", True, False),
@@ -33,6 +36,8 @@
         self.lock = threading.Lock()
         self.cut_off_names = set()
         self.threads = []
+        #: Held from the stop or kill of an instance until its restart.
+        self.restarts = collections.defaultdict(threading.Lock)
 
     def run(self, schedule, started):
         for fault in schedule:
@@ -46,6 +51,15 @@
 
     def carry_out(self, fault, started):
         time.sleep(max(started + fault.at - time.time(), 0.0))
+        if fault.kind not in RESTARTING:
+            self.carry_out_now(fault)
+            return
+        # A planned stop may last until the next fault of its instance is due. Both
+        # would restart it, and one of the two would find its ports in use and end.
+        with self.restarts[fault.target]:
+            self.carry_out_now(fault)
+
+    def carry_out_now(self, fault):
         target = fault.target.partition(":")[0]
         intervals = [
             self.history.begin(fault.kind, name)
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -29,3 +29,10 @@
     # Half of the workers keep their names when they restart; capacity shrinks and grows.
     Given the platform's soak ran for 20 s with seed 13 and gap 1.2 s, with crashing workers
     Then no promise was broken there
+
+  Scenario: A kill that is due during a planned stop waits for the instance's restart
+    # The soak started the instance twice, and the second process ended, as its ports were
+    # in use. Each target has one fault at a time, but a stop lasts as long as its requests.
+    Given a stage on which a planned stop takes 0.5 s
+    When an instance is stopped, and a kill is due 0.2 s later
+    Then it was stopped, restarted, killed and restarted, and nothing was unexpected
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -1,5 +1,8 @@
-from behave import given, then
-from tests.soak import deployment, oracle, run
+import time
+from unittest import mock
+
+from behave import given, then, when
+from tests.soak import deployment, faults, history, oracle, run, schedule
 
 
 @given("seed {seed:d} ran for {seconds:d} seconds with the faults")
@@ -46,3 +49,32 @@
 def step_deployment_held(context):
     for verdict in context.verdicts:
         assert verdict.state == "held", (context.folder, verdict)
+
+
+@given("a stage on which a planned stop takes {seconds:g} s")
+def stage_with_slow_stop(context, seconds):
+    context.events = []
+    process = mock.MagicMock()
+    process.wait.side_effect = lambda timeout: time.sleep(seconds)
+    process.poll.return_value = None
+    fake = mock.MagicMock(processes={"a": process})
+    for name in ("signal", "kill", "restart"):
+        record = lambda *args, n=name: context.events.append(n)
+        getattr(fake, name).side_effect = record
+    context.faults = faults.Faults(fake, history.History(), dict)
+
+
+@when("an instance is stopped, and a kill is due {seconds:g} s later")
+def stop_and_kill(context, seconds):
+    planned = [
+        schedule.Fault(0.0, 1.0, "stop", "a"),
+        schedule.Fault(seconds, 0.1, "kill", "a"),
+    ]
+    context.faults.run(planned, time.time())
+    context.faults.join()
+
+
+@then("it was stopped, restarted, killed and restarted, and nothing was unexpected")
+def one_at_a_time(context):
+    assert context.events == ["signal", "restart", "kill", "restart"], context.events
+    assert not context.faults.history.unexpected_exits
