Finish callers' and peers' requests side by side at a stop

A stopping process of the platform ended 2.5 s after the signal instead of 2.3 s, as it waited 0.1 s each, one after the other, until callers and then peers had nothing in flight.

--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -194,8 +194,13 @@
         self.clock.sleep(NOT_READY_PERIOD_S)
         for front in self.fronts:
             front.close()
-        for front in self.fronts:
-            front.finish_requests(self.clock.elapsed, deadline)
+        # Side by side: callers find no connection here until the next process serves.
+        gevent.joinall(
+            [
+                gevent.spawn(front.finish_requests, self.clock.elapsed, deadline)
+                for front in self.fronts
+            ]
+        )
 
 
 def main() -> None:
