Hold a process's planned stop to the platform's own time

The bounds of these new scenarios were chosen close to what a stop takes at rest, and two were red on a machine with load 70 on 8 cores: 3.4 s with nothing in flight, 5.97 s with a request that never ends, both before the kill. The scenarios still fail on the code before, for their answers and log lines.

--- a/tests/adapter/steps/stopping_steps.py
+++ b/tests/adapter/steps/stopping_steps.py
@@ -9,8 +9,6 @@
 
 NAME = "instance-0"
 JOB = b'{"spec":"s","steps":[{"count":1,"cpu":100,"mem_mb":1}]}'
-#: Seconds that ending the process itself may take.
-EXIT_MARGIN_S = 0.3
 
 
 @given("a process on the platform")
@@ -128,7 +126,7 @@
 )
 def step_ended(context, seconds, status):
     assert context.status == status, context.status
-    assert context.took < seconds + EXIT_MARGIN_S, context.took
+    assert context.took < seconds, context.took
 
 
 @then('it has logged "{event}"')
