--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -35,3 +35,10 @@
     to lose orders.
     Given two cuts that end while a worker is being started
     Then nobody is cut off once both have ended
+
+  Scenario: A kill that is due during a planned stop waits for the instance's restart
+    # The soak started the instance twice, and the second process ended, as its ports were
+    # in use. Each target has one fault at a time, but a stop lasts as long as its requests.
+    Given a stage on which a planned stop takes 0.5 s
+    When an instance is stopped, and a kill is due before its restart
+    Then it was stopped, restarted, killed and restarted, and nothing was unexpected
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -1,8 +1,10 @@
 import threading
 import time
+from unittest import mock
 
-from behave import given, then
-from tests.soak import deployment, faults, oracle, run, schedule
+from behave import given, then, when
+from tests.soak import deployment, faults, history, oracle, run, schedule
+from tests.support import stage
 
 
 @given("seed {seed:d} ran for {seconds:d} seconds with the faults")
@@ -82,3 +84,31 @@
 @then("nobody is cut off once both have ended")
 def step_nobody_cut(context):
     assert context.stage.cut == [], context.stage.cut
+
+
+@given("a stage on which a planned stop takes {seconds:g} s")
+def stage_with_slow_stop(context, seconds):
+    context.events = []
+    process = mock.MagicMock()
+    process.wait.side_effect = lambda timeout: time.sleep(seconds)
+    process.poll.return_value = None
+    fake = mock.MagicMock(processes={"a": process})
+    for name in ("signal", "kill", "restart"):
+        record = lambda *args, n=name: context.events.append(n)
+        getattr(fake, name).side_effect = record
+    context.faults = faults.Faults(fake, history.History(), dict)
+
+
+@when("an instance is stopped, and a kill is due before its restart")
+def stop_and_kill(context):
+    context.faults.run([schedule.Fault(0.0, 1.0, "stop", "a")], time.time())
+    # The kill is due only now, so that a busy machine can't change the order.
+    stage.wait_until(lambda: context.events, 10, "the stop")
+    context.faults.run([schedule.Fault(0.0, 0.1, "kill", "a")], time.time())
+    context.faults.join()
+
+
+@then("it was stopped, restarted, killed and restarted, and nothing was unexpected")
+def one_at_a_time(context):
+    assert context.events == ["signal", "restart", "kill", "restart"], context.events
+    assert not context.faults.history.unexpected_exits
