Refuse an order at once if neither the peer nor the table answers

An order that a peer had refused, as it could not reach the table, was refused only after its whole deadline if the asking instance could not read the table either: it waited for the table to tell of a row that nobody was known to have written. The look at the row is now repeated only if a peer says that it has claimed the order.

--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -416,7 +416,10 @@
         A peer's word is not enough: those of older builds called claimed whatever they
         had not refused for want of capacity.
         """
-        found = self.waiter.read_until(request.team, request.request_id, deadline)
+        # Only for a claim is it worth waiting until the table answers.
+        claimed = isinstance(forwarded, result.Ok)
+        read_deadline = deadline if claimed else self.ctx.clock.monotonic()
+        found = self.waiter.read_until(request.team, request.request_id, read_deadline)
         if isinstance(found, result.Err):
             return result.Err(errors.StoreUnavailable(outcomes.RETRY_AFTER_S))
         if found.ok_value is not None:
--- a/tests/work/acceptance.feature
+++ b/tests/work/acceptance.feature
@@ -44,6 +44,13 @@
     Then it is refused as "store_unavailable", unknown, with a time to ask again
     And the order was started once
 
+  Scenario: Neither a peer nor the instance reaches the table
+    Guards against waiting out the deadline to refuse what nobody is known to have.
+    Given an instance without workers and a peer that can't reach the table
+    When an order with 8 seconds is sent to the instance, and it can't read the table
+    Then it is refused as "store_unavailable", unknown, with a time to ask again
+    And that took less than 0.5 seconds
+
   Scenario: The table goes down after the row of an order was seen
     Guards against refusing work that is known to be claimed.
     Given an instance without workers and a peer that claims
