Bound the hand-over of a stop, also with nothing in flight

While the table was away, an instance with nothing in flight took 29.3 s to stop: its last write was repeated until the time limit. Meanwhile it served nobody and could not start again.

The hand-over takes 2 s at most now. The new scenario failed before (29.3 s of 4 s).

--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -15,7 +15,7 @@
 #: that this instance is not ready: three of its checks.
 NOT_READY_PERIOD_S = 1.5
 #: Last seconds of the time limit, at most half of it, that are kept for the hand-over:
-#: two calls to a table that does not answer.
+#: two calls to a table that does not answer. The hand-over never takes longer.
 HAND_OVER_PERIOD_S = 2.0
 #: Seconds that a call of the hand-over to the table may take.
 CALL_TIMEOUT_S = 1.0
@@ -72,5 +72,6 @@
         self.httpd.close()
         self.httpd.finish_requests(self.clock.monotonic, requests_deadline)
         self.stop_peers(max(requests_deadline - self.clock.monotonic(), 0.0))
-        self.hand_over(deadline - CALL_TIMEOUT_S)
+        hand_over_deadline = min(deadline, self.clock.monotonic() + HAND_OVER_PERIOD_S)
+        self.hand_over(hand_over_deadline - CALL_TIMEOUT_S)
         log.info("drained")
--- a/tests/front/stopping.feature
+++ b/tests/front/stopping.feature
@@ -81,3 +81,11 @@
     When this instance is stopped
     Then all orders are answered 504 "draining" with outcome "unknown"
     And it has not sent the counter "front.internal_error" to statsd
+
+  Scenario: A stop with nothing in flight does not wait for a table that is away
+    With no peer able to take the workers, a stop tried its last write for 28 s, in which
+    the instance served nobody and could not start again.
+    Given two instances, and 1 open connections to one of them
+    When this instance is stopped while the table refuses all
+    Then it has exited with 0
+    And it took at most 4 s
