Log what is decided beside a high tail latency, and paused runs that work

On call nobody could tell why a tail stayed over its target: the log has the orders of speed, but not since when the tail was high, what the leader believed of the work beside it, and what the worker reported for it.

A line for each decision to slow work down, with the cores planned by the limits and those reported; a counter and a line for each report of a paused run that uses its cores; the kind and the time of a failed order of speed. At most one line a poll of a worker with a high tail.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -335,19 +335,22 @@
 
     def throttle(self, task: progress.Task, worker: fleet.Worker, percent: int) -> None:
         """Limit a run to `percent` of its full speed."""
+        sent_at = self.clock.elapsed()
         answer = self.client.throttle(
             worker.entry, task.name, task.run, percent, self.token
         )
-        succeeded = isinstance(answer, result.Ok)
-        if succeeded:
+        error = ""
+        if isinstance(answer, result.Ok):
             task.speed_limit = percent
             task.throttled_at = self.clock.elapsed()
             self.counters.count("orders.throttle")
         else:
+            error = type(answer.err_value).__name__.lower()
             self.counters.count("orders.throttle_failed")
         log.info(
             "throttled", task=task.name, run=task.run, worker=worker.name,
-            percent=percent, done=succeeded,
+            percent=percent, done=not error, error=error,
+            took=round(self.clock.elapsed() - sent_at, 3),
         )  # fmt: skip
 
 
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -10,6 +10,7 @@
     estimates,
     fleet,
     health,
+    interference,
     messages,
     orders,
     progress,
@@ -19,6 +20,11 @@
 
 log = logbook.Logger("reports")
 
+#: Seconds after a change of speed until the processor use that a worker reports, an
+#: average of half a second, no longer includes the time before.
+MEASUREMENT_TERM_S = 0.7
+#: Processor use in thousandths of a core from which a run is not paused.
+WORKING_MILLICORES = 100.0
 #: Reasons for the loss of a worker that prove that its incarnation has ended.
 CRASH_REASONS = frozenset({"replaced", "restarted"})
 
@@ -264,6 +270,7 @@
             crashes.reset_crash_counts(task)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
+        self._compare_speed(worker, task, row, now)
         self.speeds.record(worker, task, row, now)
         if row.progress_percent != task.progress_percent:
             task.progress_percent = row.progress_percent
@@ -271,6 +278,30 @@
         if task.phase is progress.Phase.RUNNING and not orders.is_wanted(task):
             self.orders.stop(task, worker, "cancelled")
 
+    def _compare_speed(
+        self,
+        worker: fleet.Worker,
+        task: progress.Task,
+        row: messages.RunningTask,
+        now: float,
+    ) -> None:
+        """Tell of a best-effort run that works although it should be paused."""
+        if (
+            not task.step.best_effort
+            or task.speed_limit
+            or row.measurement < WORKING_MILLICORES
+            or now < task.throttled_at + MEASUREMENT_TERM_S
+        ):
+            return
+        self.counters.count("reports.paused_run_works")
+        log.warning(
+            "paused run works", task=task.name, run=task.run, worker=worker.name,
+            cores=round(row.measurement / 1000, 2),
+            paused_for=round(now - task.throttled_at, 3),
+            inherited=task.start_sent_at is None,
+            beside_high_latency=interference.has_high_latency(worker),
+        )  # fmt: skip
+
     def _handle_not_listed(
         self,
         worker: fleet.Worker,
--- a/src/mangosail/scheduler/throttling.py
+++ b/src/mangosail/scheduler/throttling.py
@@ -7,8 +7,12 @@
 
 import dataclasses
 
+import logbook
+
 from mangosail.scheduler import fleet, interference, messages, progress
 
+log = logbook.Logger("throttling")
+
 #: Share of the target from which a tail latency counts as too high. Latencies fluctuate
 #: by half within seconds, and reports are half a second old.
 HIGH_TARGET_SHARE = 0.8
@@ -66,7 +70,9 @@
             and now - task.latency_high_since >= HIGH_LATENCY_S
         ]
         if over_target:
-            return self._slow_downs(worker, best_effort, over_target, now)
+            slow_downs = self._slow_downs(worker, best_effort, over_target, now)
+            log_slow_downs(worker, running, over_target, slow_downs, now)
+            return slow_downs
         if target_share < LOW_TARGET_SHARE:
             return self._speed_ups(worker, best_effort)
         return []
@@ -166,6 +172,36 @@
         return load_factor * self.model.load_of(critical)
 
 
+def log_slow_downs(
+    worker: fleet.Worker,
+    running: tuple[messages.RunningTask, ...],
+    over_target: list[progress.Task],
+    slow_downs: list[SpeedLimit],
+    now: float,
+) -> None:
+    """Log what was decided beside a high tail latency, and from what.
+
+    `planned` are the cores that the best-effort tasks should use by their speed limits,
+    `used` those that the worker reports for them.
+    """
+    longest = max(over_target, key=lambda task: now - (task.latency_high_since or now))
+    rows = {row.task: row for row in running}
+    row = rows.get(longest.name)
+    best_effort = [task for task in worker.tasks.values() if task.step.best_effort]
+    cores = worker.entry.capacity.cpus
+    planned = sum(interference.planned_shares(worker).values()) * cores
+    used = sum(interference.measured_shares(worker, running).values()) * cores
+    log.info(
+        "tail latency high", task=longest.name, worker=worker.name,
+        latency=row.measurement if row else None, target=longest.step.latency_target,
+        high_for=round(now - (longest.latency_high_since or now), 3),
+        best_effort=len(best_effort), planned=round(planned, 1), used=round(used, 1),
+        not_running=sum(t.phase is not progress.Phase.RUNNING for t in best_effort),
+        paused=sum(task.speed_limit == 0 for task in best_effort),
+        throttled=[limit.task.name for limit in slow_downs],
+    )  # fmt: skip
+
+
 def is_stuck(task: progress.Task, now: float) -> bool:
     """Return whether a best-effort task should move elsewhere from its checkpoint.
 
