Add scenarios of best-effort work whose speed the leader does not know, listed as red

Each fails on, every time: after a change of leader, after a start without an answer, where a task runs anew, and after an order of speed without an answer the leader believes a speed that the worker does not have. What works unseen is never paused beside a high tail; what stands still unseen never goes on. The bound is the users': a tail may be over its target for 4 s.

The stand-in worker reports the cores that best-effort work uses at its speed, starts it at full speed, and can carry out an order of speed late or hold answers back.

--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -166,9 +166,15 @@
         self.late = []
         self.starts = []
         self.speed_limits = {}
-        #: Number of next throttling orders that are neither carried out nor answered.
+        #: Number of next throttling orders that are neither carried out nor answered,
+        #: and of those that are carried out late and not answered.
         self.ignored_throttles = 0
+        self.late_throttles = 0
+        #: If set, answers to starts and throttling orders wait for it.
+        self.held_answers = None
         self.latencies = {}
+        #: Cores in thousandths that best-effort tasks use at full speed.
+        self.millicores = {}
         self.acknowledged = 0
         self.progress = 0
         self.stalled = False
@@ -198,6 +204,16 @@
         longest = self.clock + MAX_LEASE_MS
         self.deadline = max(self.deadline, min(deadline, longest))
 
+    def measurement(self, task):
+        """Return the figure that a poll lists for a running task."""
+        if task in self.millicores:
+            return self.millicores[task] * self.speed_of(task) / 100
+        return self.latencies.get(task, 0.0)
+
+    def speed_of(self, task):
+        """Return the speed in percent at which a running task works."""
+        return self.speed_limits.get(task, 100)
+
     def resize(self, cpus):
         """Change the number of cores while the worker runs."""
         before = self.entry.capacity
@@ -273,6 +289,7 @@
                 worker.doubled.append(order.task)
             if worker.running.get(order.task) != order.run:
                 worker.starts.append((order.task, order.run, order.checkpoint))
+                worker.speed_limits.pop(order.task, None)
             worker.running[order.task] = order.run
             worker.tickets.append(order.ticket)
             worker.extend(order.deadline)
@@ -283,6 +300,8 @@
 
         worker = self.workers[entry.name]
         answer = self._call(entry, effect)
+        if worker.held_answers is not None:
+            worker.held_answers.wait()
         if isinstance(answer, result.Err) and isinstance(
             answer.err_value, errors.Silent
         ):
@@ -319,10 +338,19 @@
             if worker.ignored_throttles:
                 worker.ignored_throttles -= 1
                 return result.Err(errors.Silent("no answer"))
-            worker.speed_limits[task] = percent
+            if worker.running.get(task) == run:
+                worker.speed_limits[task] = percent
             return result.Ok(worker.clock)
 
-        return self._call(entry, effect)
+        worker = self.workers[entry.name]
+        if worker.late_throttles:
+            worker.late_throttles -= 1
+            worker.late.append(effect)
+            return result.Err(errors.Silent("no answer"))
+        answer = self._call(entry, effect)
+        if worker.held_answers is not None:
+            worker.held_answers.wait()
+        return answer
 
     def poll(self, entry, token, acknowledged, deadline, wait, out_of_band=False):
         def effect(worker):
@@ -340,7 +368,7 @@
                     run,
                     "",
                     worker.progress % 100,
-                    worker.latencies.get(task, 0.0),
+                    worker.measurement(task),
                 )
                 for task, run in worker.running.items()
             )
--- /dev/null
+++ b/tests/scheduler/throttling.feature
@@ -0,0 +1,64 @@
+Feature: The speed of best-effort work is known, or found out
+
+  What presses on a tail latency is paused before its users have had to bear that for 4 s,
+  and what was paused goes on, whoever leads and whichever answers are lost.
+
+  Scenario: Work that an earlier leader left at full speed is paused beside a high tail
+    # Guards against a new leader that takes all it inherits for paused, and pauses none.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency rises too high while another instance comes to lead
+    And the tail latency is too high for 3 s
+    Then the best-effort task is paused
+
+  Scenario: Work whose start got no answer is paused beside a high tail
+    # Guards against a start in doubt that is taken for paused once it is listed.
+    Given a latency-critical task on a worker
+    And a best-effort task there whose start gets no answer
+    When the tail latency is too high for 3 s
+    Then the best-effort task is paused
+
+  Scenario: Work that was paused before and began anew is paused beside a high tail
+    # Guards against a run that keeps the limit of the task's earlier one, as it is listed
+    # before its start is answered.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency is too high for 1 s
+    And the best-effort task ends stopped, and its next start is answered late
+    And the tail latency is too high for 3 s
+    Then the best-effort task is paused
+
+  Scenario: Work that waits again counts in full where it may start next
+    # Guards against best-effort work that was paused and counts as no pressure there.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency is too high for 1 s
+    And the best-effort task ends stopped
+    Then it counts at full speed on the worker that it is placed on
+
+  Scenario: A late answer about an earlier run says nothing about the next one
+    # Guards against a run at full speed that is taken for paused as its predecessor was.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency is too high for 1 s, and orders are answered late
+    And the best-effort task ends stopped, and starts again
+    And the late answers come
+    And the tail latency is too high for 3 s
+    Then the best-effort task is paused
+
+  Scenario: Work that a late order lets go on is paused beside a high tail
+    # Guards against an order without an answer that is carried out after a newer one.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency is too high for 1 s
+    And the next throttling order is carried out late
+    And the tail latency is low for 1 s
+    And the tail latency is too high for 1 s
+    And what was late arrives
+    And the tail latency is too high for 3 s
+    Then the best-effort task is paused
+
+  Scenario: Work that a late order pauses beside a low tail goes on
+    # Guards against a job that stands still for good after an order without an answer.
+    Given a latency-critical and a best-effort task on a worker
+    When the next throttling order is carried out late
+    And the tail latency is too high for 0.5 s
+    And the tail latency is low for 1 s
+    And what was late arrives
+    And the tail latency is low for 3 s
+    Then the best-effort task works at full speed
