End a speed limit with its run

Users of latency-critical work had tails over their target beside best-effort work at full speed that the leader took for paused, and so never paused.

Cause: the limit is kept by the task, and outlived its run. Tasks are moved because they are paused; the next run kept that limit until its start was answered, so it counted as no pressure in the round that placed it, and for as long as it ran if a poll listed it before the answer. The answer to an order of speed was taken for the present run, too, if the order's own run had ended meanwhile. Ruled out: the answer to the start itself, which did set full speed.

A run that ends or never began takes its limit with it, and an order of speed changes only the run it was sent for. The durations of runs that were never slowed down are now learned although an earlier run of the task was.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -128,7 +128,6 @@
             task.job.started = True
             task.started_at = task.progressed_at = self.clock.elapsed()
             task.progress_percent = 0
-            task.speed_limit = 100
             log.info(
                 "started", task=task.name, run=run, worker=worker.name,
                 free=round(worker.free.cpus, 1), unused=round(worker.idle_cpus, 1),
@@ -239,8 +238,7 @@
         worker.release(task)
         if task.step.gang:
             self.stop_gang(task, reason)
-        task.worker = ""
-        task.phase = progress.Phase.WAITING
+        task.wait_again()
         self.counters.count(f"orders.not_started.{reason}")
         log.info(
             "not started",
@@ -336,19 +334,19 @@
     def throttle(self, task: progress.Task, worker: fleet.Worker, percent: int) -> None:
         """Limit a run to `percent` of its full speed."""
         sent_at = self.clock.elapsed()
-        answer = self.client.throttle(
-            worker.entry, task.name, task.run, percent, self.token
-        )
+        run = task.run
+        answer = self.client.throttle(worker.entry, task.name, run, percent, self.token)
         error = ""
         if isinstance(answer, result.Ok):
-            task.speed_limit = percent
-            task.throttled_at = self.clock.elapsed()
+            if task.run == run and task.live:
+                task.speed_limit = percent
+                task.throttled_at = self.clock.elapsed()
             self.counters.count("orders.throttle")
         else:
             error = type(answer.err_value).__name__.lower()
             self.counters.count("orders.throttle_failed")
         log.info(
-            "throttled", task=task.name, run=task.run, worker=worker.name,
+            "throttled", task=task.name, run=run, worker=worker.name,
             percent=percent, done=not error, error=error,
             took=round(self.clock.elapsed() - sent_at, 3),
         )  # fmt: skip
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -28,6 +28,8 @@
     DONE = 5
 
 
+#: Speed in percent of a run that is not throttled, as each one is at its start.
+FULL_SPEED = 100
 #: Base and format of the number that is the bit set of a step's done tasks.
 DONE_BASE = 16
 HEX_DIGITS = re.compile("[0-9a-f]+")
@@ -164,7 +166,7 @@
         #: How often it was moved to another worker for lack of progress.
         self.relocations = 0
         #: Last speed limit of the run, in percent of its full speed.
-        self.speed_limit = 100
+        self.speed_limit = FULL_SPEED
         #: Elapsed time at which its speed limit was last changed.
         self.throttled_at = 0.0
         #: Elapsed time before which no further run starts.
@@ -177,6 +179,18 @@
         #: Worker on which the last run failed; the next one is tried elsewhere.
         self.avoided_worker = ""
 
+    def wait_again(self) -> None:
+        """Record that the run has ended, or never began, and its speed limit with it.
+
+        With the limit of a run that was paused, the next one counted as no pressure
+        where it began, and was not paused there.
+        """
+        self.phase = Phase.WAITING
+        self.worker = ""
+        self.stop_confirmed_at = None
+        self.speed_limit = FULL_SPEED
+        self.throttled_at = 0.0
+
     @property
     def step(self) -> messages.Step:
         """Return the step of the task."""
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -241,9 +241,7 @@
         worker.release(task)
         if task.worker != worker.name or not task.live:
             return
-        task.worker = ""
-        task.phase = progress.Phase.WAITING
-        task.stop_confirmed_at = None
+        task.wait_again()
         log.info("waiting again", task=task.name, run=task.run, reason=reason)
         self.on_change(task.job)
 
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -25,7 +25,6 @@
     preemption,
     progress,
     relocation,
-    throttling,
     worker_speeds,
     yielding,
 )
@@ -138,7 +137,7 @@
                 free_cores=round(sum(worker.free.cpus for worker in usable)),
                 unused_cores=round(sum(worker.idle_cpus for worker in usable)),
                 slowed=sum(
-                    task.speed_limit < throttling.FULL_SPEED
+                    task.speed_limit < progress.FULL_SPEED
                     for worker in usable
                     for task in worker.tasks.values()
                 ),
--- a/src/mangosail/scheduler/stragglers.py
+++ b/src/mangosail/scheduler/stragglers.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from mangosail.scheduler import fleet, progress, throttling
+from mangosail.scheduler import fleet, progress
 
 #: Seconds without progress after which a task counts as stalled: longer than the
 #: half-second interval of progress figures and a poll.
@@ -46,7 +46,7 @@
         task.phase is progress.Phase.RUNNING
         and not step.continuous
         and not step.gang
-        and task.speed_limit == throttling.FULL_SPEED
+        and task.speed_limit == progress.FULL_SPEED
         and task.relocations < MAX_MOVES
         and now - max(task.started_at, task.throttled_at) >= MIN_AGE_S
     )
--- a/src/mangosail/scheduler/throttling.py
+++ b/src/mangosail/scheduler/throttling.py
@@ -30,8 +30,6 @@
 STUCK_S = 1.2
 #: Utilization that a task may add without being paused after others were.
 NEGLIGIBLE_ADDED = interference.NEGLIGIBLE_UTILIZATION / 4
-#: Speed in percent of a task that is not throttled.
-FULL_SPEED = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +137,9 @@
         self, worker: fleet.Worker, best_effort: list[progress.Task]
     ) -> list[SpeedLimit]:
         """Resume throttled tasks, as far as latencies allow."""
-        throttled = [task for task in best_effort if task.speed_limit < FULL_SPEED]
+        throttled = [
+            task for task in best_effort if task.speed_limit < progress.FULL_SPEED
+        ]
         critical = [
             task
             for task in worker.tasks.values()
@@ -152,13 +152,16 @@
                 each: self._added_utilization(worker, task, each) for each in critical
             }
             if all(added[each] <= headroom[each] for each in critical):
-                limits.append(SpeedLimit(task, FULL_SPEED))
+                limits.append(SpeedLimit(task, progress.FULL_SPEED))
                 headroom = {each: headroom[each] - added[each] for each in critical}
         if limits or not throttled:
             return limits
         # The model may be wrong: resuming the smallest task shows whether it is.
         return [
-            SpeedLimit(min(throttled, key=lambda task: task.step.need.cpus), FULL_SPEED)
+            SpeedLimit(
+                min(throttled, key=lambda task: task.step.need.cpus),
+                progress.FULL_SPEED,
+            )
         ]
 
     def _added_utilization(
--- a/src/mangosail/scheduler/worker_speeds.py
+++ b/src/mangosail/scheduler/worker_speeds.py
@@ -9,7 +9,7 @@
 import math
 import statistics
 
-from mangosail.scheduler import estimates, fleet, messages, progress, throttling
+from mangosail.scheduler import estimates, fleet, messages, progress
 
 #: Minimum seconds between two polls for progress to be told from rounding: workers list
 #: whole percents, and some update them five times a second.
@@ -54,7 +54,7 @@
     ) -> None:
         """Record the progress of a run since the last poll."""
         interval = now - task.sample_at
-        if task.sample_run != row.run or task.speed_limit != throttling.FULL_SPEED:
+        if task.sample_run != row.run or task.speed_limit != progress.FULL_SPEED:
             task.sample_at, task.sample_percent, task.sample_run = (
                 now,
                 row.progress_percent,
@@ -99,10 +99,7 @@
         step = task.step
         if task.phase is not progress.Phase.RUNNING or step.continuous or step.gang:
             return False
-        if (
-            task.speed_limit < throttling.FULL_SPEED
-            or now - task.started_at < MIN_AGE_S
-        ):
+        if task.speed_limit < progress.FULL_SPEED or now - task.started_at < MIN_AGE_S:
             return False
         speed = math.exp(current_log_speed(worker, now))
         remaining = 1 - task.progress_percent / 100
