Count inherited best-effort work as working until reports tell

Cause: a new leader took each best-effort run that it inherited for paused, and a leader each run whose start was in doubt, as reports were thought not to show a speed. Most work at full speed. What counts as paused is never paused beside a high tail, and as no pressure by the model. Ruled out: orders without an answer there, and tails that swing: tails of up to 698 ms of 45 allowed stood for seconds beside such runs.

Reports do show it: a paused run uses no core. An inherited run counts as working, so that it can be paused at once, until the first report that lies 0.7 s after the takeover tells. A run of this leader's own begins at full speed, in doubt or not.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -340,6 +340,7 @@
         if isinstance(answer, result.Ok):
             if task.run == run and task.live:
                 task.speed_limit = percent
+                task.speed_unknown = False
                 task.throttled_at = self.clock.elapsed()
             self.counters.count("orders.throttle")
         else:
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -114,6 +114,7 @@
         "sample_percent",
         "sample_run",
         "speed_limit",
+        "speed_unknown",
         "start_confirmed",
         "start_sent_at",
         "started_at",
@@ -165,8 +166,10 @@
         self.sample_run = 0
         #: How often it was moved to another worker for lack of progress.
         self.relocations = 0
-        #: Last speed limit of the run, in percent of its full speed.
+        #: Highest speed at which the run may work, in percent of its full speed.
         self.speed_limit = FULL_SPEED
+        #: True while an earlier leader may have throttled the run to a lower speed.
+        self.speed_unknown = False
         #: Elapsed time at which its speed limit was last changed.
         self.throttled_at = 0.0
         #: Elapsed time before which no further run starts.
@@ -189,6 +192,7 @@
         self.worker = ""
         self.stop_confirmed_at = None
         self.speed_limit = FULL_SPEED
+        self.speed_unknown = False
         self.throttled_at = 0.0
 
     @property
@@ -490,6 +494,7 @@
             if stored.worker >= 0:
                 task.worker = record.workers[stored.worker]
                 task.phase = Phase.DOUBTFUL
+                task.speed_unknown = task.step.best_effort
 
         for crashed in record.crashes:
             self._restore_crashes(CrashRecord(*crashed))
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -254,11 +254,10 @@
         now = self.clock.elapsed()
         task.listed = True
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
-            if task.phase is progress.Phase.DOUBTFUL and task.step.best_effort:
-                # An earlier leader may have throttled it, which reports don't show. Its
-                # pause counts from now: when it counted from the beginning, all such
-                # tasks were taken for stuck and stopped at each change of leader.
-                task.speed_limit = 0
+            if task.speed_unknown:
+                # If it is paused, that counts from now: when it counted from the
+                # beginning, all such tasks were taken for stuck and stopped at each
+                # change of leader.
                 task.throttled_at = now
             task.phase = progress.Phase.RUNNING
             task.start_confirmed = True
@@ -269,6 +268,7 @@
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         self._compare_speed(worker, task, row, now)
+        self._settle_speed(worker, task, row, now)
         self.speeds.record(worker, task, row, now)
         if row.progress_percent != task.progress_percent:
             task.progress_percent = row.progress_percent
@@ -300,6 +300,26 @@
             beside_high_latency=interference.has_high_latency(worker),
         )  # fmt: skip
 
+    def _settle_speed(
+        self,
+        worker: fleet.Worker,
+        task: progress.Task,
+        row: messages.RunningTask,
+        now: float,
+    ) -> None:
+        """Find out by its processor use whether an inherited run is paused."""
+        if not task.speed_unknown or now < task.throttled_at + MEASUREMENT_TERM_S:
+            return
+        task.speed_unknown = False
+        use = "working" if row.measurement >= WORKING_MILLICORES else "idle"
+        if use == "idle":
+            task.speed_limit = 0
+        self.counters.count(f"reports.inherited.{use}")
+        log.info(
+            "speed of inherited run found", task=task.name, run=task.run,
+            worker=worker.name, use=use, millicores=round(row.measurement),
+        )  # fmt: skip
+
     def _handle_not_listed(
         self,
         worker: fleet.Worker,
