Learn from reports what became of orders of speed without an answer

Users of latency-critical work had a tail over its target beside work that the leader took for paused; owners of batch work had tasks that stood still for good.

Cause: an order of speed without an answer was taken for not done. It may have been done, or is done seconds later, after a newer one: work then runs on although the newer order paused it, or is paused for good although the newer one resumed it. An order that was still under way was not reckoned with either, nor one that another had overtaken.

From sending to the answer a run counts at the higher of its speeds, and an answer counts only if no newer order was sent. A report 0.7 s after the last order that shows a run at work counts it as working; one that shows no core in use, within 12 s of an order that failed or was overtaken, as paused, so that it is resumed. A wrong correction costs one order.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -332,25 +332,36 @@
             self.poll_now(worker)
 
     def throttle(self, task: progress.Task, worker: fleet.Worker, percent: int) -> None:
-        """Limit a run to `percent` of its full speed."""
+        """Limit a run to `percent` of its full speed.
+
+        An order without an answer may have been carried out, or may be seconds later,
+        after newer ones. Until reports tell, the run may work at the higher speed.
+        """
         sent_at = self.clock.elapsed()
         run = task.run
+        task.speed_limit = max(task.speed_limit, percent)
+        task.throttled_at = sent_at
         answer = self.client.throttle(worker.entry, task.name, run, percent, self.token)
+        now = self.clock.elapsed()
         error = ""
         if isinstance(answer, result.Ok):
-            if task.run == run and task.live:
-                task.speed_limit = percent
-                task.speed_unknown = False
-                task.throttled_at = self.clock.elapsed()
             self.counters.count("orders.throttle")
         else:
             error = type(answer.err_value).__name__.lower()
             self.counters.count("orders.throttle_failed")
         log.info(
             "throttled", task=task.name, run=run, worker=worker.name,
-            percent=percent, done=not error, error=error,
-            took=round(self.clock.elapsed() - sent_at, 3),
+            percent=percent, done=not error, error=error, took=round(now - sent_at, 3),
         )  # fmt: skip
+        if task.run != run or not task.live:
+            return
+        overtaken = task.throttled_at > sent_at
+        if error or overtaken:
+            task.stray_throttles_until = now + MAX_ORDER_DELAY_S
+            return
+        task.speed_limit = percent
+        task.speed_unknown = False
+        task.throttled_at = now
 
 
 def is_wanted(task: progress.Task) -> bool:
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -120,6 +120,7 @@
         "started_at",
         "step_run",
         "stop_confirmed_at",
+        "stray_throttles_until",
         "suspect",
         "throttled_at",
         "worker",
@@ -170,8 +171,10 @@
         self.speed_limit = FULL_SPEED
         #: True while an earlier leader may have throttled the run to a lower speed.
         self.speed_unknown = False
-        #: Elapsed time at which its speed limit was last changed.
+        #: Elapsed time at which an order to change its speed was last sent or answered.
         self.throttled_at = 0.0
+        #: Elapsed time until which an order without an answer may still change it.
+        self.stray_throttles_until = 0.0
         #: Elapsed time before which no further run starts.
         self.not_before = 0.0
         #: Elapsed time since when the tail latency exceeds the target; None if not.
@@ -194,6 +197,7 @@
         self.speed_limit = FULL_SPEED
         self.speed_unknown = False
         self.throttled_at = 0.0
+        self.stray_throttles_until = 0.0
 
     @property
     def step(self) -> messages.Step:
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -10,7 +10,6 @@
     estimates,
     fleet,
     health,
-    interference,
     messages,
     orders,
     progress,
@@ -267,7 +266,6 @@
             crashes.reset_crash_counts(task)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        self._compare_speed(worker, task, row, now)
         self._settle_speed(worker, task, row, now)
         self.speeds.record(worker, task, row, now)
         if row.progress_percent != task.progress_percent:
@@ -276,30 +274,6 @@
         if task.phase is progress.Phase.RUNNING and not orders.is_wanted(task):
             self.orders.stop(task, worker, "cancelled")
 
-    def _compare_speed(
-        self,
-        worker: fleet.Worker,
-        task: progress.Task,
-        row: messages.RunningTask,
-        now: float,
-    ) -> None:
-        """Tell of a best-effort run that works although it should be paused."""
-        if (
-            not task.step.best_effort
-            or task.speed_limit
-            or row.measurement < WORKING_MILLICORES
-            or now < task.throttled_at + MEASUREMENT_TERM_S
-        ):
-            return
-        self.counters.count("reports.paused_run_works")
-        log.warning(
-            "paused run works", task=task.name, run=task.run, worker=worker.name,
-            cores=round(row.measurement / 1000, 2),
-            paused_for=round(now - task.throttled_at, 3),
-            inherited=task.start_sent_at is None,
-            beside_high_latency=interference.has_high_latency(worker),
-        )  # fmt: skip
-
     def _settle_speed(
         self,
         worker: fleet.Worker,
@@ -307,17 +281,25 @@
         row: messages.RunningTask,
         now: float,
     ) -> None:
-        """Find out by its processor use whether an inherited run is paused."""
-        if not task.speed_unknown or now < task.throttled_at + MEASUREMENT_TERM_S:
+        """Correct the believed speed of a best-effort run by its processor use."""
+        if not task.step.best_effort or now < task.throttled_at + MEASUREMENT_TERM_S:
             return
+        works = row.measurement >= WORKING_MILLICORES
+        doubtful = task.speed_unknown or now < task.stray_throttles_until
         task.speed_unknown = False
-        use = "working" if row.measurement >= WORKING_MILLICORES else "idle"
-        if use == "idle":
+        believed = task.speed_limit
+        if works:
+            task.speed_limit = progress.FULL_SPEED
+        elif doubtful:
             task.speed_limit = 0
-        self.counters.count(f"reports.inherited.{use}")
+        if task.speed_limit == believed:
+            return
+        use = "working" if works else "idle"
+        self.counters.count(f"reports.speed_corrected.{use}")
         log.info(
-            "speed of inherited run found", task=task.name, run=task.run,
-            worker=worker.name, use=use, millicores=round(row.measurement),
+            "speed corrected", task=task.name, run=task.run, worker=worker.name,
+            use=use, millicores=round(row.measurement),
+            throttled=round(now - task.throttled_at, 3),
         )  # fmt: skip
 
     def _handle_not_listed(
