Repeat an order to throttle batch work until it is answered

Owners of batch jobs on the product's own interface had tasks that stayed at a twentieth of their processors for good, beside quotes well under their target.

Cause, the same as that of best-effort work whose speed the leader did not know: an order without an answer was taken for not done. A new owner gives all tasks their whole share first; one whose order got no answer was believed whole, and so never relaxed, as was one that an order without an answer had throttled. Found by looking for the cause elsewhere; no user has reported it.

The latest order to a task that got no answer is repeated, one a worker each quarter of a second, as each may wait for a second. An order that is carried out after a newer one is not covered: workers of this interface report usage, not shares.

--- a/src/mangosail/control/loop.py
+++ b/src/mangosail/control/loop.py
@@ -92,6 +92,7 @@
     def _step(self, worker: controlled.ControlledWorker) -> None:
         tasks = work.batch_tasks_on(self.runner, worker.owned.name)
         worker.forget_ended({work_messages.task_id_of(request) for request in tasks})
+        self._repeat_unanswered(worker, tasks)
         if self.memory.evict_if_short(worker.owned, tasks):
             return
         now = self.clock.monotonic()
@@ -272,10 +273,25 @@
         answer = worker.owned.target.throttle(task_id, share, deadline)
         if isinstance(answer, result.Err):
             self.counters.count("control.throttle_failed")
+            worker.unanswered[task_id] = share
             return False
+        worker.unanswered.pop(task_id, None)
         worker.shares[task_id] = share
         return True
 
+    def _repeat_unanswered(
+        self, worker: controlled.ControlledWorker, tasks: list[work_messages.Request]
+    ) -> None:
+        """Repeat one order without an answer, which may have been carried out or not.
+
+        A task throttled without our knowledge is never relaxed.
+        """
+        for request in tasks:
+            share = worker.unanswered.get(work_messages.task_id_of(request))
+            if share is not None:
+                self._send_throttle(worker, request, share)
+                return
+
     def _evict(
         self, worker: controlled.ControlledWorker, tasks: list[work_messages.Request]
     ) -> None:
--- a/src/mangosail/control/worker.py
+++ b/src/mangosail/control/worker.py
@@ -25,6 +25,8 @@
         self.owned = owned
         #: Share of its processors that each throttled task has, by task id.
         self.shares: dict[str, float] = {}
+        #: Share in the latest order to each task that got no answer, by task id.
+        self.unanswered: dict[str, float] = {}
         #: Time of the last action; quotes that started before it are ignored.
         self.acted_at = now
         #: Time at which there were last enough samples.
@@ -41,8 +43,10 @@
 
     def forget_ended(self, present: set[str]) -> None:
         """Remove the shares of tasks that are no longer running."""
-        self.shares = {
-            task_id: share
-            for task_id, share in self.shares.items()
-            if task_id in present
-        }
+        self.shares = only(present, self.shares)
+        self.unanswered = only(present, self.unanswered)
+
+
+def only(present: set[str], shares: dict[str, float]) -> dict[str, float]:
+    """Return the shares of the tasks that are present."""
+    return {task_id: share for task_id, share in shares.items() if task_id in present}
--- a/tests/control/control.feature
+++ b/tests/control/control.feature
@@ -41,6 +41,26 @@
     Then nothing was evicted after at most 60 throttle requests
     And no task is throttled any more
 
+  Scenario: A task whose new owner gets no answer to its first order does not stay slow
+    # Guards against a share that a new owner believes whole, though nobody was told.
+    Given a worker with batch tasks
+      | id    | kind  | noise |
+      | quiet | count | 0.0   |
+    And an earlier owner left 0.05 of its processors to each task
+    And the next 1 orders are not answered
+    When 5 seconds pass
+    Then no task is throttled any more
+
+  Scenario: A task throttled by an order without an answer does not stay slow
+    # Guards against an order that is taken for not done, and was.
+    Given a worker with batch tasks
+      | id    | kind | noise |
+      | noisy | scan | 1.0   |
+    And the next 2 orders are carried out and not answered
+    When 4 seconds pass
+    And "noisy" makes no more noise and 30 seconds pass
+    Then no task is throttled any more
+
   Scenario: A task that takes more memory than it declared makes way
     Measurements lag by a second. The task that exceeds its declaration the most is
     evicted, and no other one because of a measurement that still includes it.
--- a/tests/control/steps/control_steps.py
+++ b/tests/control/steps/control_steps.py
@@ -5,6 +5,7 @@
 
 from mangosail import resources
 from mangosail.control import loop, tails
+from mangosail.dispatch import errors as dispatch_errors
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.jobs import room
 from mangosail.placement import choice, placer, workers
@@ -28,6 +29,9 @@
         self.memory = {}
         self.shares = {}
         self.orders = []
+        #: Number of next orders that are not answered, and whether they take effect.
+        self.unanswered = 0
+        self.unanswered_apply = False
         self.evicted = []
         self.measurements = []
         self.tails = tails.Tails()
@@ -62,6 +66,11 @@
 
     def throttle(self, task_id, share, deadline):
         self.orders.append(task_id)
+        if self.unanswered:
+            self.unanswered -= 1
+            if self.unanswered_apply:
+                self.shares[task_id] = share
+            return result.Err(dispatch_errors.Lost("no answer"))
         self.shares[task_id] = share
         return result.Ok(None)
 
@@ -120,6 +129,23 @@
     context.simulation.settings.by_team["t"] = in_force
 
 
+@given("an earlier owner left {share:g} of its processors to each task")
+def throttled_before(context, share):
+    simulation = context.simulation
+    simulation.shares = dict.fromkeys(simulation.tasks, share)
+
+
+@given("the next {count:d} orders are not answered")
+def unanswered(context, count):
+    context.simulation.unanswered = count
+
+
+@given("the next {count:d} orders are carried out and not answered")
+def answers_lost(context, count):
+    context.simulation.unanswered = count
+    context.simulation.unanswered_apply = True
+
+
 @when("{seconds:d} seconds pass")
 def wait(context, seconds):
     context.simulation.pass_seconds(seconds)
@@ -131,6 +157,12 @@
     context.simulation.pass_seconds(seconds)
 
 
+@when('"{name}" makes no more noise and {seconds:d} seconds pass')
+def calm_down(context, name, seconds):
+    context.simulation.noise[f"t/{name}"] = 0.0
+    context.simulation.pass_seconds(seconds)
+
+
 @then("quotes are within their target")
 def within(context):
     assert context.simulation.ratio() <= 1.0, context.simulation.ratio()
