End a tail latency that was too high with its run

Best-effort work was kept away from the worker where a latency-critical task began anew, until the first report from there, for the tail that the task had elsewhere.

The time since when a tail is too high is forgotten with the run that had it. The scenario failed before and passes.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -186,7 +186,7 @@
         self.avoided_worker = ""
 
     def wait_again(self) -> None:
-        """Record that the run has ended, or never began, and its speed limit with it.
+        """Record that the run has ended, or never began, and forget what it was like.
 
         With the limit of a run that was paused, the next one counted as no pressure
         where it began, and was not paused there.
@@ -198,6 +198,7 @@
         self.speed_unknown = False
         self.throttled_at = 0.0
         self.stray_throttles_until = 0.0
+        self.latency_high_since = None
 
     @property
     def step(self) -> messages.Step:
--- a/tests/scheduler/steps/throttling_steps.py
+++ b/tests/scheduler/steps/throttling_steps.py
@@ -108,6 +108,12 @@
     context.world.leader.round(1)
 
 
+@when("the latency-critical task ends stopped")
+def step_critical_stopped(context):
+    common.end_all(context, common.SERVING, "stopped")
+    context.world.leader.round(1)
+
+
 @when("the best-effort task ends stopped, and starts again")
 def step_stopped_and_started(context):
     worker = only_worker(context)
@@ -149,6 +155,14 @@
     assert shares == {"filler": fakes.NEED.cpus / fakes.CAPACITY.cpus}, shares
 
 
+@then("no tail on the worker that it is placed on counts as too high")
+def step_no_high_tail(context):
+    leader = context.world.leader
+    task, worker = leader.task(f"{common.SERVING}.0.0.0"), leader.worker("w1")
+    worker.reserve(task)
+    assert not interference.has_high_latency(worker), task.latency_high_since
+
+
 @then("the last poll waited {seconds:g} s at most")
 def step_short_poll(context, seconds):
     assert only_worker(context).waits[-1] <= seconds, only_worker(context).waits
--- a/tests/scheduler/throttling.feature
+++ b/tests/scheduler/throttling.feature
@@ -77,3 +77,11 @@
     When the tail latency is too high for 1 s
     And the tail latency is low for 1 s
     Then the last poll waited as long as usual
+
+  Scenario: A tail that was too high ends with its run
+    # Guards against a task that keeps best-effort work away from the worker where it
+    # begins anew, for the tail that it had elsewhere.
+    Given a latency-critical and a best-effort task on a worker
+    When the tail latency is too high for 1 s
+    And the latency-critical task ends stopped
+    Then no tail on the worker that it is placed on counts as too high
