Give the durable records of jobs a module of their own

No statement changed but for names, and the tests' names of two functions; scheduler, intake, adapter, simulation and style pass (344).

--- a/src/mangosail/intake/job_service.py
+++ b/src/mangosail/intake/job_service.py
@@ -22,7 +22,7 @@
     keys,
     messages,
     ports,
-    progress,
+    records,
 )
 from mangosail.telemetry import counters as telemetry
 
@@ -198,7 +198,7 @@
             if row is None:
                 continue
             if key == keys.state(job_id):
-                return result.Ok(progress.decode(row.value).state)
+                return result.Ok(records.decode(row.value).state)
             return result.Ok(messages.State.QUEUED)
         return result.Err(errors.UnknownJob())
 
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -1,17 +1,10 @@
-"""Progress of jobs: their tasks and runs, and the durable record of them.
-
-The whole record is rewritten with each change of a job, and many records share one
-transaction. One row per task would take a commit and several rows per start.
-"""
+"""Progress of jobs: their steps, tasks and runs, as the leader knows them."""
 
 import collections.abc as cabc
-import dataclasses
 import enum
-import re
 
-from mangosail import codec
 from mangosail.platform import table
-from mangosail.scheduler import messages, sizes
+from mangosail.scheduler import messages, records, sizes
 
 
 class Phase(enum.IntEnum):
@@ -30,65 +23,10 @@
 
 #: Speed in percent of a run that is not throttled, as each one is at its start.
 FULL_SPEED = 100
-#: Base and format of the number that is the bit set of a step's done tasks.
-DONE_BASE = 16
-HEX_DIGITS = re.compile("[0-9a-f]+")
 #: Phases in which a run may exist on a worker.
 LIVE = frozenset({Phase.STARTING, Phase.RUNNING, Phase.DOUBTFUL, Phase.STOPPING})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TaskRecord:
-    """Record of a task that has begun and is not done."""
-
-    occurrence: int
-    step: int
-    index: int
-    run: int
-    failures: int
-    #: Index into the record's workers of the one that may run it; -1 for none.
-    worker: int
-    checkpoint: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DoneRecord:
-    """Bit set of the done tasks of a step, as a hexadecimal number."""
-
-    occurrence: int
-    step: int
-    tasks: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """Numbers of workers that possibly and that certainly crashed under a task."""
-
-    occurrence: int
-    step: int
-    index: int
-    crashes: int
-    certain_crashes: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobRecord:
-    """Durable record of a job's progress.
-
-    It is rewritten with each change, so it is compact: a done task takes one bit, and
-    the rows are `TaskRecord` and `DoneRecord` without field names.
-    """
-
-    state: messages.State = messages.State.QUEUED
-    workers: tuple[str, ...] = ()
-    tasks: tuple[tuple[int, int, int, int, int, int, str], ...] = ()
-    done: tuple[tuple[int, int, str], ...] = ()
-    #: Rows of `CrashRecord`. Not part of `tasks`, as earlier builds also read its rows.
-    crashes: tuple[tuple[int, int, int, int, int], ...] = ()
-    #: Wall time from which the record may be dropped; 0 until the job has ended.
-    drop_at: float = 0.0
-
-
 class Task:
     """A task of a job, with at most one run at a time."""
 
@@ -438,10 +376,10 @@
         taken = sum(len(name) + sizes.NAME_OVERHEAD_BYTES for name in names)
         return self.spare_bytes - taken - len(begun) * sizes.TASK_BYTES
 
-    def record(self, checkpoints: bool = True) -> JobRecord:
+    def record(self, checkpoints: bool = True) -> records.JobRecord:
         """Return the record of the current progress."""
         if self.ended:
-            return JobRecord(state=self.state, drop_at=self.drop_at)
+            return records.JobRecord(state=self.state, drop_at=self.drop_at)
         workers: dict[str, int] = {}
         rows = []
         for task in self.tasks():
@@ -462,7 +400,9 @@
                 )
             )
         done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
-        return JobRecord(self.state, tuple(workers), tuple(rows), done, self._crashes())
+        return records.JobRecord(
+            self.state, tuple(workers), tuple(rows), done, self._crashes()
+        )
 
     def _crashes(self) -> tuple[tuple[int, int, int, int, int], ...]:
         return tuple(
@@ -477,7 +417,7 @@
             if task.crashes and task.has_record
         )
 
-    def restore(self, record: JobRecord) -> None:
+    def restore(self, record: records.JobRecord) -> None:
         """Restore the progress that an earlier leader recorded.
 
         A task that may be running becomes `DOUBTFUL`: its worker must be polled before
@@ -486,9 +426,9 @@
         self.state = record.state
         self.drop_at = record.drop_at
         for done in record.done:
-            self._restore_done(DoneRecord(*done))
+            self._restore_done(records.DoneRecord(*done))
         for row in record.tasks:
-            stored = TaskRecord(*row)
+            stored = records.TaskRecord(*row)
             task = self.find(stored.occurrence, stored.step, stored.index)
             if task is None:
                 continue
@@ -502,20 +442,20 @@
                 task.speed_unknown = task.step.best_effort
 
         for crashed in record.crashes:
-            self._restore_crashes(CrashRecord(*crashed))
+            self._restore_crashes(records.CrashRecord(*crashed))
 
-    def _restore_crashes(self, stored: CrashRecord) -> None:
+    def _restore_crashes(self, stored: records.CrashRecord) -> None:
         task = self.find(stored.occurrence, stored.step, stored.index)
         if task is not None:
             task.crashes = stored.crashes
             task.certain_crashes = stored.certain_crashes
             task.suspect = True
 
-    def _restore_done(self, stored: DoneRecord) -> None:
+    def _restore_done(self, stored: records.DoneRecord) -> None:
         step_run = self.steps.get((stored.occurrence, stored.step))
         if step_run is None:
             return
-        bits = int(stored.tasks, DONE_BASE)
+        bits = int(stored.tasks, records.DONE_BASE)
         for task in step_run.tasks:
             if bits >> task.index & 1:
                 self.started = True
@@ -528,11 +468,6 @@
     return step_run.occurrence, step_run.number, f"{bits:x}"
 
 
-def encode(record: JobRecord) -> str:
-    """Encode a record."""
-    return codec.to_json(record)
-
-
 def encode_job(job: JobProgress) -> str:
     """Encode a job's record so that it fits into a row.
 
@@ -540,23 +475,7 @@
     crashes of every task. The next leader then restarts runs that have ended in the
     meantime from the beginning.
     """
-    text = encode(job.record())
+    text = records.encode(job.record())
     if len(text.encode()) <= table.MAX_VALUE_BYTES:
         return text
-    return encode(job.record(checkpoints=False))
-
-
-def decode(text: str) -> JobRecord:
-    """Decode a record, or raise `codec.DecodeError`.
-
-    Also raises for rows on which `JobProgress.restore` would fail: one such job would
-    make the takeover of all jobs fail.
-    """
-    record = codec.from_json(text, JobRecord)
-    for row in record.tasks:
-        if TaskRecord(*row).worker >= len(record.workers):
-            raise codec.DecodeError(f"task row with an unknown worker index: {row}")
-    for done in record.done:
-        if not HEX_DIGITS.fullmatch(DoneRecord(*done).tasks):
-            raise codec.DecodeError(f"done tasks are not a hexadecimal number: {done}")
-    return record
+    return records.encode(job.record(checkpoints=False))
--- /dev/null
+++ b/src/mangosail/scheduler/records.py
@@ -0,0 +1,88 @@
+"""Durable records of the progress of jobs.
+
+The whole record is rewritten with each change of a job, and many records share one
+transaction. One row per task would take a commit and several rows per start.
+"""
+
+import dataclasses
+import re
+
+from mangosail import codec
+from mangosail.scheduler import messages
+
+#: Base and format of the number that is the bit set of a step's done tasks.
+DONE_BASE = 16
+HEX_DIGITS = re.compile("[0-9a-f]+")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRecord:
+    """Record of a task that has begun and is not done."""
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    failures: int
+    #: Index into the record's workers of the one that may run it; -1 for none.
+    worker: int
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DoneRecord:
+    """Bit set of the done tasks of a step, as a hexadecimal number."""
+
+    occurrence: int
+    step: int
+    tasks: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Numbers of workers that possibly and that certainly crashed under a task."""
+
+    occurrence: int
+    step: int
+    index: int
+    crashes: int
+    certain_crashes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRecord:
+    """Durable record of a job's progress.
+
+    It is rewritten with each change, so it is compact: a done task takes one bit, and
+    the rows are `TaskRecord` and `DoneRecord` without field names.
+    """
+
+    state: messages.State = messages.State.QUEUED
+    workers: tuple[str, ...] = ()
+    tasks: tuple[tuple[int, int, int, int, int, int, str], ...] = ()
+    done: tuple[tuple[int, int, str], ...] = ()
+    #: Rows of `CrashRecord`. Not part of `tasks`, as earlier builds also read its rows.
+    crashes: tuple[tuple[int, int, int, int, int], ...] = ()
+    #: Wall time from which the record may be dropped; 0 until the job has ended.
+    drop_at: float = 0.0
+
+
+def encode(record: JobRecord) -> str:
+    """Encode a record."""
+    return codec.to_json(record)
+
+
+def decode(text: str) -> JobRecord:
+    """Decode a record, or raise `codec.DecodeError`.
+
+    Also raises for rows on which `progress.JobProgress.restore` would fail: one such
+    job would make the takeover of all jobs fail.
+    """
+    record = codec.from_json(text, JobRecord)
+    for row in record.tasks:
+        if TaskRecord(*row).worker >= len(record.workers):
+            raise codec.DecodeError(f"task row with an unknown worker index: {row}")
+    for done in record.done:
+        if not HEX_DIGITS.fullmatch(DoneRecord(*done).tasks):
+            raise codec.DecodeError(f"done tasks are not a hexadecimal number: {done}")
+    return record
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -34,6 +34,7 @@
     polling,
     ports,
     progress,
+    records,
     reports,
     rounds,
     row_watcher,
@@ -82,7 +83,7 @@
         self.changed = gevent.event.Event()
         self.jobs: dict[str, progress.JobProgress] = {}
         #: Progress records as read at the takeover, until the jobs have been read.
-        self.stored_records: dict[str, progress.JobRecord] = {}
+        self.stored_records: dict[str, records.JobRecord] = {}
         #: Ended jobs whose rows may still exist. Without this set, they would count as
         #: new and run again whenever all rows are read again.
         self.ended_jobs: set[str] = set()
@@ -276,7 +277,7 @@
         except codec.DecodeError as exc:
             self._report_unreadable(row.key, exc)
 
-    def _read_states(self) -> dict[str, progress.JobRecord]:
+    def _read_states(self) -> dict[str, records.JobRecord]:
         while True:
             found = self.rows.read_all(keys.STATES)
             if isinstance(found, result.Ok):
@@ -288,7 +289,7 @@
             yielder.yield_if_due()
             job_id = keys.job_id(row.key)
             try:
-                states[job_id] = progress.decode(row.value)
+                states[job_id] = records.decode(row.value)
             except codec.DecodeError as exc:
                 # It is unknown which tasks have run, so none may be started again.
                 self.ended_jobs.add(job_id)
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -18,7 +18,7 @@
 from tests.scheduler import fakes
 from tests.support import memory
 
-from mangosail.scheduler import errors, keys, messages, progress
+from mangosail.scheduler import errors, keys, messages, progress, records
 
 TURN = 0.05
 #: Turns within which all jobs must end after the last fault: the longest lease, a
@@ -377,7 +377,7 @@
         row = self.world.rows.kept.get(keys.state(job_id))
         if row is None:
             return False
-        record = progress.decode(row.value)
+        record = records.decode(row.value)
         if record.state in messages.FINAL:
             return True
         held = progress.JobProgress(self.jobs[job_id])
@@ -447,7 +447,7 @@
 
     def over(self, job_id):
         row = self.world.rows.kept.get(keys.state(job_id))
-        return row is not None and progress.decode(row.value).state in messages.FINAL
+        return row is not None and records.decode(row.value).state in messages.FINAL
 
     # The workers.
 
--- a/tests/scheduler/steps/crashes_steps.py
+++ b/tests/scheduler/steps/crashes_steps.py
@@ -4,7 +4,7 @@
 from tests.scheduler import fakes, lives
 
 from mangosail import codec
-from mangosail.scheduler import progress
+from mangosail.scheduler import progress, records
 
 
 @given("{count:d} workers, away for {away:d} s after a crash")
@@ -166,13 +166,13 @@
     task.run = 2
     task.crashes = 3
     task.certain_crashes = 1
-    context.kept_record = progress.encode(context.job.record())
+    context.kept_record = records.encode(context.job.record())
 
 
 @when("it is read by the next leader")
 def step_next(context):
     context.found = progress.JobProgress(context.job.job)
-    context.found.restore(progress.decode(context.kept_record))
+    context.found.restore(records.decode(context.kept_record))
 
 
 @then("the crash counts against the task")
--- a/tests/scheduler/steps/large_records_steps.py
+++ b/tests/scheduler/steps/large_records_steps.py
@@ -5,7 +5,7 @@
 from tests.scheduler import fakes
 
 from mangosail import resources
-from mangosail.scheduler import keys, progress, sizes
+from mangosail.scheduler import keys, progress, records, sizes
 
 LARGE, SMALL = "00000000000000aa", "00000000000000bb"
 #: Number of workers, whose names have 40 characters, and the tasks that fit on each.
@@ -150,7 +150,7 @@
 @then("another leader restores each run and its worker")
 def step_found(context):
     found = progress.JobProgress(context.job.job)
-    found.restore(progress.decode(context.encoded))
+    found.restore(records.decode(context.encoded))
     before = [(task.run, task.worker) for task in context.job.tasks()]
     assert [(task.run, task.worker) for task in found.tasks()] == before
 
--- a/tests/scheduler/steps/records_steps.py
+++ b/tests/scheduler/steps/records_steps.py
@@ -2,7 +2,7 @@
 from tests.scheduler import fakes
 
 from mangosail import codec
-from mangosail.scheduler import progress
+from mangosail.scheduler import progress, records
 
 ID = "00000000000000aa"
 
@@ -34,9 +34,9 @@
 
 @when("its record is written and read by another leader")
 def read_again(context):
-    text = progress.encode(context.job.record())
+    text = records.encode(context.job.record())
     context.found = new_job(len(tasks_of(context.job)))
-    context.found.restore(progress.decode(text))
+    context.found.restore(records.decode(text))
 
 
 @then("the same tasks are done, and those that ran are in doubt on the same workers")
@@ -72,7 +72,7 @@
 
 @then("its record takes less than {most:d} bytes")
 def small(context, most):
-    text = progress.encode(context.job.record())
+    text = records.encode(context.job.record())
     assert len(text) < most, text
 
 
@@ -84,7 +84,7 @@
 @then("it can't be decoded")
 def unreadable(context):
     try:
-        found = progress.decode(context.encoded)
+        found = records.decode(context.encoded)
     except codec.DecodeError:
         return
     raise AssertionError(found)
