Hurry beside tails over their target only

Cause: the early decisions also came beside tails that were at 0.8 to 1 of their target, where they fall again by themselves as often as not.

Polls are shortened, and all is paused after 1.4 s, only while a tail is over its target at the last report. All scenarios of throttling hold unchanged.

--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -98,6 +98,8 @@
         #: Best-effort images at the last poll, and when a run was last throttled.
         self.best_effort_images: frozenset[str] = frozenset()
         self.throttled_at = 0.0
+        #: Worst tail latency at the last report, as a share of its target.
+        self.target_share = 0.0
 
     @property
     def entry_is_current(self) -> bool:
--- a/src/mangosail/scheduler/polling.py
+++ b/src/mangosail/scheduler/polling.py
@@ -36,7 +36,7 @@
 #: finite tasks most of them return early because a run has ended.
 POLL_WAIT_S = 0.6
 IDLE_POLL_WAIT_S = 1.2
-#: The same where work beside a high tail latency is about to be throttled.
+#: The same where work beside a tail latency over its target is about to be throttled.
 MIN_POLL_WAIT_S = 0.1
 #: Seconds between polls of a worker that does not answer.
 UNREACHABLE_POLL_INTERVAL_S = 0.25
@@ -50,7 +50,8 @@
 def poll_wait(worker: fleet.Worker, now: float) -> float:
     """Return the seconds for which a poll may wait for a run to end.
 
-    Beside a high tail latency the report is needed when work may be throttled next.
+    Beside a tail latency over its target the report is needed when work may be
+    throttled next.
     """
     wait = POLL_WAIT_S if worker.runs_finite_tasks else IDLE_POLL_WAIT_S
     due_at = throttling.next_slow_down_at(worker)
--- a/src/mangosail/scheduler/throttling.py
+++ b/src/mangosail/scheduler/throttling.py
@@ -24,8 +24,8 @@
 #: Seconds after a change of speed during which latencies still reflect the earlier
 #: speed.
 SETTLE_S = 0.55
-#: Seconds of a high latency after which all best-effort work beside it is paused: two
-#: decisions by the model have not been enough.
+#: Seconds of a high latency after which all best-effort work beside it is paused if it
+#: is over its target: two decisions by the model have not been enough.
 THROTTLE_ALL_S = 1.4
 #: Seconds for which a task is paused before it is moved to another worker.
 STUCK_S = 1.2
@@ -54,7 +54,7 @@
         now: float,
     ) -> list[SpeedLimit]:
         """Return the changes of speed that the latencies on a worker require."""
-        target_share = self._worst_target_share(worker, running, now)
+        record_latencies(worker, running, now)
         best_effort = [
             task
             for task in worker.tasks.values()
@@ -72,30 +72,10 @@
             slow_downs = self._slow_downs(worker, best_effort, over_target, now)
             log_slow_downs(worker, running, over_target, slow_downs, now)
             return slow_downs
-        if target_share < LOW_TARGET_SHARE:
+        if worker.target_share < LOW_TARGET_SHARE:
             return self._speed_ups(worker, best_effort)
         return []
 
-    def _worst_target_share(
-        self,
-        worker: fleet.Worker,
-        running: tuple[messages.RunningTask, ...],
-        now: float,
-    ) -> float:
-        """Record since when latencies are high; return the worst share of a target."""
-        worst = 0.0
-        for report in running:
-            task = worker.tasks.get(report.task)
-            if task is None or not interference.is_latency_critical(task.step):
-                continue
-            target_share = report.measurement / task.step.latency_target
-            worst = max(worst, target_share)
-            if target_share < HIGH_TARGET_SHARE:
-                task.latency_high_since = None
-            elif task.latency_high_since is None:
-                task.latency_high_since = now
-        return worst
-
     def _slow_downs(
         self,
         worker: fleet.Worker,
@@ -105,7 +85,7 @@
     ) -> list[SpeedLimit]:
         """Pause the tasks that press most until latencies should be low again."""
         longest = max(now - (task.latency_high_since or now) for task in over_target)
-        if longest >= THROTTLE_ALL_S:
+        if longest >= THROTTLE_ALL_S and is_over_target(worker):
             # The model may be wrong about which tasks raise the latency.
             return [SpeedLimit(task, 0) for task in best_effort if task.speed_limit]
         limits: list[SpeedLimit] = []
@@ -176,13 +156,36 @@
         return load_factor * self.model.load_of(critical)
 
 
+def record_latencies(
+    worker: fleet.Worker, running: tuple[messages.RunningTask, ...], now: float
+) -> None:
+    """Record since when tail latencies on a worker are high, and the worst one."""
+    worker.target_share = 0.0
+    for report in running:
+        task = worker.tasks.get(report.task)
+        if task is None or not interference.is_latency_critical(task.step):
+            continue
+        target_share = report.measurement / task.step.latency_target
+        worker.target_share = max(worker.target_share, target_share)
+        if target_share < HIGH_TARGET_SHARE:
+            task.latency_high_since = None
+        elif task.latency_high_since is None:
+            task.latency_high_since = now
+
+
+def is_over_target(worker: fleet.Worker) -> bool:
+    """Return whether a tail latency was over its target at the last report."""
+    return worker.target_share >= 1
+
+
 def next_slow_down_at(worker: fleet.Worker) -> float | None:
-    """Return the elapsed time from which work may be throttled; None if none is to be.
+    """Return the elapsed time from which work may be throttled; None if not urgent.
 
-    Reports that came for other reasons made decisions up to 1.2 s apart, and the last
-    one came when a latency had been high for 3 s.
+    It is urgent beside a latency over its target. Reports that came for other reasons
+    made decisions up to 1.2 s apart, and the last one came when the latency had been
+    high for 3 s.
     """
-    if not any(
+    if not is_over_target(worker) or not any(
         task.step.best_effort and task.speed_limit for task in worker.tasks.values()
     ):
         return None
