Send no order of speed for a run that has ended since it was decided

Found on reading the diff: the order goes out from a greenlet of its own. If the run had ended by then, the order was sent in vain and the time of an order was noted for a task that waits, so that its next run's duration was not learned.

--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -337,6 +337,9 @@
         An order without an answer may have been carried out, or may be seconds later,
         after newer ones. Until reports tell, the run may work at the higher speed.
         """
+        if task.worker != worker.name or not task.live:
+            # The run has ended since it was decided.
+            return
         sent_at = self.clock.elapsed()
         run = task.run
         task.speed_limit = max(task.speed_limit, percent)
