Say what the throttler's lists hold, and ask once for what runs best-effort

`over_target` named tasks that are near their target for a while, beside `is_over_target`, which means the target itself; and the polls asked for best-effort work in any phase where the throttler takes what runs, so that a run that was being stopped kept polls short. Found on reading the diff.

--- a/src/mangosail/control/worker.py
+++ b/src/mangosail/control/worker.py
@@ -43,10 +43,10 @@
 
     def forget_ended(self, present: set[str]) -> None:
         """Remove the shares of tasks that are no longer running."""
-        self.shares = only(present, self.shares)
-        self.unanswered = only(present, self.unanswered)
+        self.shares = without_ended(self.shares, present)
+        self.unanswered = without_ended(self.unanswered, present)
 
 
-def only(present: set[str], shares: dict[str, float]) -> dict[str, float]:
+def without_ended(shares: dict[str, float], present: set[str]) -> dict[str, float]:
     """Return the shares of the tasks that are present."""
     return {task_id: share for task_id, share in shares.items() if task_id in present}
--- a/src/mangosail/scheduler/throttling.py
+++ b/src/mangosail/scheduler/throttling.py
@@ -55,22 +55,18 @@
     ) -> list[SpeedLimit]:
         """Return the changes of speed that the latencies on a worker require."""
         record_latencies(worker, running, now)
-        best_effort = [
-            task
-            for task in worker.tasks.values()
-            if task.step.best_effort and task.phase is progress.Phase.RUNNING
-        ]
+        best_effort = running_best_effort(worker)
         if not best_effort or now < worker.throttled_at + SETTLE_S:
             return []
-        over_target = [
+        high = [
             task
             for task in worker.tasks.values()
             if task.latency_high_since is not None
             and now - task.latency_high_since >= HIGH_LATENCY_S
         ]
-        if over_target:
-            slow_downs = self._slow_downs(worker, best_effort, over_target, now)
-            log_slow_downs(worker, running, over_target, slow_downs, now)
+        if high:
+            slow_downs = self._slow_downs(worker, best_effort, high, now)
+            log_slow_downs(worker, running, high, slow_downs, now)
             return slow_downs
         if worker.target_share < LOW_TARGET_SHARE:
             return self._speed_ups(worker, best_effort)
@@ -80,16 +76,16 @@
         self,
         worker: fleet.Worker,
         best_effort: list[progress.Task],
-        over_target: list[progress.Task],
+        high: list[progress.Task],
         now: float,
     ) -> list[SpeedLimit]:
         """Pause the tasks that press most until latencies should be low again."""
-        longest = max(now - (task.latency_high_since or now) for task in over_target)
+        longest = max(now - (task.latency_high_since or now) for task in high)
         if longest >= THROTTLE_ALL_S and is_over_target(worker):
             # The model may be wrong about which tasks raise the latency.
             return [SpeedLimit(task, 0) for task in best_effort if task.speed_limit]
         limits: list[SpeedLimit] = []
-        worst = min(over_target, key=lambda task: self._headroom(worker, task))
+        worst = min(high, key=lambda task: self._headroom(worker, task))
         headroom = self._headroom(worker, worst)
         active = [task for task in best_effort if task.speed_limit]
         added = {task: self._added_utilization(worker, task, worst) for task in active}
@@ -156,6 +152,15 @@
         return load_factor * self.model.load_of(critical)
 
 
+def running_best_effort(worker: fleet.Worker) -> list[progress.Task]:
+    """Return the best-effort tasks that run on a worker, paused or not."""
+    return [
+        task
+        for task in worker.tasks.values()
+        if task.step.best_effort and task.phase is progress.Phase.RUNNING
+    ]
+
+
 def record_latencies(
     worker: fleet.Worker, running: tuple[messages.RunningTask, ...], now: float
 ) -> None:
@@ -185,9 +190,9 @@
     made decisions up to 1.2 s apart, and the last one came when the latency had been
     high for 3 s.
     """
-    if not is_over_target(worker) or not any(
-        task.step.best_effort and task.speed_limit for task in worker.tasks.values()
-    ):
+    if not is_over_target(worker):
+        return None
+    if not any(task.speed_limit for task in running_best_effort(worker)):
         return None
     high_since = [
         task.latency_high_since
@@ -202,7 +207,7 @@
 def log_slow_downs(
     worker: fleet.Worker,
     running: tuple[messages.RunningTask, ...],
-    over_target: list[progress.Task],
+    high: list[progress.Task],
     slow_downs: list[SpeedLimit],
     now: float,
 ) -> None:
@@ -211,7 +216,7 @@
     `planned` are the cores that the best-effort tasks should use by their speed limits,
     `used` those that the worker reports for them.
     """
-    longest = max(over_target, key=lambda task: now - (task.latency_high_since or now))
+    longest = max(high, key=lambda task: now - (task.latency_high_since or now))
     rows = {row.task: row for row in running}
     row = rows.get(longest.name)
     best_effort = [task for task in worker.tasks.values() if task.step.best_effort]
