Log ends that are not written, and what becomes of them

Nothing in the logs told whether any instance had known the end: a failed write was counted, an abandoned task was counted, and a worker's lost state was counted, all without an id. Each now has a line; of a failing write only the first.

--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -42,6 +42,8 @@
         self.cancelling = False
         #: The next row, until it has been written.
         self.pending_row: messages.WorkRow | None = None
+        #: True once a write of the next row has failed.
+        self.unwritten = False
         #: Set when the task is removed: its last row, or None if that was not read.
         self.removed = gevent.event.AsyncResult()
 
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -2,12 +2,15 @@
 
 import collections.abc as cabc
 
+import logbook
 import result
 
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.platform import errors as platform_errors
 from mangosail.work import claims, context, messages, outcomes, registry
 
+log = logbook.Logger("work")
+
 
 class TaskTransitions:
     """Writes the state transitions of the tasks of this instance."""
@@ -31,6 +34,7 @@
         task.owned.ledger.release(task.task_id)
         if task.forgotten_by_worker(report):
             self.ctx.counters.count("work.worker_restarted")
+            self._log_lost(task, "worker_restarted")
             self.transition(task, outcomes.worker_lost_row(task.row))
             return
         checkpoint = ""
@@ -73,6 +77,7 @@
             self.abandon(task)
             return
         self.ctx.counters.count("work.retry.end_not_written")
+        self._log_unwritten(task, written.err_value.reason)
 
     def abandon(self, task: registry.Task) -> None:
         """Drop a task that another instance has adopted.
@@ -83,6 +88,11 @@
         if task.removed.ready():
             return
         self.ctx.counters.count("work.forgotten")
+        pending = task.pending_row
+        log.info(
+            "task abandoned", task=task.task_id, generation=task.row.generation,
+            unwritten=pending.state.value if pending else "",
+        )  # fmt: skip
         self.ctx.registry.remove(task, None)
         if self.on_abandoned is not None:
             self.on_abandoned(task.task_id)
@@ -94,6 +104,22 @@
         for listener in self.ctx.end_listeners:
             listener(outcomes.outcome_of(row), row)
 
+    def _log_unwritten(self, task: registry.Task, why: str) -> None:
+        """Log the first failure to write a task's next row; each second has one."""
+        if task.unwritten or task.pending_row is None:
+            return
+        task.unwritten = True
+        log.warning(
+            "row not written", task=task.task_id, generation=task.row.generation,
+            state=task.pending_row.state.value, why=why,
+        )  # fmt: skip
+
+    def _log_lost(self, task: registry.Task, why: str) -> None:
+        log.warning(
+            "work lost with its worker", task=task.task_id,
+            generation=task.row.generation, worker=task.owned.name, why=why,
+        )  # fmt: skip
+
     def _stored_checkpoint(self, row: messages.WorkRow) -> str:
         """Return the name of this generation's checkpoint if it was stored.
 
