Write a known end over the claim of an instance that adopted the work

Callers were told worker_lost for good of an order that had ended done, though the instance that had heard of the end lived and reached the table again. Cause: while it could not write the end, a peer adopted the work; the write then found a conflict, and any conflict was taken for 'another instance knows better'. An adoption changes the holder alone, under the same generation.

The end of a generation is a fact whoever holds it, so it is now written into the present row as long as that is the same generation and has none; what is not an end, or is only 'lost with its worker', is abandoned as before. A write of before can't come late: its check names an older version, and a row that is claimed under the same generation never had the end.

Not the whole of the listed failure: the peer may find the worker restarted first, or the instance may be gone.

--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -8,6 +8,8 @@
 
 #: The reason of work of which it is not known whether it was claimed.
 UNDECIDED = "undecided"
+#: The reason of work whose worker is gone or has lost its state.
+WORKER_LOST = "worker_lost"
 
 
 class State(enum.StrEnum):
@@ -79,6 +81,30 @@
     boot: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Generation:
+    """One start of a piece of work; a worker runs it at most once."""
+
+    team: str
+    request_id: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """How one generation of a piece of work ended, which holds whoever holds the work.
+
+    It comes from its worker, or from an instance that never sent the start.
+    """
+
+    work: Generation
+    state: State
+    answer: t.Any = None
+    reason: str = ""
+    checkpoint: str = ""
+    started: bool = False
+
+
 class Told(enum.StrEnum):
     """The three outcomes of durable work that callers see."""
 
@@ -148,6 +174,11 @@
     reason: str = ""
 
 
+def generation_of(row: WorkRow) -> Generation:
+    """Return the generation that `row` is about."""
+    return Generation(row.request.team, row.request.request_id, row.generation)
+
+
 def task_id_of(request: Request) -> str:
     """Return the task id under which workers know the request."""
     return f"{request.team}/{request.request_id}"
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -79,7 +79,42 @@
 def worker_lost_row(row: messages.WorkRow) -> messages.WorkRow:
     """Return the row of claimed work whose worker is gone or has lost its state."""
     if row.request.restartable:
-        return evicted_row(row, "worker_lost")
+        return evicted_row(row, messages.WORKER_LOST)
     return dataclasses.replace(
-        row, state=messages.State.UNKNOWN, reason="worker_lost", started=True
+        row, state=messages.State.UNKNOWN, reason=messages.WORKER_LOST, started=True
     )
+
+
+def end_of(row: messages.WorkRow) -> messages.End | None:
+    """Return the end that `row` records, or None if it has none that is known.
+
+    That of work lost with its worker is not: somebody else may know better.
+    """
+    if row.state is messages.State.CLAIMED or row.reason == messages.WORKER_LOST:
+        return None
+    return messages.End(
+        messages.generation_of(row),
+        row.state,
+        row.answer,
+        row.reason,
+        row.checkpoint,
+        row.started,
+    )
+
+
+def ended_row(row: messages.WorkRow, end: messages.End) -> messages.WorkRow:
+    """Return the row that follows from the known end of its generation."""
+    return dataclasses.replace(
+        row,
+        state=end.state,
+        answer=end.answer,
+        reason=end.reason,
+        checkpoint=end.checkpoint,
+        started=end.started,
+    )
+
+
+def lacks_end(row: messages.WorkRow, end: messages.End) -> bool:
+    """Return whether `row` is about the same generation and has no end yet."""
+    is_claimed = row.state is messages.State.CLAIMED
+    return is_claimed and messages.generation_of(row) == end.work
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -11,6 +11,9 @@
 
 log = logbook.Logger("work")
 
+#: Writes of a row in a row, if other instances keep changing it; the sweep goes on.
+MAX_WRITES = 3
+
 
 class TaskTransitions:
     """Writes the state transitions of the tasks of this instance."""
@@ -60,24 +63,49 @@
         A cancellation that waits for the write by which a task is lost comes here after
         it. Abandoning the task again would release the room of a later claim.
         """
-        if task.pending_row is None or task.removed.ready():
+        for _ in range(MAX_WRITES):
+            if task.pending_row is None or task.removed.ready():
+                return
+            written = self.ctx.claims.write(
+                task.pending_row, task.stored.version, task.row.worker
+            )
+            if isinstance(written, result.Ok):
+                self._apply_written(task, written.ok_value)
+                return
+            if not isinstance(written.err_value, platform_errors.Conflict):
+                self.ctx.counters.count("work.retry.end_not_written")
+                self._log_unwritten(task, written.err_value.reason)
+                return
+            self._resolve_conflict(task)
+
+    def _apply_written(self, task: registry.Task, stored: claims.StoredRow) -> None:
+        task.pending_row = None
+        task.stored = stored
+        if task.row.state is not messages.State.CLAIMED:
+            self._finish(task)
+        elif self.on_reassigned is not None:
+            self.on_reassigned(task)
+
+    def _resolve_conflict(self, task: registry.Task) -> None:
+        """Prepare to write a known end over a peer's claim, or abandon the task.
+
+        Whoever has adopted the work may not learn how it ended: the worker may be gone
+        by then, and the end was told as unknown for good.
+        """
+        end = outcomes.end_of(task.pending_row) if task.pending_row else None
+        if end is None:
+            self.abandon(task)
             return
-        written = self.ctx.claims.write(
-            task.pending_row, task.stored.version, task.row.worker
-        )
-        if isinstance(written, result.Ok):
-            task.pending_row = None
-            task.stored = written.ok_value
-            if task.row.state is not messages.State.CLAIMED:
-                self._finish(task)
-            elif self.on_reassigned is not None:
-                self.on_reassigned(task)
+        found = self.ctx.claims.read(end.work.team, end.work.request_id)
+        if isinstance(found, result.Err):
             return
-        if isinstance(written.err_value, platform_errors.Conflict):
+        held = found.ok_value
+        if held is None or not outcomes.lacks_end(held.row, end):
             self.abandon(task)
             return
-        self.ctx.counters.count("work.retry.end_not_written")
-        self._log_unwritten(task, written.err_value.reason)
+        self.ctx.counters.count("work.retry.end_of_adopted")
+        task.stored = held
+        task.pending_row = claims.with_new_attempt(outcomes.ended_row(held.row, end))
 
     def abandon(self, task: registry.Task) -> None:
         """Drop a task that another instance has adopted.
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -110,9 +110,15 @@
         self.tasks = {}  # task id -> Report
         self.voided = {}
         self.fence = 0
+        self.boot = ""
         self.log = []
         world.workers[name] = self
 
+    def lose_state(self):
+        """Restart without the state of before."""
+        self.tasks, self.voided, self.fence = {}, {}, 0
+        self.boot += "again"
+
     def begin(self, start):
         known = self.tasks.get(start.task_id)
         refused = (
@@ -170,8 +176,9 @@
         voided[task_id] = max(voided.get(task_id, 0), generation)
         known = self.worker.tasks.get(task_id)
         if known is None or known.generation < generation:
-            void = dispatch.TaskState.VOID
-            return result.Ok(dispatch.Report(task_id, generation, void))
+            void, boot = dispatch.TaskState.VOID, self.worker.boot
+            report = dispatch.Report(task_id, generation, void, boot=boot)
+            return result.Ok(report)
         if known.generation == generation and task_id in self.worker.running():
             self.worker.end(task_id, dispatch.TaskState.STOPPED)
         return result.Ok(self.worker.tasks[task_id])
@@ -220,7 +227,7 @@
     def take(self, worker, generation):
         entry = inventory.Worker(worker.name, "dc", "r", "", CAPACITY)
         owned = workers.OwnedWorker(entry, generation, Target(worker, self.lease))
-        owned.ready = True
+        owned.ready, owned.boot = True, worker.boot
         self.owned.add(owned)
         return owned
 
@@ -233,7 +240,8 @@
 
     def hear(self, worker):
         reports = tuple(worker.tasks.values())
-        self.runner.on_snapshot(worker.name, dispatch.Snapshot(1, tuple(reports)))
+        snapshot = dispatch.Snapshot(1, tuple(reports), boot=worker.boot)
+        self.runner.on_snapshot(worker.name, snapshot)
 
     def sweep(self):
         self.world.clock.now += 11.0
