Ask the peers how work ended before it is given up as lost

Callers were told worker_lost for good of orders that had ended done, while the instance that had heard of the ends lived: cut off from the table, it could not write them, its peer took the worker over, and the worker had restarted without its state by then. Cause: whoever adopts work (or is asked about work on a worker that is gone) judged by the worker alone, and wrote an outcome that is final. The instance that knew the end itself overwrote it the same way when a caller asked it.

Now the end is looked for first: in own unwritten ends, then at all listed peers at once (FIND_END, 1 s at most). A peer that is silent holds the decision up for 10 s, so that one that was frozen or isolated for longer than a lease can tell; an instance that has not read the list yet waits as well. Work that may be restarted is not held up, and instances of earlier builds count as knowing nothing.

Ruled out: to ask the earlier holder alone (its new run knows nothing, and others may know more); to keep the outcome open for as long as somebody is silent (an instance that is gone for good would leave orders open until the list drops it).

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -37,7 +37,7 @@
 from mangosail.settings import methods as settings_methods
 from mangosail.telemetry import counters as telemetry
 from mangosail.tls import keys
-from mangosail.work import claims, forwarding, runner
+from mangosail.work import claims, forwarding, keepers, runner
 from mangosail.work import methods as work_methods
 
 log = logbook.Logger("instance")
@@ -140,6 +140,7 @@
             ),
             store=self.objects,
             is_worker_gone=self.inventory.is_worker_gone,
+            end_peers=keepers.PeerInstances(self.peers, self.counters),
         )
         self.worker_monitors = monitoring.WorkerMonitors(
             self.workers,
@@ -292,6 +293,7 @@
             front_methods.DESCRIBE.with_handler(front.describe),
             work_methods.SUBMIT.with_handler(self.runner.submit_for_peer),
             work_methods.CANCEL.with_handler(self.runner.cancel_for_peer),
+            work_methods.FIND_END.with_handler(self.runner.ends.find_for_peer),
             settings_methods.SINCE.with_handler(self.settings_exchange.handle_since),
             job_methods.OFFER.with_handler(self.offers.accept),
             job_methods.TASK_ENDED.with_handler(self.jobs.task_ended),
--- a/src/mangosail/work/adoption.py
+++ b/src/mangosail/work/adoption.py
@@ -20,6 +20,7 @@
 from mangosail.work import (
     claims,
     context,
+    inquiries,
     leases,
     messages,
     outcomes,
@@ -47,11 +48,13 @@
         task_starts: starts.Starts,
         task_transitions: transitions.TaskTransitions,
         task_leases: leases.Leases,
+        task_inquiries: inquiries.Inquiries,
     ) -> None:
         self.ctx = ctx
         self.starts = task_starts
         self.transitions = task_transitions
         self.leases = task_leases
+        self.inquiries = task_inquiries
         #: Monotonic time of each worker's next scan.
         self.next_scan_at: dict[str, float] = {}
         #: Number of scans of each worker since it was taken over.
@@ -134,7 +137,10 @@
         row = stored.row
         if row.state is not messages.State.CLAIMED or not self._is_lost(row):
             return stored
-        lost_row = claims.with_new_attempt(outcomes.worker_lost_row(row))
+        found = self.inquiries.find_end(row)
+        if isinstance(found, result.Err):
+            return stored
+        lost_row = claims.with_new_attempt(outcomes.lost_row(row, found.ok_value))
         written = self.ctx.claims.write(lost_row, stored.version)
         if isinstance(written, result.Err):
             return stored
--- a/src/mangosail/work/errors.py
+++ b/src/mangosail/work/errors.py
@@ -28,6 +28,13 @@
     reason: str = messages.UNDECIDED
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSilent:
+    """Peers that may know how lost work ended have not answered yet."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotEvicted:
     """The task keeps running or has ended; `reason` says why it was not evicted."""
--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -105,6 +105,13 @@
     started: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundEnd:
+    """The end of the generation that a peer asked about, if it is known."""
+
+    end: End | None = None
+
+
 class Told(enum.StrEnum):
     """The three outcomes of durable work that callers see."""
 
--- a/src/mangosail/work/methods.py
+++ b/src/mangosail/work/methods.py
@@ -5,5 +5,7 @@
 
 #: Claim a peer's durable work for an own worker.
 SUBMIT = rpc.Method("submit_work", messages.ForwardedWork, messages.WorkAnswer)
+#: Tell how a generation ended, if that is known here and not in the table.
+FIND_END = rpc.Method("find_end", messages.Generation, messages.FoundEnd)
 #: Cancel durable work that the called instance holds.
 CANCEL = rpc.Method("cancel_work", messages.CancelWork, messages.WorkAnswer)
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -114,6 +114,11 @@
     )
 
 
+def lost_row(row: messages.WorkRow, end: messages.End | None) -> messages.WorkRow:
+    """Return the row of claimed work lost with its worker, whose end may be known."""
+    return worker_lost_row(row) if end is None else ended_row(row, end)
+
+
 def lacks_end(row: messages.WorkRow, end: messages.End) -> bool:
     """Return whether `row` is about the same generation and has no end yet."""
     is_claimed = row.state is messages.State.CLAIMED
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -25,9 +25,12 @@
     claiming,
     claims,
     context,
+    ends,
     errors,
     evictions,
     forwarding,
+    inquiries,
+    keepers,
     leases,
     messages,
     moves,
@@ -80,6 +83,7 @@
         store: objects.Objects | None = None,
         is_worker_gone: cabc.Callable[[str], bool] = never_gone,
         spawn: cabc.Callable[..., object] = gevent.spawn,
+        end_peers: keepers.EndPeers | None = None,
     ) -> None:
         self.owned = owned
         self.placer = task_placer
@@ -97,13 +101,17 @@
         )
         self.ctx.end_listeners.append(self._release_placement)
         self.leases = leases.Leases(self.ctx)
-        self.transitions = transitions.TaskTransitions(self.ctx)
+        self.ends = ends.Ends(self.ctx.registry)
+        task_inquiries = inquiries.Inquiries(
+            self.ctx, self.ends, end_peers or keepers.NoPeers()
+        )
+        self.transitions = transitions.TaskTransitions(self.ctx, task_inquiries)
         self.transitions.on_abandoned = task_placer.release
         self.starts = starts.Starts(
             self.ctx, self.transitions, moves.Moves(self.ctx, task_placer)
         )
         self.adoption = adoption.Adoption(
-            self.ctx, self.starts, self.transitions, self.leases
+            self.ctx, self.starts, self.transitions, self.leases, task_inquiries
         )
         self.claimer = claiming.Claimer(self.ctx, task_placer, self.adoption)
         self.waiter = waiting.OutcomeWaiter(self.ctx, self.adoption)
@@ -235,8 +243,8 @@
             if task.pending_row is not None:
                 self.transitions.write_pending(task)
             elif self.ctx.is_worker_gone(task.owned.name):
-                self.ctx.counters.count("work.worker_lost")
-                self.transitions.transition(task, outcomes.worker_lost_row(task.row))
+                if self.transitions.end_lost(task):
+                    self.ctx.counters.count("work.worker_lost")
             elif not self.ctx.may_act(task.owned):
                 self._drop_if_lost(task)
             elif task.cancelling:
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -7,7 +7,7 @@
 
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.platform import errors as platform_errors
-from mangosail.work import claims, context, messages, outcomes, registry
+from mangosail.work import claims, context, inquiries, messages, outcomes, registry
 
 log = logbook.Logger("work")
 
@@ -18,8 +18,11 @@
 class TaskTransitions:
     """Writes the state transitions of the tasks of this instance."""
 
-    def __init__(self, ctx: context.Context) -> None:
+    def __init__(
+        self, ctx: context.Context, task_inquiries: inquiries.Inquiries
+    ) -> None:
         self.ctx = ctx
+        self.inquiries = task_inquiries
         #: Called with a task whose row now names its next worker.
         self.on_reassigned: cabc.Callable[[registry.Task], None] | None = None
         #: Called with the id of a task that was abandoned.
@@ -36,15 +39,26 @@
             return
         task.owned.ledger.release(task.task_id)
         if task.forgotten_by_worker(report):
-            self.ctx.counters.count("work.worker_restarted")
-            self._log_lost(task, "worker_restarted")
-            self.transition(task, outcomes.worker_lost_row(task.row))
+            if self.end_lost(task):
+                self.ctx.counters.count("work.worker_restarted")
             return
         checkpoint = ""
         if report.state is dispatch_messages.TaskState.STOPPED:
             checkpoint = self._stored_checkpoint(task.row)
         self.transition(task, outcomes.row_after_report(task.row, report, checkpoint))
 
+    def end_lost(self, task: registry.Task) -> bool:
+        """Record the end of a task whose worker is gone or has lost its state.
+
+        Returns False while a peer may know how it ended; the task stays in doubt.
+        """
+        found = self.inquiries.find_end(task.row)
+        if isinstance(found, result.Err):
+            task.in_doubt = True
+            return False
+        self.transition(task, outcomes.lost_row(task.row, found.ok_value))
+        return True
+
     def transition(self, task: registry.Task, row: messages.WorkRow) -> None:
         """Write the task's next row; `Runner.sweep` retries if the table is down.
 
@@ -142,12 +156,6 @@
             state=task.pending_row.state.value, why=why,
         )  # fmt: skip
 
-    def _log_lost(self, task: registry.Task, why: str) -> None:
-        log.warning(
-            "work lost with its worker", task=task.task_id,
-            generation=task.row.generation, worker=task.owned.name, why=why,
-        )  # fmt: skip
-
     def _stored_checkpoint(self, row: messages.WorkRow) -> str:
         """Return the name of this generation's checkpoint if it was stored.
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -199,7 +199,7 @@
 class Instance:
     """A runner and the workers that it owns, in a `World`."""
 
-    def __init__(self, world, name, incarnation="1"):
+    def __init__(self, world, name, incarnation="1", end_peers=None):
         self.world, self.name = world, name
         self.owned = workers.Workers()
         self.lease = Lease(name, incarnation)
@@ -222,6 +222,7 @@
             store=Objects(world),
             is_worker_gone=lambda name: getattr(world.workers.get(name), "gone", False),
             spawn=lambda function, *args: function(*args),
+            end_peers=end_peers,
         )
 
     def take(self, worker, generation):
--- a/tests/work/steps/ends_steps.py
+++ b/tests/work/steps/ends_steps.py
@@ -1,9 +1,17 @@
+import types
+
 import result
 from behave import given, then, when
 from tests.support import fakes
 
+from mangosail import codec
 from mangosail.dispatch import messages as dispatch
 from mangosail.platform import errors
+from mangosail.telemetry import counters
+from mangosail.work import inquiries, keepers
+
+#: Data centre of each instance.
+DATA_CENTRES = {"a": "near", "b": "near", "c": "far"}
 
 
 class Reach:
@@ -19,10 +27,53 @@
         return getattr(self.rows, name)
 
 
+def over_the_wire(message, kind):
+    return codec.from_msgpack(codec.to_msgpack(message), kind)
+
+
+class Peer:
+    """An instance as its peers see it; `fault` is the status of calls to it."""
+
+    def __init__(self, instance):
+        self.instance, self.fault = instance, ""
+        self.listed = types.SimpleNamespace(
+            name=instance.name, data_centre=DATA_CENTRES[instance.name]
+        )
+        self.state = types.SimpleNamespace(incarnation="1", draining=False)
+        self.unresponsive = False
+        self.channel = self
+
+    def call(self, method, message, timeout):
+        if self.fault:
+            return result.Err(self.fault)
+        handler = getattr(self.instance.runner.ends, HANDLERS[method.name])
+        answer = handler(over_the_wire(message, method.request_type))
+        return result.Ok(over_the_wire(answer, method.response_type))
+
+
+HANDLERS = {"find_end": "find_for_peer"}
+
+
+class Peers:
+    """The peers of one instance."""
+
+    def __init__(self):
+        self.by_name = {}
+        self.has_list = True
+
+
 def add_instance(context, name):
-    instance = fakes.Instance(context.world, name)
+    """Add an instance and make it known to the others."""
+    peers = Peers()
+    end_peers = keepers.PeerInstances(peers, counters.StatsdCounters(None, 0))
+    instance = fakes.Instance(context.world, name, end_peers=end_peers)
     claims = instance.runner.ctx.claims
     claims.rows = instance.reach = Reach(claims.rows)
+    instance.peers, instance.as_peer = peers, Peer(instance)
+    for other in context.instances.values():
+        other.peers.by_name[name] = instance.as_peer
+        peers.by_name[other.name] = other.as_peer
+    context.instances[name] = instance
     return instance
 
 
@@ -30,6 +81,7 @@
 def heard(context):
     context.world = fakes.World()
     context.worker = fakes.Worker(context.world, "w0")
+    context.instances = {}
     context.first = add_instance(context, "a")
     context.peer = add_instance(context, "b")
     context.first.take(context.worker, 1)
@@ -54,17 +106,101 @@
     assert "team/r" in context.peer.runner.ctx.registry
 
 
+@given("the worker has lost its state, and belongs to the peer")
+def lost_state(context):
+    lose_worker(context)
+    context.worker.lose_state()
+
+
+@given("the platform calls the worker gone")
+def gone(context):
+    context.worker.gone = True
+
+
+@given('calls to the instance fail with "{status}"')
+def calls_fail(context, status):
+    context.first.as_peer.fault = status
+
+
+@given("the peer has not read the list of instances yet")
+def no_list(context):
+    context.peer.peers.by_name.clear()
+    context.peer.peers.has_list = False
+
+
+@when("the list of instances is read")
+def list_read(context):
+    context.peer.peers.by_name["a"] = context.first.as_peer
+    context.peer.peers.has_list = True
+
+
+@when("calls to the instance are answered again")
+def calls_answered(context):
+    context.first.as_peer.fault = ""
+
+
 @when("the instance reaches the table again")
 def reaches_again(context):
     context.first.reach.cut = False
     context.first.sweep()
 
 
+@when("the peer looks after its work")
+def peer_sweeps(context):
+    context.peer.sweep()
+
+
+@when("the peer looks after its work for {seconds:g} s")
+def peer_sweeps_for(context, seconds):
+    clock = context.world.clock
+    deadline = clock.now + seconds
+    while clock.now < deadline:
+        context.peer.runner.sweep()
+        clock.now += 1.0
+
+
+@when("the worker loses its state")
+def loses_state(context):
+    context.worker.lose_state()
+
+
+def told_by(instance):
+    return instance.runner.look_up("team", "r").ok_value
+
+
 @then("both instances tell the release as completed")
 def told_completed(context):
-    context.worker.lose_state()
     for instance in (context.peer, context.first):
+        instance.reach.cut = False
         instance.sweep()
     for instance in (context.peer, context.first):
-        told = instance.runner.look_up("team", "r").ok_value
+        told = told_by(instance)
         assert (told.outcome, told.answer) == ("completed", "whole"), told
+
+
+@then("the peer tells the release as unknown, with a time to ask again")
+def told_open(context):
+    told = told_by(context.peer)
+    assert (told.outcome, told.retry_after) == ("unknown", 1.0), told
+
+
+@then("the peer tells the release as unknown for good")
+def told_for_good(context):
+    told = told_by(context.peer)
+    expected = ("unknown", "worker_lost", None)
+    assert (told.outcome, told.reason, told.retry_after) == expected, told
+
+
+@then("a caller who asks {whom} is told that it is completed")
+def caller_told(context, whom):
+    instance = {"the instance": context.first, "its peer": context.peer}[whom]
+    instance.reach.cut = False
+    told = told_by(instance)
+    assert (told.outcome, told.answer) == ("completed", "whole"), told
+
+
+@then("nobody is asked about it any more")
+def nothing_left(context):
+    open_inquiries = context.peer.runner.adoption.inquiries
+    assert isinstance(open_inquiries, inquiries.Inquiries)
+    assert not open_inquiries.deadlines
