Tell peers the ends that the table does not take

Callers were told worker_lost for good of orders that had ended done: the instance that had heard of the ends could not write them (its data centre was cut off from the table), ended by a planned stop or a kill, and the worker lost its state before anybody else asked it. Cause: until the row has an end, only the worker and one instance know it.

As soon as a write of an end fails, it is told to two peers (KEEP_END), one of them in another data centre, which may reach the table. They keep it, write it at once or each second, as the holder of the work if they have adopted it, and answer whoever asks before work is given up as lost. One that stops, restarts or falls silent is replaced at the next try. What is kept is bounded by number and bytes; beyond that a peer refuses, and the next one is told. An end that only waits in the queue of own writes is not told, or an overloaded table would get three writers for one.

Weighed and not built: telling each end before it is written (two calls for each end, always); no replicated store comes of it, as an end is a fact and any number of instances may write it, once.

A stop that finds no peer still ends with what only it knows.

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -140,7 +140,9 @@
             ),
             store=self.objects,
             is_worker_gone=self.inventory.is_worker_gone,
-            end_peers=keepers.PeerInstances(self.peers, self.counters),
+            end_peers=keepers.PeerInstances(
+                self.peers, self.process_settings.data_centre, self.counters
+            ),
         )
         self.worker_monitors = monitoring.WorkerMonitors(
             self.workers,
@@ -293,6 +295,7 @@
             front_methods.DESCRIBE.with_handler(front.describe),
             work_methods.SUBMIT.with_handler(self.runner.submit_for_peer),
             work_methods.CANCEL.with_handler(self.runner.cancel_for_peer),
+            work_methods.KEEP_END.with_handler(self.runner.ends.keep_for_peer),
             work_methods.FIND_END.with_handler(self.runner.ends.find_for_peer),
             settings_methods.SINCE.with_handler(self.settings_exchange.handle_since),
             job_methods.OFFER.with_handler(self.offers.accept),
--- a/src/mangosail/work/keepers.py
+++ b/src/mangosail/work/keepers.py
@@ -10,6 +10,7 @@
 import result
 
 from mangosail.membership import peers as membership
+from mangosail.ownership import shares
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages, methods
 
@@ -21,6 +22,21 @@
 UNLISTED = "unlisted"
 
 
+#: Peers that keep an end. One is in another data centre, if there is any: it may reach
+#: the table while the own data centre is cut off.
+KEEPER_COUNT = 2
+#: Peers told of an end at a time; silent ones cost a timeout each.
+MAX_TOLD = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keeper:
+    """The run of a peer that keeps an end."""
+
+    name: str
+    incarnation: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Findings:
     """What peers answered that were asked for an end."""
@@ -36,6 +52,15 @@
     def ask(self, work: messages.Generation) -> Findings:
         """Ask all peers how `work` ended."""
 
+    def tell(self, end: messages.End, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Have `KEEPER_COUNT` peers keep `end`; return those that do.
+
+        `known` are those that were told before; some of them may be gone.
+        """
+
+    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Return those of `known` that still run and don't stop."""
+
 
 class NoPeers:
     """The peers of an instance that has none."""
@@ -44,12 +69,26 @@
         """Return that nobody knows an end."""
         return Findings()
 
+    def tell(self, end: messages.End, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Return that nobody keeps `end`."""
+        return frozenset()
+
+    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Return that nobody is there."""
+        return frozenset()
+
 
 class PeerInstances:
     """The peers that the platform lists."""
 
-    def __init__(self, peers: membership.Peers, counters: telemetry.Counters) -> None:
+    def __init__(
+        self,
+        peers: membership.Peers,
+        data_centre: str,
+        counters: telemetry.Counters,
+    ) -> None:
         self.peers = peers
+        self.data_centre = data_centre
         self.counters = counters
 
     def ask(self, work: messages.Generation) -> Findings:
@@ -66,6 +105,66 @@
                 return Findings(answer.ok_value)
         return Findings(None, tuple(silent))
 
+    def tell(self, end: messages.End, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Have `KEEPER_COUNT` peers keep `end`; return those that do."""
+        keeping = set(self.present(known))
+        candidates = self._candidates()
+        for _ in range(MAX_TOLD):
+            names = {keeper.name for keeper in keeping}
+            candidates = [p for p in candidates if p.listed.name not in names]
+            if len(keeping) >= KEEPER_COUNT or not candidates:
+                break
+            peer = self._choose(candidates, names, end)
+            candidates.remove(peer)
+            if self._keeps(peer, end):
+                keeping.add(Keeper(peer.listed.name, incarnation_of(peer)))
+        return frozenset(keeping)
+
+    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
+        """Return those of `known` that still run and don't stop."""
+        running = {
+            Keeper(peer.listed.name, incarnation_of(peer))
+            for peer in self._candidates()
+        }
+        return known & running
+
+    def _candidates(self) -> list[membership.Peer]:
+        """Return the peers that may keep an end."""
+        return [
+            peer
+            for peer in self.peers.reachable()
+            if peer.state is not None and not peer.state.draining
+        ]
+
+    def _choose(
+        self, candidates: list[membership.Peer], keeping: set[str], end: messages.End
+    ) -> membership.Peer:
+        """Return the next peer to tell: of a data centre of which none keeps the end.
+
+        Other data centres come first; the end's id spreads the ends over the peers.
+        """
+        reachable = self.peers.reachable()
+        sides = {self._is_near(p) for p in reachable if p.listed.name in keeping}
+        return min(
+            candidates,
+            key=lambda p: (
+                p.unresponsive,
+                self._is_near(p) in sides,
+                self._is_near(p),
+                shares.score(end.work.task_id, p.listed.name),
+            ),
+        )
+
+    def _is_near(self, peer: membership.Peer) -> bool:
+        return peer.listed.data_centre == self.data_centre
+
+    def _keeps(self, peer: membership.Peer, end: messages.End) -> bool:
+        answer = peer.channel.call(methods.KEEP_END, end, CALL_TIMEOUT_S)
+        if isinstance(answer, result.Err):
+            self.counters.count(f"work.peer_lost.{answer.err_value}")
+            return False
+        return answer.ok_value.kept
+
     def _ask(
         self, peer: membership.Peer, work: messages.Generation
     ) -> result.Result[messages.End | None, str]:
@@ -74,3 +173,8 @@
             return result.Ok(answer.ok_value.end)
         self.counters.count(f"work.peer_lost.{answer.err_value}")
         return result.Ok(None) if answer.err_value in KNOW_NOTHING else answer
+
+
+def incarnation_of(peer: membership.Peer) -> str:
+    """Return the run of a peer according to its last heartbeat."""
+    return peer.state.incarnation if peer.state is not None else ""
--- a/src/mangosail/work/messages.py
+++ b/src/mangosail/work/messages.py
@@ -89,6 +89,11 @@
     request_id: str
     number: int
 
+    @property
+    def task_id(self) -> str:
+        """Return the task id under which workers know the work."""
+        return f"{self.team}/{self.request_id}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -112,6 +117,13 @@
     end: End | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndKept:
+    """Whether a peer keeps the end that it was told."""
+
+    kept: bool
+
+
 class Told(enum.StrEnum):
     """The three outcomes of durable work that callers see."""
 
--- a/src/mangosail/work/registry.py
+++ b/src/mangosail/work/registry.py
@@ -13,7 +13,7 @@
 
 from mangosail.dispatch import messages as dispatch_messages
 from mangosail.placement import workers
-from mangosail.work import claims, messages
+from mangosail.work import claims, keepers, messages
 
 
 class Task:
@@ -44,6 +44,8 @@
         self.pending_row: messages.WorkRow | None = None
         #: True once a write of the next row has failed.
         self.unwritten = False
+        #: The peers that keep the end in the pending row.
+        self.told: frozenset[keepers.Keeper] = frozenset()
         #: Set when the task is removed: its last row, or None if that was not read.
         self.removed = gevent.event.AsyncResult()
 
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -31,6 +31,7 @@
     forwarding,
     inquiries,
     keepers,
+    kept_ends,
     leases,
     messages,
     moves,
@@ -101,11 +102,13 @@
         )
         self.ctx.end_listeners.append(self._release_placement)
         self.leases = leases.Leases(self.ctx)
-        self.ends = ends.Ends(self.ctx.registry)
-        task_inquiries = inquiries.Inquiries(
-            self.ctx, self.ends, end_peers or keepers.NoPeers()
+        end_peers = end_peers or keepers.NoPeers()
+        self.ends = ends.Ends(self.ctx.registry, end_peers)
+        task_inquiries = inquiries.Inquiries(self.ctx, self.ends, end_peers)
+        self.transitions = transitions.TaskTransitions(
+            self.ctx, self.ends, task_inquiries
         )
-        self.transitions = transitions.TaskTransitions(self.ctx, task_inquiries)
+        self.kept_ends = kept_ends.KeptEnds(self.ctx, self.ends, self.transitions)
         self.transitions.on_abandoned = task_placer.release
         self.starts = starts.Starts(
             self.ctx, self.transitions, moves.Moves(self.ctx, task_placer)
@@ -224,6 +227,7 @@
             if task.lock.acquire(blocking=False):
                 task.lock.release()
                 self.ctx.spawn(self._sweep_task, task)
+        self.ctx.spawn(self.kept_ends.write_all)
         self.adoption.scan_due()
         self.leases.renew_due()
 
--- a/src/mangosail/work/transitions.py
+++ b/src/mangosail/work/transitions.py
@@ -6,8 +6,17 @@
 import result
 
 from mangosail.dispatch import messages as dispatch_messages
+from mangosail.platform import batching
 from mangosail.platform import errors as platform_errors
-from mangosail.work import claims, context, inquiries, messages, outcomes, registry
+from mangosail.work import (
+    claims,
+    context,
+    ends,
+    inquiries,
+    messages,
+    outcomes,
+    registry,
+)
 
 log = logbook.Logger("work")
 
@@ -19,9 +28,13 @@
     """Writes the state transitions of the tasks of this instance."""
 
     def __init__(
-        self, ctx: context.Context, task_inquiries: inquiries.Inquiries
+        self,
+        ctx: context.Context,
+        known: ends.Ends,
+        task_inquiries: inquiries.Inquiries,
     ) -> None:
         self.ctx = ctx
+        self.ends = known
         self.inquiries = task_inquiries
         #: Called with a task whose row now names its next worker.
         self.on_reassigned: cabc.Callable[[registry.Task], None] | None = None
@@ -59,6 +72,14 @@
         self.transition(task, outcomes.lost_row(task.row, found.ok_value))
         return True
 
+    def record_end(self, task: registry.Task, end: messages.End) -> None:
+        """Record the end of a task that a peer knows."""
+        if task.removed.ready() or messages.generation_of(task.row) != end.work:
+            return
+        task.in_doubt = False
+        task.owned.ledger.release(task.task_id)
+        self.transition(task, outcomes.ended_row(task.row, end))
+
     def transition(self, task: registry.Task, row: messages.WorkRow) -> None:
         """Write the task's next row; `Runner.sweep` retries if the table is down.
 
@@ -89,9 +110,19 @@
             if not isinstance(written.err_value, platform_errors.Conflict):
                 self.ctx.counters.count("work.retry.end_not_written")
                 self._log_unwritten(task, written.err_value.reason)
+                self._tell_peers(task, written.err_value)
                 return
             self._resolve_conflict(task)
 
+    def _tell_peers(
+        self,
+        task: registry.Task,
+        error: platform_errors.Unavailable | platform_errors.Uncertain,
+    ) -> None:
+        """Have peers keep the end, unless only the queue of own writes is full."""
+        if error.reason != batching.STORE_BUSY:
+            self.ends.tell(task)
+
     def _apply_written(self, task: registry.Task, stored: claims.StoredRow) -> None:
         task.pending_row = None
         task.stored = stored
--- a/tests/work/steps/ends_steps.py
+++ b/tests/work/steps/ends_steps.py
@@ -8,10 +8,10 @@
 from mangosail.dispatch import messages as dispatch
 from mangosail.platform import errors
 from mangosail.telemetry import counters
-from mangosail.work import inquiries, keepers
+from mangosail.work import ends, inquiries, keepers
 
 #: Data centre of each instance.
-DATA_CENTRES = {"a": "near", "b": "near", "c": "far"}
+DATA_CENTRES = {"a": "near", "b": "near", "c": "far", "d": "near"}
 
 
 class Reach:
@@ -40,7 +40,7 @@
             name=instance.name, data_centre=DATA_CENTRES[instance.name]
         )
         self.state = types.SimpleNamespace(incarnation="1", draining=False)
-        self.unresponsive = False
+        self.unresponsive, self.is_reachable = False, True
         self.channel = self
 
     def call(self, method, message, timeout):
@@ -51,7 +51,8 @@
         return result.Ok(over_the_wire(answer, method.response_type))
 
 
-HANDLERS = {"find_end": "find_for_peer"}
+#: Method of `Ends` by the name of the call.
+HANDLERS = {"find_end": "find_for_peer", "keep_end": "keep_for_peer"}
 
 
 class Peers:
@@ -61,11 +62,16 @@
         self.by_name = {}
         self.has_list = True
 
+    def reachable(self):
+        return [peer for peer in self.by_name.values() if peer.is_reachable]
+
 
 def add_instance(context, name):
     """Add an instance and make it known to the others."""
     peers = Peers()
-    end_peers = keepers.PeerInstances(peers, counters.StatsdCounters(None, 0))
+    end_peers = keepers.PeerInstances(
+        peers, DATA_CENTRES[name], counters.StatsdCounters(None, 0)
+    )
     instance = fakes.Instance(context.world, name, end_peers=end_peers)
     claims = instance.runner.ctx.claims
     claims.rows = instance.reach = Reach(claims.rows)
@@ -77,20 +83,136 @@
     return instance
 
 
-@given("an instance that has heard the end of a release while cut off from the table")
-def heard(context):
+def run_release(context, *peers):
+    """Run a release at the first instance, which is cut off from the table."""
     context.world = fakes.World()
     context.worker = fakes.Worker(context.world, "w0")
     context.instances = {}
     context.first = add_instance(context, "a")
-    context.peer = add_instance(context, "b")
+    for name in peers:
+        add_instance(context, name)
+    context.peer = context.instances["b"]
     context.first.take(context.worker, 1)
     context.first.submit("r")
     context.first.reach.cut = True
+
+
+@given(
+    "an instance cut off from the table that has heard an end, and can't call its peer"
+)
+def heard(context):
+    run_release(context, "b")
+    context.peer.as_peer.fault = "deadline_exceeded"
+    hear_end(context)
+
+
+def hear_end(context):
     context.worker.end("team/r", dispatch.TaskState.DONE, "whole")
     context.first.hear(context.worker)
 
 
+@given("an instance cut off from the table that runs a release")
+def alone_cut(context):
+    run_release(context, "b")
+
+
+@given("two instances cut off from the table, one of which runs a release")
+def both_cut(context):
+    run_release(context, "b")
+    context.peer.reach.cut = True
+
+
+@given("instances of two data centres cut off from the table")
+def two_data_centres(context):
+    run_release(context, "b", "d", "c")
+    for instance in context.instances.values():
+        instance.reach.cut = True
+
+
+@given("the peer keeps as many ends as it may")
+def peer_full(context):
+    context.peer.runner.ends.kept_bytes = ends.MAX_KEPT_BYTES
+
+
+@when("it hears that the release has ended")
+def hears_end(context):
+    hear_end(context)
+
+
+@when("it dies, and the worker loses its state")
+def dies(context):
+    context.worker.lose_state()
+    for instance in context.instances.values():
+        instance.peers.by_name.pop("a", None)
+    del context.instances["a"]
+    context.first = add_instance(context, "a")
+
+
+@when("its new run takes the worker, as it reaches the table first")
+def new_run_takes(context):
+    context.first.take(context.worker, 2)
+    context.first.sweep()
+
+
+@when("the peer reaches the table again")
+def peer_reaches(context):
+    context.peer.reach.cut = False
+    context.peer.sweep()
+
+
+def keeping(context):
+    """Return the names of the instances that keep an end."""
+    instances = context.instances.items()
+    return {name for name, instance in instances if instance.runner.ends.kept}
+
+
+@when("the peer nearby that keeps it {changes}")
+def keeper_changes(context, changes):
+    (name,) = keeping(context) - {"c"}
+    peer = context.instances[name].as_peer
+    if changes == "starts again":
+        context.instances[name].runner.ends.kept.clear()
+    if changes == "is stopped":
+        peer.state.draining = True
+    elif changes == "starts again":
+        peer.state.incarnation = "2"
+    elif changes == "falls silent":
+        peer.is_reachable = False
+    context.first.sweep()
+
+
+@then("the end is kept by {names}")
+def kept_by(context, names):
+    assert keeping(context) == set(names.split(" and ")), keeping(context)
+
+
+@then("the end is kept in both data centres")
+def kept_in_both(context):
+    kept = keeping(context)
+    assert len(kept) == 2 and {DATA_CENTRES[name] for name in kept} == {"near", "far"}
+
+
+@then("the peer has ended the release as its own")
+def ended_as_own(context):
+    assert context.ended == ["completed"], context.ended
+    assert "team/r" not in context.peer.runner.ctx.registry
+
+
+@given("the peer will note what ends there")
+def note_ends(context):
+    context.ended = []
+    context.peer.runner.end_listeners.append(
+        lambda outcome, row: context.ended.append(outcome.outcome)
+    )
+
+
+@then("no end is kept any more")
+def none_kept(context):
+    for instance in context.instances.values():
+        instance.sweep()
+        assert not instance.runner.ends.kept, instance.name
+
+
 def lose_worker(context):
     """The peer takes the worker, as the session of the first instance has expired."""
     context.first.lease.holds = False
@@ -171,7 +293,7 @@
 @then("both instances tell the release as completed")
 def told_completed(context):
     for instance in (context.peer, context.first):
-        instance.reach.cut = False
+        instance.reach.cut, instance.as_peer.fault = False, ""
         instance.sweep()
     for instance in (context.peer, context.first):
         told = told_by(instance)
