Let a planned stop wait for ends that only it knows

Callers were told worker_lost for good of orders that had ended done: a stop gave the workers up and ended 2 s after its last request, with most of its time limit unused, although it had ends that the table had not taken. Cause: a stop waited for requests in flight, and not for what was known or heard there alone. While the table is away nobody can take the workers either, so an order that ended after the stop was heard by nobody.

After its requests, and before peers can't ask it any more, a stop now waits within its limit until each unwritten end is written or kept by a peer that runs on, and, if orders still run, until the table has answered a renewal since. Ends that it keeps for others are passed on. What is left at the limit is counted and named in the log. A stop with nothing to write is as short as before: 'A stop with nothing in flight does not wait for a table that is away' stands unchanged, and so do the limits of tests/front.

--- a/src/mangosail/front/stopping.py
+++ b/src/mangosail/front/stopping.py
@@ -26,14 +26,16 @@
 
     First the load balancer is given time to send callers elsewhere. Then watches are
     ended at a point from which they can be resumed, the listening socket is closed and
-    requests in flight are completed. Worker ownership is handed over only after that:
-    callers who wait here for the end of their work need the workers' reports.
+    requests in flight are completed. Worker ownership is handed over only after that,
+    and once nothing known here only would be lost: callers who wait here for the end of
+    their work need the workers' reports.
     """
 
     def __init__(
         self,
         front: context.Front,
         httpd: server.Server,
+        settle: cabc.Callable[[float], object],
         stop_peers: cabc.Callable[[float], None],
         hand_over: cabc.Callable[[float], object],
         clock: clocks.Clock,
@@ -42,6 +44,7 @@
     ) -> None:
         self.front = front
         self.httpd = httpd
+        self.settle = settle
         self.stop_peers = stop_peers
         self.hand_over = hand_over
         self.clock = clock
@@ -71,6 +74,8 @@
         self.front.watches.drain()
         self.httpd.close()
         self.httpd.finish_requests(self.clock.monotonic, requests_deadline)
+        # Peers ask for what is known here until it is settled.
+        self.settle(requests_deadline)
         self.stop_peers(max(requests_deadline - self.clock.monotonic(), 0.0))
         hand_over_deadline = min(deadline, self.clock.monotonic() + HAND_OVER_PERIOD_S)
         self.hand_over(hand_over_deadline - CALL_TIMEOUT_S)
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -330,6 +330,7 @@
         return stopping.Drain(
             self.front,
             httpd,
+            self.runner.settling.wait,
             stop_peers,
             self.owners.release_all,
             self.clock,
--- a/src/mangosail/ownership/session.py
+++ b/src/mangosail/ownership/session.py
@@ -62,6 +62,10 @@
         """Return whether the lease is valid now; check before each side effect."""
         return self.clock.monotonic() < self.deadline
 
+    def renewed_after(self, moment: float) -> bool:
+        """Return whether a renewal that was sent after `moment` has succeeded."""
+        return self.deadline >= moment + self.lease_duration
+
     def may_claim(self) -> bool:
         """Return whether workers may be acquired, now or once the lease is renewed."""
         return self.valid() or not self.table_unreachable
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -38,6 +38,7 @@
     outcomes,
     placing,
     registry,
+    settling,
     starts,
     transitions,
     waiting,
@@ -108,6 +109,7 @@
         self.transitions = transitions.TaskTransitions(
             self.ctx, self.ends, task_inquiries
         )
+        self.settling = settling.Settling(self.ctx, self.ends)
         self.kept_ends = kept_ends.KeptEnds(self.ctx, self.ends, self.transitions)
         self.transitions.on_abandoned = task_placer.release
         self.starts = starts.Starts(
