--- a/src/mangosail/front/replies.py
+++ b/src/mangosail/front/replies.py
@@ -8,7 +8,7 @@
 from mangosail.placement import errors as placement_errors
 from mangosail.work import errors as work_errors
 from mangosail.work import messages as work_messages
-from mangosail.work import runner
+from mangosail.work import submissions
 
 
 def refuse(resp: falcon.Response, refusal: messages.Refusal) -> None:
@@ -26,7 +26,7 @@
 
 def answer_work(
     resp: falcon.Response,
-    answer: result.Result[work_messages.Outcome, runner.SubmitError],
+    answer: result.Result[work_messages.Outcome, submissions.SubmitError],
 ) -> None:
     """Write the outcome of a piece of durable work."""
     if isinstance(answer, result.Err):
@@ -39,7 +39,7 @@
         headers.set_retry_after(resp, outcome.retry_after)
 
 
-def refuse_work(resp: falcon.Response, error: runner.SubmitError) -> None:
+def refuse_work(resp: falcon.Response, error: submissions.SubmitError) -> None:
     """Write why a piece of durable work was not accepted.
 
     The outcome is not `not_run`, even if the request was refused before it was claimed:
--- a/src/mangosail/jobs/work.py
+++ b/src/mangosail/jobs/work.py
@@ -6,7 +6,7 @@
 import result
 
 from mangosail.work import messages as work_messages
-from mangosail.work import runner
+from mangosail.work import submissions
 
 
 class WorkRunner(t.Protocol):
@@ -14,7 +14,7 @@
 
     def submit(
         self, request: work_messages.Request, deadline: float, forward: bool = True
-    ) -> result.Result[work_messages.Outcome, runner.SubmitError]:
+    ) -> result.Result[work_messages.Outcome, submissions.SubmitError]:
         """Run or resume `request`, or return the outcome of an earlier run.
 
         Unless `forward` is set, it is not forwarded to a peer.
--- a/tests/work/steps/acceptance_steps.py
+++ b/tests/work/steps/acceptance_steps.py
@@ -79,7 +79,7 @@
             instance.take(fakes.Worker(world, f"w{number}"), 1)
         context.peers.append(Peer(instance, fault))
     context.instance = asked = fakes.Instance(world, "a")
-    asked.runner.forwarding = forwarding.Forwarding(
+    asked.runner.submissions.forwarding = forwarding.Forwarding(
         Peers(context.peers), "dc", world.clock, asked.counters
     )
 
