Don't wait for the end of a task that is there

A cancellation (and any call that waits for a task) could hang for ever, its caller without an answer.

Ruled out: calls held back by the test (none left), tasks or claims without an end (none left), timeouts of 0 alone (8,000 waits of that kind returned).

--- a/src/mangosail/work/waiting.py
+++ b/src/mangosail/work/waiting.py
@@ -21,7 +21,10 @@
     def wait_for_task(self, task: registry.Task, deadline: float) -> messages.Outcome:
         """Wait for the end of a task that was registered here."""
         remaining = max(deadline - self.ctx.clock.monotonic(), 0.0)
-        task.removed.wait(timeout=remaining)
+        if not task.removed.ready():
+            # gevent may lose whoever begins to wait for a result while others that
+            # waited for it are woken, and ignores the timeout then.
+            task.removed.wait(timeout=remaining)
         if not task.removed.ready():
             return outcomes.outcome_of(task.row)
         row = task.removed.get()
