Write kept ends one pass at a time, and name what is logged of an end

A pass over the kept ends may take more than a second at a slow table; a second one would have read the same rows beside it.

--- a/src/mangosail/work/ends.py
+++ b/src/mangosail/work/ends.py
@@ -63,7 +63,7 @@
             return messages.EndKept(False)
         self.kept[end.work] = KeptEnd(end, size)
         self.kept_bytes += size
-        log.info("end kept for a peer", **described(end))
+        log.info("end kept for a peer", **log_fields(end))
         if self.on_kept is not None:
             self.on_kept(end)
         return messages.EndKept(True)
@@ -91,7 +91,7 @@
         told = self.peers.tell(end, known)
         if told != known:
             names = sorted(keeper.name for keeper in told)
-            log.info("end told to peers", peers=names, **described(end))
+            log.info("end told to peers", peers=names, **log_fields(end))
         return told
 
     def known_here_only(self) -> list[messages.End]:
@@ -111,7 +111,7 @@
     return outcomes.end_of(row) if row is not None else None
 
 
-def described(end: messages.End) -> dict[str, object]:
+def log_fields(end: messages.End) -> dict[str, object]:
     """Return the log fields of an end."""
     return {
         "task": end.work.task_id,
--- a/src/mangosail/work/keepers.py
+++ b/src/mangosail/work/keepers.py
@@ -20,8 +20,6 @@
 KNOW_NOTHING = frozenset({"unimplemented", "cancelled"})
 #: Stands for the peers that are not known yet, before the platform's list was read.
 UNLISTED = "unlisted"
-
-
 #: Peers that keep an end. One is in another data centre, if there is any: it may reach
 #: the table while the own data centre is cut off.
 KEEPER_COUNT = 2
--- a/src/mangosail/work/kept_ends.py
+++ b/src/mangosail/work/kept_ends.py
@@ -22,6 +22,8 @@
         self.ends = known
         self.transitions = task_transitions
         known.on_kept = self.write_soon
+        #: True while `write_all` runs; a slow table makes it take more than a second.
+        self.writing = False
 
     def write_soon(self, end: messages.End) -> None:
         """Start to write an end that was just told."""
@@ -29,8 +31,13 @@
 
     def write_all(self) -> None:
         """Write all kept ends; called once a second."""
-        if self.ends.kept:
+        if self.writing:
+            return
+        self.writing = True
+        try:
             self._write_all([kept.end for kept in self.ends.kept.values()])
+        finally:
+            self.writing = False
 
     def _write_all(self, kept: list[messages.End]) -> None:
         by_key = {
@@ -59,7 +66,7 @@
         written = self.ctx.claims.write(row, stored.version)
         if isinstance(written, result.Ok):
             self.ctx.counters.count("work.ended_for_peer")
-            log.info("end written for a peer", **ends.described(end))
+            log.info("end written for a peer", **ends.log_fields(end))
             self.ends.forget(end.work)
         elif not isinstance(written.err_value, platform_errors.Conflict):
             self.ctx.counters.count("work.retry.kept_end_not_written")
--- a/src/mangosail/work/runner.py
+++ b/src/mangosail/work/runner.py
@@ -207,7 +207,8 @@
             if task.lock.acquire(blocking=False):
                 task.lock.release()
                 self.ctx.spawn(self._sweep_task, task)
-        self.ctx.spawn(self.kept_ends.write_all)
+        if self.ends.kept:
+            self.ctx.spawn(self.kept_ends.write_all)
         self.adoption.scan_due()
         self.leases.renew_due()
 
