Call peers about ends in one place, and find the running ones once

Read once more, no behaviour changes. Cause: the change counted a failed call to a peer in two places, built a keeper in two, had two functions for the row of lost work of which one was called by the other alone, and a waiting stop listed the running peers anew for each end, each 0.05 s.

--- a/src/mangosail/work/ends.py
+++ b/src/mangosail/work/ends.py
@@ -95,13 +95,12 @@
         return told
 
     def known_here_only(self) -> list[messages.End]:
-        """Return the unwritten ends that no present peer keeps."""
+        """Return the unwritten ends that no running peer keeps."""
+        running = self.peers.running()
         own = [(own_end(task), task.told) for task in self.tasks]
         kept = [(each.end, each.told) for each in self.kept.values()]
         return [
-            end
-            for end, told in [*own, *kept]
-            if end is not None and not self.peers.present(told)
+            end for end, told in [*own, *kept] if end is not None and not told & running
         ]
 
 
--- a/src/mangosail/work/keepers.py
+++ b/src/mangosail/work/keepers.py
@@ -10,6 +10,7 @@
 import result
 
 from mangosail.membership import peers as membership
+from mangosail.membership import rpc
 from mangosail.ownership import shares
 from mangosail.telemetry import counters as telemetry
 from mangosail.work import messages, methods
@@ -56,8 +57,8 @@
         `known` are those that were told before; some of them may be gone.
         """
 
-    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
-        """Return those of `known` that still run and don't stop."""
+    def running(self) -> frozenset[Keeper]:
+        """Return the reachable peers that don't stop, as keepers."""
 
 
 class NoPeers:
@@ -71,7 +72,7 @@
         """Return that nobody keeps `end`."""
         return frozenset()
 
-    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
+    def running(self) -> frozenset[Keeper]:
         """Return that nobody is there."""
         return frozenset()
 
@@ -105,7 +106,7 @@
 
     def tell(self, end: messages.End, known: frozenset[Keeper]) -> frozenset[Keeper]:
         """Have `KEEPER_COUNT` peers keep `end`; return those that do."""
-        keeping = set(self.present(known))
+        keeping = set(known & self.running())
         candidates = self._candidates()
         for _ in range(MAX_TOLD):
             names = {keeper.name for keeper in keeping}
@@ -115,16 +116,12 @@
             peer = self._choose(candidates, names, end)
             candidates.remove(peer)
             if self._keeps(peer, end):
-                keeping.add(Keeper(peer.listed.name, incarnation_of(peer)))
+                keeping.add(keeper_of(peer))
         return frozenset(keeping)
 
-    def present(self, known: frozenset[Keeper]) -> frozenset[Keeper]:
-        """Return those of `known` that still run and don't stop."""
-        running = {
-            Keeper(peer.listed.name, incarnation_of(peer))
-            for peer in self._candidates()
-        }
-        return known & running
+    def running(self) -> frozenset[Keeper]:
+        """Return the reachable peers that don't stop, as keepers."""
+        return frozenset(keeper_of(peer) for peer in self._candidates())
 
     def _candidates(self) -> list[membership.Peer]:
         """Return the peers that may keep an end."""
@@ -157,22 +154,31 @@
         return peer.listed.data_centre == self.data_centre
 
     def _keeps(self, peer: membership.Peer, end: messages.End) -> bool:
-        answer = peer.channel.call(methods.KEEP_END, end, CALL_TIMEOUT_S)
-        if isinstance(answer, result.Err):
-            self.counters.count(f"work.peer_lost.{answer.err_value}")
-            return False
-        return answer.ok_value.kept
+        answer = self._call(peer, methods.KEEP_END, end)
+        return isinstance(answer, result.Ok) and answer.ok_value.kept
 
     def _ask(
         self, peer: membership.Peer, work: messages.Generation
     ) -> result.Result[messages.End | None, str]:
-        answer = peer.channel.call(methods.FIND_END, work, CALL_TIMEOUT_S)
+        answer = self._call(peer, methods.FIND_END, work)
         if isinstance(answer, result.Ok):
             return result.Ok(answer.ok_value.end)
-        self.counters.count(f"work.peer_lost.{answer.err_value}")
         return result.Ok(None) if answer.err_value in KNOW_NOTHING else answer
 
+    def _call(
+        self,
+        peer: membership.Peer,
+        method: rpc.Method[rpc.RequestT, rpc.ResponseT],
+        message: rpc.RequestT,
+    ) -> result.Result[rpc.ResponseT, str]:
+        """Call a peer, and count the status of a failure."""
+        answer = peer.channel.call(method, message, CALL_TIMEOUT_S)
+        if isinstance(answer, result.Err):
+            self.counters.count(f"work.peer_lost.{answer.err_value}")
+        return answer
+
 
-def incarnation_of(peer: membership.Peer) -> str:
+def keeper_of(peer: membership.Peer) -> Keeper:
     """Return the run of a peer according to its last heartbeat."""
-    return peer.state.incarnation if peer.state is not None else ""
+    incarnation = peer.state.incarnation if peer.state is not None else ""
+    return Keeper(peer.listed.name, incarnation)
--- a/src/mangosail/work/outcomes.py
+++ b/src/mangosail/work/outcomes.py
@@ -76,8 +76,13 @@
     )
 
 
-def worker_lost_row(row: messages.WorkRow) -> messages.WorkRow:
-    """Return the row of claimed work whose worker is gone or has lost its state."""
+def lost_row(row: messages.WorkRow, end: messages.End | None) -> messages.WorkRow:
+    """Return the row of claimed work whose worker is gone or has lost its state.
+
+    `end` is how it ended before, or None if nobody knows.
+    """
+    if end is not None:
+        return ended_row(row, end)
     if row.request.restartable:
         return evicted_row(row, messages.WORKER_LOST)
     return dataclasses.replace(
@@ -114,11 +119,6 @@
     )
 
 
-def lost_row(row: messages.WorkRow, end: messages.End | None) -> messages.WorkRow:
-    """Return the row of claimed work lost with its worker, whose end may be known."""
-    return worker_lost_row(row) if end is None else ended_row(row, end)
-
-
 def lacks_end(row: messages.WorkRow, end: messages.End) -> bool:
     """Return whether `row` is about the same generation and has no end yet."""
     is_claimed = row.state is messages.State.CLAIMED
