Add options for decisions that a deployment's settings call for

Further decisions of the scheduler must not change how existing deployments are served. Each gets an option, which the adapter derives from the settings: all are off where workers grant leases shorter than 7.5 s (an outage that runs can outlast). MANGOSAIL_DISABLED_OPTIONS switches single ones off; an unknown name ends the start with an error. docs/design/hard-load.md has the design of the parts; nothing uses the options yet.

--- a/src/mangosail/platform/deployment.py
+++ b/src/mangosail/platform/deployment.py
@@ -4,9 +4,12 @@
 import pathlib
 
 from mangosail import codec, errors
+from mangosail.scheduler import options, polling
 
 #: Environment variable with the path of this process's settings file.
 SETTINGS_VARIABLE = "MANGOSAIL_SETTINGS"
+#: Environment variable with names of scheduler options that are switched off.
+DISABLED_OPTIONS_VARIABLE = "MANGOSAIL_DISABLED_OPTIONS"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +47,14 @@
     max_fds: int = 4096
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultTolerance:
+    """Losses that the deployment must survive at the same time."""
+
+    #: Number of data centres.
+    zones: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSettings:
     """Location of the platform's store."""
@@ -64,9 +75,29 @@
     internal_ports: tuple[int, ...] = ()
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
+    fault_tolerance: FaultTolerance = FaultTolerance()
     #: Address of the service that tells which workers may run a step, if any.
     advice: str | None = None
 
+    @property
+    def scheduler_options(self) -> options.Options:
+        """Return the optional decisions that these settings call for.
+
+        They arrange work around runs that go on during an outage, which needs leases
+        that outlast one. Where leases are shorter, all runs have ended by then.
+        """
+        longest_outage = polling.LEASE_EXTENSION_S + polling.MAX_UNCONFIRMED_S
+        if self.bounds.hold_max_ms < longest_outage * 1000:
+            return options.NONE
+        return options.Options(
+            assign_ahead=True,
+            gather_jobs=self.fault_tolerance.zones > 0,
+            copy_tasks=True,
+            estimate_from_progress=True,
+            hand_over_lease=bool(self.internal_ports),
+            refuse_late_jobs=True,
+        )
+
     @property
     def peer_address(self) -> str:
         """Return the address that serves other instances; empty if there is none."""
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -21,7 +21,14 @@
     store,
     workers,
 )
-from mangosail.scheduler import advice, journal, leadership, scheduler, worker_limit
+from mangosail.scheduler import (
+    advice,
+    journal,
+    leadership,
+    options,
+    scheduler,
+    worker_limit,
+)
 from mangosail.telemetry import counters as telemetry
 from mangosail.telemetry import exposition, logs
 
@@ -44,8 +51,13 @@
 class Process:
     """One instance: serves callers, and schedules while it holds the lease."""
 
-    def __init__(self, settings: deployment.Deployment) -> None:
+    def __init__(
+        self,
+        settings: deployment.Deployment,
+        enabled: options.Options = options.NONE,
+    ) -> None:
         self.settings = settings
+        self.options = enabled
         self.clock = clocks.SystemClock()
         self.counters = telemetry.StatsdCounters(None, 0)
         self.store = store.Store(settings.platform.address)
@@ -155,6 +167,7 @@
             self.catalog.closed_data_centres,
             worker_limit.max_workers(self.leadership.cores, self.workers.max_workers),
             self.settings.bounds.hold_max_ms / 1000,
+            self.options,
         )
         if self.stopping:
             # The shutdown began during the claim, when there was nothing to release.
@@ -212,8 +225,10 @@
     """Run a process with the settings file that the environment names."""
     path = os.environ.get(deployment.SETTINGS_VARIABLE, "")
     settings = deployment.read(path)
+    disabled = os.environ.get(deployment.DISABLED_OPTIONS_VARIABLE, "")
+    enabled = settings.scheduler_options.without(disabled)
     handler = logs.setup(settings.node_name, settings.zone)
     try:
-        Process(settings).run()
+        Process(settings, enabled).run()
     finally:
         handler.flush()
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -30,6 +30,7 @@
     keys,
     listing,
     messages,
+    options,
     orders,
     polling,
     ports,
@@ -74,8 +75,10 @@
         closed_data_centres: fleet.ClosedDataCentres = frozenset,
         max_workers: int = sys.maxsize,
         max_lease: float = MAX_LEASE_S,
+        enabled: options.Options = options.NONE,
     ) -> None:
         self.rows = rows
+        self.options = enabled
         self.max_lease = max_lease
         self.retention = retention
         self.clock = clock
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -158,6 +158,23 @@
     And it is stopped while it claims the lease
     Then it releases the lease at once and claims it no more
 
+  Scenario Outline: Optional decisions are on only where the settings call for them
+    # Guards against deployments with short leases being served in another way.
+    Given a settings file of the platform with leases of <lease_ms> ms and <zones> data centres to lose
+    Then the options that are on are "<on>"
+
+    Examples:
+      | lease_ms | zones | on                                                                                             |
+      | 6000     | 1     |                                                                                                |
+      | 10000    | 1     | assign_ahead,gather_jobs,copy_tasks,estimate_from_progress,hand_over_lease,refuse_late_jobs   |
+      | 10000    | 0     | assign_ahead,copy_tasks,estimate_from_progress,hand_over_lease,refuse_late_jobs               |
+
+  Scenario: An operator switches options off, and a name that is none is an error
+    # Guards against a misspelt name that switches nothing off.
+    Given a settings file of the platform with leases of 10000 ms and 1 data centres to lose
+    Then without "gather_jobs, copy_tasks" neither of them is on
+    And without "gather_job" reading it fails and names "gather_jobs"
+
   Scenario: Settings without the store are refused, and the error names the field
     Given a settings file of the platform without the store
     Then reading it fails and names "platform"
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 import tempfile
 import types
@@ -373,6 +374,46 @@
     settings_file(context, {**SETTINGS, "bounds": {"config_apply_ms": limit_ms}})
 
 
+@given(
+    "a settings file of the platform with leases of {lease_ms:d} ms"
+    " and {zones:d} data centres to lose"
+)
+def step_lease_settings(context, lease_ms, zones):
+    settings_file(
+        context,
+        {
+            **SETTINGS,
+            "bounds": {"hold_max_ms": lease_ms},
+            "fault_tolerance": {"machines": 2, "zones": zones, "regions": 0},
+            "internal_ports": [7720, 7735],
+        },
+    )
+
+
+@then('the options that are on are "{names}"')
+@then('the options that are on are ""')
+def step_options(context, names=""):
+    found = dataclasses.asdict(deployment.read(context.path).scheduler_options)
+    on = ",".join(name for name, is_on in found.items() if is_on)
+    assert on == names, on
+
+
+@then('without "{names}" neither of them is on')
+def step_options_off(context, names):
+    found = deployment.read(context.path).scheduler_options.without(names)
+    assert not any(getattr(found, name.strip()) for name in names.split(",")), found
+
+
+@then('without "{names}" reading it fails and names "{known}"')
+def step_options_unknown(context, names, known):
+    try:
+        deployment.read(context.path).scheduler_options.without(names)
+    except program_errors.ConfigurationError as exc:
+        assert known in str(exc), exc
+        return
+    raise AssertionError("an unknown option was accepted")
+
+
 @when("an instance is created from it")
 def step_made(context):
     context.process = process.Process(deployment.read(context.path))
