Simulate data centres, faults of a whole one, and options

A replay had one data centre, so no load could lose one. A load now names its data centres, among which its workers are divided in turn, a fault of workers may name one, and a replay takes the options of its leaders.

--- a/src/mangosail/simulation/load.py
+++ b/src/mangosail/simulation/load.py
@@ -54,12 +54,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerFault:
-    """A share of the workers that is `speed` times as fast; at 0 they are lost."""
+    """A share of the workers that is `speed` times as fast; at 0 they are lost.
+
+    If it names a data centre, the share is one of the workers there.
+    """
 
     starts_at: float
     ends_at: float
     share: float
     speed: float
+    data_centre: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +79,8 @@
     leader_losses: tuple[float, ...] = ()
     #: Share of all cores that continuous jobs reserve from the beginning.
     standing_share: float = 1.0
+    #: Data centres, among which the workers are divided in turn.
+    data_centres: tuple[str, ...] = ("dc",)
 
     def rate(self, job_class: JobClass, now: float) -> float:
         """Return the jobs of a class that come a second."""
--- a/src/mangosail/simulation/replay.py
+++ b/src/mangosail/simulation/replay.py
@@ -15,6 +15,7 @@
     keys,
     leadership,
     messages,
+    options,
     polling,
     progress,
     scheduler,
@@ -151,8 +152,11 @@
 class Replay:
     """One load and one seed, with one leader after the other."""
 
-    def __init__(self, load: loads.Load, seed: int) -> None:
+    def __init__(
+        self, load: loads.Load, seed: int, enabled: options.Options = options.NONE
+    ) -> None:
         self.load = load
+        self.options = enabled
         self.rand = random.Random(seed)
         self.clock = SimulatedClock()
         self.rows = store.MemoryTable()
@@ -200,8 +204,9 @@
 
     def _add_worker(self, number: int, capacity: resources.Resources) -> None:
         name = f"w{number}"
+        data_centre = self.load.data_centres[number % len(self.load.data_centres)]
         entry = messages.WorkerEntry(
-            name, loads.POOL, f"{name}:1", "dc", capacity, frozenset()
+            name, loads.POOL, f"{name}:1", data_centre, capacity, frozenset()
         )
         self.workers.by_name[name] = workers.Worker(entry)
         self._put(WORKER_PREFIX + name, name)
@@ -225,6 +230,7 @@
             NoAdvisor(),
             self.clock,
             counters,
+            enabled=self.options,
         )
         self.workers.find_task = leader.find_task
         return leader
@@ -261,7 +267,12 @@
 
     def _begin_fault(self, fault: loads.WorkerFault) -> list[workers.Worker]:
         """Slow down or lose a share of the workers that are well; return them."""
-        well = [w for w in self.workers.by_name.values() if w.speed == 1.0]
+        well = [
+            worker
+            for worker in self.workers.by_name.values()
+            if worker.speed == 1.0
+            and fault.data_centre in ("", worker.entry.data_centre)
+        ]
         hit = self.rand.sample(well, round(fault.share * len(well)))
         for worker in hit:
             if not fault.speed:
