Gather the tasks of a job in one data centre

A job ends with its last task, and its tasks were spread over all workers: a data centre that was partitioned off, or a dead worker, delayed nearly every job in flight. With the option gather_jobs, each occurrence of a job has a home data centre, and on workers there with idle cores for the task the score has a bonus, and a further one where tasks of the job are, up to half of a step.

The home is chosen by idle cores (latency-critical work counts for best-effort steps as nothing idle, best-effort work for short ones as cores in use), or, for a new leader, by where most of the live tasks run. Cores of tasks placed in the same round count at once. A job whose data is in a suitable data centre gets that one. Without the option scores and placements are as before.

--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -3,7 +3,14 @@
 import collections.abc as cabc
 import dataclasses
 
-from mangosail.scheduler import fleet, interference, messages, progress, ranking
+from mangosail.scheduler import (
+    failure_domains,
+    fleet,
+    interference,
+    messages,
+    progress,
+    ranking,
+)
 
 #: Bonus in cores for placing a latency-critical task beside others: they gather on few
 #: workers, and best-effort tasks, which raise their latencies, get the rest to
@@ -44,9 +51,16 @@
 class Placer:
     """Chooses workers by free resources, constraints and colocation."""
 
-    def __init__(self, workers: fleet.Fleet, model: interference.Model) -> None:
+    def __init__(
+        self,
+        workers: fleet.Fleet,
+        model: interference.Model,
+        homes: failure_domains.JobHomes | None = None,
+    ) -> None:
         self.workers = workers
         self.model = model
+        #: Homes of the jobs; None if their tasks don't gather.
+        self.homes = homes
         #: Names of workers that are too slow for short tasks.
         self.slow_workers: frozenset[str] = frozenset()
 
@@ -62,7 +76,9 @@
         change_number = next(self.workers.change_numbers)
         if step.gang:
             candidates = self._candidates(step, service, self.workers, now)
-            return self._place_gang(step_run, tasks, candidates, now)
+            placements = self._place_gang(step_run, tasks, candidates, service, now)
+            self._record(placements)
+            return placements
         full_search = needs_full_search(step_run, now)
         searched: cabc.Iterable[fleet.Worker] = self.workers
         if not full_search:
@@ -73,7 +89,8 @@
                 if worker.last_change > step_run.searched_change
             ]
         candidates = self._candidates(step, service, searched, now)
-        placements = self._place_tasks(step_run, tasks, candidates, now)
+        placements = self._place_tasks(step_run, tasks, candidates, service, now)
+        self._record(placements)
         if len(placements) < len(tasks):
             step_run.searched_change = change_number
             if full_search:
@@ -156,14 +173,16 @@
         step_run: progress.StepRun,
         tasks: list[progress.Task],
         candidates: list[fleet.Worker],
+        service: str,
         now: float,
     ) -> list[Placement]:
         """Place one task after the other on the worker that is best by then.
 
         Only the chosen worker is scored again, so that a round stays short.
         """
+        preference = self._preference(step_run, service, now)
         ranked = ranking.Ranking(
-            {worker: self._score(step_run, worker) for worker in candidates}
+            {worker: self._score(step_run, worker, preference) for worker in candidates}
         )
         placements = []
         for task in tasks:
@@ -181,13 +200,33 @@
                 continue
             best.reserve(task)
             placements.append(Placement(task, best))
-            ranked.rank(best, self._score(step_run, best))
+            if preference is not None:
+                preference.record(best)
+            ranked.rank(best, self._score(step_run, best, preference))
             if task.suspect and not task.step.gang:
                 best.isolated_suspect = task
                 ranked.rank(best, None)
         return placements
 
-    def _score(self, step_run: progress.StepRun, worker: fleet.Worker) -> float | None:
+    def _preference(
+        self, step_run: progress.StepRun, service: str, now: float
+    ) -> failure_domains.Preference | None:
+        if self.homes is None:
+            return None
+        return self.homes.preference(step_run, service, now)
+
+    def _record(self, placements: cabc.Iterable[Placement]) -> None:
+        """Let the choice of further homes know of the cores that were taken."""
+        if self.homes is not None:
+            for placement in placements:
+                self.homes.record(placement.task, placement.worker)
+
+    def _score(
+        self,
+        step_run: progress.StepRun,
+        worker: fleet.Worker,
+        preference: failure_domains.Preference | None = None,
+    ) -> float | None:
         """Return the score of the step on a worker; None if it does not fit."""
         step = step_run.step
         if not fits(step, worker):
@@ -210,6 +249,11 @@
             if room < MIN_HEADROOM:
                 return None
             score += HEADROOM_WEIGHT * room
+        if (
+            preference is not None
+            and worker.entry.data_centre == preference.data_centre
+        ):
+            score += preference.bonus(worker)
         return score
 
     def _place_gang(
@@ -217,6 +261,7 @@
         step_run: progress.StepRun,
         tasks: list[progress.Task],
         candidates: list[fleet.Worker],
+        service: str,
         now: float,
     ) -> list[Placement]:
         """Place all members or none: a single one would only block its resources."""
@@ -224,9 +269,13 @@
             return []
         groups = [candidates]
         if step_run.step.same_rack:
-            groups = [*by_rack(candidates), candidates]
+            racks = by_rack(candidates)
+            preference = self._preference(step_run, service, now)
+            if preference is not None:
+                racks.sort(key=preference.is_home, reverse=True)
+            groups = [*racks, candidates]
         for group in groups:
-            placements = self._place_tasks(step_run, tasks, group, now)
+            placements = self._place_tasks(step_run, tasks, group, service, now)
             if len(placements) == len(tasks):
                 return placements
             for placement in placements:
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -15,10 +15,12 @@
 from mangosail.scheduler import (
     advice,
     estimates,
+    failure_domains,
     fleet,
     interference,
     journal,
     messages,
+    options,
     orders,
     placing,
     planning,
@@ -79,11 +81,18 @@
         changed: gevent.event.Event,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        enabled: options.Options = options.NONE,
     ) -> None:
         self.jobs = jobs
         self.workers = workers
         self.model = model
-        self.placer = placing.Placer(workers, model)
+        self.placer = placing.Placer(
+            workers,
+            model,
+            failure_domains.JobHomes(workers, counters)
+            if enabled.gather_jobs
+            else None,
+        )
         self.planner = planning.Planner(workers, estimator, self._queue)
         self.journal = job_journal
         self.orders = worker_orders
