Claim the lease from its live holder on request

Cause: a leader that the store refuses, and only it, keeps its lease until a standby has watched the row for 0.9 to 2 s.

Leadership.claim_from reads the row within 0.2 s, and claims against that version if the holder still has the token of the request. One greenlet at a time claims; a lease claimed on request is returned by the next check, which would otherwise take the row for that of an earlier process and claim once more. Requests are refused while this instance leads, stops, is slow or backs off, and read the row at most each 0.2 s. Nothing sends such requests yet.

--- a/src/mangosail/scheduler/errors.py
+++ b/src/mangosail/scheduler/errors.py
@@ -73,5 +73,37 @@
     fault: Fault
 
 
+class ClaimRefusal(enum.StrEnum):
+    """Reason for which an instance that was asked to take the lease did not."""
+
+    #: Another leader holds the lease.
+    SUPERSEDED = "superseded"
+    STOPPING = "stopping"
+    #: It leads by an earlier token than that of the request.
+    LEADING = "leading"
+    #: It handles another such request, or did so a moment ago.
+    BUSY = "busy"
+    SLOW = "slow"
+    BACKING_OFF = "backing_off"
+    #: It has much less processor time than the holder.
+    SMALL = "small"
+    #: It did not get the row of the lease in time.
+    STORE_AWAY = "store_away"
+    #: The row is missing, unreadable, or has a lower token than the request.
+    ROW_UNUSABLE = "row_unusable"
+    CLAIM_FAILED = "claim_failed"
+    #: A reason of another build.
+    OTHER = "other"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotClaimed:
+    """The lease was not claimed, or it is unknown whether the claim took effect."""
+
+    reason: ClaimRefusal
+    #: Highest token that was seen; 0 if none was.
+    token: int = 0
+
+
 class DeposedError(Exception):
     """Another instance leads, so this one must not make any more decisions."""
--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -12,12 +12,15 @@
 import dataclasses
 import random
 
+import gevent
+import gevent.event
+import gevent.lock
 import logbook
 import result
 
 from mangosail import clock as clocks
 from mangosail import codec
-from mangosail.scheduler import journal, keys, ports, speed
+from mangosail.scheduler import errors, journal, keys, ports, speed
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("leadership")
@@ -74,6 +77,15 @@
 #: Seconds for which an instance that released the lease because it was slow, or lost
 #: it, lets others claim it first.
 BACK_OFF_S = 8.0
+#: Seconds within which the lease must have been read for a claim on request. On a slow
+#: store a read takes 0.24 s and more, and another leader would be as slow.
+REQUESTED_READ_TIMEOUT_S = 0.2
+#: Seconds between two reads on request, so that a flood of requests costs the store
+#: little.
+REQUESTED_READ_INTERVAL_S = 0.2
+#: Smallest share of the holder's cores with which an instance claims on request. All
+#: starts go through the leader, and one with fewer is soon replaced by a faster one.
+MIN_CORES_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,16 +130,137 @@
         #: Elapsed time until which others may claim the lease first.
         self.back_off_until = 0.0
         self.check_interval = rand.uniform(MIN_CHECK_INTERVAL_S, MAX_CHECK_INTERVAL_S)
+        #: Held while the lease is claimed, by a check or on request.
+        self.claiming = gevent.lock.BoundedSemaphore()
+        #: The lease that was claimed on request, until the next check returns it. The
+        #: row then names this instance, which to a check looks like an earlier process.
+        self.taken_over: journal.HeldLease | None = None
+        #: Set once a check is due early.
+        self.check_now = gevent.event.Event()
+        #: Elapsed time before which no request to claim is served.
+        self.next_request_at = 0.0
+        #: Token by which this instance leads; 0 if it does not.
+        self.held_token = 0
+        #: True once requests to claim are refused.
+        self.closed = False
 
     def check(self) -> journal.HeldLease | None:
         """Check the lease once; return it if this instance has claimed it."""
+        self.check_now.clear()
+        if self.taken_over is not None:
+            return self._take_claimed()
         sent_at = self.clock.elapsed()
-        if not self._read(sent_at) or self.observed is None:
-            return None
-        self.speed.measure()
-        if not self._may_claim(sent_at) and not self._should_replace_holder(sent_at):
-            return None
-        return self._claim()
+        found = self._read(sent_at)
+        with self.claiming:
+            if self.taken_over is not None:
+                return self._take_claimed()
+            if not found or self.observed is None:
+                return None
+            self.speed.measure()
+            if not self._may_claim(sent_at) and not self._should_replace_holder(
+                sent_at
+            ):
+                return None
+            return self._claim(self.observed)
+
+    def wait_for_check(self) -> None:
+        """Wait until the next check is due, or the lease was claimed on request."""
+        self.check_now.wait(self.next_check_delay())
+
+    def close(self) -> journal.HeldLease | None:
+        """Refuse requests from now on; return a lease that was claimed meanwhile."""
+        self.closed = True
+        with self.claiming:
+            return self._take_claimed()
+
+    def ended(self) -> None:
+        """Record that this instance no longer leads."""
+        self.held_token = 0
+
+    def claim_from(
+        self, token: int
+    ) -> result.Result[journal.HeldLease, errors.NotClaimed]:
+        """Claim the lease from its live holder, who leads by `token` and asks for it.
+
+        The next check returns the claimed lease. The claim checks the version of the
+        row that was just read, so of several instances that were asked one succeeds.
+        """
+        now = self.clock.elapsed()
+        if now < self.next_request_at or not self.claiming.acquire(blocking=False):
+            return result.Err(errors.NotClaimed(errors.ClaimRefusal.BUSY))
+        try:
+            refused = self._refusal(token, now)
+            if refused is not None:
+                return result.Err(refused)
+            self.next_request_at = now + REQUESTED_READ_INTERVAL_S
+            return self._claim_from(token)
+        finally:
+            self.claiming.release()
+
+    def _refusal(self, token: int, now: float) -> errors.NotClaimed | None:
+        """Return why this instance should not lead now; None if it may."""
+        if self.held_token > token:
+            return errors.NotClaimed(errors.ClaimRefusal.SUPERSEDED, self.held_token)
+        if self.held_token:
+            return errors.NotClaimed(errors.ClaimRefusal.LEADING, self.held_token)
+        if self.closed:
+            return errors.NotClaimed(errors.ClaimRefusal.STOPPING)
+        if self.speed.slow:
+            return errors.NotClaimed(errors.ClaimRefusal.SLOW)
+        if now < self.back_off_until:
+            return errors.NotClaimed(errors.ClaimRefusal.BACKING_OFF)
+        return None
+
+    def _claim_from(
+        self, token: int
+    ) -> result.Result[journal.HeldLease, errors.NotClaimed]:
+        found = self._read_claimable(token)
+        if isinstance(found, result.Err):
+            return found
+        held = self._claim(found.ok_value)
+        if held is not None:
+            self.taken_over = held
+            self.check_now.set()
+            return result.Ok(held)
+        # The failed claim has read the chain, and the lease is read once more.
+        self.next_request_at += 2 * REQUESTED_READ_INTERVAL_S
+        again = self._read_claimable(token)
+        if isinstance(again, result.Err) and again.err_value.token > token:
+            return again
+        return result.Err(errors.NotClaimed(errors.ClaimRefusal.CLAIM_FAILED, token))
+
+    def _read_claimable(
+        self, token: int
+    ) -> result.Result[ObservedLease, errors.NotClaimed]:
+        """Read the lease, which the holder by `token` must still have."""
+        read = gevent.spawn(self.rows.read, [keys.LEASE])
+        read.join(REQUESTED_READ_TIMEOUT_S)
+        if not read.ready():
+            read.kill(block=False)
+            return result.Err(errors.NotClaimed(errors.ClaimRefusal.STORE_AWAY))
+        found = read.get()
+        if isinstance(found, result.Err):
+            return result.Err(errors.NotClaimed(errors.ClaimRefusal.STORE_AWAY))
+        row = found.ok_value.get(keys.LEASE)
+        try:
+            lease = codec.from_json(row.value, journal.Lease) if row else None
+        except codec.DecodeError:
+            lease = None
+        if row is None or lease is None or lease.token < token:
+            seen = lease.token if lease else 0
+            return result.Err(errors.NotClaimed(errors.ClaimRefusal.ROW_UNUSABLE, seen))
+        if lease.token > token:
+            refusal = errors.NotClaimed(errors.ClaimRefusal.SUPERSEDED, lease.token)
+            return result.Err(refusal)
+        if self.cores < MIN_CORES_SHARE * lease.cores:
+            return result.Err(errors.NotClaimed(errors.ClaimRefusal.SMALL, token))
+        now = self.clock.elapsed()
+        return result.Ok(ObservedLease(lease, row.version, now, now))
+
+    def _take_claimed(self) -> journal.HeldLease | None:
+        """Return the lease that was claimed on request, once."""
+        held, self.taken_over = self.taken_over, None
+        return held
 
     def next_check_delay(self) -> float:
         """Return the seconds until the next check; short while the lease is free."""
@@ -237,10 +370,7 @@
             return False
         return self.cores >= MIN_SPEED_RATIO * observed.lease.cores
 
-    def _claim(self) -> journal.HeldLease | None:
-        observed = self.observed
-        if observed is None:
-            return None
+    def _claim(self, observed: ObservedLease) -> journal.HeldLease | None:
         token = observed.lease.token + 1 if observed.lease else 1
         lease = journal.Lease(
             self.name,
@@ -268,6 +398,7 @@
         age = round(self.clock.elapsed() - observed.unchanged_since, 3)
         log.info("lease acquired", token=token, previous=previous, unchanged=age)
         self.counters.count("leadership.claimed")
+        self.held_token = token
         return journal.HeldLease(lease, version, version)
 
 
@@ -287,8 +418,10 @@
     """
     timeout = max(LEASE_TIMEOUT_S, MAX_MISSED_RENEWALS * lease.interval)
     if after_takeover:
-        timeout = max(
-            timeout,
-            LEASE_TIMEOUT_S + TAKEOVER_ALLOWANCE_S * lease.workers / lease.cores,
-        )
+        timeout = max(timeout, LEASE_TIMEOUT_S + takeover_allowance(lease))
     return min(timeout, MAX_LEASE_TIMEOUT_S)
+
+
+def takeover_allowance(lease: journal.Lease) -> float:
+    """Return the seconds by which a new holder may be late right after its takeover."""
+    return TAKEOVER_ALLOWANCE_S * lease.workers / lease.cores
