--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -116,6 +116,9 @@
         self.renewed_at = clock.elapsed()
         #: Elapsed time at which the latest committed transaction was sent.
         self.confirmed_at = clock.elapsed()
+        #: Elapsed time at which the present transaction was first sent; None if there
+        #: is none without a known outcome.
+        self.unconfirmed_since: float | None = None
         self.deposed = False
         #: True once the lease is to be released.
         self.releasing = False
@@ -154,7 +157,9 @@
         self.write_requested.clear()
         transaction, jobs = self._next_transaction()
         callbacks = self._due_callbacks(jobs)
+        self.unconfirmed_since = self.clock.elapsed()
         version = self._commit(transaction)
+        self.unconfirmed_since = None
         held = self.held
         wrote_lease = any(write.key == keys.LEASE for write in transaction.writes)
         self.held = dataclasses.replace(
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -24,6 +24,7 @@
     crashes,
     estimates,
     fleet,
+    handover,
     health,
     interference,
     journal,
@@ -76,6 +77,7 @@
         max_workers: int = sys.maxsize,
         max_lease: float = MAX_LEASE_S,
         enabled: options.Options = options.NONE,
+        successors: handover.Successors | None = None,
     ) -> None:
         self.rows = rows
         self.options = enabled
@@ -155,6 +157,17 @@
             counters,
         )
         self.orders.poll_now = self.poller.poll_now
+        #: Hands the lease over while the store refuses this instance; None if that is
+        #: off.
+        self.handover: handover.LeaseHandover | None = None
+        if enabled.hand_over_lease and successors is not None:
+            self.handover = handover.LeaseHandover(
+                self.journal, successors, self.give_up, clock, counters
+            )
+        #: Set once a peer has the lease that this leader asked it to take.
+        self.given_up = gevent.event.Event()
+        #: Called at that moment.
+        self.on_handed_over: cabc.Callable[[], None] = lambda: None
         self.greenlets = gevent.pool.Group()
         self.leading_since = clock.elapsed()
         #: True once all jobs have been read.
@@ -166,6 +179,8 @@
         """Schedule until another instance leads."""
         try:
             writing = self.greenlets.spawn(self.journal.run)
+            if self.handover is not None:
+                self.greenlets.spawn(self.handover.run)
             for watcher in self.load():
                 self.greenlets.spawn(watcher.run)
             self.polling_started = True
@@ -179,7 +194,11 @@
             self.greenlets.spawn(self.returns.run)
             self.greenlets.spawn(self.sweeper.run)
             self.greenlets.spawn(self.rounds.report_forever)
-            writing.get()
+            # Not until the journal's call to the store ends, after the lease has been
+            # handed over: it may last for seconds.
+            gevent.wait([writing, self.given_up], count=1)
+            if writing.ready():
+                writing.get()
         finally:
             self.greenlets.kill(block=False)
 
@@ -188,6 +207,14 @@
         self.rounds.stopping = True
         self.journal.release()
 
+    def give_up(self) -> None:
+        """Stop leading at once, as another instance has the lease."""
+        log.warning("lease handed over", token=self.journal.token)
+        self.rounds.stopping = True
+        self.journal.deposed = True
+        self.on_handed_over()
+        self.given_up.set()
+
     def find_task(self, name: str) -> progress.Task | None:
         """Return a task by name, or None if there is no such task."""
         job_id, _, numbers = name.partition(".")
