Serve and send requests to hand the lease over between instances

POST /lease-handover is served there if the option is on. Rows of instances tell their data centre and cores, with defaults for rows of earlier builds; earlier builds ignore the new fields.

--- a/src/mangosail/intake/peers.py
+++ b/src/mangosail/intake/peers.py
@@ -40,6 +40,10 @@
     address: str
     #: Wall time, on the clock of the instance, at which it last wrote its row.
     written_at: float = 0.0
+    #: Empty, and 0, in rows of earlier builds.
+    data_centre: str = ""
+    #: Processor share of the instance, in cores.
+    cores: float = 0.0
 
 
 class Peers:
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -23,6 +23,7 @@
 )
 from mangosail.scheduler import (
     advice,
+    handover,
     journal,
     leadership,
     options,
@@ -74,9 +75,15 @@
             self.store, self.catalog.stale, self.clock, self.counters
         )
         rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
+        cores = settings.limits.cpu_share * settings.limits.cores
         self.peers = peers.Peers(
             self.store,
-            peers.Peer(settings.node_name, settings.peer_address),
+            peers.Peer(
+                settings.node_name,
+                settings.peer_address,
+                data_centre=settings.zone,
+                cores=cores,
+            ),
             self.clock,
             self.counters,
             rand,
@@ -98,8 +105,16 @@
             self.clock,
             self.counters,
             rand,
-            settings.limits.cpu_share * settings.limits.cores,
+            cores,
         )
+        self.successors = peering.HttpSuccessors(
+            lambda: self.peers.known, settings.zone
+        )
+        if enabled.hand_over_lease:
+            successor = handover.Successor(self.leadership, self.counters)
+            self.peer_ingress.app.add_route(
+                peering.HANDOVER_PATH, peering.HandoverResource(successor)
+            )
         self.workers = workers.HttpWorkers(settings.limits.max_fds)
         self.advisor: advice.Advisor = advice.NoAdvisor()
         if settings.advice:
@@ -148,9 +163,13 @@
         while not self.stopping:
             held = self.leadership.check()
             if held is None:
-                self.clock.sleep(self.leadership.next_check_delay())
+                self.leadership.wait_for_check()
                 continue
             self._lead(held)
+        held = self.leadership.close()
+        if held is not None:
+            # Claimed on request while the shutdown began: it is released at once.
+            self._lead(held)
 
     def _lead(self, held: journal.HeldLease) -> None:
         self.scheduler = scheduler.Scheduler(
@@ -168,7 +187,10 @@
             worker_limit.max_workers(self.leadership.cores, self.workers.max_workers),
             self.settings.bounds.hold_max_ms / 1000,
             self.options,
+            self.successors,
         )
+        # The store refuses this instance, so another one should go on leading.
+        self.scheduler.on_handed_over = self.leadership.back_off
         if self.stopping:
             # The shutdown began during the claim, when there was nothing to release.
             # Without this the next leader would have to wait until the lease times out.
@@ -184,6 +206,7 @@
             log.exception("scheduler failed")
         finally:
             monitor.kill(block=False)
+            self.leadership.ended()
             self.scheduler = None
 
     def reload(self) -> None:
@@ -195,6 +218,7 @@
         if self.stopping:
             return
         self.stopping = True
+        self.leadership.closed = True
         deadline = self.clock.elapsed() + self.settings.bounds.grace_s - STOP_MARGIN_S
         try:
             self._stop(deadline)
