--- a/src/mangosail/scheduler/handover.py
+++ b/src/mangosail/scheduler/handover.py
@@ -187,9 +187,12 @@
         if since is None or self.journal.releasing or self.journal.deposed:
             return None
         now = self.clock.elapsed()
+        # A new leader is busy, and where the store is slow for all, it is late like the
+        # one before. Without these bounds, each would hand the lease over to the next.
+        if now < self.began_at + leadership.MIN_TENURE_S:
+            return None
         late_at = since + ASK_AFTER_S
         if now < self.began_at + leadership.TAKEOVER_PERIOD_S:
-            # A new leader is busy. If it handed the lease over, so would the next one.
             late_at += leadership.takeover_allowance(self.journal.held.lease)
         return since if now >= late_at else None
 
