Test hand-overs over HTTP and with real processes

The relay of a test can refuse connections, so that the store refuses one instance alone; deployments of tests take the longest lease, which decides on options.

--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -199,10 +199,11 @@
 
     def _refusal(self, token: int, now: float) -> errors.NotClaimed | None:
         """Return why this instance should not lead now; None if it may."""
-        if self.held_token > token:
-            return errors.NotClaimed(errors.ClaimRefusal.SUPERSEDED, self.held_token)
-        if self.held_token:
-            return errors.NotClaimed(errors.ClaimRefusal.LEADING, self.held_token)
+        held = self.held_token
+        if held > token:
+            return errors.NotClaimed(errors.ClaimRefusal.SUPERSEDED, held)
+        if held:
+            return errors.NotClaimed(errors.ClaimRefusal.LEADING, held)
         if self.closed:
             return errors.NotClaimed(errors.ClaimRefusal.STOPPING)
         if self.speed.slow:
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -1,7 +1,8 @@
 """TCP relay that can simulate a network partition between two processes.
 
 It runs in threads of the test. After ``relay.cut()`` connections stay open but no data
-is forwarded, as with packet loss; new connections are accepted but not served.
+is forwarded, as with packet loss; new connections are accepted but not served. After
+``relay.refuse()`` all connections are reset, and new ones are closed at once.
 """
 
 import socket
@@ -18,6 +19,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.open = set()
+        self.refusing = False
         threading.Thread(target=self.accept, daemon=True).start()
 
     def reset(self):
@@ -28,6 +30,13 @@
             )
             sock.close()
 
+    def refuse(self):
+        self.refusing = True
+        self.reset()
+
+    def accept_again(self):
+        self.refusing = False
+
     def cut(self):
         self.flowing.clear()
 
@@ -37,6 +46,9 @@
     def accept(self):
         while True:
             near, _ = self.listener.accept()
+            if self.refusing:
+                near.close()
+                continue
             self.open.add(near)
             threading.Thread(target=self.connect, args=(near,), daemon=True).start()
 
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -30,20 +30,27 @@
 class Deployment(stage.Stage):
     """All processes of a run, and the relays in front of them."""
 
-    def __init__(self, seed, keep_names=False):
+    def __init__(self, seed, keep_names=False, lease_ms=6000):
         super().__init__()
         self.seed = seed
+        #: Longest lease of a worker, by the settings; options depend on it.
+        self.lease_ms = lease_ms
+        #: Names of scheduler options that are switched off.
+        self.disabled_options = ""
         #: True if every other worker keeps its name when it restarts.
         self.keep_names = keep_names
         self.relays = {}
         self.fronts = {}
         self.store = stage.free_address()
 
-    def start_all(self):
+    def start_store(self):
         self.start("store", "-m", "tests.standins.store", "--address", self.store,
                    "--seed", str(self.seed))  # fmt: skip
         stage.wait_until(lambda: stage.call(self.store, "GET", "/dump"), what="store")
         self.configure()
+
+    def start_all(self):
+        self.start_store()
         for number in range(WORKERS):
             self.add_worker(f"worker-{number}")
         for number in range(INSTANCES):
@@ -79,11 +86,20 @@
                              "ready": f"{host}:{ports.free_port()}"},
             "platform": {"address": self.relays[name].address},
             "internal_ports": [internal_port, internal_port],
-            "bounds": {"status_s": 300, "grace_s": GRACE_S},
+            "bounds": {"status_s": 300, "grace_s": GRACE_S,
+                       "hold_max_ms": self.lease_ms},
         }  # fmt: skip
         path = self.logs / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.start(name, "deploy/serve.py", env={"MANGOSAIL_SETTINGS": str(path)})
+        env = {"MANGOSAIL_SETTINGS": str(path),
+               "MANGOSAIL_DISABLED_OPTIONS": self.disabled_options}  # fmt: skip
+        self.start(name, "deploy/serve.py", env=env)
+
+    def leader(self):
+        """Return the name of the instance that holds the lease, or None."""
+        rows = stage.call(self.store, "GET", "/dump").json()
+        leases = [json.loads(value) for *_, key, value in rows if key == "lease"]
+        return next((row["holder"] for row in leases if not row["released"]), None)
 
     def worker_entries(self):
         """Return the log entries of all workers, including those that were killed."""
