--- a/tests/adapter/handover.feature
+++ b/tests/adapter/handover.feature
@@ -41,6 +41,12 @@
     When a peer asks it by token 7 to take the lease
     Then the peer finds the path not served, and the lease row is unchanged
 
+  Scenario: A lease that is claimed while the process begins to stop is released
+    # Otherwise nobody would lead until it has timed out.
+    Given an instance that serves its peers, and a lease row with token 7
+    When a peer asks it by token 7 to take the lease, and it begins to stop meanwhile
+    Then the lease row with token 8 is released within 2 s, and the instance leads no more
+
   Scenario Outline: An answer that tells nothing is told apart
     Given a server that answers a request to take the lease with <reply>
     When it is asked to take the lease
--- a/tests/adapter/steps/handover_steps.py
+++ b/tests/adapter/steps/handover_steps.py
@@ -1,3 +1,4 @@
+import base64
 import collections
 import dataclasses
 import itertools
@@ -55,7 +56,7 @@
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump(settings, file)
         file.flush()
-        made = process.Process(deployment.read(file.name), enabled)
+        made = context.process = process.Process(deployment.read(file.name), enabled)
     assert made.catalog.refresh()
     context.address = f"127.0.0.1:{ports.free_port()}"
     front = server.create(
@@ -133,6 +134,39 @@
     assert context.platform.rows[LEASE] is context.row
 
 
+@when(
+    "a peer asks it by token {token:d} to take the lease, and it begins to stop"
+    " meanwhile"
+)
+def step_stops_meanwhile(context, token):
+    made = context.process
+    context.leading = gevent.spawn(made._lead_forever)
+    context.add_cleanup(context.leading.kill)
+    gevent.sleep(0.1)
+    commit = made.store.commit
+
+    def stop_after(transaction):
+        done = commit(transaction)
+        made.stopping = made.leadership.closed = True
+        return done
+
+    made.store.commit = stop_after
+    step_ask(context, token)
+    assert context.reply.status == 200, context.reply
+
+
+@then(
+    "the lease row with token {token:d} is released within {seconds:g} s, and the"
+    " instance leads no more"
+)
+def step_released(context, token, seconds):
+    context.leading.join(seconds)
+    assert context.leading.ready()
+    text = base64.b64decode(context.platform.rows[LEASE]["value"])
+    lease = codec.from_json(text, journal.Lease)
+    assert (lease.token, lease.released) == (token, True), lease
+
+
 @given("a server that answers a request to take the lease with {reply}")
 def step_server(context, reply):
     context.address = f"127.0.0.1:{ports.free_port()}"
