--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -123,20 +123,19 @@
         try:
             request = codec.from_json(body, handover.Request)
         except codec.DecodeError as exc:
-            respond_invalid(resp, str(exc))
+            self._respond_invalid(resp, str(exc))
             return
         if request.token < 1 or request.lease_version < 1:
-            respond_invalid(resp, "token and lease_version: expected 1 or more")
+            self._respond_invalid(resp, "token and lease_version: expected 1 or more")
             return
         answer = self.successor.handle(request)
         resp.status = HANDOVER_STATUSES[answer.outcome]
         resp.text = codec.to_json(answer)
 
-
-def respond_invalid(resp: falcon.Response, fault: str) -> None:
-    """Answer a malformed request to take the lease."""
-    resp.status = falcon.HTTP_BAD_REQUEST
-    resp.text = codec.to_json({"title": "invalid", "description": fault})
+    def _respond_invalid(self, resp: falcon.Response, fault: str) -> None:
+        self.successor.counters.count("handover.requested.malformed")
+        resp.status = falcon.HTTP_BAD_REQUEST
+        resp.text = codec.to_json({"title": "invalid", "description": fault})
 
 
 def decode_handover(
--- a/tests/adapter/steps/handover_steps.py
+++ b/tests/adapter/steps/handover_steps.py
@@ -119,6 +119,7 @@
 def step_malformed(context):
     assert context.reply.status == 400, context.reply
     assert context.platform.rows[LEASE] is context.row
+    assert context.process.counters.snapshot()["handover.requested.malformed"]
 
 
 @then("another peer that asks by token {token:d} meanwhile is answered {status:d}")
