--- a/src/mangosail/simulation/load.py
+++ b/src/mangosail/simulation/load.py
@@ -11,6 +11,8 @@
 POOL = "pool"
 #: Seconds from the loss of a leader until the next one has taken over.
 LEADERLESS_S = 1.2
+#: How many times as long the heavy jobs of a class take.
+HEAVY_TIMES = 7.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,8 @@
     latency_target: float = 0.0
     #: Share of jobs of which a worker takes one task of a step only.
     spread_out: float = 0.0
+    #: Share of jobs that take `HEAVY_TIMES` as long as their like, and as declared.
+    heavy_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +77,8 @@
     worker_faults: tuple[WorkerFault, ...] = ()
     #: Seconds at which the leader is lost; the next one leads `LEADERLESS_S` later.
     leader_losses: tuple[float, ...] = ()
+    #: Seconds between a worker's updates of the progress that it lists; 0 for always.
+    progress_interval: float = 0.0
     #: Share of all cores that continuous jobs reserve from the beginning.
     standing_share: float = 1.0
 
@@ -152,13 +158,15 @@
         image = f"{job_class.queue.name}-{self.rand.randrange(job_class.images)}"
         checkpointing = self.rand.random() < job_class.checkpointing
         spread_out = self.rand.random() < job_class.spread_out
+        heavy = job_class.heavy_share and self.rand.random() < job_class.heavy_share
+        times = HEAVY_TIMES if heavy else 1.0
         for number in range(max(1, round(self.lognormal(job_class.steps, 0.4)))):
             count = self.lognormal(job_class.tasks_per_step, job_class.tasks_spread)
             count = min(max(1, round(count)), job_class.max_tasks)
             mean = self.lognormal(job_class.seconds, job_class.seconds_spread)
             seconds.append(
                 tuple(
-                    mean * self.lognormal(1.0, job_class.unevenness)
+                    times * mean * self.lognormal(1.0, job_class.unevenness)
                     for _ in range(count)
                 )
             )
--- a/src/mangosail/simulation/workers.py
+++ b/src/mangosail/simulation/workers.py
@@ -39,6 +39,9 @@
     speed_limit: int = 100
     #: Phase of the load of a latency-critical task.
     phase: float = 0.0
+    #: Progress as listed, and the time of its last update.
+    listed_percent: int = 0
+    updated_at: float = 0.0
 
     @property
     def step(self) -> messages.Step:
@@ -50,6 +53,12 @@
         """Return the progress in percent."""
         return int(100 * (1 - self.left / self.total)) if self.total else 0
 
+    def update_listed(self, now: float, interval: float) -> None:
+        """Update the progress that the worker lists, at each interval."""
+        if now >= self.updated_at + interval:
+            self.updated_at = now
+            self.listed_percent = self.percent
+
 
 def find_no_task(name: str) -> progress.Task | None:
     """Return None: there is no leader yet."""
@@ -116,8 +125,14 @@
 class Workers:
     """All simulated workers; implements `ports.WorkerClient`."""
 
-    def __init__(self, clock: clocks.Clock, rand: random.Random) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rand: random.Random,
+        progress_interval: float = 0.0,
+    ) -> None:
         self.clock = clock
+        self.progress_interval = progress_interval
         self.rand = rand
         self.by_name: dict[str, Worker] = {}
         self.pressures: dict[tuple[str, str], float] = {}
@@ -140,8 +155,13 @@
     def advance(self, seconds: float) -> None:
         """Let all workers run for some seconds."""
         for worker in self.by_name.values():
-            if not worker.lost:
-                worker.advance(seconds)
+            if worker.lost:
+                continue
+            worker.advance(seconds)
+            for run in worker.runs.values():
+                run.update_listed(
+                    self.clock.elapsed() + seconds, self.progress_interval
+                )
 
     def record_harm(self, seconds: float) -> None:
         """Count how long latency-critical tasks were over their target."""
@@ -192,7 +212,9 @@
             task.job.job.job_id, self.rand.uniform(0, 2 * math.pi)
         )
         now = self.clock.elapsed()
-        worker.runs[order.task] = Run(task, order.run, total, left, now, phase=phase)
+        run = Run(task, order.run, total, left, now, phase=phase, updated_at=now)
+        run.listed_percent = run.percent
+        worker.runs[order.task] = run
         worker.has_news = True
         return result.Ok(self._milliseconds())
 
@@ -243,7 +265,7 @@
         shares = self._shares(polled)
         running = tuple(
             messages.RunningTask(
-                name, run.number, "", run.percent, self._measure(run, shares)
+                name, run.number, "", run.listed_percent, self._measure(run, shares)
             )
             for name, run in polled.runs.items()
         )
