--- a/src/mangosail/simulation/replay.py
+++ b/src/mangosail/simulation/replay.py
@@ -160,7 +160,7 @@
         self.rand = random.Random(seed)
         self.clock = SimulatedClock()
         self.rows = store.MemoryTable()
-        self.workers = workers.Workers(self.clock, self.rand)
+        self.workers = workers.Workers(self.clock, self.rand, load.progress_interval)
         draw = loads.Draw(load, seed)
         self.standing = draw.standing()
         self.coming = draw.arrivals()
