Record assignments of waiting tasks, and restore them as runs in doubt

Records can now name in advance the worker on which the next run of a waiting task may start; nothing makes such assignments yet.

A next leader takes an assignment for a run that may exist: the task is in doubt on that worker, with the next run number, until the worker was polled or its lease has expired. Such a run is no evidence of a crash, is not counted as lost, and does not count its job as started. A record without assignments is written as before, without the field; one with an unknown worker is rejected. Assignments are left out of a record that would be too long.

--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -106,9 +106,9 @@
 
         The record names the worker, not its incarnation. If the current one has only
         just begun, the run may have crashed the previous one, under a leader that never
-        learned of it.
+        learned of it. An assignment does not show that there was a run.
         """
-        if worker.clock > RECENT_RESTART_MS:
+        if task.from_assignment or worker.clock > RECENT_RESTART_MS:
             return ()
         task.crashes += 1
         task.suspect = True
@@ -134,7 +134,9 @@
     return tuple(
         Suspect(task, is_recent_start(worker, task), task.start_confirmed)
         for task in worker.tasks.values()
-        if may_have_started(task) and not was_stable(worker, task)
+        if may_have_started(task)
+        and not task.from_assignment
+        and not was_stable(worker, task)
     )
 
 
--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -81,8 +81,10 @@
         self.lease_deadline = 0.0
         #: Elapsed time by which all runs that an earlier leader started have ended.
         self.inherited_runs_until = 0.0
-        #: True once it has answered a call with this leader's fencing token.
+        #: True once it has answered a call with this leader's fencing token, and the
+        #: elapsed time at which it first did.
         self.contacted = False
+        self.first_contact_at = 0.0
         self.reachable = False
         #: Elapsed time before which nothing is placed there.
         self.avoid_until = 0.0
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -31,11 +31,14 @@
     """A task of a job, with at most one run at a time."""
 
     __slots__ = (
+        "assigned_worker",
+        "assignment_durable",
         "avoided_worker",
         "certain_crashes",
         "checkpoint",
         "crashes",
         "failures",
+        "from_assignment",
         "from_beginning",
         "index",
         "job",
@@ -122,6 +125,32 @@
         self.stop_confirmed_at: float | None = None
         #: Worker on which the last run failed; the next one is tried elsewhere.
         self.avoided_worker = ""
+        #: Name of the worker that each record from now on assigns to the next run;
+        #: empty for none.
+        self.assigned_worker = ""
+        #: True if the latest confirmed record of the job contains this assignment, and
+        #: so does each record that was sent since.
+        self.assignment_durable = False
+        #: True if an assignment of an earlier leader is all that is known of the run.
+        self.from_assignment = False
+
+    def assign(self, worker: str) -> None:
+        """Assign a worker to the next run; an empty name withdraws the assignment."""
+        if worker != self.assigned_worker:
+            self.assigned_worker = worker
+            self.assignment_durable = False
+
+    def confirm_assignment(self, run: int, worker: str) -> None:
+        """Record that the latest record, now confirmed, assigns a worker to a run."""
+        if self.assignment == (run, worker):
+            self.assignment_durable = True
+
+    @property
+    def assignment(self) -> tuple[int, str] | None:
+        """Return the next run and the worker that the record assigns to it, if any."""
+        if self.phase is not Phase.WAITING or not self.assigned_worker:
+            return None
+        return self.run + 1, self.assigned_worker
 
     def wait_again(self) -> None:
         """Record that the run has ended, or never began, and forget what it was like.
@@ -131,6 +160,7 @@
         """
         self.phase = Phase.WAITING
         self.worker = ""
+        self.from_assignment = False
         self.stop_confirmed_at = None
         self.speed_limit = FULL_SPEED
         self.speed_unknown = False
@@ -163,6 +193,7 @@
         "advice_pending",
         "allowed_workers",
         "approved_workers",
+        "assigned_while_blocked",
         "blocked_since",
         "done_count",
         "full_search_at",
@@ -198,6 +229,8 @@
         self.rate_samples = 0
         #: Elapsed time since when some of the tasks could not be placed.
         self.blocked_since: float | None = None
+        #: True once workers were assigned to its tasks for this wait.
+        self.assigned_while_blocked = False
         #: Number of the latest worker change at the last search that left tasks
         #: unplaced, and elapsed time from which all workers are searched again.
         self.searched_change = 0
@@ -273,6 +306,11 @@
         #: True once the removal of its row was requested.
         self.cleanup_requested = False
 
+    def begin(self) -> None:
+        """Record that the first run of the job starts, or has started."""
+        if self.state is messages.State.QUEUED:
+            self.state = messages.State.RUNNING
+
     @property
     def ended(self) -> bool:
         """Return whether the job is in a terminal state."""
@@ -376,8 +414,14 @@
         taken = sum(len(name) + sizes.NAME_OVERHEAD_BYTES for name in names)
         return self.spare_bytes - taken - len(begun) * sizes.TASK_BYTES
 
-    def record(self, checkpoints: bool = True) -> records.JobRecord:
-        """Return the record of the current progress."""
+    def record(
+        self, checkpoints: bool = True, assignments: bool = True
+    ) -> records.JobRecord:
+        """Return the record of the current progress.
+
+        A run that is only known from an assignment is recorded as one again, or as a
+        run that may exist if `assignments` are left out.
+        """
         if self.ended:
             return records.JobRecord(state=self.state, drop_at=self.drop_at)
         workers: dict[str, int] = {}
@@ -385,25 +429,74 @@
         for task in self.tasks():
             if not task.has_record:
                 continue
+            run, worker = task.run, task.worker
+            if assignments and task.from_assignment:
+                run, worker = run - 1, ""
+                if not run:
+                    continue
             position = -1
-            if task.worker:
-                position = workers.setdefault(task.worker, len(workers))
+            if worker:
+                position = workers.setdefault(worker, len(workers))
             rows.append(
                 (
                     task.step_run.occurrence,
                     task.step_run.number,
                     task.index,
-                    task.run,
+                    run,
                     task.failures,
                     position,
                     task.checkpoint if checkpoints else "",
                 )
             )
         done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
+        assigned = self._assignments(workers) if assignments else ()
         return records.JobRecord(
-            self.state, tuple(workers), tuple(rows), done, self._crashes()
+            self.state,
+            tuple(workers),
+            tuple(rows),
+            done,
+            self._crashes(),
+            assignments=assigned,
         )
 
+    def _assignments(
+        self, workers: dict[str, int]
+    ) -> tuple[tuple[int, int, tuple[int, ...]], ...]:
+        """Return rows of `AssignmentRecord`; adds their workers to `workers`."""
+        rows = []
+        for step_run in self.steps.values():
+            positions = []
+            for task in step_run.tasks:
+                name = ""
+                if task.phase is Phase.WAITING:
+                    name = task.assigned_worker
+                elif task.from_assignment:
+                    name = task.worker
+                positions.append(workers.setdefault(name, len(workers)) if name else -1)
+            while positions and positions[-1] < 0:
+                positions.pop()
+            if positions:
+                rows.append((step_run.occurrence, step_run.number, tuple(positions)))
+        return tuple(rows)
+
+    def recorded_assignments(self) -> list[tuple[Task, int, str]]:
+        """Return the waiting tasks that the record assigns, with run and worker."""
+        if self.ended:
+            return []
+        return [
+            (task, *assignment)
+            for task in self.tasks()
+            if (assignment := task.assignment) is not None
+        ]
+
+    def withdraw_assignments(self) -> bool:
+        """Withdraw all assignments, and return whether a record contained any."""
+        found = False
+        for task in self.tasks():
+            found |= task.from_assignment or bool(task.assigned_worker)
+            task.assign("")
+        return found
+
     def _crashes(self) -> tuple[tuple[int, int, int, int, int], ...]:
         return tuple(
             (
@@ -443,6 +536,27 @@
 
         for crashed in record.crashes:
             self._restore_crashes(records.CrashRecord(*crashed))
+        for assigned in record.assignments:
+            self._restore_assignments(
+                records.AssignmentRecord(*assigned), record.workers
+            )
+
+    def _restore_assignments(
+        self, stored: records.AssignmentRecord, workers: tuple[str, ...]
+    ) -> None:
+        """Treat the assigned runs as runs that may exist.
+
+        The earlier leader may have started them without a further record.
+        """
+        for index, position in enumerate(stored.workers):
+            task = self.find(stored.occurrence, stored.step, index)
+            if position < 0 or task is None or task.phase is not Phase.WAITING:
+                continue
+            task.run += 1
+            task.worker = workers[position]
+            task.phase = Phase.DOUBTFUL
+            task.from_assignment = True
+            task.speed_unknown = task.step.best_effort
 
     def _restore_crashes(self, stored: records.CrashRecord) -> None:
         task = self.find(stored.occurrence, stored.step, stored.index)
@@ -471,11 +585,20 @@
 def encode_job(job: JobProgress) -> str:
     """Encode a job's record so that it fits into a row.
 
-    If it is too long, checkpoints are left out. It always fits without them, even with
-    crashes of every task. The next leader then restarts runs that have ended in the
-    meantime from the beginning.
+    If it is too long, assignments are withdrawn, and then checkpoints are left out. It
+    always fits without them, even with crashes of every task. The next leader then
+    restarts runs that have ended in the meantime from the beginning.
     """
     text = records.encode(job.record())
-    if len(text.encode()) <= table.MAX_VALUE_BYTES:
+    if fits_in_row(text):
         return text
-    return records.encode(job.record(checkpoints=False))
+    if job.withdraw_assignments():
+        text = records.encode(job.record(assignments=False))
+        if fits_in_row(text):
+            return text
+    return records.encode(job.record(checkpoints=False, assignments=False))
+
+
+def fits_in_row(text: str) -> bool:
+    """Return whether an encoded record fits into a row."""
+    return len(text.encode()) <= table.MAX_VALUE_BYTES
--- a/src/mangosail/scheduler/records.py
+++ b/src/mangosail/scheduler/records.py
@@ -49,6 +49,17 @@
     certain_crashes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AssignmentRecord:
+    """Workers on which the next runs of a step's tasks may start without a record."""
+
+    occurrence: int
+    step: int
+    #: For each task, the index into the record's workers of the one that is assigned to
+    #: it; -1 for none. Trailing -1 are left out.
+    workers: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobRecord:
     """Durable record of a job's progress.
@@ -65,11 +76,26 @@
     crashes: tuple[tuple[int, int, int, int, int], ...] = ()
     #: Wall time from which the record may be dropped; 0 until the job has ended.
     drop_at: float = 0.0
+    #: Rows of `AssignmentRecord`.
+    assignments: tuple[tuple[int, int, tuple[int, ...]], ...] = ()
+
+
+#: Fields that are left out of the text if they are empty: those of optional decisions.
+OPTIONAL_FIELDS = frozenset({"assignments"})
 
 
 def encode(record: JobRecord) -> str:
     """Encode a record."""
-    return codec.to_json(record)
+    values = {
+        field.name: getattr(record, field.name) for field in dataclasses.fields(record)
+    }
+    return codec.to_json(
+        {
+            name: value
+            for name, value in values.items()
+            if value or name not in OPTIONAL_FIELDS
+        }
+    )
 
 
 def decode(text: str) -> JobRecord:
@@ -82,6 +108,10 @@
     for row in record.tasks:
         if TaskRecord(*row).worker >= len(record.workers):
             raise codec.DecodeError(f"task row with an unknown worker index: {row}")
+    for assigned in record.assignments:
+        positions = AssignmentRecord(*assigned).workers
+        if max(positions, default=-1) >= len(record.workers):
+            raise codec.DecodeError(f"assignment to an unknown worker: {assigned}")
     for done in record.done:
         if not HEX_DIGITS.fullmatch(DoneRecord(*done).tasks):
             raise codec.DecodeError(f"done tasks are not a hexadecimal number: {done}")
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -63,6 +63,8 @@
         """Process a report that was requested at the elapsed time `sent_at`."""
         first_contact = not worker.contacted
         worker.record_contact(report.clock, self.clock.elapsed())
+        if first_contact:
+            worker.first_contact_at = worker.last_contact_at
         worker.contacted = True
         self.crash_tracker.record_reachable(worker)
         for end in report.ended:
@@ -95,7 +97,8 @@
         )  # fmt: skip
         tasks = list(worker.tasks.values())
         for task in tasks:
-            self._log_lost_run(worker, task)
+            if not task.from_assignment:
+                self._log_lost_run(worker, task)
         if worker.removed:
             suspects = self.crash_tracker.record_incarnation_end(
                 worker, crashed=reason in CRASH_REASONS
@@ -156,6 +159,8 @@
             return
         task.job.started = True
         is_current = task.worker == worker.name and task.run == end.run and task.live
+        if is_current and task.from_assignment:
+            self._adopt_assigned_run(task)
         if crashes.ended_by_itself(end.outcome):
             crashes.reset_crash_counts(task)
         if end.outcome is messages.Outcome.DONE and not task.step.continuous:
@@ -235,6 +240,12 @@
                 "worker set aside", worker=worker.name, until=worker.avoid_until
             )
 
+    def _adopt_assigned_run(self, task: progress.Task) -> None:
+        """Record that an earlier leader has started a run under its assignment."""
+        task.from_assignment = False
+        task.job.begin()
+        self.on_change(task.job)
+
     def _requeue(self, worker: fleet.Worker, task: progress.Task, reason: str) -> None:
         """Requeue a task whose run has ended."""
         worker.release(task)
@@ -252,6 +263,8 @@
             return
         now = self.clock.elapsed()
         task.listed = True
+        if task.from_assignment:
+            self._adopt_assigned_run(task)
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
             if task.speed_unknown:
                 # If it is paused, that counts from now: when it counted from the
--- a/tests/scheduler/records.feature
+++ b/tests/scheduler/records.feature
@@ -27,3 +27,4 @@
       | a negative number      | {"done": [[0, 0, "-1"]]}         |
       | an unknown worker      | {"tasks": [[0, 0, 0, 1, 0, 3, ""]]} |
       | a row that is too long | {"done": [[0, 0, "1", 2]]}       |
+      | an unknown assignee    | {"assignments": [[0, 0, [-1, 3]]]} |
