Record second runs of tasks at the same time

Steps may allow that a task runs twice at the same time (copies_allowed), and nothing can represent it: a task has one run. A copy is a Task of its own in StepRun.copies, with its own run, worker and phase, and a row of JobRecord.copies. The rows are not part of tasks, which earlier builds read, and a record without copies is written as before. A restored copy is in doubt; it takes the place of a task that does not run. Rows that name one worker for a task and its copy, or two copies, can't be decoded, as such runs could not be told apart.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -27,13 +27,34 @@
 LIVE = frozenset({Phase.STARTING, Phase.RUNNING, Phase.DOUBTFUL, Phase.STOPPING})
 
 
+#: Attributes of a task that its runs and copies share.
+COUNTED_ATTRIBUTES = (
+    "avoided_worker",
+    "certain_crashes",
+    "copies_made",
+    "crashes",
+    "failures",
+    "not_before",
+    "relocations",
+    "suspect",
+)
+
+
 class Task:
-    """A task of a job, with at most one run at a time."""
+    """A task of a job, with at most one run at a time.
+
+    A second run at the same time, in a step that allows copies, is a `Task` of its own
+    in `StepRun.copies`.
+    """
 
     __slots__ = (
         "avoided_worker",
         "certain_crashes",
         "checkpoint",
+        "copied_run",
+        "copies_made",
+        "copy_of",
+        "copy_refusal",
         "crashes",
         "failures",
         "from_beginning",
@@ -122,6 +143,43 @@
         self.stop_confirmed_at: float | None = None
         #: Worker on which the last run failed; the next one is tried elsewhere.
         self.avoided_worker = ""
+        #: The task of which this is or was a copy; None for the task itself.
+        self.copy_of: Task | None = None
+        #: Highest run number of its copies and how many it had, as far as known.
+        self.copied_run = 0
+        self.copies_made = 0
+        #: Why it was last refused a copy; empty if it was not.
+        self.copy_refusal = ""
+
+    @property
+    def original(self) -> "Task":
+        """Return the task itself, of which this may be or have been a copy."""
+        task = self
+        while task.copy_of is not None:
+            task = task.copy_of
+        return task
+
+    @property
+    def copy(self) -> "Task | None":
+        """Return the copy of the task, if there is one."""
+        return self.step_run.copies.get(self.index)
+
+    @property
+    def highest_run(self) -> int:
+        """Return the highest number of its runs and those of its copies."""
+        return max(self.run, self.copied_run)
+
+    def plan_run(self, run: int, worker: str, checkpoint: str) -> None:
+        """Plan a run that starts once its record is durable."""
+        self.phase = Phase.STARTING
+        self.run = run
+        self.checkpoint = checkpoint
+        self.from_beginning = not checkpoint
+        self.worker = worker
+        self.start_sent_at = None
+        self.start_confirmed = False
+        self.listed = False
+        self.stop_confirmed_at = None
 
     def wait_again(self) -> None:
         """Record that the run has ended, or never began, and forget what it was like.
@@ -164,6 +222,7 @@
         "allowed_workers",
         "approved_workers",
         "blocked_since",
+        "copies",
         "done_count",
         "full_search_at",
         "job",
@@ -188,6 +247,8 @@
         self.number = number
         self.step = job.job.steps[number]
         self.tasks = [Task(self, index) for index in range(self.step.count)]
+        #: Second runs of tasks, by index. One whose task is done is being stopped.
+        self.copies: dict[int, Task] = {}
         #: How many of the tasks are done.
         self.done_count = 0
         #: Total seconds of its tasks' runs without a checkpoint, and their count.
@@ -231,6 +292,28 @@
         """Return whether all tasks are done."""
         return self.done_count == len(self.tasks)
 
+    def add_copy(self, task: Task) -> Task:
+        """Add a copy of a task, whose run is planned next."""
+        copy = Task(self, task.index)
+        copy.copy_of = task
+        self.copies[task.index] = copy
+        self.job.may_have_copies = True
+        return copy
+
+    def swap_with_copy(self, task: Task) -> Task:
+        """Let a task and its copy change places, and return the new task.
+
+        The objects keep their runs, to which pending orders refer. What is counted for
+        the task goes to the new one.
+        """
+        copy = self.copies[task.index]
+        self.tasks[task.index], self.copies[task.index] = copy, task
+        copy.copied_run = max(task.highest_run, copy.run)
+        for counted in COUNTED_ATTRIBUTES:
+            setattr(copy, counted, getattr(task, counted))
+        copy.copy_of, task.copy_of = None, copy
+        return copy
+
     def any_waiting(self) -> bool:
         """Return whether any task waits to be started."""
         return any(task.phase is Phase.WAITING for task in self.tasks)
@@ -261,6 +344,8 @@
         self.has_urgent_steps = any(
             not step.best_effort and not step.continuous for step in job.steps
         )
+        #: Whether copies of its tasks were planned or restored.
+        self.may_have_copies = False
         #: Bytes in the record for tasks that are not done, and whether they may not
         #: suffice for all of them at the same time.
         self.spare_bytes = sizes.spare_bytes(job)
@@ -283,6 +368,12 @@
         for step_run in self.steps.values():
             yield from step_run.tasks
 
+    def runs(self) -> cabc.Iterator[Task]:
+        """Iterate over all tasks and their copies."""
+        for step_run in self.steps.values():
+            yield from step_run.tasks
+            yield from step_run.copies.values()
+
     def find(self, occurrence: int, step: int, index: int) -> Task | None:
         """Return a task by its numbers, or None if the job has no such task."""
         step_run = self.steps.get((occurrence, step))
@@ -401,9 +492,40 @@
             )
         done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
         return records.JobRecord(
-            self.state, tuple(workers), tuple(rows), done, self._crashes()
+            self.state,
+            tuple(workers),
+            tuple(rows),
+            done,
+            self._crashes(),
+            copies=self.copy_rows(),
         )
 
+    def copy_rows(self) -> tuple[tuple[int, int, int, int, str], ...]:
+        """Return the rows of copies that may run, and of numbers that copies had.
+
+        Without the numbers, the next leader would give them to further copies, which
+        workers that ended the earlier ones reject.
+        """
+        if not self.may_have_copies:
+            return ()
+        rows = []
+        for step_run in self.steps.values():
+            place = step_run.occurrence, step_run.number
+            for task in step_run.tasks:
+                copy = step_run.copies.get(task.index)
+                if copy is not None:
+                    rows.append((*place, task.index, copy.run, copy.worker))
+                elif task.copied_run > task.run and task.phase is not Phase.DONE:
+                    rows.append((*place, task.index, task.copied_run, ""))
+        return tuple(rows)
+
+    def has_record_room_for_copy(self) -> bool:
+        """Return whether the record has room for one more copy beside all tasks."""
+        count = sum(len(step_run.tasks) for step_run in self.steps.values())
+        needed = count * (sizes.TASK_BYTES + sizes.MAX_NAME_BYTES)
+        needed += (len(self.copy_rows()) + 1) * sizes.COPY_BYTES
+        return needed <= self.spare_bytes
+
     def _crashes(self) -> tuple[tuple[int, int, int, int, int], ...]:
         return tuple(
             (
@@ -443,6 +565,28 @@
 
         for crashed in record.crashes:
             self._restore_crashes(records.CrashRecord(*crashed))
+        for copied in record.copies:
+            self._restore_copy(records.CopyRecord(*copied))
+
+    def _restore_copy(self, stored: records.CopyRecord) -> None:
+        task = self.find(stored.occurrence, stored.step, stored.index)
+        if task is None:
+            return
+        self.may_have_copies = True
+        task.copied_run = stored.run
+        # How many it had is not recorded. The numbers since its own run show it, unless
+        # a copy has taken its place.
+        task.copies_made = max(stored.run - task.run, 1)
+        if not stored.worker:
+            return
+        copy = task.step_run.add_copy(task)
+        copy.run = stored.run
+        copy.worker = stored.worker
+        copy.phase = Phase.DOUBTFUL
+        copy.checkpoint = task.checkpoint
+        if not task.live and task.phase is not Phase.DONE:
+            task.step_run.swap_with_copy(task)
+            del task.step_run.copies[task.index]
 
     def _restore_crashes(self, stored: records.CrashRecord) -> None:
         task = self.find(stored.occurrence, stored.step, stored.index)
--- a/src/mangosail/scheduler/records.py
+++ b/src/mangosail/scheduler/records.py
@@ -49,6 +49,20 @@
     certain_crashes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyRecord:
+    """Record of a second run of a task at the same time.
+
+    An empty worker stands for a copy that has ended, whose number is used up.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    worker: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobRecord:
     """Durable record of a job's progress.
@@ -65,11 +79,24 @@
     crashes: tuple[tuple[int, int, int, int, int], ...] = ()
     #: Wall time from which the record may be dropped; 0 until the job has ended.
     drop_at: float = 0.0
+    #: Rows of `CopyRecord`. Not part of `tasks`, as earlier builds also read its rows.
+    copies: tuple[tuple[int, int, int, int, str], ...] = ()
+
+
+#: Names of the fields that each record has.
+COMMON_FIELDS = tuple(
+    field.name for field in dataclasses.fields(JobRecord) if field.name != "copies"
+)
 
 
 def encode(record: JobRecord) -> str:
-    """Encode a record."""
-    return codec.to_json(record)
+    """Encode a record.
+
+    One without copies is written as by builds that make none.
+    """
+    if record.copies:
+        return codec.to_json(record)
+    return codec.to_json({name: getattr(record, name) for name in COMMON_FIELDS})
 
 
 def decode(text: str) -> JobRecord:
@@ -85,4 +112,30 @@
     for done in record.done:
         if not HEX_DIGITS.fullmatch(DoneRecord(*done).tasks):
             raise codec.DecodeError(f"done tasks are not a hexadecimal number: {done}")
+    check_copies(record)
     return record
+
+
+def check_copies(record: JobRecord) -> None:
+    """Raise `codec.DecodeError` for copies that could not be told from their tasks.
+
+    Runs are told apart by worker, so two of a task on one worker would never be
+    settled.
+    """
+    if not record.copies:
+        return
+    places = set()
+    for row in record.tasks:
+        task = TaskRecord(*row)
+        if task.worker >= 0:
+            name = record.workers[task.worker]
+            places.add((task.occurrence, task.step, task.index, name))
+    copied = set()
+    for each in record.copies:
+        copy = CopyRecord(*each)
+        numbers = copy.occurrence, copy.step, copy.index
+        if copy.run < 1:
+            raise codec.DecodeError(f"copy without a run: {each}")
+        if numbers in copied or (*numbers, copy.worker) in places:
+            raise codec.DecodeError(f"two copies, or one beside its task: {each}")
+        copied.add(numbers)
--- a/src/mangosail/scheduler/sizes.py
+++ b/src/mangosail/scheduler/sizes.py
@@ -20,6 +20,8 @@
 NAME_OVERHEAD_BYTES = 3
 MAX_NAME_BYTES = 200 + NAME_OVERHEAD_BYTES
 TYPICAL_NAME_BYTES = 40 + NAME_OVERHEAD_BYTES
+#: Bytes of a copy's row with the longest worker name, and of its share of the field.
+COPY_BYTES = 48 + MAX_NAME_BYTES
 #: Bytes kept free so that one task can start, and one that waits again can continue.
 MIN_SPARE_BYTES = TASK_BYTES + 2 * MAX_NAME_BYTES
 
