--- a/src/mangosail/scheduler/fleet.py
+++ b/src/mangosail/scheduler/fleet.py
@@ -84,6 +84,8 @@
         #: True once it has answered a call with this leader's fencing token.
         self.contacted = False
         self.reachable = False
+        #: Elapsed time since when an answer is overdue or calls fail; None if neither.
+        self.silent_since: float | None = None
         #: Elapsed time before which nothing is placed there.
         self.avoid_until = 0.0
         #: Number of the latest end that was processed, and of the latest durable one.
@@ -156,8 +158,19 @@
         self.clock = float(clock)
         self.last_contact_at = now
         self.reachable = True
+        self.silent_since = None
         self.last_change = next(self.change_numbers)
 
+    def mark_silent(self, since: float) -> None:
+        """Record that an answer was due at `since`, unless one was due before."""
+        if self.silent_since is None:
+            self.silent_since = since
+
+    def mark_unreachable(self, now: float) -> None:
+        """Record that a call has failed."""
+        self.reachable = False
+        self.mark_silent(now)
+
     def clock_at(self, now: float) -> float:
         """Return the estimated worker clock at elapsed time `now`, in ms."""
         return self.clock + (now - self.last_contact_at) * 1000
--- a/src/mangosail/scheduler/polling.py
+++ b/src/mangosail/scheduler/polling.py
@@ -138,7 +138,10 @@
             deadline,
             wait,
         )
+        due_at = self.clock.elapsed() + wait
         call.join(wait + self.orders.answer_timeout.seconds)
+        if not call.ready():
+            worker.mark_silent(due_at)
         if call.ready() or not self.poll_now(worker) or call.ready():
             return call.get()
         self.counters.count("workers.look_late")
@@ -277,7 +280,7 @@
                 reason=reason,
                 error=str(error),
             )
-        worker.reachable = False
+        worker.mark_unreachable(now)
         if worker.lease_expired(now):
             if worker.tasks:
                 self.reports.handle_worker_lost(worker, "lease_over")
