Start copies of tasks that are stuck

A worker becomes unresponsive, stalls or drains, and a short job waits for one task there until the lease expires, for 4.3 s and more, while callers want a response in 2.5 s. With the option copy_tasks, a task of a step that allows it gets a second run on another worker, if its worker has not responded for 0.4 s, is draining and leaves before the run ends, or the rest of the run is expected to take 1.5 times as long as a fresh one. The first end done counts and the other run is stopped. If the task's own run ends otherwise, the copy takes its place.

A task gets a copy only while attempts leave two failures, since both runs may fail. Without the option nothing changes.

--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
-    """A task that may have crashed a worker."""
+    """A task that may have crashed a worker, or a copy; the task is blamed for both."""
 
     task: progress.Task
     #: True if its start was among the last sent to the worker.
@@ -92,11 +92,12 @@
                 and recent[0].start_confirmed
                 and not self._is_correlated(worker)
             ):
-                recent[0].task.certain_crashes += 1
+                recent[0].task.original.certain_crashes += 1
             self.crash_times.append(worker.last_contact_at)
         for suspect in recent or suspects:
-            suspect.task.crashes += 1
-            suspect.task.suspect |= suspect.started_recently
+            task = suspect.task.original
+            task.crashes += 1
+            task.suspect |= suspect.started_recently
         return recent or suspects
 
     def record_missing_run(
@@ -110,8 +111,8 @@
         """
         if worker.clock > RECENT_RESTART_MS:
             return ()
-        task.crashes += 1
-        task.suspect = True
+        task.original.crashes += 1
+        task.original.suspect = True
         return (Suspect(task, started_recently=True, start_confirmed=False),)
 
     def _is_correlated(self, worker: fleet.Worker) -> bool:
@@ -169,7 +170,8 @@
 
 
 def reset_crash_counts(task: progress.Task) -> None:
-    """Reset the crash counts of a task."""
+    """Reset the crash counts of a task; a run of a copy clears it too."""
+    task = task.original
     task.crashes = task.certain_crashes = 0
     task.suspect = False
 
--- a/src/mangosail/scheduler/orders.py
+++ b/src/mangosail/scheduler/orders.py
@@ -20,6 +20,7 @@
 from mangosail import clock as clocks
 from mangosail.scheduler import (
     answer_timeout,
+    copies,
     errors,
     fleet,
     messages,
@@ -200,7 +201,7 @@
     ) -> None:
         now = self.clock.elapsed()
         if isinstance(error, errors.Silent):
-            worker.reachable = False
+            worker.mark_unreachable(now)
             self._mark_doubtful(task, worker, error.reason)
             return
         reason = type(error).__name__.lower()
@@ -210,7 +211,7 @@
         elif isinstance(error, errors.Unwell):
             worker.avoid_until = now + UNHEALTHY_BACKOFF_S
         else:
-            worker.reachable = False
+            worker.mark_unreachable(now)
         self._mark_not_started(task, worker, reason)
 
     def _handle_rejection(
@@ -238,7 +239,7 @@
         worker.release(task)
         if task.step.gang:
             self.stop_gang(task, reason)
-        task.wait_again()
+        copies.end_run(task, reason, self.counters)
         self.counters.count(f"orders.not_started.{reason}")
         log.info(
             "not started",
@@ -368,5 +369,7 @@
 
 
 def is_wanted(task: progress.Task) -> bool:
-    """Return whether the task should run at all."""
-    return not task.job.ended and not task.job.cancelled
+    """Return whether a run of the task, or a copy of it, should run at all."""
+    if task.job.ended or task.job.cancelled:
+        return False
+    return task.original.phase is not progress.Phase.DONE
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -117,6 +117,35 @@
         best.reserve(tasks[0])
         return [Placement(tasks[0], best)]
 
+    def place_copy(
+        self,
+        task: progress.Task,
+        copy: progress.Task,
+        service: str,
+        now: float,
+        avoided_data_centre: str = "",
+    ) -> Placement | None:
+        """Choose a worker for a copy of a task, and reserve its resources.
+
+        It is another one than that of the task, and outside of a data centre that is to
+        be avoided, if possible.
+        """
+        candidates = [
+            worker
+            for worker in self._candidates(task.step, service, self.workers, now)
+            if worker.name != task.worker and task.name not in worker.tasks
+        ]
+        elsewhere = [
+            worker
+            for worker in candidates
+            if worker.entry.data_centre != avoided_data_centre
+        ]
+        for group in (elsewhere, candidates):
+            placements = self._place_tasks(task.step_run, [copy], group, now)
+            if placements:
+                return placements[0]
+        return None
+
     def _low_impact_key(
         self, step: messages.Step, worker: fleet.Worker
     ) -> tuple[bool, float, float]:
--- a/src/mangosail/scheduler/relocation.py
+++ b/src/mangosail/scheduler/relocation.py
@@ -98,7 +98,7 @@
     def _move_off_slow_worker(self, worker: fleet.Worker, now: float) -> None:
         """Stop tasks that would end sooner if they continued on another worker."""
         for task in list(worker.tasks.values()):
-            if task.relocations >= stragglers.MAX_MOVES:
+            if task.relocations >= stragglers.MAX_MOVES or task.copy is not None:
                 continue
             if not self.speeds.worth_moving(task, worker, now):
                 continue
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -6,6 +6,7 @@
 
 from mangosail import clock as clocks
 from mangosail.scheduler import (
+    copies,
     crashes,
     estimates,
     fleet,
@@ -115,7 +116,7 @@
         self, worker: fleet.Worker, suspect: crashes.Suspect, reason: str
     ) -> None:
         """Record a suspicion, and fail the job if the task crashed enough workers."""
-        task = suspect.task
+        task = suspect.task.original
         if task.job.ended:
             return
         self.counters.count(f"reports.suspected.{reason}")
@@ -145,8 +146,18 @@
             phase=task.phase.name.lower(), failures=task.failures,
         )  # fmt: skip
 
+    def _find_run(
+        self, worker: fleet.Worker, name: str, run: int
+    ) -> progress.Task | None:
+        """Return the copy of a task if it has this run on the worker, else the task."""
+        task = self.find_task(name)
+        copy = task.copy if task else None
+        if copy is not None and copy.worker == worker.name and copy.run == run:
+            return copy
+        return task
+
     def _handle_end(self, worker: fleet.Worker, end: messages.RunEnd) -> None:
-        task = self.find_task(end.task)
+        task = self._find_run(worker, end.task, end.run)
         self.counters.count(f"reports.ended.{end.outcome.value}")
         log.info(
             "ended", task=end.task, run=end.run, worker=worker.name,
@@ -172,10 +183,14 @@
     ) -> None:
         now = self.clock.elapsed()
         self.health.record(worker, task.job.job.job_id, True, now)
-        if task.phase is progress.Phase.DONE:
+        if task.original.phase is progress.Phase.DONE:
+            if is_current:
+                # Both runs were completed; the other one counted.
+                self._requeue(worker, task, end.outcome.value)
             return
         if is_current:
             worker.release(task)
+            self._stop_other_run(copies.choose_run(task, self.counters))
             if task.from_beginning and not task.throttled_at:
                 self.estimator.record(task, now - task.started_at)
         else:
@@ -190,11 +205,20 @@
             )
             if task.live:
                 self._discard_run(task)
+            if task.copy is not None:
+                self.counters.count("copies.ended.lost")
+                self._stop_other_run(task.copy)
         task.job.mark_done(task)
         if task.step.gang:
             self._finish_gang(task)
         self.on_change(task.job)
 
+    def _stop_other_run(self, other: progress.Task | None) -> None:
+        """Stop the run of a pair that does not count; its room stays reserved."""
+        holder = self.worker_of(other) if other is not None else None
+        if other is not None and holder is not None:
+            self.orders.stop(other, holder, "superseded")
+
     def _finish_gang(self, task: progress.Task) -> None:
         """Mark all members of a gang as done, since one of them is."""
         for other in task.step_run.tasks:
@@ -225,7 +249,9 @@
 
     def _record_failure(self, worker: fleet.Worker, task: progress.Task) -> None:
         now = self.clock.elapsed()
-        task.failures += 1
+        task = task.original
+        # A task that is done must not make its job fail by its other run.
+        task.failures += task.phase is not progress.Phase.DONE
         task.avoided_worker = worker.name
         # A restart from the checkpoint of a failed run may fail the same way. The
         # platform permits it, and the work saved is worth more.
@@ -240,14 +266,15 @@
         worker.release(task)
         if task.worker != worker.name or not task.live:
             return
-        task.wait_again()
-        log.info("waiting again", task=task.name, run=task.run, reason=reason)
+        copies.end_run(task, reason, self.counters)
+        if task.original.phase is progress.Phase.WAITING:
+            log.info("waiting again", task=task.name, run=task.run, reason=reason)
         self.on_change(task.job)
 
     def _handle_running(self, worker: fleet.Worker, row: messages.RunningTask) -> None:
-        task = self.find_task(row.task)
+        task = self._find_run(worker, row.task, row.run)
         if task is None or task.worker != worker.name or task.run != row.run:
-            if task is None or task.run >= row.run or not task.live:
+            if task is None or task.highest_run >= row.run or not task.live:
                 self.orders.stop_unknown(worker, row)
             return
         now = self.clock.elapsed()
@@ -262,7 +289,7 @@
             task.start_confirmed = True
             task.job.started = True
             task.started_at = task.progressed_at = now
-        if task.crashes and crashes.is_stable(task, now):
+        if task.original.crashes and crashes.is_stable(task, now):
             crashes.reset_crash_counts(task)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
@@ -272,7 +299,8 @@
             task.progress_percent = row.progress_percent
             task.progressed_at = now
         if task.phase is progress.Phase.RUNNING and not orders.is_wanted(task):
-            self.orders.stop(task, worker, "cancelled")
+            done = task.original.phase is progress.Phase.DONE
+            self.orders.stop(task, worker, "superseded" if done else "cancelled")
 
     def _settle_speed(
         self,
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -14,11 +14,13 @@
 from mangosail import clock as clocks
 from mangosail.scheduler import (
     advice,
+    copies,
     estimates,
     fleet,
     interference,
     journal,
     messages,
+    options,
     orders,
     placing,
     planning,
@@ -79,6 +81,7 @@
         changed: gevent.event.Event,
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        enabled: options.Options = options.NONE,
     ) -> None:
         self.jobs = jobs
         self.workers = workers
@@ -101,6 +104,17 @@
             clock,
             counters,
         )
+        self.copier = copies.Copier(
+            jobs,
+            workers,
+            self.placer,
+            estimator,
+            self._start_copy,
+            self._has_advice,
+            self.service_of,
+            enabled,
+            counters,
+        )
         self.starts = gevent.pool.Pool(MAX_CONCURRENT_STARTS)
         #: The configuration in force, and its queues by name.
         self.current_catalog: messages.Catalog | None = None
@@ -216,6 +230,7 @@
                 continue
             placed = self._place_step(step_run, tasks, unplaced, now)
             failed_searches += searches_all and not placed
+        self.copier.start_some(ready, self.clock.elapsed())
 
     def _place_urgent(self) -> None:
         """Place the tasks of urgent steps that have become ready since the round began.
@@ -300,19 +315,20 @@
         )
         for placement in placements:
             task = placement.task
-            task.phase = progress.Phase.STARTING
             # The members of a gang share run number and checkpoint.
-            task.run = gang_run if gang else task.run + 1
-            task.checkpoint = gang_checkpoint if gang else task.checkpoint
-            task.from_beginning = not task.checkpoint
-            task.worker = placement.worker.name
-            task.start_sent_at = None
-            task.start_confirmed = False
-            task.listed = False
-            task.stop_confirmed_at = None
+            task.plan_run(
+                gang_run if gang else task.highest_run + 1,
+                placement.worker.name,
+                gang_checkpoint if gang else task.checkpoint,
+            )
         self.journal.record(job)
         self.journal.when_durable(lambda: self._send(placements))
 
+    def _start_copy(self, placement: placing.Placement) -> None:
+        """Record the planned run of a copy, and then send its start."""
+        self.journal.record(placement.task.job)
+        self.journal.when_durable(lambda: self._send([placement]))
+
     def _preempt_for(
         self, step_run: progress.StepRun, missing: int, service: str, now: float
     ) -> None:
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -128,6 +128,7 @@
             self.changed,
             clock,
             counters,
+            enabled,
         )
         self.reports = reports.ReportProcessor(
             self.find_task,
@@ -340,7 +341,8 @@
         self.counters.count("scheduler.jobs_taken")
         waited = round(self.clock.wall() - job.accepted_at, 3)
         log.info("job taken", job=job.job_id, queue=job.queue, waited=waited)
-        for task in held.tasks():
+        self.rounds.copier.report_unsupported(job)
+        for task in held.runs():
             if task.live:
                 self._reserve_inherited_run(task)
 
@@ -497,7 +499,7 @@
         self.counters.count(f"scheduler.jobs_ended.{state.value}")
         took = round(self.clock.wall() - job.job.accepted_at, 3)
         log.info("job ended", job=job.job.job_id, state=state.value, took=took)
-        for task in job.tasks():
+        for task in job.runs():
             worker = self.workers.get(task.worker)
             if worker is None:
                 continue
@@ -511,7 +513,7 @@
         if not job.cleanup_requested:
             job.cleanup_requested = True
             self.sweeper.job_ended(job.key, job.drop_at)
-        if any(task.live for task in job.tasks()):
+        if any(task.live for task in job.runs()):
             gevent.spawn_later(1.0, self._drop_job, job)
             return
         self.jobs.pop(job.job.job_id, None)
--- a/src/mangosail/scheduler/stragglers.py
+++ b/src/mangosail/scheduler/stragglers.py
@@ -46,6 +46,7 @@
         task.phase is progress.Phase.RUNNING
         and not step.continuous
         and not step.gang
+        and task.copy is None
         and task.speed_limit == progress.FULL_SPEED
         and task.relocations < MAX_MOVES
         and now - max(task.started_at, task.throttled_at) >= MIN_AGE_S
