--- a/src/mangosail/scheduler/assignments.py
+++ b/src/mangosail/scheduler/assignments.py
@@ -94,7 +94,12 @@
         now: float,
     ) -> bool:
         """Assign workers to the tasks of a step that have none, or one out of use."""
-        tasks = [task for task in step_run.waiting() if not task.suspect]
+        tasks = [
+            task
+            for task in step_run.waiting()
+            # The record counts an assigned run from the task's own latest one.
+            if not task.suspect and task.run == task.highest_run
+        ]
         counts: collections.Counter[str] = collections.Counter()
         unassigned = []
         for task in tasks:
