Ask peers later about single lost writes, and not about each slow one

A leader handed the lease over 0.45 s after a write that was late alone, although the store answered its reads and the write is sent again after 0.55 s. And where the store was slow for all (0.25 s a call), a leader asked a peer about each late write, twice a second, as a round that its success cut short set no pause.

--- a/src/mangosail/scheduler/handover.py
+++ b/src/mangosail/scheduler/handover.py
@@ -44,6 +44,9 @@
 #: 5 ms; a late answer is found out about after 0.25 s and one read
 #: (`commits.ANSWER_TIMEOUT_S`).
 ASK_AFTER_S = 0.4
+#: The same if the store has answered a read of the outcome since: it serves this
+#: instance, and a single write was lost or is late. It is sent again after 0.55 s.
+ASK_AFTER_READ_S = 0.9
 #: Peers asked per round at most, and seconds from the last answer to the next round.
 #: Where the store is away for all, this costs the peers two reads a second.
 MAX_PEERS_PER_ROUND = 3
@@ -175,10 +178,12 @@
         for candidate in self._next_candidates(now):
             if self._late_since() != before:
                 # The transaction succeeded in the meantime, or the lease is released.
-                return
+                break
             if self._ask(candidate):
                 self.give_up()
                 return
+        # Also after a round that was cut short: where each write is late but succeeds,
+        # peers would be asked about each of them.
         self.next_round_at = self.clock.elapsed() + ROUND_INTERVAL_S
 
     def _late_since(self) -> float | None:
@@ -192,6 +197,8 @@
         if now < self.began_at + leadership.MIN_TENURE_S:
             return None
         late_at = since + ASK_AFTER_S
+        if self.journal.outcome_read:
+            late_at = since + ASK_AFTER_READ_S
         if now < self.began_at + leadership.TAKEOVER_PERIOD_S:
             late_at += leadership.takeover_allowance(self.journal.held.lease)
         return since if now >= late_at else None
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -119,6 +119,8 @@
         #: Elapsed time at which the present transaction was first sent; None if there
         #: is none without a known outcome.
         self.unconfirmed_since: float | None = None
+        #: True once the store has answered a read of that transaction's outcome.
+        self.outcome_read = False
         self.deposed = False
         #: True once the lease is to be released.
         self.releasing = False
@@ -157,7 +159,7 @@
         self.write_requested.clear()
         transaction, jobs = self._next_transaction()
         callbacks = self._due_callbacks(jobs)
-        self.unconfirmed_since = self.clock.elapsed()
+        self.unconfirmed_since, self.outcome_read = self.clock.elapsed(), False
         version = self._commit(transaction)
         self.unconfirmed_since = None
         held = self.held
@@ -296,6 +298,7 @@
     def _committed_version(self) -> int | None:
         """Return the version of our link if it is the last of the chain, else None."""
         found = link_version(self.rows, self._chain_link())
+        self.outcome_read = self.outcome_read or isinstance(found, result.Ok)
         if isinstance(found, result.Err) or found.ok_value is None:
             return None
         self.counters.count("journal.answer_recovered")
--- a/tests/scheduler/handover.feature
+++ b/tests/scheduler/handover.feature
@@ -21,6 +21,20 @@
       | the leader took over 1 worker 1.3 s ago          | 0.6     |
       | the leader took over 300 workers 2 s ago         | 0.6     |
       | the leader is stopping, and releases the lease   | 0.6     |
+      | the store answers the leader's reads             | 0.85    |
+
+  Scenario: A leader whose writes alone are lost asks later
+    # One write that is lost or late is sent again after 0.55 s, and most likely succeeds.
+    Given a leader in data centre A, and peer b in data centre B
+    And the store answers the leader's reads
+    When the leader's writes have failed for 1.1 s
+    Then peer b leads, and its next check returns the lease that it claimed
+
+  Scenario: The journal tells a lost write from a store that answers nothing
+    Given a leader in data centre A, and peer b in data centre B
+    When a write of the leader is lost without an answer
+    Then 0.3 s later it is unconfirmed, and a read of its outcome was answered
+    And it is confirmed once it has been sent again
 
   Scenario: A leader that stood still asks nobody
     # The answer to its write arrived in the meantime. If the lease is lost, the next
@@ -52,6 +66,13 @@
     When the leader's writes have failed for 1.6 s
     Then 6 peers were asked, each of the 5 at least once
 
+  Scenario: Peers are not asked about each late write
+    # On a slow store each write of the leader succeeds after more than 0.4 s.
+    Given a leader in data centre A, and peers b, c, d, e and f in data centre B
+    And the store is away for all peers
+    When each write succeeds after 0.5 s, an answer takes 0.2 s, and 6 s pass
+    Then 5 to 6 peers were asked
+
   Scenario: Of two peers that were asked one wins
     Given a leader in data centre A, and peers b and c in data centre B
     When peer c is asked, and b claims the lease between c's read and its claim
--- a/tests/scheduler/steps/handover_steps.py
+++ b/tests/scheduler/steps/handover_steps.py
@@ -25,6 +25,8 @@
         self.kept = kept
         self.reads = 0
         self.read_seconds = 0.0
+        #: True if the next write has no effect until the client gives up on it.
+        self.lose_next_write = False
         #: Called once, before the next read returns or the next write is applied.
         self.during_read = self.before_write = lambda: None
 
@@ -40,6 +42,9 @@
     def commit(self, transaction):
         hook, self.before_write = self.before_write, lambda: None
         hook()
+        if self.lose_next_write:
+            self.lose_next_write = False
+            gevent.sleep(fakes.CLIENT_TIMEOUT_S)
         return super().commit(transaction)
 
 
@@ -68,6 +73,8 @@
         self.clock = clock
         self.peers = {}
         self.asked = []
+        #: Called before each answer.
+        self.on_answer = lambda: None
         self.requests = []
         self.answers = []
 
@@ -78,6 +85,7 @@
         peer = self.peers[candidate.name]
         self.asked.append(candidate.name)
         self.requests.append(request)
+        self.on_answer()
         answer = peer.fixed_answer or result.Ok(peer.successor.handle(request))
         if peer.answer_lost:
             self.clock.now += handover.ANSWER_TIMEOUT_S
@@ -163,6 +171,11 @@
     context.journal.release()
 
 
+@given("the store answers the leader's reads")
+def step_reads_answered(context):
+    context.journal.outcome_read = True
+
+
 @given("the store is away for {names}")
 def step_away(context, names):
     peers = context.successors.peers
@@ -216,6 +229,46 @@
     context.handover.check()
 
 
+@when(
+    "each write succeeds after {seconds:g} s, an answer takes {answer:g} s, and"
+    " {passing:g} s pass"
+)
+def step_slow_writes(context, seconds, answer, passing):
+    clock, written = context.world.clock, context.journal
+
+    def pass_time(by):
+        clock.now += by
+        if clock.now >= written.unconfirmed_since + seconds:
+            written.unconfirmed_since = clock.now
+
+    context.successors.on_answer = lambda: pass_time(answer)
+    written.unconfirmed_since = clock.now
+    end = clock.now + passing
+    while clock.now < end:
+        pass_time(handover.CHECK_INTERVAL_S)
+        context.handover.check()
+
+
+@when("a write of the leader is lost without an answer")
+def step_write_lost(context):
+    context.rows.lose_next_write = True
+    context.writing = gevent.spawn(context.journal.write)
+
+
+@then("{seconds:g} s later it is unconfirmed, and a read of its outcome was answered")
+def step_unconfirmed(context, seconds):
+    gevent.sleep(seconds)
+    assert context.journal.unconfirmed_since is not None
+    assert context.journal.outcome_read
+
+
+@then("it is confirmed once it has been sent again")
+def step_confirmed(context):
+    context.writing.join(1.0)
+    assert context.writing.ready()
+    assert context.journal.unconfirmed_since is None
+
+
 @when("peer c is asked, and b claims the lease between c's read and its claim")
 def step_two_asked(context):
     b, c = (context.successors.peers[name] for name in "bc")
@@ -359,6 +412,11 @@
     assert len(context.successors.asked) == count, context.successors.asked
 
 
+@then("{least:d} to {most:d} peers were asked")
+def step_count_between(context, least, most):
+    assert least <= len(context.successors.asked) <= most, context.successors.asked
+
+
 @then("{count:d} peers were asked, each of the {each:d} at least once")
 def step_count_each(context, count, each):
     step_count(context, count)
