Refuse the leader alone in soaks with long leases

The deployment soak knew stores that fail all, and cuts of single instances, but only with leases so short that all options are off. The other runs draw the same faults as before.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -46,6 +46,10 @@
 
 #: Additional kinds of faults in runs in which some workers keep their names.
 NAME_KEEPING_DURATIONS_S = {"resize_worker": (6.0, 12.0)}
+#: Additional kinds of faults in runs with long leases, where all options are on.
+LONG_LEASE_DURATIONS_S = {"refuse_leader": (1.0, 4.0)}
+#: Longest lease in such runs, in milliseconds.
+LONG_LEASE_MS = 10_000
 #: Exit status of a worker that a task crashed, and the delay until its restart.
 CRASH_EXIT_STATUS = 86
 CRASH_RESTART_DELAY_S = 1.0
@@ -72,6 +76,9 @@
                 stage.call(self.deployment.store, "POST", "/faults", faults)
                 time.sleep(fault.seconds if faults else 0)
             return
+        if fault.target == "leader":
+            self.refuse_leader(fault.seconds)
+            return
         with self.restarts[fault.target]:
             self.carry_out_now(fault)
 
@@ -107,6 +114,14 @@
         time.sleep(seconds)
         self.relays[name].heal()
 
+    def refuse_leader(self, seconds):
+        """Let the store refuse the instance that leads, and only it."""
+        name = self.deployment.leader()
+        if name is not None:
+            self.relays[name].refuse()
+            time.sleep(seconds)
+            self.relays[name].accept_again()
+
     def resize(self, name, seconds):
         for share in (0.25, 1):
             resize = {"cpu": 1000 * deployed.CORES * share}
@@ -141,24 +156,35 @@
     workers = [f"worker-{number}" for number in range(deployed.WORKERS)]
     targets = {kind: workers if "worker" in kind else instances for kind in durations}
     targets.update({kind: ["store"] for kind in STORE_FAULTS})
+    targets.update({kind: ["leader"] for kind in LONG_LEASE_DURATIONS_S})
     return [(kind, targets[kind], span) for kind, span in durations.items()]
 
 
-def run(seconds, seed, gap=schedule.MEAN_GAP_S, settle=SETTLE_TIME_S, crashing=False):
+def run(
+    seconds,
+    seed,
+    gap=schedule.MEAN_GAP_S,
+    settle=SETTLE_TIME_S,
+    crashing=False,
+    long_leases=False,
+):
     """Execute a run, and return its verdicts and the folder with all logs.
 
     With `crashing`, tasks crash workers, some workers keep their names across restarts,
-    and capacity changes.
+    and capacity changes. With `long_leases`, all options are on, and the store refuses
+    the leader alone at times.
     """
-    deployment = deployed.Deployment(seed, crashing)
+    lease_ms = {"lease_ms": LONG_LEASE_MS} if long_leases else {}
+    deployment = deployed.Deployment(seed, crashing, **lease_ms)
     faults = Faults(deployment)
     try:
         deployment.start_all()
-        durations = DURATIONS_S | NAME_KEEPING_DURATIONS_S if crashing else DURATIONS_S
-        table = table_of(durations)
-        if crashing:
-            # As often as all else that befalls workers.
-            table += [row for row in table if row[0] in NAME_KEEPING_DURATIONS_S] * 2
+        added = (NAME_KEEPING_DURATIONS_S if crashing else {}) | (
+            LONG_LEASE_DURATIONS_S if long_leases else {}
+        )
+        table = table_of(DURATIONS_S | added)
+        # As often as all else that befalls workers.
+        table += [row for row in table if row[0] in added] * 2
         planned = schedule.draw_from(seed, seconds, table, gap)
         for fault in planned:
             print(
@@ -200,10 +226,19 @@
     parser.add_argument(
         "--lives", action="store_true", help="worker crashes, kept names"
     )
+    parser.add_argument(
+        "--long-leases", action="store_true", help="all options on, leader refused"
+    )
     args = parser.parse_args()
     seed = args.seed or random.SystemRandom().randrange(1, 1_000_000)
     print(f"seed {seed}, {args.minutes:g} minutes", flush=True)
-    verdicts, folder = run(args.minutes * 60, seed, args.gap, crashing=args.lives)
+    verdicts, folder = run(
+        args.minutes * 60,
+        seed,
+        args.gap,
+        crashing=args.lives,
+        long_leases=args.long_leases,
+    )
     print(f"seed {seed}, logs in {folder}")
     print(oracle.table_of(verdicts))
     sys.exit(1 if any(verdict.violations for verdict in verdicts) else 0)
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -30,6 +30,12 @@
     Given the platform's soak ran for 20 s with seed 13 and gap 1.2 s, with crashing workers
     Then no promise was broken there
 
+  Scenario: A run in which the store refuses the leader alone breaks nothing
+    # The leader hands the lease over to a peer, beside all other faults.
+    Given the platform's soak ran for 30 s with seed 52 and gap 1 s, with long leases
+    Then no promise was broken there
+    And the lease was handed over at least once
+
   Scenario: Cuts that end together leave nobody cut off
     Guards against an instance that stays cut off for the rest of a run, which then seems
     to lose orders.
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -41,6 +41,24 @@
     context.verdicts, context.folder = deployment.run(seconds, seed, gap, crashing=True)
 
 
+@given(
+    "the platform's soak ran for {seconds:d} s with seed {seed:d} and gap {gap:g} s, "
+    "with long leases"
+)
+def step_long_leases(context, seconds, seed, gap):
+    context.verdicts, context.folder = deployment.run(
+        seconds, seed, gap, long_leases=True
+    )
+
+
+@then("the lease was handed over at least once")
+def step_handed_over(context):
+    logs = [path.read_text() for path in context.folder.glob("instance-*.log")]
+    count = sum(text.count('"event":"lease handed over"') for text in logs)
+    print(f"the lease was handed over {count} times", flush=True)
+    assert count, context.folder
+
+
 @then("no promise was broken there")
 def step_none_broken(context):
     broken = [verdict for verdict in context.verdicts if verdict.violations]
