Resolve assigned runs at a takeover without a write each, and assign anew

At a takeover each waiting task of the earlier leader is in doubt. Those that had not begun were logged and written one by one, and their jobs had no assignments until their next start. Now each worker's are freed together, with one log line, and a job gets new assignments in one write once all its earlier ones are resolved. Runs that were begun are logged and counted.

--- a/src/mangosail/scheduler/crashes.py
+++ b/src/mangosail/scheduler/crashes.py
@@ -106,9 +106,9 @@
 
         The record names the worker, not its incarnation. If the current one has only
         just begun, the run may have crashed the previous one, under a leader that never
-        learned of it. An assignment does not show that there was a run.
+        learned of it.
         """
-        if task.from_assignment or worker.clock > RECENT_RESTART_MS:
+        if worker.clock > RECENT_RESTART_MS:
             return ()
         task.crashes += 1
         task.suspect = True
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -301,6 +301,9 @@
         self.record_limited = (
             count * (sizes.TASK_BYTES + sizes.MAX_NAME_BYTES) > self.spare_bytes
         )
+        #: True once an earlier leader's assignments were restored, until workers are
+        #: assigned anew.
+        self.assignments_restored = False
         #: Wall time from which the record may be dropped, once the job has ended.
         self.drop_at = 0.0
         #: True once the removal of its row was requested.
@@ -536,6 +539,7 @@
 
         for crashed in record.crashes:
             self._restore_crashes(records.CrashRecord(*crashed))
+        self.assignments_restored = bool(record.assignments)
         for assigned in record.assignments:
             self._restore_assignments(
                 records.AssignmentRecord(*assigned), record.workers
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -75,9 +75,21 @@
         for row in report.running:
             listed[row.task] = row
             self._handle_running(worker, row)
+        unbegun = []
         for task in list(worker.tasks.values()):
-            if task.name not in listed:
+            if task.name in listed:
+                continue
+            if first_contact and task.from_assignment:
+                # The worker refuses the earlier leader's starts from now on.
+                worker.release(task)
+                task.wait_again()
+                unbegun.append(task.name)
+            else:
                 self._handle_not_listed(worker, task, sent_at, first_contact)
+        if unbegun:
+            # One line, and no write: at a takeover, most waiting tasks are among them.
+            self.counters.count("assignments.unbegun", len(unbegun))
+            log.info("assigned runs not begun", worker=worker.name, tasks=unbegun)
 
     def handle_worker_lost(
         self, worker: fleet.Worker, reason: str, successor: fleet.Worker | None = None
@@ -160,7 +172,7 @@
         task.job.started = True
         is_current = task.worker == worker.name and task.run == end.run and task.live
         if is_current and task.from_assignment:
-            self._adopt_assigned_run(task)
+            self._adopt_assigned_run(worker, task)
         if crashes.ended_by_itself(end.outcome):
             crashes.reset_crash_counts(task)
         if end.outcome is messages.Outcome.DONE and not task.step.continuous:
@@ -240,8 +252,15 @@
                 "worker set aside", worker=worker.name, until=worker.avoid_until
             )
 
-    def _adopt_assigned_run(self, task: progress.Task) -> None:
+    def _adopt_assigned_run(self, worker: fleet.Worker, task: progress.Task) -> None:
         """Record that an earlier leader has started a run under its assignment."""
+        self.counters.count("assignments.adopted")
+        log.info(
+            "run without a record found",
+            task=task.name,
+            run=task.run,
+            worker=worker.name,
+        )
         task.from_assignment = False
         task.job.begin()
         self.on_change(task.job)
@@ -264,7 +283,7 @@
         now = self.clock.elapsed()
         task.listed = True
         if task.from_assignment:
-            self._adopt_assigned_run(task)
+            self._adopt_assigned_run(worker, task)
         if task.phase in (progress.Phase.STARTING, progress.Phase.DOUBTFUL):
             if task.speed_unknown:
                 # If it is paused, that counts from now: when it counted from the
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -204,6 +204,7 @@
         self.planner.refresh(ready, now, wall)
         self.assigned_starts.refresh()
         self.relocator.update_slow_workers(now)
+        self._assign_after_takeover(now)
         ready.sort(key=self.planner.sort_key)
         self.relocator.move_some(now)
         unplaced: list[tuple[str, progress.StepRun]] = []
@@ -322,6 +323,20 @@
         if self._assign(step_run.job, now):
             self.journal.record(step_run.job)
 
+    def _assign_after_takeover(self, now: float) -> None:
+        """Assign workers to jobs whose earlier assignments are resolved."""
+        if self.journal.is_late(now):
+            return
+        for job in list(self.jobs.values()):
+            if not job.assignments_restored:
+                continue
+            if any(task.from_assignment for task in job.tasks()):
+                continue
+            job.assignments_restored = False
+            if self._assign(job, now):
+                self.journal.record(job)
+            self.yielder.yield_if_due()
+
     def _assign(self, job: progress.JobProgress, now: float) -> bool:
         """Assign workers to the waiting tasks of a job; return whether any changed."""
         queue = self._queue(job.job.queue)
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -28,6 +28,8 @@
     # Guards against tasks that stay in doubt, or count as the cause of a crash.
     When the leader is killed, and another one leads
     Then the tasks of the second step wait, and none is suspected
+    When the store goes away for 0.25 s, and the first step ends
+    Then the second step runs
 
   Scenario: The leader freezes, is deposed, and goes on
     # Guards against starts beside those of the next leader.
