--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -392,6 +392,9 @@
         self.record_limited = (
             count * (sizes.TASK_BYTES + sizes.MAX_NAME_BYTES) > self.spare_bytes
         )
+        #: True once an earlier leader's assignments were restored, until workers are
+        #: assigned anew.
+        self.assignments_restored = False
         #: Wall time from which the record may be dropped, once the job has ended.
         self.drop_at = 0.0
         #: True once the removal of its row was requested.
@@ -662,6 +665,7 @@
             self._restore_crashes(records.CrashRecord(*crashed))
         for copied in record.copies:
             self._restore_copy(records.CopyRecord(*copied))
+        self.assignments_restored = bool(record.assignments)
         for assigned in record.assignments:
             self._restore_assignments(
                 records.AssignmentRecord(*assigned), record.workers
--- a/src/mangosail/simulation/load.py
+++ b/src/mangosail/simulation/load.py
@@ -70,6 +70,14 @@
     data_centre: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutage:
+    """Seconds between which the store is away; no job is handed in meanwhile."""
+
+    starts_at: float
+    ends_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """Everything that happens to a deployment, but for chance."""
@@ -83,6 +91,7 @@
     leader_losses: tuple[float, ...] = ()
     #: Seconds between a worker's updates of the progress that it lists; 0 for always.
     progress_interval: float = 0.0
+    store_outages: tuple[StoreOutage, ...] = ()
     #: Share of all cores that continuous jobs reserve from the beginning.
     standing_share: float = 1.0
     #: Data centres, among which the workers are divided in turn.
