--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -23,6 +23,7 @@
     keys,
     leadership,
     messages,
+    options,
     polling,
     ports,
     scheduler,
@@ -419,6 +420,7 @@
             world.counters,
             lambda: world.closed,
             world.most_workers,
+            enabled=world.options,
         )
         self.feeds = self.scheduler.load() if reads else ()
 
@@ -495,6 +497,8 @@
         )
         self.catalog = messages.Catalog(1, (), (messages.Service("pool"),))
         self.advisor = Advisor()
+        #: Optional decisions that leaders make.
+        self.options = options.NONE
         #: Data centres whose workers must not receive new tasks.
         self.closed = frozenset()
         #: Maximum number of workers that a leader polls.
--- a/tests/scheduler/random.feature
+++ b/tests/scheduler/random.feature
@@ -17,6 +17,12 @@
     incarnation reach the later one.
     Then 80 random histories of up to 40 steps keep them too where workers restart
 
+  Scenario: Random faults break no promise if tasks are copied
+    As the first, but most steps allow copies. A task and its copy are on two workers,
+    their failures together are within the attempts, and a step that does not allow
+    copies is still never run twice.
+    Then 80 random histories of up to 40 steps keep them too where leaders copy tasks, and 20 tasks are copied at least
+
   Scenario: A start in doubt is barred at its worker before the next one is sent
     # The start is not answered and carried out seconds later. The worker does not report
     # the run, so the task seems free to start elsewhere, and would then run twice.
--- a/tests/scheduler/records.feature
+++ b/tests/scheduler/records.feature
@@ -27,3 +27,6 @@
       | a negative number      | {"done": [[0, 0, "-1"]]}         |
       | an unknown worker      | {"tasks": [[0, 0, 0, 1, 0, 3, ""]]} |
       | a row that is too long | {"done": [[0, 0, "1", 2]]}       |
+      | a copy without a run   | {"copies": [[0, 0, 0, 0, "w1"]]} |
+      | two copies of a task   | {"copies": [[0, 0, 0, 2, "w1"], [0, 0, 0, 3, "w2"]]} |
+      | a copy beside its task | {"workers": ["w1"], "tasks": [[0, 0, 0, 1, 0, 0, ""]], "copies": [[0, 0, 0, 2, "w1"]]} |
--- a/tests/scheduler/steps/random_steps.py
+++ b/tests/scheduler/steps/random_steps.py
@@ -37,6 +37,16 @@
     histories(context, count, steps, machine.SecondLives)
 
 
+@then(
+    "{count:d} random histories of up to {steps:d} steps keep them too where leaders "
+    "copy tasks, and {copied:d} tasks are copied at least"
+)
+def copies(context, count, steps, copied):
+    machine.COPIED.clear()
+    histories(context, count, steps, machine.Copies)
+    assert len(machine.COPIED) >= copied, len(machine.COPIED)
+
+
 #: Turns of a leader per second.
 SECOND = round(1 / machine.TURN)
 
