--- a/src/mangosail/simulation/load.py
+++ b/src/mangosail/simulation/load.py
@@ -44,6 +44,8 @@
     spread_out: float = 0.0
     #: Share of jobs that take `HEAVY_TIMES` as long as their like, and as declared.
     heavy_share: float = 0.0
+    #: True if the tasks may run twice at the same time.
+    copies_allowed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +195,7 @@
                     after=(number - 1,) if number else (),
                     checkpointing=checkpointing,
                     most_per_worker=int(spread_out),
+                    copies_allowed=job_class.copies_allowed,
                     continuous=job_class.continuous,
                     image=image,
                     latency_target=job_class.latency_target,
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -535,6 +535,8 @@
         )
         self.catalog = messages.Catalog(1, (), (messages.Service("pool"),))
         self.advisor = Advisor()
+        #: Optional decisions that leaders make.
+        self.options = options.NONE
         #: Data centres whose workers must not receive new tasks.
         self.closed = frozenset()
         #: Maximum number of workers that a leader polls.
--- a/tests/scheduler/records.feature
+++ b/tests/scheduler/records.feature
@@ -28,3 +28,6 @@
       | an unknown worker      | {"tasks": [[0, 0, 0, 1, 0, 3, ""]]} |
       | a row that is too long | {"done": [[0, 0, "1", 2]]}       |
       | an unknown assignee    | {"assignments": [[0, 0, [-1, 3]]]} |
+      | a copy without a run   | {"copies": [[0, 0, 0, 0, "w1"]]} |
+      | two copies of a task   | {"copies": [[0, 0, 0, 2, "w1"], [0, 0, 0, 3, "w2"]]} |
+      | a copy beside its task | {"workers": ["w1"], "tasks": [[0, 0, 0, 1, 0, 0, ""]], "copies": [[0, 0, 0, 2, "w1"]]} |
--- a/tests/simulation/steps/replay_steps.py
+++ b/tests/simulation/steps/replay_steps.py
@@ -78,6 +78,23 @@
     assert found >= least, (found, len(ends))
 
 
+@when(
+    "the load of lost workers is replayed with seeds {seeds}, with copies and without"
+)
+def replay_lost_workers(context, seeds):
+    context.shares = []
+    for enabled in (options.Options(copy_tasks=True), options.NONE):
+        replay_seeds(context, loads.LOST_WORKERS, seeds, enabled)
+        ends = ends_of(context, "quote")
+        context.shares.append(sum(end.in_time for end in ends) / len(ends))
+
+
+@then("{least:g} of the quotes are in time with copies, and {fewer:g} fewer without")
+def more_in_time_with_copies(context, least, fewer):
+    copied, plain = context.shares
+    assert copied >= max(least, plain + fewer), context.shares
+
+
 def replay_seeds(context, what, seeds, enabled=options.NONE):
     numbers = [int(seed) for seed in seeds.split(",")]
     context.reports = [replay.Replay(what, number, enabled).run() for number in numbers]
