--- a/src/mangosail/scheduler/handover.py
+++ b/src/mangosail/scheduler/handover.py
@@ -48,7 +48,7 @@
 #: instance, and a single write was lost or is late. It is sent again after 0.55 s.
 ASK_AFTER_READ_S = 0.9
 #: Peers asked per round at most, and seconds from the last answer to the next round.
-#: Where the store is away for all, this costs the peers two reads a second.
+#: Where the store is away for all, that is three vain reads a second at most.
 MAX_PEERS_PER_ROUND = 3
 ROUND_INTERVAL_S = 1.0
 #: Timeout of one request in seconds: a peer's read (0.2 s at most) and its claim, or a
