Make no copy of a task that may have silenced its worker

A run whose worker stops responding within 0.3 s of its start gets no copy, unless three workers became silent together, as in a partition.

--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -17,6 +17,7 @@
 import logbook
 
 from mangosail.scheduler import (
+    crashes,
     estimates,
     fleet,
     messages,
@@ -69,6 +70,8 @@
     ROOM = "room"
     #: The job's record has no room for the copy.
     RECORD = "record"
+    #: It may have crashed its worker, and would crash another one.
+    SUSPECT = "suspect"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,27 @@
     return not most or worker.count_of_step(step_run) < most
 
 
+def may_have_crashed_worker(stuck: StuckTask, workers: fleet.Fleet) -> bool:
+    """Return whether a worker may not respond because of a task that it just started.
+
+    Such a task is a suspect once the worker's incarnation has ended, and its copy would
+    have crashed a second worker by then. If several workers became silent together, as
+    in a partition, no task is to blame.
+    """
+    since = stuck.worker.silent_since
+    if stuck.cause is not Cause.UNREACHABLE or since is None:
+        return False
+    if not crashes.is_recent_start(stuck.worker, stuck.task):
+        return False
+    together = [
+        worker
+        for worker in workers
+        if worker.silent_since is not None
+        and abs(worker.silent_since - since) <= crashes.CORRELATION_WINDOW_S
+    ]
+    return len(together) < crashes.MIN_CORRELATED_WORKERS
+
+
 class Copier:
     """Starts copies of stuck tasks."""
 
@@ -244,6 +268,8 @@
         bounds = self._bounds(ready, now)
         for each in stuck:
             refusal = bounds.refusal(each.task)
+            if may_have_crashed_worker(each, self.workers):
+                refusal = Refusal.SUSPECT
             if refusal is None and self.has_advice(each.task.step_run, now):
                 if self._start_copy(each, now):
                     bounds.copied_cores += each.task.step.need.cpus
