Take silence from when the leader found out, and name the lost run

If the leader itself is late, an answer may have come and not been read: the time at which a poll was due would have passed for silence at once, on all workers. An entry that is read again no longer prolongs the time for which a draining worker is expected to last. The line of a suspected crash names the run that was lost, also if it was a copy's.

--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -311,7 +311,7 @@
             entry = worker.entry
             if entry.draining:
                 known = self.departures.get(worker.name)
-                if known is None or known[0] is not entry:
+                if known is None or known[0] != entry:
                     known = entry, now + (entry.remaining or 0.0)
                 departures[worker.name] = known
         self.departures = departures
--- a/src/mangosail/scheduler/polling.py
+++ b/src/mangosail/scheduler/polling.py
@@ -138,10 +138,12 @@
             deadline,
             wait,
         )
-        due_at = self.clock.elapsed() + wait
-        call.join(wait + self.orders.answer_timeout.seconds)
+        timeout = self.orders.answer_timeout.seconds
+        call.join(wait + timeout)
         if not call.ready():
-            worker.mark_silent(due_at)
+            # Not the time at which it was due: if the leader is behind itself, the
+            # answer may have come and not been read.
+            worker.mark_silent(self.clock.elapsed() - timeout)
         if call.ready() or not self.poll_now(worker) or call.ready():
             return call.get()
         self.counters.count("workers.look_late")
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -121,7 +121,7 @@
             return
         self.counters.count(f"reports.suspected.{reason}")
         log.info(
-            "task suspected of crash", task=task.name, run=task.run,
+            "task suspected of crash", task=task.name, run=suspect.task.run,
             worker=worker.name, reason=reason, late=suspect.started_recently,
             crashes=task.crashes, clear=task.certain_crashes,
         )  # fmt: skip
--- a/tests/scheduler/copies.feature
+++ b/tests/scheduler/copies.feature
@@ -21,6 +21,12 @@
       | drains            | 0.2       | draining    |
       | makes no progress | 0.9       | slow        |
 
+  Scenario: A worker that leaves a poll unanswered is silent before its client gives up
+    # Guards against copies that wait for the client's time-out of 2 s.
+    Given a running job of 1 task that allows copies
+    When the first task's worker leaves polls unanswered for 1 s of real time
+    Then it counts as silent, and not yet as unreachable
+
   Scenario Outline: No copy is made of <tasks>
     Given a running job of <tasks>
     When the first task's worker stops answering, for 1 s
@@ -40,6 +46,13 @@
       | 1 task that allows copies while others wait        | copies.refused.waiting | 1 |
       | 240 tasks that allow copies in a full record       | copies.refused.record | 80 |
 
+  Scenario: A task that has a copy is not moved
+    # Guards against a third start of a task that two workers run.
+    Given a running job of 1 task that allows copies
+    When the first task's worker makes no progress, for 2 s
+    Then the task has a copy, counted as slow
+    And the task was started twice
+
   Scenario: Copies need no more than a twentieth of the usable cores
     # Guards against copies of everything where a data centre is cut off.
     Given a running job of 15 tasks that allow copies
--- a/tests/scheduler/steps/copies_steps.py
+++ b/tests/scheduler/steps/copies_steps.py
@@ -1,5 +1,6 @@
 import dataclasses
 
+import gevent
 from behave import given, then, when
 from tests.scheduler import fakes, machine
 
@@ -117,6 +118,21 @@
     play(context, seconds)
 
 
+@when("the first task's worker leaves polls unanswered for {seconds:g} s of real time")
+def step_unanswered(context, seconds):
+    context.world.calls.poll = lambda *facts, **more: gevent.sleep(seconds + 10)
+    context.known = leader(context).workers.get(context.world.runs(TASK)[0])
+    poll = gevent.spawn(leader(context).poller.poll, context.known)
+    context.add_cleanup(poll.kill)
+    gevent.sleep(seconds)
+
+
+@then("it counts as silent, and not yet as unreachable")
+def step_silent(context):
+    assert context.known.silent_since is not None
+    assert context.known.reachable
+
+
 @then("the task has a copy, counted as {reason}")
 def step_copied(context, reason):
     names = context.world.runs(TASK)
--- a/tests/simulation/loads.py
+++ b/tests/simulation/loads.py
@@ -77,8 +77,8 @@
         load.WorkerFault(9.0, 12.0, 0.2, 0.0),
     ),
 )
-#: Quotes of longer tasks on fewer cores that may be copied, while a fifth of the workers
-#: is lost at a time.
+#: Quotes of longer tasks on fewer cores that may be copied, while a fifth of the
+#: workers is lost at a time.
 LOST_WORKERS = dataclasses.replace(
     CALM,
     classes=(
