--- a/tests/scheduler/steps/copies_steps.py
+++ b/tests/scheduler/steps/copies_steps.py
@@ -1,10 +1,11 @@
 import dataclasses
 
+import gevent
 from behave import given, then, when
 from tests.scheduler import fakes, machine
 
 from mangosail import codec, resources
-from mangosail.scheduler import keys
+from mangosail.scheduler import keys, records
 
 ID = "00000000000000aa"
 OTHER = "00000000000000bb"
@@ -84,7 +85,7 @@
     attempts = 1 if "no second failure" in kind else 2
     job = fakes.job(ID, fakes.step(count, **facts), attempts=attempts)
     context.world.rows.put(keys.job(ID), job)
-    play(context, 0.2)
+    play(context, 0.2 if "just started" in kind else 0.5)
     task(context).suspect = "may crash" in kind
     if "others wait" in kind:
         step = fakes.step(100)
@@ -117,6 +118,21 @@
     play(context, seconds)
 
 
+@when("the first task's worker leaves polls unanswered for {seconds:g} s of real time")
+def step_unanswered(context, seconds):
+    context.world.calls.poll = lambda *facts, **more: gevent.sleep(seconds + 10)
+    context.known = leader(context).workers.get(context.world.runs(TASK)[0])
+    poll = gevent.spawn(leader(context).poller.poll, context.known)
+    context.add_cleanup(poll.kill)
+    gevent.sleep(seconds)
+
+
+@then("it counts as silent, and not yet as unreachable")
+def step_silent(context):
+    assert context.known.silent_since is not None
+    assert context.known.reachable
+
+
 @then("the task has a copy, counted as {reason}")
 def step_copied(context, reason):
     names = context.world.runs(TASK)
@@ -207,8 +223,9 @@
     play(context, seconds)
 
 
-@then("run {run:d} of the task is its copy")
-def step_run_is_copy(context, run):
-    assert task(context).copy.run == run, task(context).copy
-    starts = [start[1] for start in context.world.starts(TASK)]
-    assert starts == [1, run], starts
+@then("the number of the dropped copy stays used up")
+def step_dropped(context):
+    step_outcome(context, "dropped")
+    assert task(context).highest_run == 2
+    record = records.decode(context.world.rows.kept[keys.state(ID)].value)
+    assert record.copies == ((0, 0, 0, 2, ""),), record.copies
