Publish the leader's backlog in the lease row

Instances that refuse jobs which would be late need to know what waits. With the option refuse_late_jobs, the leader writes for each priority the cores that work can use and the work ahead, by the rate that the placement order goes by: a sum alone would hold small jobs for late that are placed at once. It is a text within the row, so another format can't make the row unreadable; without the option the row is written as before. Not published until 2.5 s after a takeover, nor when the last plan is older than 1 s.

--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -67,6 +67,8 @@
     continuous_bound: float | None = None
     #: Accepted jobs per queue of which no task has started.
     pending: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: Encoded `backlog.Backlog`; empty if it is not known.
+    backlog: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +106,7 @@
         self.pending_counts: cabc.Callable[[], dict[str, int]] = dict
         self.worker_count: cabc.Callable[[], int] = lambda: 0
         self.continuous_bound: cabc.Callable[[], float | None] = lambda: None
+        self.backlog: cabc.Callable[[], str] = str
         #: Returns rows to save periodically, along with a renewal of the lease.
         self.periodic_writes: cabc.Callable[[], tuple[table.Write, ...]] = tuple
         #: Jobs to write, the one that has been waiting longest first.
@@ -248,6 +251,7 @@
             workers=self.worker_count(),
             pending=self.pending_counts(),
             continuous_bound=self.continuous_bound(),
+            backlog=self.backlog(),
             released=False,
         )
         return [*extra, lease]
@@ -261,7 +265,7 @@
         """Return the write of the lease with these fields changed."""
         lease = dataclasses.replace(self.held.lease, **facts)
         self.held = dataclasses.replace(self.held, lease=lease)
-        return table.Write(keys.LEASE, codec.to_json(lease))
+        return table.Write(keys.LEASE, encode_lease(lease))
 
     def _chain_link(self) -> str:
         return codec.to_json(f"{self.token}.{self.link_count}")
@@ -313,6 +317,16 @@
         raise errors.DeposedError
 
 
+def encode_lease(lease: Lease) -> str:
+    """Encode a lease; without a backlog the row is the same as that of other builds."""
+    fields = {
+        field.name: getattr(lease, field.name) for field in dataclasses.fields(lease)
+    }
+    if not lease.backlog:
+        del fields["backlog"]
+    return codec.to_json(fields)
+
+
 def progress_write(job: progress.JobProgress) -> table.Write:
     """Return the write of a job's progress record."""
     return table.Write(keys.state(job.job.job_id), progress.encode_job(job))
@@ -335,7 +349,7 @@
     transaction = table.Transaction(
         (table.Check(keys.LEASE, lease_version),),
         (
-            table.Write(keys.LEASE, codec.to_json(lease)),
+            table.Write(keys.LEASE, encode_lease(lease)),
             table.Write(keys.CHAIN, link),
         ),
     )
--- a/src/mangosail/scheduler/ordering.py
+++ b/src/mangosail/scheduler/ordering.py
@@ -62,6 +62,10 @@
         """
         return self.ranks.get(job_id, len(self.ranks))
 
+    def is_in_time(self, job_id: str) -> bool:
+        """Return whether a job was selected among those that can end in time."""
+        return self.rank(job_id) < self.in_time
+
 
 def plan(jobs: cabc.Iterable[RemainingWork], cores: float, now: float) -> Plan:
     """Select the jobs that can end in time with `cores`, and rank all.
@@ -75,7 +79,7 @@
     """
     cores = max(cores, MIN_CORES)
     waiting = sorted(jobs, key=lambda job: (job.due, job.job_id))
-    mean = sum(job.total_core_seconds for job in waiting) / max(len(waiting), 1)
+    mean = mean_core_seconds(waiting)
     rates = {job.job_id: value_rate(job, mean) for job in waiting}
     selected: list[tuple[float, str, float]] = []
     dropped: list[str] = []
@@ -103,6 +107,11 @@
     return Plan({name: rank for rank, name in enumerate(ranked)}, len(in_time))
 
 
+def mean_core_seconds(jobs: cabc.Collection[RemainingWork]) -> float:
+    """Return the mean work of jobs, done or not."""
+    return sum(job.total_core_seconds for job in jobs) / max(len(jobs), 1)
+
+
 def value_rate(job: RemainingWork, mean_core_seconds: float) -> float:
     """Return what a job is worth to its caller for each core-second that it has left.
 
--- a/src/mangosail/scheduler/planning.py
+++ b/src/mangosail/scheduler/planning.py
@@ -6,8 +6,16 @@
 """
 
 import collections.abc as cabc
+import math
 
-from mangosail.scheduler import estimates, fleet, messages, ordering, progress
+from mangosail.scheduler import (
+    backlog,
+    estimates,
+    fleet,
+    messages,
+    ordering,
+    progress,
+)
 
 #: Seconds for which a plan is used: planning takes milliseconds of a small instance,
 #: and jobs take seconds.
@@ -15,6 +23,9 @@
 #: Minimum seconds for which it is used even if a job has arrived. Until then that job
 #: goes last.
 MIN_PLAN_INTERVAL_S = 0.05
+#: Seconds for which the backlog of a plan may be published. A round pauses for a third
+#: of a second at most; without plans nothing is known of the backlog.
+MAX_BACKLOG_AGE_S = 1.0
 #: Share of the idle cores that counts as room: tail latencies keep best-effort work off
 #: the rest.
 USABLE_CORES_SHARE = 0.5
@@ -38,6 +49,11 @@
         self.estimator = estimator
         self.queue_of = queue_of
         self.plans: dict[int, ordering.Plan] = {}
+        #: True if the backlog is to be measured with each plan.
+        self.measures_backlog = False
+        self.backlog = backlog.Backlog()
+        #: Elapsed time of the last plan.
+        self.planned_at = -math.inf
         #: Elapsed time from which plans are recomputed, and from which they are if a
         #: job has arrived meanwhile.
         self.replan_at = 0.0
@@ -61,18 +77,30 @@
         self.replan_at = now + PLAN_INTERVAL_S
         self.early_replan_at = now + MIN_PLAN_INTERVAL_S
         self.has_unplanned_job = False
+        self.planned_at = now
         if all(step_run.blocked_since is None for step_run in ready):
             self.plans = {}
+            self.backlog = backlog.Backlog()
             return
         available, in_use = self._available_cores()
         plans: dict[int, ordering.Plan] = {}
-        for priority, jobs in self._remaining_by_priority(ready, now).items():
+        remaining = self._remaining_by_priority(ready, now)
+        for priority, jobs in remaining.items():
             # Work of the same or lower urgency gives way.
             cores = available + sum(
                 c for other, c in in_use.items() if other >= priority
             )
             plans[priority] = ordering.plan(jobs.values(), cores, wall)
         self.plans = plans
+        if self.measures_backlog:
+            cores = available + sum(in_use.values())
+            self.backlog = backlog.measure(remaining, plans, cores)
+
+    def current_backlog(self, now: float) -> backlog.Backlog | None:
+        """Return the backlog as of the last plan; None if that is too old."""
+        if now > self.planned_at + MAX_BACKLOG_AGE_S:
+            return None
+        return self.backlog
 
     def _record_new_jobs(
         self, ready: cabc.Iterable[progress.StepRun], now: float
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -21,6 +21,7 @@
 from mangosail.scheduler import (
     admission,
     advice,
+    backlog,
     crashes,
     estimates,
     fleet,
@@ -53,6 +54,9 @@
 MAX_LEASE_S = 10.0
 #: Seconds between checks for expired leases of unlisted workers.
 EXPIRY_CHECK_INTERVAL_S = 0.25
+#: Seconds from the takeover until the backlog is published: a large fleet is polled
+#: within two seconds.
+BACKLOG_DELAY_S = 2.5
 #: Seconds between attempts to load the state after the lease was acquired.
 READ_RETRY_INTERVAL_S = 0.1
 
@@ -131,6 +135,9 @@
             clock,
             counters,
         )
+        if enabled.refuse_late_jobs:
+            self.rounds.planner.measures_backlog = True
+            self.journal.backlog = self.encoded_backlog
         self.reports = reports.ReportProcessor(
             self.find_task,
             self.on_job_change,
@@ -229,6 +236,18 @@
             return self.journal.held.lease.workers
         return len(self.workers)
 
+    def encoded_backlog(self) -> str:
+        """Return the backlog for the lease row; empty while it is not known.
+
+        After a takeover only those workers count that have been polled, so that there
+        seem to be too few cores at first.
+        """
+        now = self.clock.elapsed()
+        if now < self.leading_since + BACKLOG_DELAY_S:
+            return ""
+        found = self.rounds.planner.current_backlog(now)
+        return backlog.encode(found) if found else ""
+
     def _periodic_writes(self) -> tuple[table.Write, ...]:
         text = codec.to_json(self.model.snapshot())
         return (table.Write(keys.LEARNED, text),)
