Refuse jobs that would end too late for their callers

More work than can be done was accepted whatever the backlog, and ended after its callers had given up. With the option refuse_late_jobs an instance reads the published backlog while jobs come in, and refuses with overloaded what can't end within three times its objective, even if it takes twice as long as declared. A job is accepted if the figures are old, missing, of another build or unsettled (5 s), if it may be stored already, or if that can't be read. Tested: overload.feature in the intake slice; intake, adapter, style, telemetry.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -47,6 +47,7 @@
         self.counters = counters
         self.catalog: messages.Catalog | None = None
         self.by_host: dict[str, list[messages.Queue]] = {}
+        self.by_name: dict[str, messages.Queue] = {}
         #: Key prefix of rows that each close a data centre for as long as they exist.
         self.closed_prefix = closed_prefix
         self.closed: frozenset[str] = frozenset()
@@ -98,6 +99,10 @@
                 return queue
         return None
 
+    def queue(self, name: str) -> messages.Queue | None:
+        """Return a queue by name, or None if there is none."""
+        return self.by_name.get(name)
+
     def stale(self) -> bool:
         """Return whether the store has been silent for too long.
 
@@ -181,6 +186,7 @@
         for queues in by_host.values():
             queues.sort(key=lambda queue: len(queue.prefix), reverse=True)
         self.by_host = by_host
+        self.by_name = {queue.name: queue for queue in catalog.queues}
         log.info(
             "catalog in force", version=catalog.version, queues=len(catalog.queues)
         )
--- a/src/mangosail/intake/job_service.py
+++ b/src/mangosail/intake/job_service.py
@@ -12,7 +12,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec
-from mangosail.intake import errors
+from mangosail.intake import errors, overload
 from mangosail.platform import errors as store_errors
 from mangosail.platform import table
 from mangosail.scheduler import (
@@ -69,8 +69,11 @@
         store_unreachable: cabc.Callable[[], bool],
         clock: clocks.Clock,
         counters: telemetry.Counters,
+        late_jobs: overload.LateJobs | None = None,
     ) -> None:
         self.rows = rows
+        #: Refuses jobs that would end too late; None to accept all.
+        self.late_jobs = late_jobs
         #: Returns whether the store has been unreachable for a while.
         self.store_unreachable = store_unreachable
         self.clock = clock
@@ -91,7 +94,7 @@
         elif cores:
             done = self._submit_continuous(job, cores, deadline)
         else:
-            done = self._commit(store_transaction(job), deadline)
+            done = self._submit_unless_late(job, deadline)
         took = self.clock.elapsed() - began_at
         self.counters.time("intake.stored", took)
         outcome = outcome_of(done)
@@ -103,6 +106,20 @@
         )  # fmt: skip
         return caller_result(done)
 
+    def _submit_unless_late(self, job: messages.Job, deadline: float) -> WriteResult:
+        """Store a job unless it would end too late for its caller."""
+        if self.late_jobs is None:
+            return self._commit(store_transaction(job), deadline)
+        fault = self.late_jobs.check(job)
+        if fault is not None:
+            return result.Err(fault)
+        done = self._commit(store_transaction(job), deadline)
+        if isinstance(done, result.Err) and isinstance(
+            done.err_value, errors.Undecided
+        ):
+            self.late_jobs.record_undecided(job.job_id)
+        return done
+
     def _submit_continuous(
         self, job: messages.Job, cores: float, deadline: float
     ) -> WriteResult:
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -10,7 +10,7 @@
 
 from mangosail import clock as clocks
 from mangosail.front import server
-from mangosail.intake import catalogs, job_service, peers, relaying
+from mangosail.intake import catalogs, job_service, overload, peers, relaying
 from mangosail.platform import (
     advisor,
     decoding,
@@ -70,10 +70,15 @@
             settings.bounds.config_apply_ms / 1000,
             CLOSED_PREFIX,
         )
+        rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
+        late_jobs = None
+        if enabled.refuse_late_jobs:
+            late_jobs = overload.LateJobs(
+                self.store, self.catalog.queue, self.clock, self.counters, rand
+            )
         self.jobs = job_service.JobService(
-            self.store, self.catalog.stale, self.clock, self.counters
+            self.store, self.catalog.stale, self.clock, self.counters, late_jobs
         )
-        rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
         self.peers = peers.Peers(
             self.store,
             peers.Peer(settings.node_name, settings.peer_address),
--- a/src/mangosail/simulation/replay.py
+++ b/src/mangosail/simulation/replay.py
@@ -8,6 +8,7 @@
 import result
 
 from mangosail import codec, resources
+from mangosail.intake import overload
 from mangosail.platform import table
 from mangosail.scheduler import (
     advice,
@@ -132,6 +133,10 @@
     wasted: float
     #: Mean share of the cores that short tasks used while some waited.
     used_while_waiting: float
+    #: Jobs that were refused, and the longest backlog: the seconds for which accepted
+    #: jobs would keep all cores busy.
+    refused: frozenset[str]
+    longest_backlog: float
 
 
 def share(whole: tuple | list, part: list) -> float:
@@ -173,6 +178,20 @@
         self.ended_at: dict[str, float] = {}
         #: Shares of the cores that short tasks used while some waited.
         self.used: list[float] = []
+        self.late_jobs: overload.LateJobs | None = None
+        if enabled.refuse_late_jobs:
+            self.late_jobs = overload.LateJobs(
+                self.rows,
+                self.queues.get,
+                self.clock,
+                telemetry.StatsdCounters(None, 0),
+                self.rand,
+            )
+            # The replay reads the row itself, as its clock does not pass by sleeping.
+            self.late_jobs.reader.reading = True
+        self.refused: set[str] = set()
+        self.longest_backlog = 0.0
+        self.sampled_at = 0.0
         #: Workers that each fault has hit and not left yet.
         self.hit_by: dict[loads.WorkerFault, list[workers.Worker]] = {}
         #: Seconds at which further leaders are lost.
@@ -247,6 +266,10 @@
 
     def _hand_in(self, arrival: loads.Arrival) -> None:
         job = dataclasses.replace(arrival.job, accepted_at=self.clock.wall())
+        if self.late_jobs is not None and self.late_jobs.check(job) is not None:
+            self.refused.add(job.job_id)
+            self.ended_at[job.job_id] = math.inf
+            return
         for number, seconds in enumerate(arrival.seconds):
             for index, each in enumerate(seconds):
                 name = messages.task_name(job.job_id, 0, number, index)
@@ -319,6 +342,11 @@
                 failed = job.state is not messages.State.COMPLETED
                 self.ended_at[job_id] = math.inf if failed else self.clock.now
                 del self.open_jobs[job_id]
+        if self.clock.now >= self.sampled_at + overload.READ_INTERVAL_S:
+            self.sampled_at = self.clock.now
+            self.longest_backlog = max(self.longest_backlog, self._backlog())
+            if self.late_jobs is not None:
+                self.late_jobs.reader.read()
         waiting = any(
             step_run.any_waiting()
             for job in self.leader.jobs.values()
@@ -338,6 +366,17 @@
         )
         return used / total if total else 0.0
 
+    def _backlog(self) -> float:
+        """Return the seconds for which accepted jobs would keep all cores busy."""
+        total = sum(w.entry.capacity.cpus for w in self.workers.by_name.values())
+        left = sum(
+            self.workers.work_left[task.name][1] * task.step.need.cpus
+            for job in self.open_jobs.values()
+            for task in job.tasks()
+            if not task.step.continuous and task.phase is not progress.Phase.DONE
+        )
+        return left / total if total else 0.0
+
     def _all_ended(self) -> bool:
         return all(a.job.job_id in self.ended_at for a in self.coming)
 
@@ -356,4 +395,6 @@
             self.workers.longest_disturbance,
             self.workers.wasted,
             sum(self.used) / len(self.used) if self.used else 0.0,
+            frozenset(self.refused),
+            self.longest_backlog,
         )
