--- a/tests/simulation/loads.py
+++ b/tests/simulation/loads.py
@@ -98,6 +98,14 @@
 HEAVY_TAILS = load.Load(
     (ORDER,), CAPACITIES[:1] * 5, ends_at=20.0, progress_interval=0.5
 )
+#: Quotes on three workers without other load, which take all of these already, come 2.6
+#: times as often for 16 s.
+QUOTE_BURST = load.Load(
+    (dataclasses.replace(QUOTE, rate=4.0, cpus=4.0, memory_gb=2, estimate_error=0.7),),
+    CAPACITIES[:1] * 3,
+    ends_at=26.0,
+    bursts=(load.Burst(6.0, 22.0, 2.6),),
+)
 #: Releases that take eight times as long, so that each leader inherits most of them.
 LONG_RELEASES = dataclasses.replace(
     CALM,
--- a/tests/simulation/overload.feature
+++ b/tests/simulation/overload.feature
@@ -26,6 +26,14 @@
     When the load of heavy tails is replayed with and without estimates from progress
     Then with them 1.05 times as many orders are in time
 
+  Scenario: In a burst, refusals shorten the backlog, and no fewer quotes are of use
+    # Guards against work that is done after its callers have given up, and against
+    # refusals of quotes that would have been of use.
+    When the burst of quotes is replayed with and without refusals
+    Then with them the longest backlogs are 0.85 times as long at most
+    And as many quotes or more are of use
+    And of those refused 0.2 or fewer were of use without refusals
+
   Scenario: A change of leader leaves no best-effort work pressing for 4 s
     # Guards against work that a new leader takes for paused and lets press.
     When the load of long releases is replayed with seeds 1, 3, 5, 13
--- a/tests/simulation/steps/replay_steps.py
+++ b/tests/simulation/steps/replay_steps.py
@@ -13,6 +13,7 @@
 #: Seeds of replays that are compared. Of seeds 8 to 33, 16 had more orders in time by
 #: progress, 8 as many and 2 fewer; together 242 instead of 224.
 SEEDS = range(12, 19)
+BURST_SEEDS = (1, 2)
 
 
 @when("the calm load is replayed twice with seed {seed:d}")
@@ -64,6 +65,49 @@
     assert with_them >= times * without, (with_them, without)
 
 
+@when("the burst of quotes is replayed with and without refusals")
+def replay_burst(context):
+    enabled = options.Options(refuse_late_jobs=True)
+    context.pairs = [
+        tuple(
+            replay.Replay(loads.QUOTE_BURST, seed, each).run()
+            for each in (options.NONE, enabled)
+        )
+        for seed in BURST_SEEDS
+    ]
+
+
+@then("with them the longest backlogs are {times:g} times as long at most")
+def shorter(context, times):
+    without, with_them = (
+        sum(pair[i].longest_backlog for pair in context.pairs) for i in range(2)
+    )
+    assert with_them <= times * without, (with_them, without)
+
+
+@then("as many quotes or more are of use")
+def as_many(context):
+    without, with_them = (
+        sum(
+            end.of_use for pair in context.pairs for end in pair[i].queues["quote"].ends
+        )
+        for i in range(2)
+    )
+    assert with_them >= without, (with_them, without)
+
+
+@then("of those refused {most:g} or fewer were of use without refusals")
+def rightly(context, most):
+    refused = [
+        end.of_use
+        for without, with_them in context.pairs
+        for end in without.queues["quote"].ends
+        if end.arrival.job.job_id in with_them.refused
+    ]
+    assert refused
+    assert sum(refused) <= most * len(refused), refused
+
+
 def replay_seeds(context, what, seeds):
     numbers = [int(seed) for seed in seeds.split(",")]
     context.reports = [replay.Replay(what, number).run() for number in numbers]
