Measure inherited runs from their second figure on

The first figure that a new leader sees was taken as fresh, but may be half a second old: of a task of 8 s, 1.2 s seemed to be left instead of 1.6 s. A task that starts again without a checkpoint no longer counts the progress of its earlier run. Tested: remaining.feature.

--- a/src/mangosail/scheduler/pace.py
+++ b/src/mangosail/scheduler/pace.py
@@ -46,12 +46,17 @@
     )
 
     def __init__(
-        self, run: int, began_at: float | None, throttled_at: float, now: float
+        self,
+        run: int,
+        began_at: float | None,
+        percent: int,
+        throttled_at: float,
+        now: float,
     ) -> None:
         """Begin with a run that its worker lists for the first time.
 
         `began_at` is the elapsed time at which it began without any progress; None if
-        that is not known.
+        that is not known. Then its first figure may be half a second old.
         """
         self.run = run
         #: Elapsed time and progress from which the speed is measured. While the time is
@@ -60,6 +65,8 @@
         self.base_percent = 0
         #: Highest progress, and elapsed time at which it is taken to have appeared.
         self.percent = 0
+        if began_at is None and not self.fault(percent):
+            self.percent = percent
         self.changed_at = now if began_at is None else began_at
         #: Elapsed time of the last observation.
         self.seen_at = self.changed_at
--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -18,7 +18,9 @@
     """Record listed progress of a run, unless it is invalid; return the fault."""
     found = task.pace
     if found is None or found.run != row.run:
-        found = task.pace = pace.Pace(row.run, began_at(task), task.throttled_at, now)
+        found = task.pace = pace.Pace(
+            row.run, began_at(task), row.progress_percent, task.throttled_at, now
+        )
     fault = found.fault(row.progress_percent)
     if not fault:
         found.observe(row.progress_percent, task.speed_limit, task.throttled_at, now)
@@ -105,7 +107,11 @@
     if task.phase is progress.Phase.WAITING and not task.checkpoint:
         return duration
     found = task.pace
-    if found is not None and found.percent >= pace.MIN_PROGRESS_PERCENT:
+    if (
+        found is not None
+        and found.percent >= pace.MIN_PROGRESS_PERCENT
+        and (found.run == task.run or task.checkpoint)
+    ):
         # It went on from a checkpoint or was started by an earlier leader, or it waits
         # to go on.
         return duration * (pace.MAX_PERCENT - found.percent) / pace.MAX_PERCENT
