Do not count work that may wait for something else than room

A job that waits for a label or advice that no worker has stayed in the backlog, so less urgent jobs could have been refused for ever beside idle workers. Of more urgent jobs only those count that can still end in time, and nothing is published while more cores are idle than in use. Tested: backlog.feature (the new scenario fails without the check), and the load tests of the simulation slice.

--- a/src/mangosail/scheduler/backlog.py
+++ b/src/mangosail/scheduler/backlog.py
@@ -37,7 +37,8 @@
     priority: int
     #: Cores that they can use, once the work ahead of them is done.
     cores: float
-    #: Core-seconds of all more urgent jobs, which go first.
+    #: Core-seconds of the more urgent jobs that can end in time. The others may wait
+    #: for something else than room, such as a label that no worker has.
     urgent: float
     #: Mean core-seconds of the jobs of this priority, on which their rates depend.
     mean: float
@@ -46,7 +47,7 @@
 
     @property
     def core_seconds(self) -> float:
-        """Return the work of this priority and more urgent ones."""
+        """Return the work of this priority, and the urgent work ahead of it."""
         last = self.thresholds[-1] if self.thresholds else Threshold(0.0, 0.0, 0.0)
         return self.urgent + last.in_time + last.late
 
@@ -119,7 +120,7 @@
                 tuple(thresholds),
             )
         )
-        urgent += in_time + late
+        urgent += in_time
     return Backlog(priorities=tuple(found))
 
 
--- a/src/mangosail/scheduler/planning.py
+++ b/src/mangosail/scheduler/planning.py
@@ -93,8 +93,12 @@
             plans[priority] = ordering.plan(jobs.values(), cores, wall)
         self.plans = plans
         if self.measures_backlog:
-            cores = available + sum(in_use.values())
-            self.backlog = backlog.measure(remaining, plans, cores)
+            used = sum(in_use.values())
+            self.backlog = backlog.Backlog()
+            # Beside more idle cores than are in use, work waits for something else than
+            # room, and others need not wait for it.
+            if available <= used:
+                self.backlog = backlog.measure(remaining, plans, available + used)
 
     def current_backlog(self, now: float) -> backlog.Backlog | None:
         """Return the backlog as of the last plan; None if that is too old."""
--- a/tests/scheduler/backlog.feature
+++ b/tests/scheduler/backlog.feature
@@ -21,6 +21,12 @@
     When another leader takes over
     Then the lease row has no backlog
 
+  Scenario: Work that waits for something else than room is not published
+    # Guards against jobs that are refused beside idle workers for ever.
+    Given workers "w1" and a leader that refuses late jobs
+    When 20 jobs wait for a label that no worker has, and 60 rounds pass
+    Then the lease row tells of no waiting work
+
   Scenario: Figures of an earlier plan are not published for ever
     # Guards against a leader that plans no more and goes on renewing its lease.
     Given workers "w1" and a leader that refuses late jobs
--- a/tests/scheduler/steps/backlog_steps.py
+++ b/tests/scheduler/steps/backlog_steps.py
@@ -54,13 +54,18 @@
 
 
 @when("{count:d} jobs of 4 tasks are waiting, and {rounds:d} rounds pass")
-def jobs_wait(context, count, rounds):
+def jobs_wait(context, count, rounds, label=""):
     for number in range(count):
-        job = fakes.job(f"{number:016x}", fakes.step(4))
+        job = fakes.job(f"{number:016x}", fakes.step(4, label=label))
         context.world.rows.put(keys.job(job.job_id), job)
     context.world.leader.round(rounds)
 
 
+@when("{count:d} jobs wait for a label that no worker has, and {rounds:d} rounds pass")
+def jobs_wait_for_label(context, count, rounds):
+    jobs_wait(context, count, rounds, "none")
+
+
 @when("it writes for 2 s without planning")
 def only_writes(context):
     for _ in range(40):
@@ -68,6 +73,11 @@
         context.world.leader.write()
 
 
+@then("the lease row tells of no waiting work")
+def no_work(context):
+    assert backlog.decode(lease_row(context)["backlog"]) == backlog.Backlog()
+
+
 @when("another leader takes over")
 def takes_over(context):
     context.world.clock.now += 5.0
