Provide the seconds that one running task has left

For copies of tasks: remaining.seconds_left(task, estimate, now), by the task's own progress if it is known.

--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -95,6 +95,18 @@
     return pace.Outlook(now, valid_until, running, usual, seconds_left, longest_left)
 
 
+def seconds_left(task: progress.Task, estimate: float, now: float) -> float:
+    """Return the seconds that a live task has left, by its own progress if known.
+
+    `estimate` is the expected duration of a task of its step.
+    """
+    found = task.pace
+    if found is None or found.duration is None or found.run != task.run:
+        return unmeasured_left(task, estimate, elapsed_seconds(task, now))
+    duration = found.expected_duration(task.speed_limit, now)
+    return found.seconds_left(duration, task.speed_limit, now)
+
+
 def elapsed_seconds(task: progress.Task, now: float) -> float:
     """Return the seconds that a task has run, as far as this leader knows."""
     if task.phase is not progress.Phase.RUNNING:
--- a/tests/scheduler/steps/remaining_steps.py
+++ b/tests/scheduler/steps/remaining_steps.py
@@ -114,6 +114,7 @@
     near(run.estimator.estimate(run.step), estimate)
     outlook = run.estimator.outlook(run.step, run.clock.now)
     near(outlook.longest_left, left)
+    near(remaining.seconds_left(run.tasks[0], outlook.duration, run.clock.now), left)
     near(outlook.seconds_left, left * len(run.tasks))
 
 
