--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -10,7 +10,7 @@
 
 from mangosail import clock as clocks
 from mangosail.front import server
-from mangosail.intake import catalogs, job_service, peers, relaying
+from mangosail.intake import catalogs, job_service, overload, peers, relaying
 from mangosail.platform import (
     advisor,
     decoding,
@@ -71,11 +71,16 @@
             settings.bounds.config_apply_ms / 1000,
             CLOSED_PREFIX,
         )
-        self.jobs = job_service.JobService(
-            self.store, self.catalog.stale, self.clock, self.counters
-        )
         rand = random.Random(f"{settings.node_name}{os.getpid()}{self.clock.wall()}")
         cores = settings.limits.cpu_share * settings.limits.cores
+        late_jobs = None
+        if enabled.refuse_late_jobs:
+            late_jobs = overload.LateJobs(
+                self.store, self.catalog.queue, self.clock, self.counters, rand
+            )
+        self.jobs = job_service.JobService(
+            self.store, self.catalog.stale, self.clock, self.counters, late_jobs
+        )
         self.peers = peers.Peers(
             self.store,
             peers.Peer(
--- /dev/null
+++ b/tests/intake/steps/overload_steps.py
@@ -0,0 +1,208 @@
+import dataclasses
+import random
+import unittest.mock
+
+import logbook
+import result
+from behave import given, then, when
+from tests.scheduler import fakes
+from tests.support import memory
+
+from mangosail import codec
+from mangosail.intake import job_service, overload
+from mangosail.platform import errors as store_errors
+from mangosail.platform import table
+from mangosail.scheduler import backlog, journal, keys, messages, ordering
+from mangosail.telemetry import counters
+
+QUEUE = messages.Queue("q", "", "/", "pool", 0, 2, 3.0, stretch=1.5, target=0.25)
+ID = "00000000000000aa"
+
+
+@given("an instance that refuses late jobs, and a leader that renews its lease")
+def instance(context):
+    context.clock, context.rows = memory.Clock(), fakes.Rows()
+    context.counters = counters.StatsdCounters(None, 0)
+    context.lease = journal.Lease("a", "1", 1)
+    start(context)
+
+
+def start(context, refuses=True):
+    context.late = overload.LateJobs(
+        context.rows, {"q": QUEUE}.get, context.clock, context.counters,
+        random.Random(1),
+    )  # fmt: skip
+    context.service = job_service.JobService(
+        context.rows, lambda: False, context.clock, context.counters,
+        context.late if refuses else None,
+    )  # fmt: skip
+    # The tests let the reader read at each half second.
+    context.late.reader.reading = True
+
+
+@given("the leader publishes {work:d} core-seconds of {size} jobs for {cores:d} cores")
+def published(context, work, size, cores):
+    each = 2.0 if size == "short" else 3000.0
+    jobs = {
+        str(number): ordering.RemainingWork(str(number), 0.0, each, each, 1.0)
+        for number in range(round(work / each))
+    }
+    ranks = {name: rank for rank, name in enumerate(jobs)}
+    plans = {0: ordering.Plan(ranks, 0 if size == "large" else len(jobs))}
+    found = backlog.measure({0: jobs}, plans, cores) if jobs else backlog.Backlog()
+    context.lease = dataclasses.replace(context.lease, backlog=backlog.encode(found))
+
+
+def pass_time(context, seconds, renews=True, reads=True):
+    """Let time pass, with a renewal every 0.25 s and a read every half second."""
+    for number in range(round(seconds / 0.25)):
+        context.clock.now += 0.25
+        if renews:
+            renewals = context.lease.renewals + 1
+            context.lease = dataclasses.replace(context.lease, renewals=renewals)
+            write(context, journal.encode_lease(context.lease))
+        if reads and number % 2:
+            context.late.reader.read()
+
+
+def write(context, text):
+    context.rows._apply(table.Transaction((), (table.Write(keys.LEASE, text),)))
+
+
+@when("jobs come in for {seconds:g} s")
+def jobs_come(context, seconds):
+    pass_time(context, seconds)
+
+
+@when("in doubt: {doubt}")
+def in_doubt(context, doubt):
+    DOUBTS[doubt](context)
+
+
+def other_row(context, text):
+    write(context, text)
+    pass_time(context, 0.5, renews=False)
+
+
+def replace_lease(context, lease):
+    context.lease = lease
+    pass_time(context, 1.0)
+
+
+def earlier_build(context):
+    fields = dataclasses.asdict(context.lease)
+    del fields["backlog"]
+    other_row(context, codec.to_json({**fields, "unknown": 1}))
+
+
+def restart(context):
+    start(context)
+    pass_time(context, 2.0)
+
+
+def lost_read(context):
+    context.rows.fault = "down"
+    pass_time(context, 0.5, renews=False)
+    context.rows.fault = ""
+
+
+def pause(context):
+    pass_time(context, 60.0, reads=False)
+    context.late.reader.read()
+
+
+def unreadable(context):
+    error = result.Err(store_errors.Unavailable("down"))
+    context.rows.read = lambda wanted: error
+
+
+def attempted(context, fault):
+    """Hand the job in before there is a backlog, with a fault of the store."""
+    context.rows.fault = fault
+    with unittest.mock.patch.object(context.late.reader, "current", lambda: None):
+        done = context.service.submit(job(2, ""))
+    assert isinstance(done, result.Ok if not fault else result.Err), done
+    context.rows.fault = ""
+    context.counted = "repeated" if not fault else "undecided"
+
+
+DOUBTS = {
+    "the leader is gone for 3 s": lambda c: pass_time(c, 3.0, renews=False),
+    "a new leader has taken the lease": lambda c: replace_lease(
+        c, journal.Lease("b", "2", 2)
+    ),
+    "a leader of another build writes the row": earlier_build,
+    "the row can't be decoded": lambda c: other_row(c, "{"),
+    "the row is of another version": lambda c: replace_lease(
+        c, dataclasses.replace(c.lease, backlog='{"version":2}')
+    ),
+    "the instance has been restarted": restart,
+    "the store did not answer the last read": lost_read,
+    "no job has come for a minute": pause,
+    "the job's row can't be read": unreadable,
+    "the outcome of an earlier attempt is not known": lambda c: attempted(c, "late"),
+    "the job is stored already": lambda c: attempted(c, ""),
+    "the instance is without the option": lambda c: start(c, refuses=False),
+}
+
+
+def job(count, kind, job_id=ID):
+    step = fakes.step(count, continuous="continuous" in kind)
+    step = dataclasses.replace(step, estimate=0.0 if "undeclared" in kind else 1.0)
+    made = fakes.job(job_id, step, first_due=9999.0 if "scheduled" in kind else 0.0)
+    return dataclasses.replace(made, queue="gone" if "no queue" in kind else "q")
+
+
+@when("a job of {count:d} {kind} is handed in")
+def hand_in(context, count, kind):
+    context.answer = context.service.submit(job(count, kind))
+
+
+@then("it is accepted")
+def accepted(context):
+    assert isinstance(context.answer, result.Ok), context.answer
+    if counted := getattr(context, "counted", ""):
+        assert context.counters.snapshot()[f"overload.spared.{counted}"] == 1
+
+
+@then("it is refused")
+def refused(context):
+    assert context.answer.err_value.reason == "overloaded", context.answer
+    assert keys.job(ID) not in context.rows.kept
+
+
+@when("{count:d} jobs of 2 tasks are handed in")
+def hand_in_many(context, count):
+    with logbook.TestHandler() as context.logged:
+        context.answers = [
+            context.service.submit(job(2, "", f"{number:016x}"))
+            for number in range(count)
+        ]
+
+
+@then(
+    "all are told to retry after {least:g} to {most:g} s, at different times, in one "
+    "line each"
+)
+def told(context, least, most):
+    times = [answer.err_value.retry_after for answer in context.answers]
+    assert least <= min(times) <= max(times) <= most, (min(times), max(times))
+    assert len(set(times)) > len(times) / 2, times
+    wanted = "job refused as too late"
+    lines = [each for each in context.logged.records if each.message == wanted]
+    assert len(lines) == len(times)
+    assert context.counters.snapshot()["overload.refused"] == len(times)
+
+
+@when("a job comes in, and no other one for a minute")
+def one_job(context):
+    context.late.reader.reading = False
+    context.reads = unittest.mock.Mock(return_value=result.Ok({}))
+    context.rows.read = context.reads
+    with unittest.mock.patch.object(overload.gevent, "spawn", lambda read: read()):
+        context.late.reader.job_arrived()
+
+
+@then("the row was read {count:d} times")
+def read_often(context, count):
+    assert context.reads.call_count == count, context.reads.call_count
