Place best-effort work beside continuous tasks without a target

A continuous step may have no latency target. The headroom beside such a task was computed from a target of 0 and, as long as no latency of its image was known, divided by zero, which ended the placement round: no best-effort job was started any more while such a task ran anywhere ("placement round failed"). Tasks without a target set no limit now; those with one are treated as before.

--- a/src/mangosail/scheduler/interference.py
+++ b/src/mangosail/scheduler/interference.py
@@ -309,18 +309,17 @@
         """Return the utilization headroom that would remain beside a new task.
 
         Negative if a latency would come too close to its target, unless best-effort
-        work has no part in that; 1 if no latency-critical task is there.
+        work has no part in that; 1 if no task there has a target.
         """
         if not worker.latency_critical_count:
             return 1.0
+        critical = [
+            task for task in worker.tasks.values() if is_latency_critical(task.step)
+        ]
         shares = planned_shares(worker)
         added = step.need.cpus / worker.entry.capacity.cpus
         shares[step.image] = shares.get(step.image, 0.0) + added
-        return min(
-            self._headroom_of(task, shares)
-            for task in worker.tasks.values()
-            if task.step.continuous and not task.step.best_effort
-        )
+        return min((self._headroom_of(task, shares) for task in critical), default=1.0)
 
     def _headroom_of(
         self, task: progress.Task, shares: cabc.Mapping[str, float]
--- a/tests/scheduler/interference.feature
+++ b/tests/scheduler/interference.feature
@@ -34,3 +34,9 @@
     And the workers with "harmless" are slow for 3 s
     And reports of 15 s are learned
     Then the pressure of "harmless" is 1.5 at most, and that of "harmful" is 3 at least
+
+  Scenario: A continuous task without a target sets no limit to best-effort work
+    # Guards against a division by zero that ended each placement round: no best-effort
+    # job was started any more while such a task ran on any worker.
+    Given a continuous task without a target, and one whose target leaves room
+    Then the headroom beside the first is 1, and beside both that of the second
--- a/tests/scheduler/steps/interference_steps.py
+++ b/tests/scheduler/steps/interference_steps.py
@@ -168,3 +168,28 @@
 @then("the load counts for what it is")
 def counts_as_is(context):
     assert counted_rise(context) == 0, counted_rise(context)
+
+
+@given("a continuous task without a target, and one whose target leaves room")
+def without_target(context):
+    context.model = interference.Model()
+    context.fleet = fleet.Fleet()
+    need = resources.Resources(2, 1)
+    context.untargeted, context.targeted = (
+        fakes.step(1, need, continuous=True, image="serving", latency_target=target)
+        for target in (0.0, TARGET_MS)
+    )
+
+
+@then("the headroom beside the first is 1, and beside both that of the second")
+def headroom_without_target(context):
+    def found(*steps):
+        name = f"w{len(context.fleet)}"
+        worker = context.fleet.add(fakes.Worker(name, None).entry)
+        for task in progress.JobProgress(fakes.job("00000000000000ab", *steps)).tasks():
+            worker.reserve(task)
+        return context.model.headroom(best_effort_step("batch"), worker)
+
+    first, second = context.untargeted, context.targeted
+    assert found(first) == 1.0
+    assert found(first, second) == found(second) < 1.0
