--- a/tests/simulation/overload.feature
+++ b/tests/simulation/overload.feature
@@ -43,6 +43,7 @@
     # Guards against work that a new leader takes for paused and lets press.
     When the load of long releases is replayed with seeds 1, 3, 5, 13
     Then no tail is over its target for 4 s on end by the work beside it
+    And 1.0 of the quotes and 0.0 of the releases are served
 
   Scenario: Copies bring jobs of lost workers in time
     # Guards against jobs that wait for the end of the lease of a worker that is gone.
