End both runs of a pair at once in random histories

The histories rarely ended both runs of a task before the leader knew of either. A rule ends the runs of all pairs, done or failed.

--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -532,6 +532,18 @@
             )
             self.world.list(worker)
 
+    @stateful.rule(
+        first=st.sampled_from(["done", "failed", "failed"]),
+        second=st.sampled_from(["done", "failed", "failed"]),
+    )
+    def end_both_runs(self, first, second):
+        """The runs of each pair end before the leader knows of either."""
+        for task in self.copied_tasks():
+            for run, outcome in ((task, first), (task.copy, second)):
+                worker = self.world.calls.workers.get(run.worker)
+                if worker in self.living() and worker.running.get(task.name) == run.run:
+                    worker.end(task.name, outcome)
+
     @stateful.invariant()
     def pairs_are_on_two_workers(self):
         for task in self.copied_tasks():
