--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -538,6 +538,8 @@
         self.closed = frozenset()
         #: Maximum number of workers that a leader polls.
         self.most_workers = sys.maxsize
+        #: True if late orders to a worker reach its next incarnation.
+        self.late_orders_outlive_workers = True
         #: Optional decisions of the leaders.
         self.options = options.NONE
 
@@ -594,7 +596,8 @@
         later = self.add_worker(
             entry.name, address=entry.address, capacity=entry.capacity, born=born
         )
-        later.late = worker.late
+        if self.late_orders_outlive_workers:
+            later.late = worker.late
         return later
 
     def count_crash(self, worker):
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -154,6 +154,11 @@
         history.pass_time(machine.TURN)
         history.lead_on(1)
         history.one_run_at_a_time()
+    tracker = history.leaders[-1].scheduler.reports.crash_tracker
+    suspects = [
+        each.task for some in tracker.pending_suspects.values() for each in some
+    ]
+    assert not any(task.job.job.job_id == WAITING for task in suspects), suspects
 
 
 @given("a job of 2 tasks that waits for room")
