Make no copy of a run that is known only from an assignment

After a takeover, the tasks of later steps are in doubt on their assigned workers. Where a data centre was out of reach, the next leader took them for stuck and started copies of them before the steps that they follow had ended.

--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -124,10 +124,12 @@
 def may_be_copied(task: progress.Task) -> bool:
     """Return whether a task may get a copy if it is stuck.
 
-    Both runs may fail, and at most `attempts` runs of a task may.
+    Both runs may fail, and at most `attempts` runs of a task may. One that is known
+    only from an assignment may never have begun, and its step's turn may not have come.
     """
     return (
         task.phase in COPYABLE
+        and not task.from_assignment
         and task.copy is None
         and task.copies_made < MAX_COPIES
         and not task.suspect
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -54,6 +54,12 @@
     And the leader is killed, and the next one does not reach the workers that run it
     Then no task of it runs twice, and it runs elsewhere within 9 s
 
+  Scenario: The next leader copies tasks, and loses a data centre with assigned workers
+    # Guards against a copy of a task whose turn has not come.
+    Given 6 workers, and leaders that copy tasks of the second step
+    When the leader is killed, and the next one does not reach 3 workers, assigned ones first, for 2 s
+    Then the second step does not run
+
   Scenario: The response to the write of assignments is lost
     # Guards against starts that a next leader may not find in the store.
     Given a job of 2 tasks that waits for room, and the write of its assignments is lost
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -69,6 +69,18 @@
         step_begin(context)
 
 
+@given("{count:d} workers, and leaders that copy tasks of the second step")
+def step_copying(context, count):
+    both = options.Options(assign_ahead=True, copy_tasks=True)
+    with mock.patch.multiple(History, options=both, workers=count):
+        history = context.history = History()
+    history.lead_on(2)
+    second = fakes.step(2, after=(0,), copies_allowed=True)
+    history.submit(JOB, fakes.step(2), second)
+    history.lead_on(4)
+    assert len(history.runs(f"{JOB}.0.0.")) == 2
+
+
 @when("the store goes away for {seconds:g} s, and the first step ends")
 def step_away(context, seconds):
     context.history.away(seconds)
@@ -145,6 +157,25 @@
             history.leaders[-1].reach.cut.add(worker.entry.name)
 
 
+@when(
+    "the leader is killed, and the next one does not reach {count:d} workers, assigned "
+    "ones first, for {seconds:g} s"
+)
+def step_assigned_unreached(context, count, seconds):
+    history = context.history
+    assigned = {task.assigned_worker for task in history.second_step()}
+    assert assigned and "" not in assigned
+    history.kill_leader()
+    (leader,) = history.leaders
+    leader.scheduler.rounds.copier.max_share = machine.COPIED_SHARE
+    names = sorted(
+        (worker.entry.name for worker in history.living()),
+        key=lambda name: name not in assigned,
+    )
+    leader.reach.cut.update(names[:count])
+    history.lead_for(seconds)
+
+
 @then("no task of it runs twice, and it runs elsewhere within {seconds:g} s")
 def step_started_again(context, seconds):
     history = context.history
