--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -316,13 +316,16 @@
 
     def _has_advice(self, step_run: progress.StepRun, now: float) -> bool:
         """Return whether a step may be placed, with advice if its queue needs any."""
-        queue = self._queue(step_run.job.job.queue)
-        if queue is None or not queue.needs_advice:
+        if not self._needs_advice(step_run.job):
             return True
         tickets = self.ticket_cache.usable_tickets(step_run, now)
         step_run.allowed_workers = frozenset(tickets)
         return bool(tickets)
 
+    def _needs_advice(self, job: progress.JobProgress) -> bool:
+        queue = self._queue(job.job.queue)
+        return queue is not None and queue.needs_advice
+
     def _unassigned_tasks(
         self, step_run: progress.StepRun, now: float
     ) -> list[progress.Task]:
@@ -333,6 +336,9 @@
         tasks = startable_tasks(step_run, now)
         if not tasks or not self.assigned_starts.active():
             return tasks
+        if self._needs_advice(step_run.job):
+            # It may not have when the tasks were assigned.
+            return tasks
         service = self.service_of(step_run.job.job)
         return self.assigned_starts.start(step_run, tasks, service)
 
@@ -359,8 +365,7 @@
 
     def _assign(self, job: progress.JobProgress, now: float) -> bool:
         """Assign workers to the waiting tasks of a job; return whether any changed."""
-        queue = self._queue(job.job.queue)
-        if queue is not None and queue.needs_advice:
+        if self._needs_advice(job):
             # Tickets expire.
             return False
         service = self.service_of(job.job)
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -88,6 +88,11 @@
     When the store goes away, the workers restart, and the first step ends
     Then the second step does not run
 
+  Scenario: The queue of the job has come to need advice since the record
+    # Guards against a start without a ticket.
+    When the queue needs advice, the store goes away, and the first step ends
+    Then the second step does not run
+
   Scenario: A record would be too long with assignments
     # Guards against a start under an assignment that is in no record.
     When its next record is too long with assignments
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -6,7 +6,14 @@
 
 from mangosail import codec
 from mangosail.platform import table
-from mangosail.scheduler import assignments, keys, options, progress, records
+from mangosail.scheduler import (
+    assignments,
+    keys,
+    messages,
+    options,
+    progress,
+    records,
+)
 
 JOB = "00000000000000aa"
 SECOND_STEP = f"{JOB}.0.1."
@@ -258,6 +265,17 @@
     history.end(f"{JOB}.0.0.")
 
 
+@when("the queue needs advice, the store goes away, and the first step ends")
+def step_needs_advice(context):
+    history = context.history
+    name = history.jobs[JOB].queue
+    queue = messages.Queue(name, "h", "/", "pool", 0, 2, 3.0, needs_advice=True)
+    history.world.catalog = dataclasses.replace(
+        history.world.catalog, version=2, queues=(queue,)
+    )
+    step_away(context, 0.25)
+
+
 @when("its next record is too long with assignments")
 def step_too_long(context):
     leader = context.history.leaders[-1].scheduler
