Let a job starve although later steps may run under assignments

After a takeover, tasks that are in doubt on an unreachable assigned worker counted as running for up to 8 s, so that the tasks of an earlier step were not placed as overdue.

--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -496,11 +496,16 @@
 
 
 def is_starving(step_run: progress.StepRun, now: float) -> bool:
-    """Return whether a job has waited long with nothing running."""
+    """Return whether a job has waited long with nothing running.
+
+    Runs that are known only from assignments may never have begun.
+    """
     since = step_run.blocked_since
     if since is None or now < since + STARVATION_S:
         return False
-    return not any(task.live for task in step_run.job.tasks())
+    return not any(
+        task.live and not task.from_assignment for task in step_run.job.tasks()
+    )
 
 
 def keep_recordable(
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -99,6 +99,11 @@
     Then the record has no assignments
     And none may be used
 
+  Scenario: A job starves although a later step may run under an assignment
+    # Guards against a job that is not placed while an assigned worker is unreachable.
+    Given a job of two steps, of which the second is in doubt on its assigned worker
+    Then its first step counts as starving once it has waited for 10 s
+
   Scenario Outline: No assignments for <kind>
     Given a second step of <kind>
     Then none of its tasks is assigned
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -13,6 +13,7 @@
     options,
     progress,
     records,
+    rounds,
 )
 
 JOB = "00000000000000aa"
@@ -146,11 +147,11 @@
 def step_held_back(context):
     history = context.history
     history.away()
-    rounds = history.leaders[-1].scheduler.rounds
-    with mock.patch.object(rounds, "_send") as send:
+    loop = history.leaders[-1].scheduler.rounds
+    with mock.patch.object(loop, "_send") as send:
         history.end(f"{JOB}.0.0.")
     history.world.clock.now += 4.0
-    rounds._send(*send.call_args.args)
+    loop._send(*send.call_args.args)
     machine.settle()
     assert history.world.counters.snapshot()["orders.not_started.unconfirmed"] == 2
 
@@ -287,9 +288,9 @@
 
 @then("none may be used")
 def step_void(context):
-    rounds = context.history.leaders[-1].scheduler.rounds
+    loop = context.history.leaders[-1].scheduler.rounds
     for task in context.history.second_step():
-        found = rounds.assigned_starts.assigner.refusal(task, "pool", 1e6, 1e6)
+        found = loop.assigned_starts.assigner.refusal(task, "pool", 1e6, 1e6)
         assert found is assignments.Refusal.NOT_DURABLE, found
 
 
@@ -299,6 +300,24 @@
     assert "assignments" not in codec.from_json(text, dict), text
 
 
+@given("a job of two steps, of which the second is in doubt on its assigned worker")
+def step_in_doubt(context):
+    held = progress.JobProgress(
+        fakes.job(JOB, fakes.step(), fakes.step(after=(0,))), keys.job(JOB)
+    )
+    record = records.JobRecord(workers=("w",), assignments=((0, 1, (0,)),))
+    held.restore(record)
+    assert [task.from_assignment for task in held.tasks()] == [False, True]
+    context.held = held
+
+
+@then("its first step counts as starving once it has waited for {seconds:g} s")
+def step_starves(context, seconds):
+    first = context.held.steps[0, 0]
+    first.blocked_since = 1000.0
+    assert rounds.is_starving(first, 1000.0 + seconds)
+
+
 @given("a second step of {kind}")
 def step_kind(context, kind):
     facts = {"continuous tasks": {"continuous": True}, "a gang": {"gang": True}}
