--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -460,6 +460,7 @@
             task.step_run.done_count += 1
         task.worker = ""
         task.checkpoint = ""
+        task.from_assignment = False
 
     def select_recordable(self, step_run: StepRun, tasks: list[Task]) -> list[Task]:
         """Return the waiting tasks of a step that fit into the record, if started.
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -104,6 +104,12 @@
     Given a job of two steps, of which the second is in doubt on its assigned worker
     Then its first step counts as starving once it has waited for 10 s
 
+  Scenario: A task in doubt on its assigned worker turns out to have ended before
+    # Guards against a job that gets no assignments any more.
+    Given a job of two steps, of which the second is in doubt on its assigned worker
+    When an earlier run of the second step is reported as done
+    Then no run of it is known only from an assignment
+
   Scenario Outline: No assignments for <kind>
     Given a second step of <kind>
     Then none of its tasks is assigned
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -318,6 +318,22 @@
     assert rounds.is_starving(first, 1000.0 + seconds)
 
 
+@when("an earlier run of the second step is reported as done")
+def step_done_before(context):
+    leader = context.history.leaders[-1].scheduler
+    leader.jobs[JOB] = context.held
+    (worker,) = list(leader.workers)[:1]
+    end = messages.RunEnd(1000, f"{JOB}.0.1.0", 0, messages.Outcome.DONE, "")
+    report = messages.WorkerReport(round(worker.clock), (), (end,))
+    leader.reports.process(worker, report, context.history.world.clock.now)
+    assert context.held.steps[0, 1].all_done
+
+
+@then("no run of it is known only from an assignment")
+def step_none_in_doubt(context):
+    assert not any(task.from_assignment for task in context.held.tasks())
+
+
 @given("a second step of {kind}")
 def step_kind(context, kind):
     facts = {"continuous tasks": {"continuous": True}, "a gang": {"gang": True}}
