--- a/src/mangosail/scheduler/handover.py
+++ b/src/mangosail/scheduler/handover.py
@@ -16,8 +16,9 @@
 - The claim is a transaction that checks the version of the lease row, so of several
   claims against one version a single one takes effect, with a higher token.
 - Each transaction of the earlier leader checks the same row, so none takes effect after
-  the claim. A run is started only once its record is durable. The new leader reads all
-  records after its claim, and so knows each run that the earlier one may have started.
+  the claim. A run is started only once its record or its assignment is durable. The new
+  leader reads all records after its claim, and so knows each run that the earlier one
+  may have started or may still start.
 - It treats such a run as doubtful until its worker was polled. From that poll on the
   worker refuses the earlier leader's lower token; until then the task starts nowhere.
 
