--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -54,6 +54,12 @@
     And the leader is killed, and the next one does not reach the workers that run it
     Then no task of it runs twice, and it runs elsewhere within 9 s
 
+  Scenario: The next leader copies tasks, and loses a data centre with assigned workers
+    # Guards against a copy of a task whose turn has not come.
+    Given 6 workers, and leaders that copy tasks of the second step
+    When the leader is killed, and the next one does not reach 3 workers, assigned ones first, for 2 s
+    Then the second step does not run
+
   Scenario: The response to the write of assignments is lost
     # Guards against starts that a next leader may not find in the store.
     Given a job of 2 tasks that waits for room, and the write of its assignments is lost
@@ -82,12 +88,28 @@
     When the store goes away, the workers restart, and the first step ends
     Then the second step does not run
 
+  Scenario: The queue of the job has come to need advice since the record
+    # Guards against a start without a ticket.
+    When the queue needs advice, the store goes away, and the first step ends
+    Then the second step does not run
+
   Scenario: A record would be too long with assignments
     # Guards against a start under an assignment that is in no record.
     When its next record is too long with assignments
     Then the record has no assignments
     And none may be used
 
+  Scenario: A job starves although a later step may run under an assignment
+    # Guards against a job that is not placed while an assigned worker is unreachable.
+    Given a job of two steps, of which the second is in doubt on its assigned worker
+    Then its first step counts as starving once it has waited for 10 s
+
+  Scenario: A task in doubt on its assigned worker turns out to have ended before
+    # Guards against a job that gets no assignments any more.
+    Given a job of two steps, of which the second is in doubt on its assigned worker
+    When an earlier run of the second step is reported as done
+    Then no run of it is known only from an assignment
+
   Scenario Outline: No assignments for <kind>
     Given a second step of <kind>
     Then none of its tasks is assigned
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -6,7 +6,15 @@
 
 from mangosail import codec
 from mangosail.platform import table
-from mangosail.scheduler import assignments, keys, options, progress, records
+from mangosail.scheduler import (
+    assignments,
+    keys,
+    messages,
+    options,
+    progress,
+    records,
+    rounds,
+)
 
 JOB = "00000000000000aa"
 SECOND_STEP = f"{JOB}.0.1."
@@ -69,6 +77,18 @@
         step_begin(context)
 
 
+@given("{count:d} workers, and leaders that copy tasks of the second step")
+def step_copying(context, count):
+    both = options.Options(assign_ahead=True, copy_tasks=True)
+    with mock.patch.multiple(History, options=both, workers=count):
+        history = context.history = History()
+    history.lead_on(2)
+    second = fakes.step(2, after=(0,), copies_allowed=True)
+    history.submit(JOB, fakes.step(2), second)
+    history.lead_on(4)
+    assert len(history.runs(f"{JOB}.0.0.")) == 2
+
+
 @when("the store goes away for {seconds:g} s, and the first step ends")
 def step_away(context, seconds):
     context.history.away(seconds)
@@ -127,11 +147,11 @@
 def step_held_back(context):
     history = context.history
     history.away()
-    rounds = history.leaders[-1].scheduler.rounds
-    with mock.patch.object(rounds, "_send") as send:
+    loop = history.leaders[-1].scheduler.rounds
+    with mock.patch.object(loop, "_send") as send:
         history.end(f"{JOB}.0.0.")
     history.world.clock.now += 4.0
-    rounds._send(*send.call_args.args)
+    loop._send(*send.call_args.args)
     machine.settle()
     assert history.world.counters.snapshot()["orders.not_started.unconfirmed"] == 2
 
@@ -145,6 +165,25 @@
             history.leaders[-1].reach.cut.add(worker.entry.name)
 
 
+@when(
+    "the leader is killed, and the next one does not reach {count:d} workers, assigned "
+    "ones first, for {seconds:g} s"
+)
+def step_assigned_unreached(context, count, seconds):
+    history = context.history
+    assigned = {task.assigned_worker for task in history.second_step()}
+    assert assigned and "" not in assigned
+    history.kill_leader()
+    (leader,) = history.leaders
+    leader.scheduler.rounds.copier.max_share = machine.COPIED_SHARE
+    names = sorted(
+        (worker.entry.name for worker in history.living()),
+        key=lambda name: name not in assigned,
+    )
+    leader.reach.cut.update(names[:count])
+    history.lead_for(seconds)
+
+
 @then("no task of it runs twice, and it runs elsewhere within {seconds:g} s")
 def step_started_again(context, seconds):
     history = context.history
@@ -232,6 +271,17 @@
     history.end(f"{JOB}.0.0.")
 
 
+@when("the queue needs advice, the store goes away, and the first step ends")
+def step_needs_advice(context):
+    history = context.history
+    name = history.jobs[JOB].queue
+    queue = messages.Queue(name, "h", "/", "pool", 0, 2, 3.0, needs_advice=True)
+    history.world.catalog = dataclasses.replace(
+        history.world.catalog, version=2, queues=(queue,)
+    )
+    step_away(context, 0.25)
+
+
 @when("its next record is too long with assignments")
 def step_too_long(context):
     leader = context.history.leaders[-1].scheduler
@@ -243,9 +293,9 @@
 
 @then("none may be used")
 def step_void(context):
-    rounds = context.history.leaders[-1].scheduler.rounds
+    loop = context.history.leaders[-1].scheduler.rounds
     for task in context.history.second_step():
-        found = rounds.assigned_starts.assigner.refusal(task, "pool", 1e6, 1e6)
+        found = loop.assigned_starts.assigner.refusal(task, "pool", 1e6, 1e6)
         assert found is assignments.Refusal.NOT_DURABLE, found
 
 
@@ -255,6 +305,40 @@
     assert "assignments" not in codec.from_json(text, dict), text
 
 
+@given("a job of two steps, of which the second is in doubt on its assigned worker")
+def step_in_doubt(context):
+    held = progress.JobProgress(
+        fakes.job(JOB, fakes.step(), fakes.step(after=(0,))), keys.job(JOB)
+    )
+    record = records.JobRecord(workers=("w",), assignments=((0, 1, (0,)),))
+    held.restore(record)
+    assert [task.from_assignment for task in held.tasks()] == [False, True]
+    context.held = held
+
+
+@then("its first step counts as starving once it has waited for {seconds:g} s")
+def step_starves(context, seconds):
+    first = context.held.steps[0, 0]
+    first.blocked_since = 1000.0
+    assert rounds.is_starving(first, 1000.0 + seconds)
+
+
+@when("an earlier run of the second step is reported as done")
+def step_done_before(context):
+    leader = context.history.leaders[-1].scheduler
+    leader.jobs[JOB] = context.held
+    (worker,) = list(leader.workers)[:1]
+    end = messages.RunEnd(1000, f"{JOB}.0.1.0", 0, messages.Outcome.DONE, "")
+    report = messages.WorkerReport(round(worker.clock), (), (end,))
+    leader.reports.process(worker, report, context.history.world.clock.now)
+    assert context.held.steps[0, 1].all_done
+
+
+@then("no run of it is known only from an assignment")
+def step_none_in_doubt(context):
+    assert not any(task.from_assignment for task in context.held.tasks())
+
+
 @given("a second step of {kind}")
 def step_kind(context, kind):
     facts = {"continuous tasks": {"continuous": True}, "a gang": {"gang": True}}
