Void earlier writes of a job that is refused as too late

An instance refused a job whose write by another instance was still without an answer; the write took effect later, and the job ran although its caller had been told that it never would. A refusal now writes a row whose version each submission of the job checks.

--- a/src/mangosail/intake/job_service.py
+++ b/src/mangosail/intake/job_service.py
@@ -33,6 +33,9 @@
 COMMIT_TIMEOUT_S = 1.0
 #: Seconds until a failed write is retried.
 RETRY_INTERVAL_S = 0.08
+#: Seconds after the arrival of a job within which an earlier refusal of it is replaced.
+#: A later one may answer a repetition of this request at another instance.
+MAX_REPLACE_DELAY_S = 0.5
 #: Seconds after which a refused caller should retry.
 RETRY_AFTER_S = 0.3
 #: Seconds after which a refused continuous job may find capacity.
@@ -94,7 +97,7 @@
         elif cores:
             done = self._submit_continuous(job, cores, deadline)
         else:
-            done = self._submit_unless_late(job, deadline)
+            done = self._submit_unless_late(job, began_at)
         took = self.clock.elapsed() - began_at
         self.counters.time("intake.stored", took)
         outcome = outcome_of(done)
@@ -106,20 +109,47 @@
         )  # fmt: skip
         return caller_result(done)
 
-    def _submit_unless_late(self, job: messages.Job, deadline: float) -> WriteResult:
+    def _submit_unless_late(self, job: messages.Job, began_at: float) -> WriteResult:
         """Store a job unless it would end too late for its caller."""
         if self.late_jobs is None:
-            return self._commit(store_transaction(job), deadline)
+            return self._store(job, began_at)
         fault = self.late_jobs.check(job)
         if fault is not None:
             return result.Err(fault)
-        done = self._commit(store_transaction(job), deadline)
+        done = self._store(job, began_at)
         if isinstance(done, result.Err) and isinstance(
             done.err_value, errors.Undecided
         ):
             self.late_jobs.record_undecided(job.job_id)
         return done
 
+    def _store(self, job: messages.Job, began_at: float) -> WriteResult:
+        """Store a job, also one that was refused as too late before.
+
+        A refusal that may be later than this request must hold. No attempt to store the
+        job takes effect after it, but an earlier one may have, so the outcome is open.
+        """
+        deadline = began_at + COMMIT_TIMEOUT_S
+        done = self._commit(store_transaction(job), deadline)
+        key, refusal = keys.job(job.job_id), keys.refusal(job.job_id)
+        refused = store_errors.Conflict(refusal)
+        if isinstance(done, result.Ok) or done.err_value != refused:
+            return done
+        found = self.rows.read([key, refusal])
+        if isinstance(found, result.Err):
+            return result.Err(errors.Undecided("store_away"))
+        if key in found.ok_value:
+            return result.Err(store_errors.Conflict(key))
+        if self.clock.elapsed() <= began_at + MAX_REPLACE_DELAY_S:
+            row = found.ok_value.get(refusal)
+            version = row.version if row else table.ABSENT
+            done = self._commit(store_transaction(job, version), deadline)
+            if isinstance(done, result.Ok):
+                self.counters.count("intake.refusal_replaced")
+            if isinstance(done, result.Ok) or done.err_value != refused:
+                return done
+        return result.Err(errors.Undecided("refused_elsewhere"))
+
     def _submit_continuous(
         self, job: messages.Job, cores: float, deadline: float
     ) -> WriteResult:
@@ -256,7 +286,7 @@
     def _commit(self, transaction: table.Transaction, deadline: float) -> WriteResult:
         """Commit a transaction and resolve its outcome if the answer is lost.
 
-        The transaction is sent again over a new connection; its check ensures that
+        The transaction is sent again over a new connection; its checks ensure that
         it takes effect only once. A refusal is returned only if every attempt was
         answered, since an unanswered one may still take effect.
         """
@@ -306,21 +336,35 @@
     return ContinuousCapacity(taken, version, lease.continuous_bound if lease else None)
 
 
-def store_transaction(job: messages.Job) -> table.Transaction:
-    """Return a transaction that stores a job unless it is stored already."""
-    key = keys.job(job.job_id)
+def store_transaction(
+    job: messages.Job, refusal: int = table.ABSENT
+) -> table.Transaction:
+    """Return a transaction that stores a job unless it is stored already.
+
+    It fails if the job has been refused as too late, except by the refusal of the given
+    version, which it removes.
+    """
+    text = codec.to_json(job)
     if admission.continuous_cores(job):
+        # Such a job is never refused as too late.
         key = keys.continuous_job(job.job_id)
+        return table.Transaction(
+            (table.Check(key, table.ABSENT),), (table.Write(key, text),)
+        )
+    key, refusal_key = keys.job(job.job_id), keys.refusal(job.job_id)
+    writes = [table.Write(key, text)]
+    if refusal != table.ABSENT:
+        writes.append(table.Write(refusal_key, None))
     return table.Transaction(
-        (table.Check(key, table.ABSENT),),
-        (table.Write(key, codec.to_json(job)),),
+        (table.Check(key, table.ABSENT), table.Check(refusal_key, refusal)),
+        tuple(writes),
     )
 
 
 def caller_result(done: WriteResult) -> result.Result[None, ChangeError]:
     """Return the result for the caller; an existing row counts as success.
 
-    The only conflict that a write result contains is one on the row of the job.
+    The only conflict that a write result contains here is one on the row of the job.
     """
     if isinstance(done, result.Ok):
         return result.Ok(None)
--- a/src/mangosail/intake/overload.py
+++ b/src/mangosail/intake/overload.py
@@ -19,7 +19,15 @@
 from mangosail.intake import errors
 from mangosail.platform import errors as store_errors
 from mangosail.platform import table
-from mangosail.scheduler import backlog, estimates, journal, keys, messages, ordering
+from mangosail.scheduler import (
+    backlog,
+    commits,
+    estimates,
+    journal,
+    keys,
+    messages,
+    ordering,
+)
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("overload")
@@ -38,9 +46,11 @@
 MAX_AGE_S = 1.5
 MAX_READ_AGE_S = MAX_AGE_S + READ_INTERVAL_S
 #: Seconds after figures were missing or old in which no job is refused. The store may
-#: have been away, and a write that a caller has no answer to may still take effect
-#: seconds later: the job that he hands in again would be refused, and run.
+#: have been away, and a write of an earlier build, which does not check for refusals,
+#: may still take effect seconds later: a job submitted again would be refused, and run.
 SETTLE_S = 5.0
+#: Value of the row of a refusal; only its version is used.
+REFUSAL_TEXT = "{}"
 #: Number of jobs with an unknown outcome that are remembered.
 MAX_UNDECIDED = 10000
 #: Bounds of the seconds after which a refused caller should retry, and the part of them
@@ -226,6 +236,7 @@
     ) -> None:
         self.rows = rows
         self.queue_of = queue_of
+        self.clock = clock
         self.counters = counters
         self.rand = rand
         self.reader = BacklogReader(rows, clock, counters)
@@ -263,6 +274,13 @@
         if found.ok_value:
             self.counters.count("overload.spared.repeated")
             return store_errors.Conflict(keys.job(job.job_id))
+        done = self._record_refusal(job.job_id)
+        if isinstance(done, result.Err):
+            if done.err_value == store_errors.Conflict(keys.job(job.job_id)):
+                self.counters.count("overload.spared.repeated")
+                return done.err_value
+            self.counters.count("overload.spared.unrecorded")
+            return None
         self.counters.count("overload.refused")
         log.info(
             "job refused as too late", job=job.job_id, queue=job.queue,
@@ -272,3 +290,18 @@
             retry_after=round(refusal.retry_after, 2),
         )  # fmt: skip
         return errors.Refused("overloaded", refusal.retry_after)
+
+    def _record_refusal(
+        self, job_id: str
+    ) -> result.Result[int, store_errors.CommitError]:
+        """Write the refusal of a job that is not stored.
+
+        Each submission checks the version of this row. So a write of the job that was
+        sent before, by any instance, and has had no answer can't take effect later.
+        """
+        transaction = table.Transaction(
+            (table.Check(keys.job(job_id), table.ABSENT),),
+            (table.Write(keys.refusal(job_id), REFUSAL_TEXT),),
+        )
+        attempts = commits.Attempts(self.rows, transaction, lambda: None, self.clock)
+        return attempts.try_commit()
--- a/src/mangosail/scheduler/keys.py
+++ b/src/mangosail/scheduler/keys.py
@@ -12,6 +12,8 @@
 
 #: Rows of submitted jobs and of cancellation requests.
 JOBS = "job/"
+#: Rows of jobs that were refused as too late, which void earlier writes of them.
+REFUSALS = "refusal/"
 #: Rows of the progress of each job.
 STATES = f"state/{SHARD}/"
 #: Rows of the lease, and of the chain that orders the leader's writes.
@@ -39,6 +41,11 @@
     return f"{JOBS}{job_id[-1].lower()}/{job_id}"
 
 
+def refusal(job_id: str) -> str:
+    """Return the key of the refusal of a job; it is in the shard of the job's row."""
+    return f"{REFUSALS}{job_id[-1].lower()}/{job_id}"
+
+
 def continuous_job(job_id: str) -> str:
     """Return the key of a continuous job.
 
--- a/src/mangosail/scheduler/sweeping.py
+++ b/src/mangosail/scheduler/sweeping.py
@@ -13,13 +13,18 @@
 
 from mangosail import clock as clocks
 from mangosail.platform import table
-from mangosail.scheduler import keys
+from mangosail.scheduler import keys, ports
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("sweeping")
 
 #: Seconds between sweeps.
 SWEEP_INTERVAL_S = 1.5
+#: Seconds between reads of the rows of refused jobs.
+REFUSALS_INTERVAL_S = 30.0
+#: Seconds for which these rows are kept. A write without an answer may take effect
+#: seconds later, and as long it must find the row.
+REFUSAL_RETENTION_S = 60.0
 #: Maximum number of rows changed by one transaction; the platform accepts 100.
 MAX_ROWS = 80
 
@@ -29,7 +34,7 @@
 
     def __init__(
         self,
-        rows: table.Table,
+        rows: ports.WatchableTable,
         on_dropped: cabc.Callable[[str], None],
         clock: clocks.Clock,
         counters: telemetry.Counters,
@@ -45,6 +50,9 @@
         self.due: list[tuple[float, str]] = []
         #: Writes that failed, to be retried by the next sweep.
         self.failed: list[table.Write] = []
+        #: Rows of refused jobs by key: version, and elapsed time of the first read.
+        self.refusals: dict[str, tuple[int, float]] = {}
+        self.read_refusals_at = 0.0
 
     def job_ended(self, job_key: str, drop_at: float) -> None:
         """Clear a job's row soon, and drop all rows of the job after `drop_at`."""
@@ -60,6 +68,9 @@
         while True:
             self.clock.sleep(SWEEP_INTERVAL_S)
             self.sweep()
+            if self.clock.elapsed() >= self.read_refusals_at:
+                self.read_refusals_at = self.clock.elapsed() + REFUSALS_INTERVAL_S
+                self.sweep_refusals()
 
     def sweep(self) -> None:
         """Clear and drop what is due; failed writes are left for the next sweep."""
@@ -82,14 +93,45 @@
                 if write.value is None:
                     self.on_dropped(keys.job_id(write.key))
 
+    def sweep_refusals(self) -> None:
+        """Drop the rows of refused jobs that are old enough.
 
-def by_shard(writes: cabc.Iterable[table.Write]) -> list[list[table.Write]]:
+        Their age counts from when this leader has first read them. A row that was
+        replaced meanwhile is kept, as the refusal was renewed.
+        """
+        now = self.clock.elapsed()
+        found = self.rows.read_all(keys.REFUSALS)
+        if isinstance(found, result.Err):
+            self.counters.count("sweeping.failed")
+            return
+        known, self.refusals = self.refusals, {}
+        due: list[table.Write] = []
+        for row in found.ok_value.rows:
+            version, read_at = known.get(row.key, (row.version, now))
+            if version != row.version:
+                read_at = now
+            self.refusals[row.key] = row.version, read_at
+            if now - read_at >= REFUSAL_RETENTION_S:
+                due.append(table.Write(row.key, None))
+        # Each row takes two entries of a transaction: a check and a write.
+        for group in by_shard(due, MAX_ROWS // 2):
+            checks = [
+                table.Check(write.key, self.refusals[write.key][0]) for write in group
+            ]
+            done = self.rows.commit(table.Transaction(tuple(checks), tuple(group)))
+            if isinstance(done, result.Err):
+                self.counters.count("sweeping.failed")
+
+
+def by_shard(
+    writes: cabc.Iterable[table.Write], max_rows: int = MAX_ROWS
+) -> list[list[table.Write]]:
     """Return the writes in groups that each fit into one transaction."""
     groups: dict[str, list[table.Write]] = {}
     for write in writes:
         groups.setdefault(keys.shard_of(write.key), []).append(write)
     return [
-        group[first : first + MAX_ROWS]
+        group[first : first + max_rows]
         for group in groups.values()
-        for first in range(0, len(group), MAX_ROWS)
+        for first in range(0, len(group), max_rows)
     ]
--- a/tests/intake/overload.feature
+++ b/tests/intake/overload.feature
@@ -69,3 +69,52 @@
   Scenario: The row is read twice a second, for as long as jobs come in
     When a job comes in, and no other one for a minute
     Then the row was read 30 times
+
+  Scenario Outline: A refused job never runs: <sequence>
+    # Guards against earlier writes without an answer that take effect after a refusal:
+    # the caller relies on its job never running.
+    Given the leader publishes 9000 core-seconds of short jobs for 100 cores
+    When jobs come in for 8 s
+    And before a refusal: <sequence>
+    And a job of 2 tasks is handed in
+    And the late writes arrive
+    Then it is refused
+    And nobody knows the job
+
+    Examples:
+      | sequence                                                       |
+      | the write of another instance is late                          |
+      | the write of another instance, after a refusal, is late        |
+      | another instance meets a later refusal and answers "undecided" |
+
+  Scenario Outline: A refusal that is not certain is none: <doubt>
+    Given the leader publishes 9000 core-seconds of short jobs for 100 cores
+    When jobs come in for 8 s
+    And the write of the refusal fails: <doubt>
+    And a job of 2 tasks is handed in
+    And the late writes arrive
+    Then it is accepted
+    And the job is stored once
+
+    Examples:
+      | doubt                         |
+      | down                          |
+      | lost                          |
+      | late                          |
+      | the job is stored just before |
+
+  Scenario: A refused job that is handed in again is accepted once there is room
+    # The refusal must not void later submissions, nor earlier ones store the job twice.
+    Given the leader publishes 9000 core-seconds of short jobs for 100 cores
+    When jobs come in for 8 s
+    And before a refusal: the write of another instance is late
+    And a job of 2 tasks is handed in
+    And it is handed in again at an instance that accepts it
+    And the late writes arrive
+    Then it is accepted
+    And the job is stored once
+
+  Scenario: The rows of refusals are dropped after a minute, unless renewed
+    # They would pile up, or an earlier write would take effect after the latest refusal.
+    When jobs are refused each 40 s, one of them again and again
+    Then only the refusal that was renewed is stored
--- a/tests/intake/steps/overload_steps.py
+++ b/tests/intake/steps/overload_steps.py
@@ -9,10 +9,10 @@
 from tests.support import memory
 
 from mangosail import codec
-from mangosail.intake import job_service, overload
+from mangosail.intake import errors, job_service, overload
 from mangosail.platform import errors as store_errors
 from mangosail.platform import table
-from mangosail.scheduler import backlog, journal, keys, messages, ordering
+from mangosail.scheduler import backlog, journal, keys, messages, ordering, sweeping
 from mangosail.telemetry import counters
 
 QUEUE = messages.Queue("q", "", "/", "pool", 0, 2, 3.0, stretch=1.5, target=0.25)
@@ -206,3 +206,111 @@
 @then("the row was read {count:d} times")
 def read_often(context, count):
     assert context.reads.call_count == count, context.reads.call_count
+
+
+def other_instance(context):
+    return job_service.JobService(
+        context.rows, lambda: False, context.clock, context.counters
+    )
+
+
+def hand_in_elsewhere(context, *faults):
+    context.rows.once += faults
+    done = other_instance(context).submit(job(2, ""))
+    assert isinstance(done.err_value, errors.Undecided), done
+    context.rows.once, context.rows.fault = [], ""
+    # The instance waited for a second, in which the leader did not renew its lease.
+    pass_time(context, 8)
+
+
+def late_write(context):
+    context.rows.fault = "late"
+    hand_in_elsewhere(context)
+
+
+def late_write_after_refusal(context):
+    late_write(context)
+    hand_in(context, 2, "")
+    refused(context)
+    hand_in_elsewhere(context, "", *["late"] * 99)
+    (late,) = {each.checks for each in context.rows.late[-5:]}
+    assert late[1].version, late
+
+
+def refused_meanwhile(context):
+    """Refuse a job while another instance waits for the answer to its write of it."""
+    commit = context.rows.commit
+
+    def slow_commit(transaction):
+        context.rows.commit = commit
+        hand_in(context, 2, "")
+        context.clock.now += 0.6
+        return commit(transaction)
+
+    context.rows.commit = slow_commit
+    hand_in_elsewhere(context)
+
+
+SEQUENCES = {
+    "the write of another instance is late": late_write,
+    "the write of another instance, after a refusal, is late": late_write_after_refusal,
+    'another instance meets a later refusal and answers "undecided"': refused_meanwhile,
+}
+
+
+@when("before a refusal: {sequence}")
+def before_refusal(context, sequence):
+    SEQUENCES[sequence](context)
+
+
+@then("nobody knows the job")
+def unknown(context):
+    for done in (context.service.state(ID), context.service.cancel(ID)):
+        assert isinstance(done.err_value, errors.UnknownJob), done
+
+
+@when("the write of the refusal fails: {doubt}")
+def refusal_fails(context, doubt):
+    if doubt in ("down", "lost", "late"):
+        context.rows.once.append(doubt)
+        return
+    commit = context.rows.commit
+
+    def stored_before(transaction):
+        context.rows.commit = commit
+        assert other_instance(context).submit(job(2, "")).is_ok()
+        return commit(transaction)
+
+    context.rows.commit = stored_before
+
+
+@then("the job is stored once")
+def stored_once(context):
+    versions = [v for v, key in context.rows.history if key == keys.job(ID)]
+    assert len(versions) == 1, versions
+    assert keys.refusal(ID) not in context.rows.kept
+
+
+@when("it is handed in again at an instance that accepts it")
+def again_elsewhere(context):
+    refused(context)
+    context.answer = other_instance(context).submit(job(2, ""))
+
+
+@when("jobs are refused each 40 s, one of them again and again")
+def refuse_many(context):
+    sweeper = sweeping.Sweeper(
+        context.rows, lambda job_id: None, context.clock, context.counters
+    )
+    for number in range(4):
+        for job_id in (ID, f"{number:016x}") if number < 2 else (ID,):
+            assert context.late._record_refusal(job_id).is_ok()
+        sweeper.sweep_refusals()
+        context.clock.now += 40
+    sweeper.sweep_refusals()
+
+
+@then("only the refusal that was renewed is stored")
+def only_renewed(context):
+    found = context.rows.kept.page(keys.REFUSALS, "", 10)
+    assert [row.key for row in found] == [keys.refusal(ID)], found
