--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -125,11 +125,10 @@
         #: Elapsed time at which the present transaction was first sent; None if there
         #: is none without a known outcome.
         self.unconfirmed_since: float | None = None
-        #: Assignments that this transaction contains: task, run and worker.
-        self.sent_assignments: list[tuple[progress.Task, int, str]] = []
-
         #: True once the store has answered a read of that transaction's outcome.
         self.outcome_read = False
+        #: Assignments that the present transaction contains: task, run and worker.
+        self.sent_assignments: list[tuple[progress.Task, int, str]] = []
         self.deposed = False
         #: True once the lease is to be released.
         self.releasing = False
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -233,7 +233,7 @@
                 self._place_urgent()
             if self.stopping:
                 return
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if not tasks:
                 continue
             best_effort = step_run.step.best_effort
@@ -272,7 +272,7 @@
         urgent.sort(key=self.planner.sort_key)
         unplaced: list[tuple[str, progress.StepRun]] = []
         for step_run in urgent:
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if tasks:
                 self._place_step(step_run, tasks, unplaced, now)
             if self.clock.elapsed() >= deadline:
@@ -326,12 +326,12 @@
         queue = self._queue(job.job.queue)
         return queue is not None and queue.needs_advice
 
-    def _unassigned_tasks(
+    def _start_assigned_tasks(
         self, step_run: progress.StepRun, now: float
     ) -> list[progress.Task]:
         """Start tasks on their assigned workers if the store is late.
 
-        Returns the tasks that are to be placed.
+        Returns the other tasks that may start now, which are to be placed.
         """
         tasks = startable_tasks(step_run, now)
         if not tasks or not self.assigned_starts.active():
