End the wait of a step whose tasks all start under assignments

It counted as blocked from then on. When one of its tasks waited again, other tasks were preempted at once, and no workers were assigned to it by a write of its own.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -353,6 +353,11 @@
         copy.copy_of, task.copy_of = None, copy
         return copy
 
+    def end_block(self) -> None:
+        """Record that there was room for all tasks that could start."""
+        self.blocked_since = None
+        self.assigned_while_blocked = False
+
     def any_waiting(self) -> bool:
         """Return whether any task waits to be started."""
         return any(task.phase is Phase.WAITING for task in self.tasks)
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -301,8 +301,7 @@
             self._preempt_for(step_run, missing, service, now)
             unplaced.append((service, step_run))
         else:
-            step_run.blocked_since = None
-            step_run.assigned_while_blocked = False
+            step_run.end_block()
         placements = keep_recordable(step_run, placements)
         if placements:
             self._start_runs(step_run, placements)
@@ -340,7 +339,10 @@
             # It may not have when the tasks were assigned.
             return tasks
         service = self.service_of(step_run.job.job)
-        return self.assigned_starts.start(step_run, tasks, service)
+        others = self.assigned_starts.start(step_run, tasks, service)
+        if not any(task.phase is progress.Phase.WAITING for task in tasks):
+            step_run.end_block()
+        return others
 
     def _assign_if_blocked(self, step_run: progress.StepRun, now: float) -> None:
         """Assign workers to a job that waits for room, with a write of its own."""
--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -70,6 +70,8 @@
     Given a job of 2 tasks that waits for room
     When the store goes away for 0.25 s, and there is room for the waiting job
     Then the waiting job runs
+    # Guards against tasks that are preempted at once for a later run of the job.
+    And it does not count as blocked any more
 
   Scenario: The workers reject such starts
     # Guards against two starts with one run number, and a further one without a record.
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -232,6 +232,13 @@
     assert context.history.runs(WAITING) == [1, 1], context.history.runs(WAITING)
 
 
+@then("it does not count as blocked any more")
+def step_unblocked(context):
+    job = context.history.leaders[-1].scheduler.jobs[WAITING]
+    assert job.steps[0, 0].blocked_since is None
+    assert not job.steps[0, 0].assigned_while_blocked
+
+
 @then("the waiting job does not run")
 def step_waiting_waits(context):
     assert not context.history.runs(WAITING)
