--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -233,7 +233,7 @@
                 self._place_urgent()
             if self.stopping:
                 return
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if not tasks:
                 continue
             best_effort = step_run.step.best_effort
@@ -272,7 +272,7 @@
         urgent.sort(key=self.planner.sort_key)
         unplaced: list[tuple[str, progress.StepRun]] = []
         for step_run in urgent:
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if tasks:
                 self._place_step(step_run, tasks, unplaced, now)
             if self.clock.elapsed() >= deadline:
@@ -301,8 +301,7 @@
             self._preempt_for(step_run, missing, service, now)
             unplaced.append((service, step_run))
         else:
-            step_run.blocked_since = None
-            step_run.assigned_while_blocked = False
+            step_run.end_block()
         placements = keep_recordable(step_run, placements)
         if placements:
             self._start_runs(step_run, placements)
@@ -326,12 +325,12 @@
         queue = self._queue(job.job.queue)
         return queue is not None and queue.needs_advice
 
-    def _unassigned_tasks(
+    def _start_assigned_tasks(
         self, step_run: progress.StepRun, now: float
     ) -> list[progress.Task]:
         """Start tasks on their assigned workers if the store is late.
 
-        Returns the tasks that are to be placed.
+        Returns the other tasks that may start now, which are to be placed.
         """
         tasks = startable_tasks(step_run, now)
         if not tasks or not self.assigned_starts.active():
@@ -340,7 +339,10 @@
             # It may not have when the tasks were assigned.
             return tasks
         service = self.service_of(step_run.job.job)
-        return self.assigned_starts.start(step_run, tasks, service)
+        others = self.assigned_starts.start(step_run, tasks, service)
+        if not any(task.phase is progress.Phase.WAITING for task in tasks):
+            step_run.end_block()
+        return others
 
     def _assign_if_blocked(self, step_run: progress.StepRun, now: float) -> None:
         """Assign workers to a job that waits for room, with a write of its own."""
