--- a/src/mangosail/scheduler/pace.py
+++ b/src/mangosail/scheduler/pace.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 
 #: Progress in percent, and seconds, from which a duration is computed: less is mostly
 #: rounding and the delay of the figures.
@@ -26,6 +27,14 @@
 MAX_OUTLOOK_TTL_S = UPDATE_INTERVAL_S
 
 
+class Fault(enum.StrEnum):
+    """Why listed progress can't be right."""
+
+    OUT_OF_RANGE = "out_of_range"
+    #: It is lower than progress that was listed before for the same run.
+    DECREASING = "decreasing"
+
+
 class Pace:
     """Progress of one run, and the duration that follows from it."""
 
@@ -65,7 +74,7 @@
         self.base_percent = 0
         #: Highest progress, and elapsed time at which it is taken to have appeared.
         self.percent = 0
-        if began_at is None and not self.fault(percent):
+        if began_at is None and self.fault(percent) is None:
             self.percent = percent
         self.changed_at = now if began_at is None else began_at
         #: Elapsed time of the last observation.
@@ -83,11 +92,11 @@
         #: True once invalid progress of the run was logged.
         self.invalid_logged = False
 
-    def fault(self, percent: int) -> str:
-        """Return why a figure can't be right, or an empty text."""
+    def fault(self, percent: int) -> Fault | None:
+        """Return why a figure can't be right; None if it can."""
         if not 0 <= percent <= MAX_PERCENT:
-            return "out_of_range"
-        return "decreasing" if percent < self.percent else ""
+            return Fault.OUT_OF_RANGE
+        return Fault.DECREASING if percent < self.percent else None
 
     def observe(
         self, percent: int, speed_limit: int, throttled_at: float, now: float
--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -14,7 +14,9 @@
 MIN_REMAINDER = 0.5
 
 
-def observe(task: progress.Task, row: messages.RunningTask, now: float) -> str:
+def observe(
+    task: progress.Task, row: messages.RunningTask, now: float
+) -> pace.Fault | None:
     """Record listed progress of a run, unless it is invalid; return the fault."""
     found = task.pace
     if found is None or found.run != row.run:
@@ -22,7 +24,7 @@
             row.run, began_at(task), row.progress_percent, task.throttled_at, now
         )
     fault = found.fault(row.progress_percent)
-    if not fault:
+    if fault is None:
         found.observe(row.progress_percent, task.speed_limit, task.throttled_at, now)
     found.record_checkpoint(row.checkpoint, now)
     return fault
--- a/src/mangosail/scheduler/reports.py
+++ b/src/mangosail/scheduler/reports.py
@@ -347,14 +347,15 @@
         if not self.estimator.uses_progress or task.step.continuous:
             return True
         fault = remaining.observe(task, row, now)
-        if not fault or task.pace is None:
+        if fault is None or task.pace is None:
             return True
-        self.counters.count(f"reports.progress_invalid.{fault}")
+        self.counters.count(f"reports.progress_invalid.{fault.value}")
         if not task.pace.invalid_logged:
             task.pace.invalid_logged = True
             log.warning(
                 "invalid progress", task=task.name, run=task.run, worker=worker.name,
-                fault=fault, percent=row.progress_percent, highest=task.pace.percent,
+                fault=fault.value, percent=row.progress_percent,
+                highest=task.pace.percent,
             )  # fmt: skip
         return False
 
