--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -21,7 +21,6 @@
     estimates,
     fleet,
     messages,
-    options,
     placing,
     progress,
     stragglers,
@@ -223,7 +222,7 @@
         start: cabc.Callable[[placing.Placement], None],
         has_advice: cabc.Callable[[progress.StepRun, float], bool],
         service_of: cabc.Callable[[messages.Job], str],
-        enabled: options.Options,
+        enabled: bool,
         counters: telemetry.Counters,
     ) -> None:
         self.jobs = jobs
@@ -233,7 +232,7 @@
         self.start = start
         self.has_advice = has_advice
         self.service_of = service_of
-        self.enabled = enabled.copy_tasks
+        self.enabled = enabled
         self.counters = counters
         self.max_share = MAX_COPIED_SHARE
         #: Elapsed time of the next search.
--- a/src/mangosail/scheduler/handover.py
+++ b/src/mangosail/scheduler/handover.py
@@ -134,13 +134,13 @@
 
     def __init__(
         self,
-        written: journal.Journal,
+        job_journal: journal.Journal,
         successors: Successors,
         give_up: cabc.Callable[[], None],
         clock: clocks.Clock,
         counters: telemetry.Counters,
     ) -> None:
-        self.journal = written
+        self.journal = job_journal
         self.successors = successors
         #: Ends the leadership at once.
         self.give_up = give_up
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -127,7 +127,6 @@
         self.unconfirmed_since: float | None = None
         #: Assignments that this transaction contains: task, run and worker.
         self.sent_assignments: list[tuple[progress.Task, int, str]] = []
-
         #: True once the store has answered a read of that transaction's outcome.
         self.outcome_read = False
         self.deposed = False
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -130,7 +130,7 @@
             self._start_copy,
             self._has_advice,
             self.service_of,
-            enabled,
+            enabled.copy_tasks,
             counters,
         )
         self.starts = gevent.pool.Pool(MAX_CONCURRENT_STARTS)
