--- a/src/mangosail/intake/overload.py
+++ b/src/mangosail/intake/overload.py
@@ -1,9 +1,14 @@
 """Refusal of jobs that would end too late for their callers.
 
-This handles more work than can be done for seconds: whatever the backlog, jobs were
-accepted and ended after their callers had given up, and their work delayed the others.
-The leader publishes its backlog in the lease row; each instance reads the row while
-jobs come in, and judges new jobs by it. In doubt a job is accepted.
+While more work arrives than can be done, jobs would otherwise end after their callers
+have given up, and delay the others. The leader publishes its backlog in the lease row;
+each instance reads the row while jobs come in, and judges new jobs by it. In doubt a
+job is accepted::
+
+    late_jobs = LateJobs(rows, queue_of, clock, counters, rand)
+    refusal = late_jobs.check(job)
+    if refusal is not None:
+        return result.Err(refusal)
 """
 
 import collections.abc as cabc
--- a/src/mangosail/scheduler/assignments.py
+++ b/src/mangosail/scheduler/assignments.py
@@ -20,7 +20,7 @@
 from mangosail.scheduler import fleet, messages, placing, progress
 
 #: Seconds after which half of the idle cores that were assigned count as idle again: by
-#: then, many of the tasks run, on whatever worker. Without this, tasks of all jobs were
+#: then, many of the tasks run, on whatever worker. Otherwise the tasks of all jobs are
 #: assigned to the same few workers.
 ASSIGNED_HALF_LIFE_S = 2.0
 #: Room on a worker before any task is counted.
@@ -120,8 +120,8 @@
             ):
                 counts[worker.name] += 1
             elif not task.suspect and task.run == task.highest_run:
-                # Otherwise a copy had the next number, and the record counts an
-                # assigned run from the task's own latest one.
+                # If a copy had a higher number, the assigned run would get it again:
+                # the record counts from the task's own latest run.
                 unassigned.append(task)
         if not unassigned:
             return False
--- a/src/mangosail/scheduler/backlog.py
+++ b/src/mangosail/scheduler/backlog.py
@@ -3,7 +3,11 @@
 An instance tells from it when a new job would end at the earliest. A job is placed
 before those that are worth less for the work that they have left, so a single sum would
 hold small jobs for late that are served at once. The work is therefore given for a few
-thresholds of that rate (`ordering.value_rate`).
+thresholds of that rate (`ordering.value_rate`)::
+
+    found = measure(remaining, plans, cores)
+    text = encode(found)  # for the lease row
+    published = decode(text)
 """
 
 import collections.abc as cabc
--- a/src/mangosail/scheduler/failure_domains.py
+++ b/src/mangosail/scheduler/failure_domains.py
@@ -32,9 +32,8 @@
 SAME_JOB_WEIGHT = 300.0
 #: Bonus in cores for tasks that reserve their cores on workers of the home with
 #: latency-critical tasks. Gathered best-effort tasks leave whole workers idle, which
-#: have some 18 idle cores more, and so outweigh `placing.LATENCY_CRITICAL_WEIGHT`:
-#: short tasks went there, and 3 % more best-effort tasks had to start beside
-#: latency-critical ones.
+#: outweigh `placing.LATENCY_CRITICAL_WEIGHT` by some 18 idle cores. Without the bonus
+#: short tasks go there, and more best-effort ones start beside latency-critical ones.
 LATENCY_CRITICAL_WEIGHT = 20.0
 #: Share of a data centre's idle cores that the widest step of a job may take there.
 #: With less idle room, gathered tasks would soon compete for it, while spread ones
--- a/src/mangosail/scheduler/pace.py
+++ b/src/mangosail/scheduler/pace.py
@@ -19,9 +19,9 @@
 #: long poll.
 STALE_S = 1.2
 MAX_PERCENT = 100
-#: Seconds for which the outlook of a step is used, for each of its tasks, and bounds.
-#: Workers update progress every half second. Without it, ordering 12,000 tasks every
-#: 0.2 s took 2.6 times as long.
+#: Seconds for which the outlook of a step is used, for each of its tasks, and bounds:
+#: going through thousands of tasks at each use would more than double the time that
+#: ordering takes.
 OUTLOOK_TTL_PER_TASK_S = 0.0125
 MIN_OUTLOOK_TTL_S = 0.1
 MAX_OUTLOOK_TTL_S = UPDATE_INTERVAL_S
--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -1,9 +1,9 @@
 """Durations and remaining work of steps, from the progress of their running tasks.
 
-Run times have heavy tails, and until the first tasks of a step have ended only declared
-durations were known, which are off by a factor of two. The progress of a run tells its
-duration after half a second. Ended tasks alone also bias the mean of a step, as the
-short ones end first.
+Run times have heavy tails, and declared durations are off by a factor of two. The
+progress of a run tells its duration after half a second, while nothing else is known
+until the first tasks of a step have ended. Ended tasks alone also bias the mean of a
+step, as the short ones end first.
 """
 
 from mangosail.scheduler import messages, pace, progress
