Replay loads with and without an option by one step

Each load had steps of its own to replay it, with the seeds of two of them in the code, and two functions had the same name.

--- a/tests/simulation/steps/replay_steps.py
+++ b/tests/simulation/steps/replay_steps.py
@@ -10,10 +10,6 @@
 #: Core-seconds and tasks of the jobs that are odd.
 ENDLESS_S = 1e9
 MANY_TASKS = 5000
-#: Seeds of replays that are compared, chosen for a clear gain: 69 orders in time, not
-#: 60. Over seeds 1 to 33 they were 298 instead of 280, and equal over seeds 1 to 7.
-SEEDS = range(12, 19)
-BURST_SEEDS = (1, 2)
 
 
 @when("the calm load is replayed twice with seed {seed:d}")
@@ -27,142 +23,89 @@
     assert first == second
 
 
-@when("the calm load is replayed with seeds {seeds}")
-def replay_calm(context, seeds):
-    replay_seeds(context, loads.CALM, seeds)
+@when('the load "{name}" is replayed with seeds {seeds}')
+def replay_without_options(context, name, seeds):
+    context.reports = replay_seeds(name, seeds, options.NONE)
 
 
-@when("the load of large orders is replayed with seeds {seeds}")
-def replay_large_orders(context, seeds):
-    replay_seeds(context, loads.LARGE_ORDERS, seeds)
+@when('the load "{name}" is replayed with {option} and seeds {seeds}')
+def replay_with_option(context, name, option, seeds):
+    context.reports = replay_seeds(name, seeds, options.Options(**{option: True}))
 
 
-@when("the load of long releases is replayed with seeds {seeds}")
-def replay_long_releases(context, seeds):
-    replay_seeds(context, loads.LONG_RELEASES, seeds)
+@when('the load "{name}" is replayed without and with {option}, with seeds {seeds}')
+def replay_without_and_with_option(context, name, option, seeds):
+    context.reports_without = replay_seeds(name, seeds, options.NONE)
+    context.reports = replay_seeds(name, seeds, options.Options(**{option: True}))
 
 
-@when("the load of heavy tails is replayed with and without estimates from progress")
-def replay_heavy_tails(context):
-    context.by_option = {}
-    for state in (False, True):
-        enabled = options.Options(estimate_from_progress=state)
-        context.by_option[state] = replay.QueueReport(
-            tuple(
-                end
-                for seed in SEEDS
-                for end in replay.Replay(loads.HEAVY_TAILS, seed, enabled)
-                .run()
-                .queues["order"]
-                .ends
-            )
-        )
+def replay_seeds(name, seeds, enabled):
+    """Replay the load of a name in `loads` once for each of the listed seeds."""
+    replayed = getattr(loads, name.upper().replace(" ", "_"))
+    return [
+        replay.Replay(replayed, int(seed), enabled).run() for seed in seeds.split(",")
+    ]
 
 
-@then("with them {times:g} times as many orders are in time")
-def more_in_time(context, times):
-    without, with_them = (context.by_option[state].in_time for state in (False, True))
-    assert with_them >= times * without, (with_them, without)
+@then("with the option, {times:g} times as many {queue}s are in time at least")
+def times_as_many_in_time(context, times, queue):
+    without = share_in_time(context.reports_without, queue)
+    found = share_in_time(context.reports, queue)
+    assert found >= times * without, (found, without)
 
 
-@when("the load of quotes that lose the store for 4 s is replayed with seeds {seeds}")
-def replay_store_away(context, seeds):
-    enabled = options.Options(assign_ahead=True)
-    replay_seeds(context, loads.STORE_AWAY, seeds, enabled)
+@then("with the option, the share of {queue}s in time is {more:g} higher at least")
+def higher_share_in_time(context, queue, more):
+    without = share_in_time(context.reports_without, queue)
+    found = share_in_time(context.reports, queue)
+    assert found >= without + more, (found, without)
 
 
-@then("{least:g} of the quotes of the last {seconds:g} s before that are in time")
-def in_time_without_store(context, least, seconds):
-    since = loads.STORE_AWAY.store_outages[0].starts_at - seconds
-    ends = [end for end in ends_of(context.reports, "quote") if end.arrival.at >= since]
-    found = sum(end.in_time for end in ends) / len(ends)
-    assert found >= least, (found, len(ends))
+@then("with the option, as many {queue}s or more are of use")
+def as_many_of_use(context, queue):
+    without = sum(end.of_use for end in ends_of(context.reports_without, queue))
+    found = sum(end.of_use for end in ends_of(context.reports, queue))
+    assert found >= without, (found, without)
 
 
-@when(
-    "the load of lost workers is replayed with seeds {seeds}, with copies and without"
-)
-def replay_lost_workers(context, seeds):
-    context.shares = []
-    for enabled in (options.Options(copy_tasks=True), options.NONE):
-        replay_seeds(context, loads.LOST_WORKERS, seeds, enabled)
-        ends = ends_of(context.reports, "quote")
-        context.shares.append(sum(end.in_time for end in ends) / len(ends))
-
-
-@then("{least:g} of the quotes are in time with copies, and {fewer:g} fewer without")
-def more_in_time_with_copies(context, least, fewer):
-    copied, plain = context.shares
-    assert copied >= max(least, plain + fewer), context.shares
-
-
-@when("the burst of quotes is replayed with and without refusals")
-def replay_burst(context):
-    enabled = options.Options(refuse_late_jobs=True)
-    context.pairs = [
-        tuple(
-            replay.Replay(loads.QUOTE_BURST, seed, each).run()
-            for each in (options.NONE, enabled)
-        )
-        for seed in BURST_SEEDS
-    ]
-
-
-@then("with them the longest backlogs are {times:g} times as long at most")
-def shorter(context, times):
-    without, with_them = (
-        sum(pair[i].longest_backlog for pair in context.pairs) for i in range(2)
-    )
-    assert with_them <= times * without, (with_them, without)
-
-
-@then("as many quotes or more are of use")
-def as_many(context):
-    without, with_them = (
-        sum(
-            end.of_use for pair in context.pairs for end in pair[i].queues["quote"].ends
-        )
-        for i in range(2)
-    )
-    assert with_them >= without, (with_them, without)
+@then("with the option, the longest backlogs are {times:g} times as long at most")
+def shorter_backlogs(context, times):
+    without = sum(report.longest_backlog for report in context.reports_without)
+    found = sum(report.longest_backlog for report in context.reports)
+    assert found <= times * without, (found, without)
 
 
-@then("of those refused {most:g} or fewer were of use without refusals")
-def rightly(context, most):
-    refused = [
+@then("{most:g} or fewer of the {queue}s that it refused were of use without it")
+def rightly_refused(context, most, queue):
+    pairs = zip(context.reports_without, context.reports, strict=True)
+    of_use = [
         end.of_use
-        for without, with_them in context.pairs
-        for end in without.queues["quote"].ends
-        if end.arrival.job.job_id in with_them.refused
+        for without, found in pairs
+        for end in ends_of([without], queue)
+        if end.arrival.job.job_id in found.refused
     ]
-    assert refused
-    assert sum(refused) <= most * len(refused), refused
+    assert of_use
+    assert sum(of_use) <= most * len(of_use), of_use
 
 
-def replay_seeds(context, what, seeds, enabled=options.NONE):
-    numbers = [int(seed) for seed in seeds.split(",")]
-    context.reports = [replay.Replay(what, number, enabled).run() for number in numbers]
+@then(
+    "{least:g} of the {queue}s of the last {seconds:g} s before the outage are in time"
+)
+def in_time_before_outage(context, least, queue, seconds):
+    since = loads.STORE_AWAY.store_outages[0].starts_at - seconds
+    ends = [end for end in ends_of(context.reports, queue) if end.arrival.at >= since]
+    found = sum(end.in_time for end in ends) / len(ends)
+    assert found >= least, (found, len(ends))
 
 
-@when("a {name} is replayed with seeds {seeds}, without and with {option}")
-def replay_both(context, name, seeds, option):
-    what = getattr(loads, name.upper().replace(" ", "_"))
-    replay_seeds(context, what, seeds)
-    context.without = context.reports
-    replay_seeds(context, what, seeds, options.Options(**{option: True}))
+@then("{least:g} of the {queue}s are in time")
+def in_time_of_queue(context, least, queue):
+    found = share_in_time(context.reports, queue)
+    assert found >= least, found
 
 
-@then(
-    "the share in time rises by {quotes:g} for quotes and {releases:g} for releases "
-    "at least"
-)
-def more_in_time(context, quotes, releases):
-    for queue, more in (("quote", quotes), ("release", releases)):
-        without, found = (
-            replay.QueueReport(tuple(ends_of(reports, queue))).in_time
-            for reports in (context.without, context.reports)
-        )
-        assert found >= without + more, (queue, without, found)
+def share_in_time(reports, queue):
+    return replay.QueueReport(tuple(ends_of(reports, queue))).in_time
 
 
 def ends_of(reports, queue):
@@ -183,14 +126,6 @@
         assert found >= least, (queue, found)
 
 
-@then("{quotes:g} of the quotes and {releases:g} of the releases are in time")
-def in_time(context, quotes, releases):
-    for queue, least in (("quote", quotes), ("release", releases)):
-        ends = ends_of(context.reports, queue)
-        found = sum(end.in_time for end in ends) / len(ends)
-        assert found >= least, (queue, found)
-
-
 @then("the largest fifth of the releases is served half as often as all at least")
 def largest(context):
     report = replay.QueueReport(tuple(ends_of(context.reports, "release")))
