--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -1,9 +1,9 @@
 """Durations and remaining work of steps, from the progress of their running tasks.
 
-Run times have heavy tails, and until the first tasks of a step have ended only declared
-durations were known, which are off by a factor of two. The progress of a run tells its
-duration after half a second. Ended tasks alone also bias the mean of a step, as the
-short ones end first.
+Run times have heavy tails, and declared durations are off by a factor of two. The
+progress of a run tells its duration after half a second, while nothing else is known
+until the first tasks of a step have ended. Ended tasks alone also bias the mean of a
+step, as the short ones end first.
 """
 
 from mangosail.scheduler import messages, pace, progress
@@ -14,7 +14,9 @@
 MIN_REMAINDER = 0.5
 
 
-def observe(task: progress.Task, row: messages.RunningTask, now: float) -> str:
+def observe(
+    task: progress.Task, row: messages.RunningTask, now: float
+) -> pace.Fault | None:
     """Record listed progress of a run, unless it is invalid; return the fault."""
     found = task.pace
     if found is None or found.run != row.run:
@@ -22,7 +24,7 @@
             row.run, began_at(task), row.progress_percent, task.throttled_at, now
         )
     fault = found.fault(row.progress_percent)
-    if not fault:
+    if fault is None:
         found.observe(row.progress_percent, task.speed_limit, task.throttled_at, now)
     found.record_checkpoint(row.checkpoint, now)
     return fault
