--- a/src/mangosail/intake/job_service.py
+++ b/src/mangosail/intake/job_service.py
@@ -310,6 +310,10 @@
             if self.clock.elapsed() >= deadline or not lost:
                 break
             self.clock.sleep(RETRY_INTERVAL_S)
+            # An instance that was frozen must not write again: the job may have been
+            # refused elsewhere, so long ago that the refusal has been dropped.
+            if self.clock.elapsed() >= deadline:
+                break
         if lost:
             return result.Err(errors.Undecided(lost))
         return result.Err(errors.Refused("store_away", RETRY_AFTER_S))
--- a/tests/intake/overload.feature
+++ b/tests/intake/overload.feature
@@ -91,6 +91,7 @@
       | the write of another instance is late                          |
       | the write of another instance, after a refusal, is late        |
       | another instance meets a later refusal and answers "undecided" |
+      | another instance is frozen for 100 s before it tries again     |
 
   Scenario Outline: A refusal that is not certain is none: <doubt>
     Given the leader publishes 9000 core-seconds of short jobs for 100 cores
--- a/tests/intake/steps/overload_steps.py
+++ b/tests/intake/steps/overload_steps.py
@@ -257,10 +257,28 @@
     hand_in_elsewhere(context)
 
 
+def frozen_meanwhile(context):
+    """Refuse a job, and drop the refusal, while another instance is frozen."""
+    sleep = context.clock.sleep
+
+    def freeze(seconds):
+        context.clock.sleep = sleep
+        context.rows.late.clear()
+        hand_in(context, 2, "")
+        refused(context)
+        drop = table.Write(keys.refusal(ID), None)
+        context.rows._apply(table.Transaction((), (drop,)))
+        context.clock.now += 100
+
+    context.clock.sleep = freeze
+    hand_in_elsewhere(context, "late")
+
+
 SEQUENCES = {
     "the write of another instance is late": late_write,
     "the write of another instance, after a refusal, is late": late_write_after_refusal,
     'another instance meets a later refusal and answers "undecided"': refused_meanwhile,
+    "another instance is frozen for 100 s before it tries again": frozen_meanwhile,
 }
 
 
