--- a/src/mangosail/scheduler/backlog.py
+++ b/src/mangosail/scheduler/backlog.py
@@ -96,38 +96,52 @@
     for priority in sorted(jobs):
         of_priority, plan = jobs[priority], plans[priority]
         mean = ordering.mean_core_seconds(of_priority.values())
-        rows = sorted(
-            (
-                (ordering.value_rate(job, mean), plan.is_in_time(name), job)
-                for name, job in of_priority.items()
-            ),
-            key=lambda row: -row[0],
-        )
-        thresholds = []
-        in_time = late = 0.0
-        step = math.ceil(len(rows) / MAX_THRESHOLDS)
-        for number, (rate, selected, job) in enumerate(rows, start=1):
-            if selected:
-                in_time += job.core_seconds
-            else:
-                late += job.core_seconds
-            if number % step == 0 or number == len(rows):
-                thresholds.append(
-                    Threshold(significant(rate), round(in_time, 1), round(late, 1))
-                )
         found.append(
             PriorityBacklog(
                 priority,
                 round(cores, 1),
                 round(urgent, 1),
                 round(mean, 2),
-                tuple(thresholds),
+                measure_thresholds(of_priority, plan, mean),
             )
         )
-        urgent += in_time
+        urgent += sum(
+            job.core_seconds
+            for name, job in of_priority.items()
+            if plan.is_in_time(name)
+        )
     return Backlog(priorities=tuple(found))
 
 
+def measure_thresholds(
+    jobs: cabc.Mapping[str, ordering.RemainingWork], plan: ordering.Plan, mean: float
+) -> tuple[Threshold, ...]:
+    """Return the thresholds of the jobs of one priority, by decreasing rate.
+
+    `mean` is the mean work of these jobs in core-seconds.
+    """
+    rows = sorted(
+        (
+            (ordering.value_rate(job, mean), plan.is_in_time(name), job)
+            for name, job in jobs.items()
+        ),
+        key=lambda row: -row[0],
+    )
+    thresholds = []
+    in_time = late = 0.0
+    interval = math.ceil(len(rows) / MAX_THRESHOLDS)
+    for number, (rate, selected, job) in enumerate(rows, start=1):
+        if selected:
+            in_time += job.core_seconds
+        else:
+            late += job.core_seconds
+        if number % interval == 0 or number == len(rows):
+            thresholds.append(
+                Threshold(significant(rate), round(in_time, 1), round(late, 1))
+            )
+    return tuple(thresholds)
+
+
 def significant(rate: float) -> float:
     """Return a rate with four digits."""
     return float(f"{rate:.4g}")
--- a/src/mangosail/scheduler/failure_domains.py
+++ b/src/mangosail/scheduler/failure_domains.py
@@ -70,15 +70,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """The workers that a step may use, and which of their cores are idle for it."""
+class StepKind:
+    """What decides which workers a step may use, and which cores are idle for it."""
 
     service: str
     label: str
     best_effort: bool
 
     def includes(self, worker: fleet.Worker) -> bool:
-        """Return whether the worker is one of them."""
+        """Return whether a step of this kind may use the worker."""
         entry = worker.entry
         return entry.service == self.service and (
             not self.label or self.label in entry.labels
@@ -196,7 +196,7 @@
         #: Data centres by service and name.
         self.data_centres: dict[str, dict[str, DataCentre]] = {}
         #: Idle cores by data centre, for the kinds of steps asked for since then.
-        self.idle: dict[Kind, dict[str, float]] = {}
+        self.idle: dict[StepKind, dict[str, float]] = {}
 
     def preference(
         self, step_run: progress.StepRun, service: str, now: float
@@ -265,26 +265,18 @@
         return data_centre.drop_reason
 
     def _choose(self, step_run: progress.StepRun, service: str, first: bool) -> str:
-        """Choose a home; return an empty name if no data centre has enough room."""
+        """Choose a home and log it; an empty name if no data centre has enough room.
+
+        The absence of one is logged only if it is the `first` choice for an occurrence.
+        """
         step = step_run.step
-        idle = self._idle_cores(Kind(service, step.label, step.best_effort))
+        idle = self._idle_cores(StepKind(service, step.label, step.best_effort))
         widest = widest_step(step_run)
-        chosen, source = "", HomeSource.LIVE_TASKS
-        inherited = self._data_centre_of_most(step_run)
-        if inherited and self._drop_reason(service, inherited) is None:
-            chosen = inherited
-        else:
+        source = HomeSource.LIVE_TASKS
+        chosen = self._data_centre_of_most(step_run)
+        if not chosen or self._drop_reason(service, chosen) is not None:
             source = HomeSource.IDLE_CORES
-            with_data = self._data_centre_with_data(step_run)
-            suitable = [
-                name
-                for name, cores in idle.items()
-                if widest <= MAX_WIDEST_SHARE * cores
-                and self._drop_reason(service, name) is None
-            ]
-            chosen = max(
-                suitable, key=lambda name: (name == with_data, idle[name]), default=""
-            )
+            chosen = self._choose_by_idle_cores(step_run, service, idle)
         cores = {name: round(of_one) for name, of_one in sorted(idle.items())}
         if chosen:
             self.counters.count(f"homes.chosen.{source.value}")
@@ -301,7 +293,26 @@
             )  # fmt: skip
         return chosen
 
-    def _idle_cores(self, kind: Kind) -> dict[str, float]:
+    def _choose_by_idle_cores(
+        self, step_run: progress.StepRun, service: str, idle: dict[str, float]
+    ) -> str:
+        """Return the data centre with the job's data, or else with most idle cores.
+
+        Only those count that have room for the widest step; empty if none has.
+        """
+        widest = widest_step(step_run)
+        suitable = [
+            name
+            for name, cores in idle.items()
+            if widest <= MAX_WIDEST_SHARE * cores
+            and self._drop_reason(service, name) is None
+        ]
+        with_data = self._data_centre_with_data(step_run)
+        return max(
+            suitable, key=lambda name: (name == with_data, idle[name]), default=""
+        )
+
+    def _idle_cores(self, kind: StepKind) -> dict[str, float]:
         """Return the idle cores of usable workers by data centre."""
         idle = self.idle.get(kind)
         if idle is None:
