--- a/src/mangosail/codec.py
+++ b/src/mangosail/codec.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc as cabc
+import dataclasses
 import itertools
 import typing as t
 
@@ -34,6 +35,23 @@
     return msgspec.json.encode(message).decode()
 
 
+def to_json_without_empty(message: t.Any, names: cabc.Container[str]) -> str:
+    """Return a data class as JSON text; named fields are left out if they are empty.
+
+    The text is then the same as that of builds that do not know these fields::
+
+        >>> to_json_without_empty(Row("a", "", 3), {"value"})
+        '{"key":"a","version":3}'
+    """
+    values = {
+        field.name: getattr(message, field.name)
+        for field in dataclasses.fields(message)
+    }
+    return to_json(
+        {name: value for name, value in values.items() if value or name not in names}
+    )
+
+
 def from_json(text: str | bytes, kind: type[T], strict: bool = True) -> T:
     """Decode `text` as a `kind`, or raise `DecodeError`.
 
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -341,12 +341,7 @@
 
 def encode_lease(lease: Lease) -> str:
     """Encode a lease; without a backlog the row is the same as that of other builds."""
-    fields = {
-        field.name: getattr(lease, field.name) for field in dataclasses.fields(lease)
-    }
-    if not lease.backlog:
-        del fields["backlog"]
-    return codec.to_json(fields)
+    return codec.to_json_without_empty(lease, {"backlog"})
 
 
 def progress_write(job: progress.JobProgress) -> table.Write:
--- a/src/mangosail/scheduler/records.py
+++ b/src/mangosail/scheduler/records.py
@@ -102,16 +102,7 @@
 
 def encode(record: JobRecord) -> str:
     """Encode a record."""
-    values = {
-        field.name: getattr(record, field.name) for field in dataclasses.fields(record)
-    }
-    return codec.to_json(
-        {
-            name: value
-            for name, value in values.items()
-            if value or name not in OPTIONAL_FIELDS
-        }
-    )
+    return codec.to_json_without_empty(record, OPTIONAL_FIELDS)
 
 
 def decode(text: str) -> JobRecord:
