--- a/src/mangosail/intake/overload.py
+++ b/src/mangosail/intake/overload.py
@@ -13,6 +13,7 @@
 
 import collections.abc as cabc
 import dataclasses
+import enum
 import random
 
 import gevent
@@ -65,6 +66,19 @@
 RETRY_SPREAD = 0.5
 
 
+class Spared(enum.StrEnum):
+    """Why a job that would be too late is not refused."""
+
+    #: An earlier attempt to store it may still take effect.
+    UNDECIDED = "undecided"
+    #: Whether it is stored could not be read.
+    UNREAD = "unread"
+    #: It is stored already.
+    REPEATED = "repeated"
+    #: The write of its refusal has no certain success.
+    UNRECORDED = "unrecorded"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
     """What a job asks for by its declared durations."""
@@ -280,22 +294,11 @@
         refusal = judge(job, queue, published, self.rand)
         if refusal is None:
             return None
-        if job.job_id in self.undecided:
-            self.counters.count("overload.spared.undecided")
-            return None
-        found = self.rows.read([keys.job(job.job_id), keys.state(job.job_id)])
-        if isinstance(found, result.Err):
-            self.counters.count("overload.spared.unread")
-            return None
-        if found.ok_value:
-            self.counters.count("overload.spared.repeated")
-            return store_errors.Conflict(keys.job(job.job_id))
-        done = self._record_refusal(job.job_id)
-        if isinstance(done, result.Err):
-            if done.err_value == store_errors.Conflict(keys.job(job.job_id)):
-                self.counters.count("overload.spared.repeated")
-                return done.err_value
-            self.counters.count("overload.spared.unrecorded")
+        spared = self._spare(job.job_id)
+        if spared is not None:
+            self.counters.count(f"overload.spared.{spared.value}")
+            if spared is Spared.REPEATED:
+                return store_errors.Conflict(keys.job(job.job_id))
             return None
         self.counters.count("overload.refused")
         log.info(
@@ -307,6 +310,22 @@
         )  # fmt: skip
         return errors.Refused("overloaded", refusal.retry_after)
 
+    def _spare(self, job_id: str) -> Spared | None:
+        """Return why a late job is not refused; None if its refusal was recorded."""
+        if job_id in self.undecided:
+            return Spared.UNDECIDED
+        found = self.rows.read([keys.job(job_id), keys.state(job_id)])
+        if isinstance(found, result.Err):
+            return Spared.UNREAD
+        if found.ok_value:
+            return Spared.REPEATED
+        done = self._record_refusal(job_id)
+        if isinstance(done, result.Ok):
+            return None
+        if done.err_value == store_errors.Conflict(keys.job(job_id)):
+            return Spared.REPEATED
+        return Spared.UNRECORDED
+
     def _record_refusal(
         self, job_id: str
     ) -> result.Result[int, store_errors.CommitError]:
