--- a/src/mangosail/scheduler/leadership.py
+++ b/src/mangosail/scheduler/leadership.py
@@ -20,6 +20,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec
+from mangosail.platform import table
 from mangosail.scheduler import errors, journal, keys, ports, speed
 from mangosail.telemetry import counters as telemetry
 
@@ -244,15 +245,10 @@
         self, token: int
     ) -> result.Result[ObservedLease, errors.NotClaimed]:
         """Read the lease, which the holder by `token` must still have."""
-        read = gevent.spawn(self.rows.read, [keys.LEASE])
-        read.join(REQUESTED_READ_TIMEOUT_S)
-        if not read.ready():
-            read.kill(block=False)
-            return result.Err(errors.NotClaimed(errors.ClaimRefusal.STORE_AWAY))
-        found = read.get()
-        if isinstance(found, result.Err):
+        rows = self._read_rows_on_request()
+        if rows is None:
             return result.Err(errors.NotClaimed(errors.ClaimRefusal.STORE_AWAY))
-        row = found.ok_value.get(keys.LEASE)
+        row = rows.get(keys.LEASE)
         try:
             lease = codec.from_json(row.value, journal.Lease) if row else None
         except codec.DecodeError:
@@ -268,6 +264,16 @@
         now = self.clock.elapsed()
         return result.Ok(ObservedLease(lease, row.version, now, now))
 
+    def _read_rows_on_request(self) -> cabc.Mapping[str, table.Row] | None:
+        """Return the row of the lease by key; None without an answer in time."""
+        read = gevent.spawn(self.rows.read, [keys.LEASE])
+        read.join(REQUESTED_READ_TIMEOUT_S)
+        if not read.ready():
+            read.kill(block=False)
+            return None
+        found = read.get()
+        return None if isinstance(found, result.Err) else found.ok_value
+
     def _take_claimed(self) -> journal.HeldLease | None:
         """Return the lease that was claimed on request, once."""
         held, self.taken_over = self.taken_over, None
