--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -526,6 +526,23 @@
         if self.ended:
             return records.JobRecord(state=self.state, drop_at=self.drop_at)
         workers: dict[str, int] = {}
+        rows = self._task_rows(workers, checkpoints, assignments)
+        done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
+        assigned = self._assignment_rows(workers) if assignments else ()
+        return records.JobRecord(
+            self.state,
+            tuple(workers),
+            rows,
+            done,
+            self._crashes(),
+            assignments=assigned,
+            copies=self.copy_rows(),
+        )
+
+    def _task_rows(
+        self, workers: dict[str, int], checkpoints: bool, assignments: bool
+    ) -> tuple[tuple[int, int, int, int, int, int, str], ...]:
+        """Return rows of `TaskRecord`; adds their workers to `workers`."""
         rows = []
         for task in self.tasks():
             if not task.has_record:
@@ -549,19 +566,9 @@
                     task.checkpoint if checkpoints else "",
                 )
             )
-        done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
-        assigned = self._assignments(workers) if assignments else ()
-        return records.JobRecord(
-            self.state,
-            tuple(workers),
-            tuple(rows),
-            done,
-            self._crashes(),
-            assignments=assigned,
-            copies=self.copy_rows(),
-        )
+        return tuple(rows)
 
-    def _assignments(
+    def _assignment_rows(
         self, workers: dict[str, int]
     ) -> tuple[tuple[int, int, tuple[int, ...]], ...]:
         """Return rows of `AssignmentRecord`; adds their workers to `workers`."""
@@ -600,7 +607,7 @@
         return found
 
     def copy_rows(self) -> tuple[tuple[int, int, int, int, str], ...]:
-        """Return the rows of copies that may run, and of numbers that copies had.
+        """Return rows of `CopyRecord`: of copies that may run, or that had a number.
 
         Without the numbers, the next leader would give them to further copies, which
         workers that ended the earlier ones reject.
--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -82,13 +82,10 @@
             seconds_left += left
             if left > longest_left:
                 longest_left = left
-    usual = total / count if count else fitted
     elapsed = [elapsed_seconds(task, now) for task in unmeasured]
     begun = [seconds for seconds in elapsed if seconds]
-    if begun:
-        total += sum(max(usual, seconds) for seconds in begun)
-        usual = total / (count + len(begun))
-        running += len(begun)
+    running += len(begun)
+    usual = usual_duration(total, count, begun, fitted)
     for task, seconds in zip(unmeasured, elapsed, strict=True):
         left = unmeasured_left(task, usual, seconds)
         seconds_left += left
@@ -97,6 +94,21 @@
     return pace.Outlook(now, valid_until, running, usual, seconds_left, longest_left)
 
 
+def usual_duration(
+    total: float, count: int, begun: list[float], fitted: float
+) -> float:
+    """Return the mean duration of `count` measured runs and of those not measured yet.
+
+    `total` is the sum of the measured durations, and `begun` has the seconds that each
+    of the other runs has taken.
+    """
+    usual = total / count if count else fitted
+    if not begun:
+        return usual
+    total += sum(max(usual, seconds) for seconds in begun)
+    return total / (count + len(begun))
+
+
 def seconds_left(task: progress.Task, estimate: float, now: float) -> float:
     """Return the seconds that a live task has left, by its own progress if known.
 
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -90,13 +90,10 @@
         self.jobs = jobs
         self.workers = workers
         self.model = model
-        self.placer = placing.Placer(
-            workers,
-            model,
-            failure_domains.JobHomes(workers, counters)
-            if enabled.gather_jobs
-            else None,
-        )
+        homes = None
+        if enabled.gather_jobs:
+            homes = failure_domains.JobHomes(workers, counters)
+        self.placer = placing.Placer(workers, model, homes)
         self.planner = planning.Planner(workers, estimator, self._queue)
         self.journal = job_journal
         self.orders = worker_orders
