--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -543,8 +543,6 @@
         self.most_workers = sys.maxsize
         #: True if late orders to a worker reach its next incarnation.
         self.late_orders_outlive_workers = True
-        #: Optional decisions of the leaders.
-        self.options = options.NONE
 
     def add_worker(self, name, **facts):
         worker = Worker(name, self.clock, **facts)
--- a/tests/scheduler/machine.py
+++ b/tests/scheduler/machine.py
@@ -241,6 +241,10 @@
             self.world.come_back()
             settle()
 
+    def lead_for(self, seconds):
+        """The leaders get on for some seconds."""
+        self.lead_on(round(seconds / TURN))
+
     @stateful.rule(
         fault=FAULTS, turns=st.integers(1, 3), pick=st.randoms(use_true_random=False)
     )
@@ -590,8 +594,8 @@
     """The same, where workers that crash start again under their names.
 
     Late orders end with their worker. Where they reach its next incarnation, the next
-    leader can't bar them. Without assignments, too, a task then started again after its
-    end, in 4 of 20 seeds with 40 histories each.
+    leader can't bar them, and a task may start again after its end, with and without
+    assignments.
     """
 
     tells_life = True
--- a/tests/scheduler/random.feature
+++ b/tests/scheduler/random.feature
@@ -24,19 +24,20 @@
 
   Scenario: Random faults break no promise if durations are estimated from progress
     As above; the progress that workers list starts again at 0 from time to time.
-    Then 30 random histories of up to 40 steps keep them too with estimates from progress
+    Then 30 random histories of up to 40 steps keep them too where durations are estimated from progress
 
   Scenario: Random faults break no promise if tasks start under assignments
     # Guards against tasks that run twice, or again after their end, because a next leader
     # does not know of a start that was never recorded.
     Then 60 random histories of up to 40 steps keep them too where leaders assign ahead
-    And 60 random histories of up to 40 steps keep them too where they do and workers restart
+    And 60 random histories of up to 40 steps keep them too where leaders assign ahead and workers restart
 
   Scenario: Random faults break no promise if tasks are copied
     As the first, but most steps allow copies. A task and its copy are on two workers,
     their failures together are within the attempts, and a step that does not allow
     copies is still never run twice.
-    Then 80 random histories of up to 40 steps keep them too where leaders copy tasks, and 20 tasks are copied at least
+    Then 80 random histories of up to 40 steps keep them too where leaders copy tasks
+    And 20 tasks are copied in them at least
 
   Scenario: A start in doubt is barred at its worker before the next one is sent
     # The start is not answered and carried out seconds later. The worker does not report
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -31,9 +31,6 @@
         self.jobs[job_id] = fakes.job(job_id, *steps, attempts=machine.ATTEMPTS)
         self.world.rows.put(keys.job(job_id), self.jobs[job_id])
 
-    def lead_for(self, seconds):
-        self.lead_on(round(seconds / machine.TURN))
-
     def end(self, prefix):
         for worker in self.living():
             for task in [name for name in worker.running if name.startswith(prefix)]:
@@ -63,10 +60,11 @@
 
 
 @given("a job of 2 tasks, then 2 tasks, of which the first step runs")
-def step_begin(context):
+def step_begin(context, copies_allowed=False):
     context.history = history = History()
     history.lead_on(2)
-    history.submit(JOB, fakes.step(2), fakes.step(2, after=(0,)))
+    second = fakes.step(2, after=(0,), copies_allowed=copies_allowed)
+    history.submit(JOB, fakes.step(2), second)
     history.lead_on(4)
     assert len(history.runs(f"{JOB}.0.0.")) == 2
 
@@ -81,12 +79,7 @@
 def step_copying(context, count):
     both = options.Options(assign_ahead=True, copy_tasks=True)
     with mock.patch.multiple(History, options=both, workers=count):
-        history = context.history = History()
-    history.lead_on(2)
-    second = fakes.step(2, after=(0,), copies_allowed=True)
-    history.submit(JOB, fakes.step(2), second)
-    history.lead_on(4)
-    assert len(history.runs(f"{JOB}.0.0.")) == 2
+        step_begin(context, copies_allowed=True)
 
 
 @when("the store goes away for {seconds:g} s, and the first step ends")
--- a/tests/scheduler/steps/capacity_steps.py
+++ b/tests/scheduler/steps/capacity_steps.py
@@ -5,7 +5,6 @@
 
 FIRST = "00000000000000aa"
 LATER = "00000000000000bb"
-SECOND = round(1 / machine.TURN)
 
 
 class OneWorker(machine.Scheduling):
@@ -47,12 +46,12 @@
 )
 def step_resize(context, count, cores, more):
     submit(context, FIRST, count)
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
     assert len(context.worker.running) == count
     resize(context, cores)
     context.history.lead_on(1)
     submit(context, LATER, more)
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
 
 
 @when("{count:d} tasks wait for the store, the worker shrinks to {cores:d} cores, and "
@@ -68,13 +67,13 @@
     history.lead_on(2)
     history.world.rows.once.clear()
     history.world.rows.fault = ""
-    history.lead_on(SECOND)
+    history.lead_for(1.0)
 
 
 @when("it grows to {cores:d} cores, and 1 s passes")
 def step_grow(context, cores):
     resize(context, cores)
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
 
 
 @then("it runs {count:d} tasks")
--- a/tests/scheduler/steps/copies_steps.py
+++ b/tests/scheduler/steps/copies_steps.py
@@ -62,17 +62,13 @@
     return context.world.counters.counts[name]
 
 
-def play(context, seconds):
-    context.history.lead_on(round(seconds / machine.TURN))
-
-
 @given("3 large workers, and a leader that copies tasks")
 def step_world(context):
     context.history = History()
     context.world = context.history.world
     for each in context.history.leaders:
         context.add_cleanup(each.end)
-    play(context, 0.1)
+    context.history.lead_for(0.1)
 
 
 @given("a running job of {count:d} task that {kind}")
@@ -85,7 +81,7 @@
     attempts = 1 if "no second failure" in kind else 2
     job = fakes.job(ID, fakes.step(count, **facts), attempts=attempts)
     context.world.rows.put(keys.job(ID), job)
-    play(context, 0.2 if "just started" in kind else 0.5)
+    context.history.lead_for(0.2 if "just started" in kind else 0.5)
     task(context).suspect = "may crash" in kind
     if "others wait" in kind:
         step = fakes.step(100)
@@ -115,7 +111,7 @@
             context.stuck.entry, draining=True, remaining=0.5
         )
         context.world.list(context.stuck)
-    play(context, seconds)
+    context.history.lead_for(seconds)
 
 
 @when("the first task's worker leaves polls unanswered for {seconds:g} s of real time")
@@ -163,7 +159,7 @@
 def step_run_ends(context, which, outcome):
     worker = context.stuck if which == "first" else context.copied
     worker.end(TASK, outcome)
-    play(context, 0.2)
+    context.history.lead_for(0.2)
 
 
 @then("the copy was {outcome}")
@@ -179,7 +175,7 @@
     if context.stuck.fault:
         assert TASK in leader(context).workers.get(name).tasks
         context.stuck.fault = ""
-    play(context, 1.0)
+    context.history.lead_for(1.0)
     assert TASK not in context.stuck.running
     step_acknowledged(context)
 
@@ -220,7 +216,7 @@
 
 @when("the workers go on for {seconds:g} s")
 def step_go_on(context, seconds):
-    play(context, seconds)
+    context.history.lead_for(seconds)
 
 
 @then("the number of the dropped copy stays used up")
--- a/tests/scheduler/steps/random_steps.py
+++ b/tests/scheduler/steps/random_steps.py
@@ -3,12 +3,24 @@
 from hypothesis import stateful
 from tests.scheduler import machine
 
+#: State machines of the histories, by what sets them apart.
+KINDS = {
+    "leaders poll two of three workers": machine.BeyondReach,
+    "workers restart": machine.SecondLives,
+    "leaders hand over": machine.HandingOver,
+    "durations are estimated from progress": machine.ProgressBased,
+    "leaders assign ahead": machine.AssignAhead,
+    "leaders assign ahead and workers restart": machine.AssignAheadSecondLives,
+    "leaders copy tasks": machine.Copies,
+}
+
 
 @then(
     "{count:d} random histories of up to {steps:d} steps keep every promise of the "
     "scheduler"
 )
 def histories(context, count, steps, kind=machine.Scheduling):
+    machine.COPIED.clear()
     stateful.run_state_machine_as_test(
         kind,
         settings=hypothesis.settings(
@@ -21,66 +33,14 @@
     )  # fmt: skip
 
 
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where leaders "
-    "poll two of three workers"
-)
-def short_reach(context, count, steps):
-    histories(context, count, steps, machine.BeyondReach)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where workers "
-    "restart"
-)
-def second_lives(context, count, steps):
-    histories(context, count, steps, machine.SecondLives)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where leaders "
-    "hand over"
-)
-def handing_over(context, count, steps):
-    histories(context, count, steps, machine.HandingOver)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too with estimates "
-    "from progress"
-)
-def progress_based(context, count, steps):
-    histories(context, count, steps, machine.ProgressBased)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where leaders "
-    "assign ahead"
-)
-def assign_ahead(context, count, steps):
-    histories(context, count, steps, machine.AssignAhead)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where they do "
-    "and workers restart"
-)
-def assign_ahead_second_lives(context, count, steps):
-    histories(context, count, steps, machine.AssignAheadSecondLives)
-
-
-@then(
-    "{count:d} random histories of up to {steps:d} steps keep them too where leaders "
-    "copy tasks, and {copied:d} tasks are copied at least"
-)
-def copies(context, count, steps, copied):
-    machine.COPIED.clear()
-    histories(context, count, steps, machine.Copies)
-    assert len(machine.COPIED) >= copied, len(machine.COPIED)
+@then("{count:d} random histories of up to {steps:d} steps keep them too where {kind}")
+def histories_of_kind(context, count, steps, kind):
+    histories(context, count, steps, KINDS[kind])
 
 
-#: Turns of a leader per second.
-SECOND = round(1 / machine.TURN)
+@then("{count:d} tasks are copied in them at least")
+def copied_in_histories(context, count):
+    assert len(machine.COPIED) >= count, len(machine.COPIED)
 
 
 @given("a task whose start is late at one worker")
@@ -100,12 +60,12 @@
 @when("that worker answers again and 1 s passes")
 def answers_again(context):
     context.worker.fault = ""
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
 
 
 @when("that worker goes on answering only polls and 1 s passes")
 def only_polls(context):
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
 
 
 @when("the late start arrives")
@@ -127,7 +87,7 @@
 def writes_fail(context, writes, fault, term):
     for _ in range(writes):
         context.history.break_store(fault)
-    context.history.lead_on(round(term / machine.TURN))
+    context.history.lead_for(term)
 
 
 @then("its worker still reports the end")
@@ -138,7 +98,7 @@
 
 @when("1 s passes")
 def second_passes(context):
-    context.history.lead_on(SECOND)
+    context.history.lead_for(1.0)
 
 
 @then("its end is recorded, and its worker has dropped it")
