--- a/src/mangosail/scheduler/assigned_starts.py
+++ b/src/mangosail/scheduler/assigned_starts.py
@@ -100,6 +100,7 @@
     ) -> list[progress.Task]:
         """Start tasks on their assigned workers; return those that are to be placed.
 
+        `service` names the worker pool of the job.
         A task whose assigned worker has no room is not placed elsewhere: its start
         would wait for the store, and keep the room from those that need not wait.
         """
@@ -147,7 +148,7 @@
     def assigns_blocked(self, step_run: progress.StepRun, now: float) -> bool:
         """Return whether workers are to be assigned to a step that waits for room.
 
-        That is the case once for each wait.
+        It returns True once for each wait, and marks the step as assigned.
         """
         since = step_run.blocked_since
         if (
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -77,7 +77,7 @@
         if step.gang:
             candidates = self._candidates(step, service, self.workers, now)
             placements = self._place_gang(step_run, tasks, candidates, service, now)
-            self._record(placements)
+            self._record_for_homes(placements)
             return placements
         full_search = needs_full_search(step_run, now)
         searched: cabc.Iterable[fleet.Worker] = self.workers
@@ -90,7 +90,7 @@
             ]
         candidates = self._candidates(step, service, searched, now)
         placements = self._place_tasks(step_run, tasks, candidates, service, now)
-        self._record(placements)
+        self._record_for_homes(placements)
         if len(placements) < len(tasks):
             step_run.searched_change = change_number
             if full_search:
@@ -255,8 +255,8 @@
             return None
         return self.homes.preference(step_run, service, now)
 
-    def _record(self, placements: cabc.Iterable[Placement]) -> None:
-        """Let the choice of further homes know of the cores that were taken."""
+    def _record_for_homes(self, placements: cabc.Iterable[Placement]) -> None:
+        """Count the cores that were taken, for the choice of further homes."""
         if self.homes is not None:
             for placement in placements:
                 self.homes.record(placement.task, placement.worker)
--- a/src/mangosail/scheduler/preemption.py
+++ b/src/mangosail/scheduler/preemption.py
@@ -39,7 +39,8 @@
 ) -> list[Victim]:
     """Return tasks whose preemption makes room for `missing` tasks of the step.
 
-    With `by_lost_work` they are those that lose the least work.
+    On each worker they are the smallest that suffice, or with `by_lost_work` those that
+    lose the least work.
     """
     step = step_run.step
     if step.continuous or step.best_effort or step.gang:
--- a/src/mangosail/scheduler/remaining.py
+++ b/src/mangosail/scheduler/remaining.py
@@ -43,7 +43,7 @@
 
 
 def outlook(step_run: progress.StepRun, fitted: float, now: float) -> pace.Outlook:
-    """Return what the tasks of a step still take.
+    """Return what the tasks of a step still take, in seconds.
 
     `fitted` is the expected duration that follows from the declared one. Runs that are
     not measured yet count with the mean of the others, or else with `fitted`, but not
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -230,7 +230,7 @@
                 self._place_urgent()
             if self.stopping:
                 return
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if not tasks:
                 continue
             best_effort = step_run.step.best_effort
@@ -269,7 +269,7 @@
         urgent.sort(key=self.planner.sort_key)
         unplaced: list[tuple[str, progress.StepRun]] = []
         for step_run in urgent:
-            tasks = self._unassigned_tasks(step_run, now)
+            tasks = self._start_assigned_tasks(step_run, now)
             if tasks:
                 self._place_step(step_run, tasks, unplaced, now)
             if self.clock.elapsed() >= deadline:
@@ -323,12 +323,12 @@
         queue = self._queue(job.job.queue)
         return queue is not None and queue.needs_advice
 
-    def _unassigned_tasks(
+    def _start_assigned_tasks(
         self, step_run: progress.StepRun, now: float
     ) -> list[progress.Task]:
         """Start tasks on their assigned workers if the store is late.
 
-        Returns the tasks that are to be placed.
+        Returns the tasks of the step that are to be placed in the ordinary way.
         """
         tasks = startable_tasks(step_run, now)
         if not tasks or not self.assigned_starts.active():
