--- a/src/mangosail/scheduler/sweeping.py
+++ b/src/mangosail/scheduler/sweeping.py
@@ -113,6 +113,10 @@
             self.refusals[row.key] = row.version, read_at
             if now - read_at >= REFUSAL_RETENTION_S:
                 due.append(table.Write(row.key, None))
+        self._drop_refusals(due)
+
+    def _drop_refusals(self, due: list[table.Write]) -> None:
+        """Drop rows of refused jobs that still have the version that was read."""
         # Each row takes two entries of a transaction: a check and a write.
         for group in by_shard(due, MAX_ROWS // 2):
             checks = [
