--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -76,9 +76,11 @@
     """Asks peers to take the lease; implements `handover.Successors`."""
 
     def __init__(
-        self, known: cabc.Callable[[], cabc.Iterable[peers.Peer]], data_centre: str
+        self,
+        known_peers: cabc.Callable[[], cabc.Iterable[peers.Peer]],
+        data_centre: str,
     ) -> None:
-        self.known = known
+        self.known_peers = known_peers
         self.data_centre = data_centre
         # Separate from forwarded requests, which may use all connections to a peer.
         self.callers = http_caller.Callers(1, MAX_CALLERS)
@@ -87,7 +89,7 @@
         """Return the known peers."""
         return [
             handover.Candidate(peer.name, peer.address, peer.data_centre, peer.cores)
-            for peer in self.known()
+            for peer in self.known_peers()
         ]
 
     def ask(
