--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -90,13 +90,10 @@
         self.jobs = jobs
         self.workers = workers
         self.model = model
-        self.placer = placing.Placer(
-            workers,
-            model,
-            failure_domains.JobHomes(workers, counters)
-            if enabled.gather_jobs
-            else None,
-        )
+        homes = None
+        if enabled.gather_jobs:
+            homes = failure_domains.JobHomes(workers, counters)
+        self.placer = placing.Placer(workers, model, homes)
         self.planner = planning.Planner(workers, estimator, self._queue)
         self.journal = job_journal
         self.orders = worker_orders
@@ -330,7 +327,7 @@
     ) -> list[progress.Task]:
         """Start tasks on their assigned workers if the store is late.
 
-        Returns the other tasks that may start now, which are to be placed.
+        Returns the tasks of the step that are to be placed in the ordinary way.
         """
         tasks = startable_tasks(step_run, now)
         if not tasks or not self.assigned_starts.active():
