--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -334,7 +334,7 @@
         if not tasks or not self.assigned_starts.active():
             return tasks
         if self._needs_advice(step_run.job):
-            # It may not have when the tasks were assigned.
+            # The queue may have needed none when the tasks were assigned.
             return tasks
         service = self.service_of(step_run.job.job)
         return self.assigned_starts.start(step_run, tasks, service)
