--- a/src/mangosail/simulation/replay.py
+++ b/src/mangosail/simulation/replay.py
@@ -191,7 +191,9 @@
             )
             # The replay reads the row itself, as its clock does not pass by sleeping.
             self.late_jobs.reader.reading = True
+        #: Ids of the jobs that were refused as too late.
         self.refused: set[str] = set()
+        #: Longest backlog in seconds, and the time of its latest sample.
         self.longest_backlog = 0.0
         self.sampled_at = 0.0
         #: Workers that each fault has hit and not left yet.
@@ -362,7 +364,14 @@
         ]
 
     def _observe(self) -> None:
-        """Record the ends of jobs, and the use of cores while tasks wait."""
+        """Record the ends of jobs, the backlog, and the use of cores."""
+        self._record_ends()
+        if self.clock.now >= self.sampled_at + overload.READ_INTERVAL_S:
+            self._sample_backlog()
+        if self._any_waiting():
+            self.used.append(self._used_share())
+
+    def _record_ends(self) -> None:
         for job_id, job in self.leader.jobs.items():
             if job_id not in self.ended_at:
                 self.open_jobs[job_id] = job
@@ -372,19 +381,22 @@
                 failed = state is not messages.State.COMPLETED
                 self.ended_at[job_id] = math.inf if failed else self.clock.now
                 del self.open_jobs[job_id]
-        if self.clock.now >= self.sampled_at + overload.READ_INTERVAL_S:
-            self.sampled_at = self.clock.now
-            self.longest_backlog = max(self.longest_backlog, self._backlog())
-            if self.late_jobs is not None:
-                self.late_jobs.reader.read()
-        waiting = any(
+
+    def _sample_backlog(self) -> None:
+        """Record the backlog, and let the instance read what the leader publishes."""
+        self.sampled_at = self.clock.now
+        self.longest_backlog = max(self.longest_backlog, self._backlog())
+        if self.late_jobs is not None:
+            self.late_jobs.reader.read()
+
+    def _any_waiting(self) -> bool:
+        """Return whether tasks wait that end on their own."""
+        return any(
             step_run.any_waiting()
             for job in self.leader.jobs.values()
             for step_run in job.ready_steps(self.clock.wall())
             if not step_run.step.continuous
         )
-        if waiting:
-            self.used.append(self._used_share())
 
     def _state(self, job: progress.JobProgress) -> messages.State:
         """Return the state of a job; as stored if it had ended when the leader began.
@@ -396,8 +408,11 @@
             return job.state
         return records.decode(self.rows.rows[keys.state(job_id)].value).state
 
+    def _total_cores(self) -> float:
+        return sum(w.entry.capacity.cpus for w in self.workers.by_name.values())
+
     def _used_share(self) -> float:
-        total = sum(w.entry.capacity.cpus for w in self.workers.by_name.values())
+        total = self._total_cores()
         used = sum(
             run.step.need.cpus * run.speed_limit / 100
             for worker in self.workers.by_name.values()
@@ -408,7 +423,7 @@
 
     def _backlog(self) -> float:
         """Return the seconds for which accepted jobs would keep all cores busy."""
-        total = sum(w.entry.capacity.cpus for w in self.workers.by_name.values())
+        total = self._total_cores()
         left = sum(
             self.workers.work_left[task.name][1] * task.step.need.cpus
             for job in self.open_jobs.values()
