--- a/src/mangosail/intake/overload.py
+++ b/src/mangosail/intake/overload.py
@@ -66,7 +66,7 @@
 RETRY_SPREAD = 0.5
 
 
-class Spared(enum.StrEnum):
+class NotRefused(enum.StrEnum):
     """Why a job that would be too late is not refused."""
 
     #: An earlier attempt to store it may still take effect.
@@ -294,10 +294,10 @@
         refusal = judge(job, queue, published, self.rand)
         if refusal is None:
             return None
-        spared = self._spare(job.job_id)
-        if spared is not None:
-            self.counters.count(f"overload.spared.{spared.value}")
-            if spared is Spared.REPEATED:
+        reason = self._reason_to_accept(job.job_id)
+        if reason is not None:
+            self.counters.count(f"overload.not_refused.{reason.value}")
+            if reason is NotRefused.REPEATED:
                 return store_errors.Conflict(keys.job(job.job_id))
             return None
         self.counters.count("overload.refused")
@@ -310,21 +310,21 @@
         )  # fmt: skip
         return errors.Refused("overloaded", refusal.retry_after)
 
-    def _spare(self, job_id: str) -> Spared | None:
+    def _reason_to_accept(self, job_id: str) -> NotRefused | None:
         """Return why a late job is not refused; None if its refusal was recorded."""
         if job_id in self.undecided:
-            return Spared.UNDECIDED
+            return NotRefused.UNDECIDED
         found = self.rows.read([keys.job(job_id), keys.state(job_id)])
         if isinstance(found, result.Err):
-            return Spared.UNREAD
+            return NotRefused.UNREAD
         if found.ok_value:
-            return Spared.REPEATED
+            return NotRefused.REPEATED
         done = self._record_refusal(job_id)
         if isinstance(done, result.Ok):
             return None
         if done.err_value == store_errors.Conflict(keys.job(job_id)):
-            return Spared.REPEATED
-        return Spared.UNRECORDED
+            return NotRefused.REPEATED
+        return NotRefused.UNRECORDED
 
     def _record_refusal(
         self, job_id: str
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -28,7 +28,7 @@
 
 
 #: Attributes of a task that its runs and copies share.
-COUNTED_ATTRIBUTES = (
+SHARED_ATTRIBUTES = (
     "avoided_worker",
     "certain_crashes",
     "copies_made",
@@ -193,7 +193,7 @@
 
     @property
     def copy(self) -> "Task | None":
-        """Return the copy of the task, if there is one."""
+        """Return the copy of the task, if there is one; of a copy, the copy itself."""
         return self.step_run.copies.get(self.index)
 
     @property
@@ -348,7 +348,7 @@
         copy = self.copies[task.index]
         self.tasks[task.index], self.copies[task.index] = copy, task
         copy.copied_run = max(task.highest_run, copy.run)
-        for counted in COUNTED_ATTRIBUTES:
+        for counted in SHARED_ATTRIBUTES:
             setattr(copy, counted, getattr(task, counted))
         copy.copy_of, task.copy_of = None, copy
         return copy
--- a/tests/intake/steps/overload_steps.py
+++ b/tests/intake/steps/overload_steps.py
@@ -162,7 +162,7 @@
 def accepted(context):
     assert isinstance(context.answer, result.Ok), context.answer
     if counted := getattr(context, "counted", ""):
-        assert context.counters.snapshot()[f"overload.spared.{counted}"] == 1
+        assert context.counters.snapshot()[f"overload.not_refused.{counted}"] == 1
 
 
 @then("it is refused")
