--- a/src/mangosail/scheduler/assignments.py
+++ b/src/mangosail/scheduler/assignments.py
@@ -239,12 +239,7 @@
         """Return the accepted worker that suits the step best, and rank it lower."""
         workers = self.assigner.workers
         if self.ranked is None:
-            self.assigner.decay_assigned_cpus(self.now)
-            ranks = {worker.name: self._rank(worker) for worker in workers}
-            self.ranked = [
-                (rank, name) for name, rank in ranks.items() if rank is not None
-            ]
-            heapq.heapify(self.ranked)
+            self.ranked = self._rank_all()
         passed_over = []
         chosen = ""
         while self.ranked:
@@ -261,6 +256,14 @@
             heapq.heappush(self.ranked, each)
         return chosen
 
+    def _rank_all(self) -> "list[tuple[Rank, str]]":
+        """Return the heap of the suitable workers by rank."""
+        self.assigner.decay_assigned_cpus(self.now)
+        ranks = {worker.name: self._rank(worker) for worker in self.assigner.workers}
+        ranked = [(rank, name) for name, rank in ranks.items() if rank is not None]
+        heapq.heapify(ranked)
+        return ranked
+
     def _rank(self, worker: fleet.Worker) -> "Rank | None":
         """Return the rank of a worker, lower is better; None if it is not suitable.
 
