Bound the processor time that assignments take

Each start of a job looked at all its waiting tasks again, with the headroom beside latency-critical ones. After an assignment none follows for 20 times as long as it took.

--- a/src/mangosail/scheduler/assigned_starts.py
+++ b/src/mangosail/scheduler/assigned_starts.py
@@ -22,6 +22,9 @@
 #: Seconds for which a job has waited for capacity when workers are assigned to it with
 #: a write of its own. Most waits are shorter, and would double the writes.
 BLOCKED_S = 0.3
+#: Pause after workers were assigned to a job, as a multiple of the time that it took.
+#: Where hundreds of tasks wait, this would otherwise delay starts and the lease.
+PAUSE_RATIO = 20
 #: Outcome of a task that is started.
 STARTED = "started"
 
@@ -52,6 +55,8 @@
         self.counters = counters
         #: Elapsed time since when tasks start under assignments; None if they do not.
         self.active_since: float | None = None
+        #: Elapsed time before which no workers are assigned.
+        self.next_assign_at = 0.0
         #: Latest outcome for each task since then.
         self.outcomes: dict[progress.Task, str] = {}
 
@@ -141,9 +146,20 @@
         While the store is late the assignments stay as they are, as changed ones could
         not be used.
         """
+        if not self.may_assign():
+            return False
+        began_at = self.clock.elapsed()
+        changed = self.assigner.assign(job, service, now, wall)
+        ended_at = self.clock.elapsed()
+        self.next_assign_at = ended_at + PAUSE_RATIO * (ended_at - began_at)
+        return changed
+
+    def may_assign(self) -> bool:
+        """Return whether workers may be assigned to a job now."""
+        now = self.clock.elapsed()
         if not self.enabled or self.journal.is_late(now):
             return False
-        return self.assigner.assign(job, service, now, wall)
+        return now >= self.next_assign_at
 
     def assigns_blocked(self, step_run: progress.StepRun, now: float) -> bool:
         """Return whether workers are to be assigned to a step that waits for room.
@@ -152,11 +168,10 @@
         """
         since = step_run.blocked_since
         if (
-            not self.enabled
-            or since is None
+            since is None
             or now < since + BLOCKED_S
             or step_run.assigned_while_blocked
-            or self.journal.is_late(now)
+            or not self.may_assign()
         ):
             return False
         step_run.assigned_while_blocked = True
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -350,9 +350,9 @@
 
     def _assign_after_takeover(self, now: float) -> None:
         """Assign workers to jobs whose earlier assignments are resolved."""
-        if self.journal.is_late(now):
-            return
         for job in list(self.jobs.values()):
+            if not self.assigned_starts.may_assign():
+                return
             if not job.assignments_restored:
                 continue
             if any(task.from_assignment for task in job.tasks()):
