Assign no workers in advance while many steps wait for room

With hundreds of waiting tasks each start wrote a record with the workers of all of them, and starts got late.

--- a/src/mangosail/scheduler/planning.py
+++ b/src/mangosail/scheduler/planning.py
@@ -58,6 +58,8 @@
         #: job has arrived meanwhile.
         self.replan_at = 0.0
         self.early_replan_at = 0.0
+        #: Number of steps that waited for room at the last plan.
+        self.blocked_steps = 0
         #: True if a job has arrived since the last plan.
         self.has_unplanned_job = False
         #: Names of the jobs as last seen, and elapsed time of the latest arrival.
@@ -78,7 +80,10 @@
         self.early_replan_at = now + MIN_PLAN_INTERVAL_S
         self.has_unplanned_job = False
         self.planned_at = now
-        if all(step_run.blocked_since is None for step_run in ready):
+        self.blocked_steps = sum(
+            step_run.blocked_since is not None for step_run in ready
+        )
+        if not self.blocked_steps:
             self.plans = {}
             self.backlog = backlog.Backlog()
             return
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -53,6 +53,10 @@
 #: and maximum seconds that one takes: no lease is renewed meanwhile.
 URGENT_INTERVAL_S = 0.02
 URGENT_BUDGET_S = 0.02
+#: Number of steps that wait for room beyond which no workers are assigned to jobs. The
+#: cores that come free while the store is away are then too few to be worth the longer
+#: records, which delay all starts.
+MAX_BLOCKED_STEPS = 10
 #: Seconds after which a round runs without a change, for tasks that become due and
 #: workers that become usable again.
 IDLE_INTERVAL_S = 0.1
@@ -367,6 +371,8 @@
         if self._needs_advice(job):
             # Tickets expire.
             return False
+        if self.planner.blocked_steps > MAX_BLOCKED_STEPS:
+            return False
         service = self.service_of(job.job)
         return self.assigned_starts.assign(job, service, now, self.clock.wall())
 
