--- a/tests/scheduler/assignments.feature
+++ b/tests/scheduler/assignments.feature
@@ -112,6 +112,16 @@
     When an earlier run of the second step is reported as done
     Then no run of it is known only from an assignment
 
+  Scenario Outline: While <count> steps wait for room, a job has assignments: <assigned>
+    # Guards against records that grow with each start while the leader has most to do.
+    Given the leader's last plan, in which <count> steps wait for room
+    Then a further job is assigned workers: <assigned>
+
+    Examples:
+      | count | assigned |
+      | 10    | True     |
+      | 11    | False    |
+
   Scenario Outline: No assignments for <kind>
     Given a second step of <kind>
     Then none of its tasks is assigned
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -352,6 +352,19 @@
         task.suspect = kind == "suspected tasks"
 
 
+@given("the leader's last plan, in which {count:d} steps wait for room")
+def step_blocked_plan(context, count):
+    context.rounds = context.history.leaders[-1].scheduler.rounds
+    context.rounds.planner.blocked_steps = count
+
+
+@then("a further job is assigned workers: {assigned}")
+def step_further_job(context, assigned):
+    job = progress.JobProgress(fakes.job(JOB, fakes.step()))
+    found = context.rounds._assign(job, context.history.world.clock.now)
+    assert str(found) == assigned, found
+
+
 @then("none of its tasks is assigned")
 def step_unassigned(context):
     assigner = context.history.leaders[-1].scheduler.rounds.assigned_starts.assigner
