Go over a job's tasks for assignments only where it has any

Each record of a job went over all its tasks twice for assignments, also where the option is off; the leader writes up to 80 records a transaction. A flag of the job, as for copies, spares that.

--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -170,6 +170,7 @@
         if worker != self.assigned_worker:
             self.assigned_worker = worker
             self.assignment_durable = False
+            self.job.may_have_assignments |= bool(worker)
 
     def confirm_assignment(self, run: int, worker: str) -> None:
         """Record that the latest record, now confirmed, assigns a worker to a run."""
@@ -390,6 +391,8 @@
         )
         #: Whether copies of its tasks were planned or restored.
         self.may_have_copies = False
+        #: The same of assignments.
+        self.may_have_assignments = False
         #: Bytes in the record for tasks that are not done, and whether they may not
         #: suffice for all of them at the same time.
         self.spare_bytes = sizes.spare_bytes(job)
@@ -577,6 +580,8 @@
         self, workers: dict[str, int]
     ) -> tuple[tuple[int, int, tuple[int, ...]], ...]:
         """Return rows of `AssignmentRecord`; adds their workers to `workers`."""
+        if not self.may_have_assignments:
+            return ()
         rows = []
         for step_run in self.steps.values():
             positions = []
@@ -595,7 +600,7 @@
 
     def recorded_assignments(self) -> list[tuple[Task, int, str]]:
         """Return the waiting tasks that the record assigns, with run and worker."""
-        if self.ended:
+        if self.ended or not self.may_have_assignments:
             return []
         return [
             (task, *assignment)
@@ -719,6 +724,7 @@
             task.worker = workers[position]
             task.phase = Phase.DOUBTFUL
             task.from_assignment = True
+            self.may_have_assignments = True
             task.speed_unknown = task.step.best_effort
 
     def _restore_crashes(self, stored: records.CrashRecord) -> None:
