--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 # deploy file. They are Python: it is checked that they load with what that build made.
 cd "$(dirname "$0")/.." || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
-for module in tests.standins.store review.standins.worker review.standins.bed; do
+for module in tests.standins.store review.standins.advisor review.standins.worker \
+    review.standins.bed; do
     python3 -c "import $module" || exit 1
 done
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,7 +7,8 @@
 
 The spec of a job is JSON and tells the worker what its tasks need and do:
 ``{"cpu": 50, "mem_mb": 100, "ms": 1500}`` runs for 1.5 s, ``"until"`` (Unix seconds)
-runs until that moment, ``"lasts": true`` runs until it is stopped.
+runs until that moment, ``"lasts": true`` runs until it is stopped. With ``"advised": true``
+its starts need a ticket of the advice service (`advisor.py`).
 
 Every start, end, refusal and acknowledged end is appended to the log as a JSON line.
 ``POST /review/faults`` sets faults of the worker; see `Faults`.
@@ -29,6 +30,8 @@
 import gevent.event  # noqa: E402
 from gevent import pywsgi  # noqa: E402
 
+from review.standins import advisor  # noqa: E402
+
 #: Ends in one answer, and the longest wait of a poll, by PROTOCOL.md.
 MAX_ENDS = 500
 MAX_WAIT_MS = 2000
@@ -102,6 +105,11 @@
         if run <= self.highest_over.get(task, 0) or task in self.running:
             self.extend(order)
             return 409, {"reason": "old"}
+        if spec.get("advised") and not advisor.is_valid(
+            order.get("ticket"), task, self.name
+        ):
+            self.note(event="refused", task=task, run=run, reason="ticket")
+            return 409, {"reason": "ticket"}
         if not self.fits(spec):
             self.extend(order)
             self.note(event="refused", task=task, run=run, reason="room")
@@ -233,6 +241,7 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--store", required=True)
     parser.add_argument("--log", required=True)
+    parser.add_argument("--service", default="pedidos")
     parser.add_argument("--zone", default="nave-a")
     parser.add_argument("--rack", default="r1-1")
     parser.add_argument("--cpu", type=int, default=32000)
@@ -252,7 +261,7 @@
     server.start()
     note(event="born", address=args.address)
     entry = {
-        "id": name, "service": "pedidos", "address": args.address, "zone": args.zone,
+        "id": name, "service": args.service, "address": args.address, "zone": args.zone,
         "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
         "sequence": 1, "labels": ["a", args.rack],
         "capacity": {"cpu": args.cpu, "mem_mb": args.mem_mb, "gpu": 0},
