--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A queue with advice moves to another service while a job of it is at work.
 
-Usage: by `run.sh`; TROUBLE=0 leaves the change of the configuration out.
+Usage: by `run.sh`; TROUBLE=0 leaves the change of the configuration out. With
+CHANGE=drop the route is removed instead, and another one is added.
 """
 
 import copy
@@ -48,6 +49,15 @@
     return found
 
 
+def changed_config(change):
+    """Return the configuration that the operator writes while the job is at work."""
+    if change == "move":
+        return config(3, SERVICES[1])
+    found = config(3, SERVICES[0])
+    found["routes"][0].update(name="other", path_prefix="/other1/")
+    return found
+
+
 def run(bed, trouble):
     bed.start_store()
     bed.configure(config(2, SERVICES[0]))
@@ -70,7 +80,7 @@
         raise bed_module.CouldNotRun(f"job answered with {status}")
     time.sleep(CHANGE_AFTER_S)
     if trouble:
-        bed.configure(config(3, SERVICES[1]))
+        bed.configure(changed_config(os.environ.get("CHANGE", "move")))
     first_ended_at = handed_in_at + TASK_MS / 1000
     time.sleep(max(first_ended_at + IDLE_S + FINISH_S - time.time(), 0))
     state = bed.state(names[1], job_id)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,7 +7,8 @@
 
 The spec of a job is JSON and tells the worker what its tasks need and do:
 ``{"cpu": 50, "mem_mb": 100, "ms": 1500}`` runs for 1.5 s, ``"until"`` (Unix seconds)
-runs until that moment, ``"lasts": true`` runs until it is stopped. With ``"advised": true``
+runs until that moment (and with ``"spread_s"`` up to so much longer, by the index of
+the task), ``"lasts": true`` runs until it is stopped. With ``"advised": true``
 its starts need a ticket of the advice service (`advisor.py`).
 
 Every start, end, refusal and acknowledged end is appended to the log as a JSON line.
@@ -21,6 +22,7 @@
 import argparse  # noqa: E402
 import dataclasses  # noqa: E402
 import json  # noqa: E402
+import math  # noqa: E402
 import os  # noqa: E402
 import socket  # noqa: E402
 import time  # noqa: E402
@@ -160,7 +162,7 @@
             self.changed.wait(wait_ms / 1000)
         now = time.time()
         running = [
-            [task, run, "", percent(spec, started_at, now), spec.get("cpu", 0)]
+            [task, run, "", percent(task, spec, started_at, now), spec.get("cpu", 0)]
             for task, (run, spec, started_at) in self.running.items()
         ]
         return {"running": running, "ended": self.ended[:MAX_ENDS]}
@@ -173,25 +175,26 @@
                 self.end(task, "lapsed")
         now = time.time()
         for task, (_, spec, started_at) in list(self.running.items()):
-            if is_over(spec, started_at, now):
+            if now >= over_at(task, spec, started_at):
                 self.end(task, "done")
 
 
-def is_over(spec, started_at, now):
-    """Return whether a run has done its work."""
+def over_at(task, spec, started_at):
+    """Return the Unix time at which a run has done its work."""
     if spec.get("lasts"):
-        return False
+        return math.inf
     if "until" in spec:
-        return now >= spec["until"]
-    return now >= started_at + spec.get("ms", 1000) / 1000
+        share = int(task.rpartition(".")[2]) % 100 / 100
+        return spec["until"] + share * spec.get("spread_s", 0)
+    return started_at + spec.get("ms", 1000) / 1000
 
 
-def percent(spec, started_at, now):
+def percent(task, spec, started_at, now):
     """Return the share of its work that a run has done; 100 for one that lasts."""
     if spec.get("lasts"):
         return 100
-    over_at = spec.get("until", started_at + spec.get("ms", 1000) / 1000)
-    share = (now - started_at) / max(over_at - started_at, 0.001)
+    length = over_at(task, spec, started_at) - started_at
+    share = (now - started_at) / max(length, 0.001)
     return int(min(max(share, 0), 0.99) * 100)
 
 
