--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,32 +1,33 @@
-"""A queue with advice moves to another service while a job of it is at work.
+"""More than 500 ends wait on a worker while the leader is replaced.
 
-Usage: by `run.sh`; TROUBLE=0 leaves the change of the configuration out. With
-CHANGE=drop the route is removed instead, and another one is added.
+Usage: python3 -m review.1.case, by `run.sh`; TROUBLE=0 leaves the kill out.
 """
 
-import copy
 import importlib
 import json
 import os
 import pathlib
 import secrets
+import signal
 import sys
 import time
 
 bed_module = importlib.import_module("review.standins.bed")
 
-#: Workers of each of the two services.
 WORKERS = 3
-TASKS, CPU, MEM_MB = 4, 2000, 1000
-TASK_MS = 3000
-#: Seconds after the hand-in at which the configuration changes: the first step runs.
-CHANGE_AFTER_S = 1.5
-#: Seconds after the end of the traffic at which jobs must have ended (`finish_s`), and
-#: for which a job may have nothing running although there is room.
-FINISH_S = 14.0
-IDLE_S = 3.0
-SERVICES = ("pedidos", "pedidos-b")
-ADVICE = {"decide_ms": 20, "each_ms": 1, "valid_ms": 3000}
+#: A job's record has room for about 700 tasks that run at the same time. With three
+#: workers, 620 tasks run on each.
+JOBS = 3
+TASKS = 620
+CPU, MEM_MB = 40, 100
+#: Seconds after the hand-in at which all tasks have done their work.
+WORK_S = 30.0
+#: Seconds over which the ends are spread after that moment, and seconds before it at
+#: which the leader is killed. A live leader takes note of them as they come.
+SPREAD_S = 0.8
+KILL_BEFORE_S = 0.1
+RESTART_AFTER_S = 2.0
+WATCH_S = 12.0
 
 
 def main():
@@ -40,80 +41,94 @@
         bed.close()
 
 
-def config(version, service):
-    """Return a configuration that sends the queue to a service."""
-    found = copy.deepcopy(bed_module.CONFIG)
-    found["version"] = version
-    found["services"] = [{"name": name, "admission_check": True} for name in SERVICES]
-    found["routes"][0].update(service=service, advice=ADVICE)
-    return found
-
-
-def changed_config(change):
-    """Return the configuration that the operator writes while the job is at work."""
-    if change == "move":
-        return config(3, SERVICES[1])
-    found = config(3, SERVICES[0])
-    found["routes"][0].update(name="other", path_prefix="/other1/")
-    return found
-
-
 def run(bed, trouble):
     bed.start_store()
-    bed.configure(config(2, SERVICES[0]))
-    for number in range(2 * WORKERS):
-        bed.add_worker(number, "--service", SERVICES[number // WORKERS])
-    advice = f"127.0.0.1:{bed_module.free_port()}"
-    bed.start("advisor", [sys.executable, "-m", "review.standins.advisor",
-                          "--address", advice])  # fmt: skip
-    names = [bed.add_instance(number, advice=advice) for number in range(3)]
+    for number in range(WORKERS):
+        bed.add_worker(number)
+    names = [bed.add_instance(number) for number in range(3)]
     bed.wait_for_instances()
     bed_module.wait_until(bed.leader, "a leader")
     time.sleep(2)
-    spec = json.dumps({"cpu": CPU, "mem_mb": MEM_MB, "ms": TASK_MS, "advised": True})
-    step = {"count": TASKS, "cpu": CPU, "mem_mb": MEM_MB, "estimate_ms": TASK_MS}
-    job = {"spec": spec, "steps": [step, {**step, "after": [0]}]}
-    job_id = secrets.token_hex(8)
-    handed_in_at = time.time()
-    status = bed.submit(names[0], job_id, job)
-    if status != 200:
-        raise bed_module.CouldNotRun(f"job answered with {status}")
-    time.sleep(CHANGE_AFTER_S)
+    until = time.time() + WORK_S
+    spec = json.dumps(
+        {"cpu": CPU, "mem_mb": MEM_MB, "until": until, "spread_s": SPREAD_S}
+    )
+    step = {"count": TASKS, "cpu": CPU, "mem_mb": MEM_MB, "estimate_ms": 15000}
+    jobs = [secrets.token_hex(8) for _ in range(JOBS)]
+    for number, job_id in enumerate(jobs):
+        status = bed.submit(names[number % 3], job_id, {"spec": spec, "steps": [step]})
+        if status != 200:
+            raise bed_module.CouldNotRun(f"job answered with {status}")
+    bed_module.wait_until(
+        lambda: count(bed, "start") >= JOBS * TASKS, "all tasks running",
+        until - time.time() - 1, interval=0.5,
+    )  # fmt: skip
+    bed.record(f"all {JOBS * TASKS} tasks run")
+    time.sleep(max(until - KILL_BEFORE_S - time.time(), 0))
     if trouble:
-        bed.configure(changed_config(os.environ.get("CHANGE", "move")))
-    first_ended_at = handed_in_at + TASK_MS / 1000
-    time.sleep(max(first_ended_at + IDLE_S + FINISH_S - time.time(), 0))
-    state = bed.state(names[1], job_id)
-    bed.record(f"client: GET {job_id}: {state}")
-    return judge(bed, state)
+        leader = bed.leader()
+        bed.signal(leader, signal.SIGKILL)
+        time.sleep(RESTART_AFTER_S)
+        bed.restart(leader)
+        bed.record(f"{leader} started again")
+    time.sleep(max(until + WATCH_S - time.time(), 0))
+    for job_id in jobs:
+        bed.record(f"client: GET {job_id}: {bed.state(names[0], job_id)}")
+    return judge(bed)
+
 
+def count(bed, event):
+    return sum(line["event"] == event for line in bed.events())
 
-def judge(bed, state):
-    """Return 1 if the job had nothing running for `IDLE_S` while it could run.
 
-    All workers are idle then, so there is room for it twice over, and under half of
-    the service's capacity is in use.
+def judge(bed):
+    """Return 1 if a task was started after a run of it had ended done.
+
+    By TWICE, such an end counts if it is taken note of then or later, unless the
+    worker's lease lapsed between the two.
     """
     events = bed.events()
+    lapses = {}
+    for line in events:
+        if line["event"] == "lease_over":
+            lapses.setdefault(line["worker"], []).append(line["at"])
+    done, noted, broken = {}, {}, []
+    for line in events:
+        if line["event"] == "end" and line["how"] == "done":
+            done[line["task"], line["run"]] = line
+        if line["event"] == "acknowledged" and line["how"] == "done":
+            noted[line["task"], line["run"]] = line["at"]
+    ends = {}
+    for (task, run), line in done.items():
+        at = noted.get((task, run))
+        lapsed = any(line["at"] <= each <= (at or 0) for each in lapses.get(line["worker"], ()))
+        if at is not None and not lapsed:
+            ends.setdefault(task, []).append((line["at"], run, line["worker"], at))
+    for line in events:
+        if line["event"] != "start":
+            continue
+        for ended_at, run, worker, noted_at in ends.get(line["task"], ()):
+            if ended_at < line["at"] and line["run"] > run:
+                broken.append((line, run, worker, ended_at, noted_at))
+    per_worker = {}
+    for line in events:
+        key = line["worker"], line["event"]
+        per_worker[key] = per_worker.get(key, 0) + 1
+    for (worker, event), number in sorted(per_worker.items()):
+        bed.record(f"worker {worker}: {number} x {event}")
     for line in events:
-        text = " ".join(f"{k}={v}" for k, v in line.items() if k != "at")
+        text = " ".join(f"{k}={v}" for k, v in line.items() if k not in ("at",))
         bed.record(text, line["at"])
-    for line in (bed.temp / "advisor.out").read_text().splitlines():
-        at, _, text = line.partition(" ")
-        bed.record(f"advice asked for {text}", float(at))
-    runs = [line for line in events if line["event"] in ("start", "end")]
-    bed.record(f"{len(runs)} starts and ends; the job is shown as {state}")
-    if state == "completed":
-        bed.record("rule LOST held")
-        return 0
-    last_at = max(line["at"] for line in runs)
-    running = sum(1 if line["event"] == "start" else -1 for line in runs)
-    idle_s = time.time() - last_at
-    if running == 0 and idle_s > IDLE_S:
-        bed.record(f"rule LOST broken: nothing has run for {idle_s:.1f} s")
-        print(f"rule LOST broken: nothing has run for {idle_s:.1f} s")
-        return 1
-    return 0
+    for line, run, worker, ended_at, noted_at in broken:
+        bed.record(
+            f"TWICE: {line['task']} run {run} ended done on {worker} at"
+            f" {ended_at - bed.began_at:.3f}, taken note of at"
+            f" {noted_at - bed.began_at:.3f}, and run {line['run']} was started on"
+            f" {line['worker']} at {line['at'] - bed.began_at:.3f}"
+        )
+    bed.record(f"rule TWICE broken {len(broken)} times")
+    print(f"rule TWICE broken {len(broken)} times")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -74,13 +74,13 @@
         return None
 
 
-def wait_until(condition, what, timeout=START_TIMEOUT_S):
+def wait_until(condition, what, timeout=START_TIMEOUT_S, interval=0.05):
     """Wait until `condition` is true; raise `CouldNotRun` after `timeout`."""
     deadline = time.monotonic() + timeout
     while time.monotonic() < deadline:
         if condition():
             return
-        time.sleep(0.05)
+        time.sleep(interval)
     raise CouldNotRun(f"{what} not reached in {timeout} s")
 
 
@@ -150,9 +150,9 @@
         status, _ = call(self.store, "POST", "/-/rows-tx", message)
         self.record(f"configuration {config['version']} acknowledged with {status}")
 
-    def add_worker(self, number, *options, listed=None):
+    def add_worker(self, number, *options, address=None):
         """Start a worker; return its address."""
-        address = f"127.0.0.1:{free_port()}"
+        address = address or f"127.0.0.1:{free_port()}"
         log = self.temp / f"worker-{number}.jsonl"
         self.worker_logs.append(log)
         self.start(f"worker-{number}",
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -252,6 +252,7 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
+    parser.add_argument("--listed", help="address to register instead")
     parser.add_argument("--store", required=True)
     parser.add_argument("--log", required=True)
     parser.add_argument("--id", help="id to keep across starts (default: a new one)")
@@ -277,8 +278,8 @@
     server.start()
     note(event="born", address=args.address)
     entry = {
-        "id": name, "service": args.service, "address": args.address, "zone": args.zone,
-        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+        "id": name, "service": args.service, "address": args.listed or args.address,
+        "zone": args.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
         "sequence": 1, "labels": ["a", args.rack],
         "capacity": {"cpu": args.cpu, "mem_mb": args.mem_mb, "gpu": 0},
     }  # fmt: skip
