--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -5,11 +5,12 @@
 started here, and only these are signalled.
 """
 
+import base64
 import json
 import os
 import pathlib
+import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +18,8 @@
 import urllib.error
 import urllib.request
 
+from tests.support import ports
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "novo13.example"
 PREFIX = "/gono990/"
@@ -44,11 +47,9 @@
 }  # fmt: skip
 
 
-def free_port(host="127.0.0.1"):
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+def free_port():
+    """Return a free port that no other process is given."""
+    return ports.free_port()
 
 
 def call(address, method, path, body=None, headers=None, timeout=3.0):
@@ -101,6 +102,8 @@
         self.fronts = {}
         self.store = f"127.0.0.1:{free_port()}"
         self.worker_logs = []
+        # By default the processes that were started would outlive a time limit.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     def record(self, text, at=None):
         """Append a line to `record.txt`, with the seconds since the beginning."""
@@ -142,8 +145,6 @@
 
     def configure(self, config):
         """Write the operator's configuration to the store."""
-        import base64
-
         value = base64.b64encode(json.dumps(config).encode()).decode()
         row = {"table": "op", "part": "", "key": "config", "value": value}
         message = {"expected_revision": [], "puts": [row], "remove": []}
@@ -166,14 +167,14 @@
         name = f"edge-{zone}-{number}"
         pid = os.getpid()
         host = f"127.{1 + pid // 250 % 250}.{pid % 250}.{number + 1}"
-        self.fronts[name] = f"{host}:{free_port(host)}"
-        port = free_port(host)
+        self.fronts[name] = f"{host}:{free_port()}"
+        port = free_port()
         settings = {
             "node_name": name, "role": "instance", "machine_class": "edge",
             "ip": host, "zone": zone, "region": "guayas",
             "zones": {"nave-a": "guayas", "nave-b": "guayas", "nave-c": "guayas"},
             "listen_addrs": {"front": self.fronts[name],
-                             "ready": f"{host}:{free_port(host)}"},
+                             "ready": f"{host}:{free_port()}"},
             "internal_ports": [port, port],
             "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300,
                        "max_fds": 4100},
@@ -228,9 +229,16 @@
         return sorted(lines, key=lambda line: line["at"])
 
     def close(self):
-        """End all processes that were started here."""
+        """End all processes that were started here, and drop their files.
+
+        With REVIEW_KEEP=1 the files stay, and `record.txt` names their folder.
+        """
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        if os.environ.get("REVIEW_KEEP") == "1":
+            self.record(f"logs in {self.temp}")
+        else:
+            shutil.rmtree(self.temp, ignore_errors=True)
