--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,7 @@
 import time
 
 bed_module = importlib.import_module("review.standins.bed")
+twice_module = importlib.import_module("review.standins.twice")
 
 WORKERS = 3
 #: A job's record has room for about 700 tasks that run at the same time. With three
@@ -74,62 +75,12 @@
     time.sleep(max(until + WATCH_S - time.time(), 0))
     for job_id in jobs:
         bed.record(f"client: GET {job_id}: {bed.state(names[0], job_id)}")
-    return judge(bed)
+    return 1 if twice_module.count_starts_after_done(bed) else 0
 
 
 def count(bed, event):
     return sum(line["event"] == event for line in bed.events())
 
 
-def judge(bed):
-    """Return 1 if a task was started after a run of it had ended done.
-
-    By TWICE, such an end counts if it is taken note of then or later, unless the
-    worker's lease lapsed between the two.
-    """
-    events = bed.events()
-    lapses = {}
-    for line in events:
-        if line["event"] == "lease_over":
-            lapses.setdefault(line["worker"], []).append(line["at"])
-    done, noted, broken = {}, {}, []
-    for line in events:
-        if line["event"] == "end" and line["how"] == "done":
-            done[line["task"], line["run"]] = line
-        if line["event"] == "acknowledged" and line["how"] == "done":
-            noted[line["task"], line["run"]] = line["at"]
-    ends = {}
-    for (task, run), line in done.items():
-        at = noted.get((task, run))
-        lapsed = any(line["at"] <= each <= (at or 0) for each in lapses.get(line["worker"], ()))
-        if at is not None and not lapsed:
-            ends.setdefault(task, []).append((line["at"], run, line["worker"], at))
-    for line in events:
-        if line["event"] != "start":
-            continue
-        for ended_at, run, worker, noted_at in ends.get(line["task"], ()):
-            if ended_at < line["at"] and line["run"] > run:
-                broken.append((line, run, worker, ended_at, noted_at))
-    per_worker = {}
-    for line in events:
-        key = line["worker"], line["event"]
-        per_worker[key] = per_worker.get(key, 0) + 1
-    for (worker, event), number in sorted(per_worker.items()):
-        bed.record(f"worker {worker}: {number} x {event}")
-    for line in events:
-        text = " ".join(f"{k}={v}" for k, v in line.items() if k not in ("at",))
-        bed.record(text, line["at"])
-    for line, run, worker, ended_at, noted_at in broken:
-        bed.record(
-            f"TWICE: {line['task']} run {run} ended done on {worker} at"
-            f" {ended_at - bed.began_at:.3f}, taken note of at"
-            f" {noted_at - bed.began_at:.3f}, and run {line['run']} was started on"
-            f" {line['worker']} at {line['at'] - bed.began_at:.3f}"
-        )
-    bed.record(f"rule TWICE broken {len(broken)} times")
-    print(f"rule TWICE broken {len(broken)} times")
-    return 1 if broken else 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.." || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
 for module in tests.standins.store review.standins.advisor review.standins.worker \
-    review.standins.bed review.standins.proxy; do
+    review.standins.bed review.standins.proxy \
+    review.standins.twice; do
     python3 -c "import $module" || exit 1
 done
--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -85,6 +85,11 @@
     raise CouldNotRun(f"{what} not reached in {timeout} s")
 
 
+def answers(front):
+    """Return whether an instance answers callers."""
+    return call(front, "GET", PREFIX, None, {"Host": HOST})[0] == 200
+
+
 class CouldNotRun(Exception):
     """The case could not be brought about."""
 
@@ -191,14 +196,12 @@
 
     def wait_for_instances(self):
         """Wait until all instances answer callers."""
-        headers = {"Host": HOST}
         for name, front in self.fronts.items():
-            wait_until(lambda at=front: call(at, "GET", PREFIX, None, headers)[0] == 200,
-                       name)  # fmt: skip
+            wait_until(lambda at=front: answers(at), name)
 
     def leader(self):
         """Return the instance that holds the lease, or None."""
-        status, rows = call(self.store, "GET", "/dump")
+        _, rows = call(self.store, "GET", "/dump")
         for *_, key, value in rows or []:
             if key == "lease":
                 lease = json.loads(value)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -31,7 +31,6 @@
 import gevent  # noqa: E402
 import gevent.event  # noqa: E402
 from gevent import pywsgi  # noqa: E402
-
 from review.standins import advisor  # noqa: E402
 
 #: Ends in one answer, and the longest wait of a poll, by PROTOCOL.md.
@@ -242,7 +241,9 @@
     data = json.dumps(entry).encode()
     while True:
         try:
-            request = urllib.request.Request(f"http://{store}/beat", data, method="POST")
+            request = urllib.request.Request(
+                f"http://{store}/beat", data, method="POST"
+            )
             urllib.request.urlopen(request, timeout=1).read()
         except OSError:
             pass
@@ -279,8 +280,8 @@
     note(event="born", address=args.address)
     entry = {
         "id": name, "service": args.service, "address": args.listed or args.address,
-        "zone": args.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-        "sequence": 1, "labels": ["a", args.rack],
+        "zone": args.zone, "version": "v1", "slots": 8, "state": "ready",
+        "cold_remaining_ms": 0, "sequence": 1, "labels": ["a", args.rack],
         "capacity": {"cpu": args.cpu, "mem_mb": args.mem_mb, "gpu": 0},
     }  # fmt: skip
     if args.id:
