Read on where an answer of the store is one page of several

The class of the fault before (an answer with as much as one may hold, taken for the whole) at the store: reads of several rows and scans took the first page (500 rows or 1 MB) for all, the listing of shards its first 1,000 names. Callers saw nothing of it, as nothing reads as much today: reads of several rows are of neighbours, and there are 17 shards a table. A row beyond the first page would have seemed not to exist.

All three read on until the store has no more, by the one loop that reads a shard. The stand-in had no such limits (it obeyed any limit a caller gave, by rows alone); it has them now.

--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -33,10 +33,14 @@
 BULK_CONNECTIONS = 8
 #: Bytes of an answer besides the values of its rows, whose base64 takes 4 bytes for 3.
 ROW_OVERHEAD_BYTES = 1000
-#: Rows requested per read; the platform returns no more.
+#: Rows requested per read; the platform returns no more, and fewer if they are long.
 PAGE_ROWS = 500
+#: Shards in one answer from which there may be more.
+PAGE_SHARDS = 1000
 #: Appended to a prefix, sorts after every key with that prefix.
 AFTER_PREFIX = "\x7f"
+#: Appended to a key, sorts right after it.
+AFTER_KEY = "\x01"
 
 OK = 200
 CONFLICT = 412
@@ -67,28 +71,29 @@
         kind, shard, _ = split_key(keys[0])
         names = sorted(split_key(key)[2] for key in keys)
         query = {"table": kind, "part": shard, "from": names[0]}
-        if len(names) == 1:
-            query["limit"] = "1"
-        else:
+        limit = 1 if len(names) == 1 else None
+        if limit is None:
             query["target"] = names[-1] + AFTER_PREFIX
-        found = self._read_page(query, self.caller)
-        if isinstance(found, result.Err):
-            return found
+        found = self._read_range(query, self.caller, limit=limit)
         wanted = set(keys)
-        rows = (decode_row(row) for row in found.ok_value.rows)
-        return result.Ok({row.key: row for row in rows if row.key in wanted})
+        return found.map(
+            lambda page: {row.key: row for row in page.rows if row.key in wanted}
+        )
 
     def scan(
         self, prefix: str, after: str = "", limit: int = PAGE_ROWS
     ) -> result.Result[list[table.Row], errors.Unavailable]:
-        """Return up to `limit` rows under `prefix` with keys past `after`, by key."""
+        """Return up to `limit` rows under `prefix` with keys past `after`, by key.
+
+        There are fewer only if there are no more.
+        """
         kind, shard, name = split_key(prefix)
-        first = split_key(after)[2] + "\x01" if after else name
-        query = {"table": kind, "part": shard, "from": first, "limit": str(limit)}
+        first = split_key(after)[2] + AFTER_KEY if after else name
+        query = {"table": kind, "part": shard, "from": first}
         if name:
             query["target"] = name + AFTER_PREFIX
-        found = self._read_page(query, self.caller)
-        return found.map(lambda page: [decode_row(row) for row in page.rows])
+        found = self._read_range(query, self.caller, limit=limit)
+        return found.map(lambda page: list(page.rows))
 
     def read_all(
         self, prefix: str, on_data: ports.OnData = ports.ignore_data
@@ -126,28 +131,55 @@
         return result.Ok(ports.Changes(tuple(rows), (), version))
 
     def _list_shards(self, kind: str) -> result.Result[wire.Parts, errors.Unavailable]:
-        query = urllib.parse.urlencode({"table": kind})
-        answer = self.caller.call(
-            "GET", "/-/rows-parts?" + query, timeout=READ_TIMEOUT_S
-        )
-        return decode_answer(answer, wire.Parts)
+        """Return all shards, and the version of the first page of them."""
+        shards: list[str] = []
+        version = None
+        query = {"table": kind}
+        while True:
+            path = "/-/rows-parts?" + urllib.parse.urlencode(query)
+            answer = self.caller.call("GET", path, timeout=READ_TIMEOUT_S)
+            found = decode_answer(answer, wire.Parts)
+            if isinstance(found, result.Err):
+                return found
+            page = found.ok_value
+            shards.extend(page.parts)
+            version = page.ver if version is None else version
+            if len(page.parts) < PAGE_SHARDS:
+                return result.Ok(wire.Parts(shards, version))
+            query["after"] = page.parts[-1]
 
     def _read_shard(
         self, kind: str, shard: str, on_data: ports.OnData
     ) -> result.Result[ports.Changes, errors.Unavailable]:
-        query = {"table": kind, "part": shard, "limit": str(PAGE_ROWS)}
+        query = {"table": kind, "part": shard}
+        return self._read_range(query, self.bulk_caller, on_data)
+
+    def _read_range(
+        self,
+        query: dict[str, str],
+        caller: http_caller.Caller,
+        on_data: ports.OnData | None = None,
+        limit: int | None = None,
+    ) -> result.Result[ports.Changes, errors.Unavailable]:
+        """Return the rows of a range, up to `limit`, page by page.
+
+        The version is that of the first page.
+        """
         rows: list[table.Row] = []
         version = None
         while True:
-            found = self._read_page(query, self.bulk_caller, on_data)
+            left = PAGE_ROWS if limit is None else min(limit - len(rows), PAGE_ROWS)
+            query = {**query, "limit": str(left)}
+            found = self._read_page(query, caller, on_data)
             if isinstance(found, result.Err):
                 return found
             page = found.ok_value
             rows.extend(decode_row(row) for row in page.rows)
             version = page.ver if version is None else version
-            if not page.more_pages or not page.rows:
+            is_last = not page.more_pages or not page.rows
+            if is_last or (limit is not None and len(rows) >= limit):
                 return result.Ok(ports.Changes(tuple(rows), (), version))
-            query["from"] = page.rows[-1].key + "\x01"
+            query["from"] = page.rows[-1].key + AFTER_KEY
 
     def changes(
         self,
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -24,6 +24,26 @@
     When all rows of their table are read
     Then 1200 rows are found
 
+  Scenario: Rows are found beyond the first page of an answer
+    # Guards against rows that seem not to exist, as one answer is taken for the whole.
+    Given the platform's store
+    And 1200 rows in 1 shard
+    When the first and the last of them are read at once
+    Then 2 rows are found
+
+  Scenario: A scan returns as many rows as it was asked for, however long they are
+    # Guards against a scan that ends early: a page with fewer rows counts as the last.
+    Given the platform's store
+    And 60 rows of 40000 bytes in 1 shard
+    When 50 rows of their shard are scanned
+    Then 50 rows are found
+
+  Scenario: Rows are read from more shards than one answer lists
+    Given the platform's store
+    And 1100 rows in 1100 shards
+    When all rows of their table are read
+    Then 1100 rows are found
+
   Scenario Outline: Answers of the store keep their meaning
     # A caller may be told that nothing was stored only if the store said so.
     Given the platform's store
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -97,10 +97,28 @@
     assert not context.seen.rows, context.seen
 
 
+@given("{count:d} rows in {shards:d} shard")
 @given("{count:d} rows in {shards:d} shards")
-def step_many(context, count, shards):
+def step_many(context, count, shards, text="1"):
     for number in range(count):
-        context.platform.put("kind", f"s{number % shards}", f"k{number:05}", "1")
+        context.platform.put("kind", f"s{number % shards}", f"k{number:05}", text)
+    context.keys = [f"kind/s{n % shards}/k{n:05}" for n in range(count)]
+
+
+@given("{count:d} rows of {size:d} bytes in 1 shard")
+def step_long(context, count, size):
+    step_many(context, count, 1, "x" * size)
+
+
+@when("the first and the last of them are read at once")
+def step_read_two(context):
+    wanted = [context.keys[0], context.keys[-1]]
+    context.found = context.store.read(wanted).ok_value.values()
+
+
+@when("{count:d} rows of their shard are scanned")
+def step_scan(context, count):
+    context.found = context.store.scan("kind/s0/", "", count).ok_value
 
 
 @when("all rows of their table are read")
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -16,6 +16,9 @@
 MAX_ENTRIES = 100
 MAX_BYTES = 1_000_000
 MAX_VALUE_CHARS = 65_536
+#: Limits on one answer: rows, of `MAX_BYTES` together, and names of parts.
+MAX_ROWS = 500
+MAX_PARTS = 1000
 
 
 class Platform:
@@ -70,9 +73,7 @@
         if req.path == "/-/rows-get":
             return 200, self.page(req)
         if req.path == "/-/rows-parts":
-            table = req.get_param("table")
-            parts = sorted({part for t, part, _ in self.rows if t == table})
-            return 200, {"parts": parts, "ver": self.ver}
+            return 200, self.parts(req)
         if req.path == "/-/rows-feed":
             return self.feed(req)
         return 404, {}
@@ -104,15 +105,27 @@
 
     def page(self, req):
         first, past = req.get_param("from") or "", req.get_param("target")
-        limit = int(req.get_param("limit") or 500)
+        limit = min(int(req.get_param("limit") or MAX_ROWS), MAX_ROWS)
         table, part = req.get_param("table"), req.get_param("part") or ""
         names = sorted(
             key
             for t, p, key in self.rows
             if (t, p) == (table, part) and key >= first and (not past or key < past)
         )
-        rows = [self.rows[table, part, key] for key in names[:limit]]
-        return {"rows": rows, "more_pages": len(names) > limit, "ver": self.ver}
+        rows, size = [], 0
+        for name in names[:limit]:
+            row = self.rows[table, part, name]
+            size += len(row["value"])
+            if rows and size > MAX_BYTES:
+                break
+            rows.append(row)
+        return {"rows": rows, "more_pages": len(names) > len(rows), "ver": self.ver}
+
+    def parts(self, req):
+        table, after = req.get_param("table"), req.get_param("after") or ""
+        parts = sorted({part for t, part, _ in self.rows if t == table})
+        listed = [part for part in parts if not after or part > after][:MAX_PARTS]
+        return {"parts": listed, "ver": self.ver}
 
     def feed(self, req):
         after, table = int(req.get_param("after")), req.get_param("table")
