Preempt nothing on workers that may not run the waiting task

Which workers may run a step that needs advice was asked in three places, and not where tasks are preempted for it: continuous tasks were stopped on workers without a ticket, the short task could not start there, and more were stopped in the next rounds. Callers of the continuous tasks lost some seconds of service for nothing.

StepRun.allows is the one place that tells it; placing, copies and preemption ask it.

--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -182,8 +182,7 @@
     step = step_run.step
     if not fleet.reserved_resources(step).fits_in(worker.entry.capacity):
         return False
-    allowed = step_run.allowed_workers
-    if allowed is not None and worker.name not in allowed:
+    if not step_run.allows(worker.name):
         return False
     most = step.most_per_worker
     return not most or worker.count_of_step(step_run) < most
--- a/src/mangosail/scheduler/placing.py
+++ b/src/mangosail/scheduler/placing.py
@@ -132,10 +132,7 @@
             for worker in self.workers
             if is_eligible(step_run.step, worker, service, now)
             and fleet.reserved_resources(step_run.step).fits_in(worker.free)
-            and (
-                step_run.allowed_workers is None
-                or worker.name in step_run.allowed_workers
-            )
+            and step_run.allows(worker.name)
         ]
         if not candidates:
             return []
@@ -269,12 +266,7 @@
     ) -> float | None:
         """Return the score of the step on a worker; None if it does not fit."""
         step = step_run.step
-        if not fits(step, worker):
-            return None
-        if (
-            step_run.allowed_workers is not None
-            and worker.name not in step_run.allowed_workers
-        ):
+        if not fits(step, worker) or not step_run.allows(worker.name):
             return None
         limit = step.most_per_worker
         if limit and worker.count_of_step(step_run) >= limit:
--- a/src/mangosail/scheduler/preemption.py
+++ b/src/mangosail/scheduler/preemption.py
@@ -47,7 +47,10 @@
         return []
     victims: list[Victim] = []
     candidates = [
-        worker for worker in workers if placing.is_eligible(step, worker, service, now)
+        worker
+        for worker in workers
+        if placing.is_eligible(step, worker, service, now)
+        and step_run.allows(worker.name)
     ]
     candidates.sort(key=lambda worker: worker.free.cpus, reverse=True)
     for worker in candidates:
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -363,6 +363,10 @@
         copy.copy_of, task.copy_of = None, copy
         return copy
 
+    def allows(self, worker: str) -> bool:
+        """Return whether a worker may run the step's tasks, as far as advice goes."""
+        return self.allowed_workers is None or worker in self.allowed_workers
+
     def end_block(self) -> None:
         """Record that there was room for all tasks that could start."""
         self.blocked_since = None
--- a/tests/scheduler/scheduler.feature
+++ b/tests/scheduler/scheduler.feature
@@ -387,6 +387,17 @@
     Then 3 tasks run, on "w2"
     And each start carried the ticket of its worker
 
+  Scenario: Nothing is preempted on workers that may not run a task
+    # Guards against continuous tasks that are stopped for a task without a ticket for
+    # their worker, which stays where it is and has others stopped again.
+    Given workers "w1 w2" and a leader
+    And a job of 8 continuous tasks of another queue
+    When 4 rounds pass
+    And a queue that needs advice, which approves "w2"
+    And an urgent job of 1 task comes
+    And 20 rounds pass
+    Then the urgent task runs on "w2", and nothing was stopped on "w1"
+
   Scenario: An ended job does not start again when the change history is lost
     # The job has ended, but its row has not been removed yet. The store drops its change
     # history, so all rows are read again, and the job must not count as a new one.
--- a/tests/scheduler/steps/scheduler_steps.py
+++ b/tests/scheduler/steps/scheduler_steps.py
@@ -643,6 +643,21 @@
     assert "alone" not in ends, ends
 
 
+@given("a job of {count:d} continuous tasks of another queue")
+def step_continuous_elsewhere(context, count):
+    job = fakes.job(ID, fakes.step(count, continuous=True))
+    submit(context, dataclasses.replace(job, queue="other"))
+
+
+@then('the urgent task runs on "{name}", and nothing was stopped on "{other}"')
+def step_urgent_runs(context, name, other):
+    world = context.world
+    assert world.runs(f"{URGENT}.0.0.0") == [name]
+    ended = [*world.calls.workers[other].ended, *world.calls.workers[other].noted]
+    assert not ended, ended
+
+
+@when('a queue that needs advice, which approves "{name}"')
 @given('a queue that needs advice, which approves "{name}"')
 def step_advised(context, name):
     queue = messages.Queue("q", "h", "/", "pool", 0, 2, 3.0, needs_advice=True)
