Split the recording of a job from its progress

progress.py had grown to 790 lines, of which a third says what of a job goes into its row and how many tasks that leaves room for. recording.py and record_space.py have that now; progress.py has 593.

--- a/src/mangosail/scheduler/copies.py
+++ b/src/mangosail/scheduler/copies.py
@@ -23,6 +23,7 @@
     messages,
     placing,
     progress,
+    record_space,
     stragglers,
 )
 from mangosail.telemetry import counters as telemetry
@@ -104,7 +105,7 @@
         needed = self.copied_cores + task.step.need.cpus
         if needed > self.max_share * self.usable_cores:
             return Refusal.BOUND
-        if not task.job.has_record_room_for_copy():
+        if not record_space.has_room_for_copy(task.job):
             return Refusal.RECORD
         return None
 
--- a/src/mangosail/scheduler/journal.py
+++ b/src/mangosail/scheduler/journal.py
@@ -22,7 +22,7 @@
 from mangosail import codec
 from mangosail.platform import errors as store_errors
 from mangosail.platform import table
-from mangosail.scheduler import commits, errors, keys, progress
+from mangosail.scheduler import commits, errors, keys, progress, recording
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("journal")
@@ -348,7 +348,7 @@
 
 def progress_write(job: progress.JobProgress) -> table.Write:
     """Return the write of a job's progress record."""
-    return table.Write(keys.state(job.job.job_id), progress.encode_job(job))
+    return table.Write(keys.state(job.job.job_id), recording.encode(job))
 
 
 def size_in_bytes(write: table.Write) -> int:
--- a/src/mangosail/scheduler/progress.py
+++ b/src/mangosail/scheduler/progress.py
@@ -3,7 +3,6 @@
 import collections.abc as cabc
 import enum
 
-from mangosail.platform import table
 from mangosail.scheduler import messages, pace, records, sizes
 
 
@@ -486,134 +485,6 @@
         task.checkpoint = ""
         task.from_assignment = False
 
-    def select_recordable(self, step_run: StepRun, tasks: list[Task]) -> list[Task]:
-        """Return the waiting tasks of a step that fit into the record, if started.
-
-        Tasks that already have a row come first. Without this limit the record of a job
-        with thousands of tasks exceeded the maximum row length, and the leader sent it
-        again for ever.
-        """
-        if not self.record_limited:
-            return tasks
-        with_row = [task for task in tasks if task.run]
-        room = (
-            max(self._record_space_left() - sizes.MAX_NAME_BYTES, 0) // sizes.TASK_BYTES
-        )
-        selected = with_row + [task for task in tasks if not task.run][:room]
-        if step_run.step.gang and len(selected) < len(tasks):
-            return []
-        return selected
-
-    def count_recordable(self, chosen: cabc.Sequence[tuple[Task, str]]) -> int:
-        """Return how many of these tasks, in order, fit into the record.
-
-        A task without a row leaves space for the longest worker name, so that one task
-        can be started even when all tasks with a row are waiting again.
-        """
-        if not self.record_limited:
-            return len(chosen)
-        room = self._record_space_left()
-        names = {task.worker for task in self.tasks()}
-        for count, (task, name) in enumerate(chosen):
-            if not task.has_record:
-                room -= sizes.TASK_BYTES
-            if name not in names:
-                room -= len(name) + sizes.NAME_OVERHEAD_BYTES
-            names.add(name)
-            if room < (0 if task.has_record else sizes.MAX_NAME_BYTES):
-                return count
-        return len(chosen)
-
-    def _record_space_left(self) -> int:
-        """Return the number of bytes that are left in the record."""
-        # `Task.has_record` is inlined: this runs in each round for large jobs, and the
-        # calls take seven times as long.
-        new, done = Phase.WAITING, Phase.DONE
-        begun = [
-            task
-            for step_run in self.steps.values()
-            for task in step_run.tasks
-            if task.phase is not done and (task.run or task.phase is not new)
-        ]
-        names = {task.worker for task in begun if task.worker}
-        taken = sum(len(name) + sizes.NAME_OVERHEAD_BYTES for name in names)
-        return self.spare_bytes - taken - len(begun) * sizes.TASK_BYTES
-
-    def record(
-        self, checkpoints: bool = True, assignments: bool = True
-    ) -> records.JobRecord:
-        """Return the record of the current progress.
-
-        A run that is only known from an assignment is recorded as one again, or as a
-        run that may exist if `assignments` are left out.
-        """
-        if self.ended:
-            return records.JobRecord(state=self.state, drop_at=self.drop_at)
-        workers: dict[str, int] = {}
-        rows = self._task_rows(workers, checkpoints, assignments)
-        done = tuple(done_row(each) for each in self.steps.values() if each.done_count)
-        assigned = self._assignment_rows(workers) if assignments else ()
-        return records.JobRecord(
-            self.state,
-            tuple(workers),
-            rows,
-            done,
-            self._crashes(),
-            assignments=assigned,
-            copies=self.copy_rows(),
-        )
-
-    def _task_rows(
-        self, workers: dict[str, int], checkpoints: bool, assignments: bool
-    ) -> tuple[tuple[int, int, int, int, int, int, str], ...]:
-        """Return rows of `TaskRecord`; adds their workers to `workers`."""
-        rows = []
-        for task in self.tasks():
-            if not task.has_record:
-                continue
-            run, worker = task.run, task.worker
-            if assignments and task.from_assignment:
-                run, worker = run - 1, ""
-                if not run:
-                    continue
-            position = -1
-            if worker:
-                position = workers.setdefault(worker, len(workers))
-            rows.append(
-                (
-                    task.step_run.occurrence,
-                    task.step_run.number,
-                    task.index,
-                    run,
-                    task.failures,
-                    position,
-                    task.checkpoint if checkpoints else "",
-                )
-            )
-        return tuple(rows)
-
-    def _assignment_rows(
-        self, workers: dict[str, int]
-    ) -> tuple[tuple[int, int, tuple[int, ...]], ...]:
-        """Return rows of `AssignmentRecord`; adds their workers to `workers`."""
-        if not self.may_have_assignments:
-            return ()
-        rows = []
-        for step_run in self.steps.values():
-            positions = []
-            for task in step_run.tasks:
-                name = ""
-                if task.phase is Phase.WAITING:
-                    name = task.assigned_worker
-                elif task.from_assignment:
-                    name = task.worker
-                positions.append(workers.setdefault(name, len(workers)) if name else -1)
-            while positions and positions[-1] < 0:
-                positions.pop()
-            if positions:
-                rows.append((step_run.occurrence, step_run.number, tuple(positions)))
-        return tuple(rows)
-
     def recorded_assignments(self) -> list[tuple[Task, int, str]]:
         """Return the waiting tasks that the record assigns, with run and worker."""
         if self.ended or not self.may_have_assignments:
@@ -632,45 +503,6 @@
             task.assign("")
         return found
 
-    def copy_rows(self) -> tuple[tuple[int, int, int, int, str], ...]:
-        """Return rows of `CopyRecord`: of copies that may run, or that had a number.
-
-        Without the numbers, the next leader would give them to further copies, which
-        workers that ended the earlier ones reject.
-        """
-        if not self.may_have_copies:
-            return ()
-        rows = []
-        for step_run in self.steps.values():
-            place = step_run.occurrence, step_run.number
-            for task in step_run.tasks:
-                copy = step_run.copies.get(task.index)
-                if copy is not None:
-                    rows.append((*place, task.index, copy.run, copy.worker))
-                elif task.copied_run > task.run and task.phase is not Phase.DONE:
-                    rows.append((*place, task.index, task.copied_run, ""))
-        return tuple(rows)
-
-    def has_record_room_for_copy(self) -> bool:
-        """Return whether the record has room for one more copy beside all tasks."""
-        count = sum(len(step_run.tasks) for step_run in self.steps.values())
-        needed = count * (sizes.TASK_BYTES + sizes.MAX_NAME_BYTES)
-        needed += (len(self.copy_rows()) + 1) * sizes.COPY_BYTES
-        return needed <= self.spare_bytes
-
-    def _crashes(self) -> tuple[tuple[int, int, int, int, int], ...]:
-        return tuple(
-            (
-                task.step_run.occurrence,
-                task.step_run.number,
-                task.index,
-                task.crashes,
-                task.certain_crashes,
-            )
-            for task in self.tasks()
-            if task.crashes and task.has_record
-        )
-
     def restore(self, record: records.JobRecord) -> None:
         """Restore the progress that an earlier leader recorded.
 
@@ -759,31 +591,3 @@
             if bits >> task.index & 1:
                 self.started = True
                 self.mark_done(task)
-
-
-def done_row(step_run: StepRun) -> tuple[int, int, str]:
-    """Return the `DoneRecord` of a step as a row."""
-    bits = sum(1 << task.index for task in step_run.tasks if task.phase is Phase.DONE)
-    return step_run.occurrence, step_run.number, f"{bits:x}"
-
-
-def encode_job(job: JobProgress) -> str:
-    """Encode a job's record so that it fits into a row.
-
-    If it is too long, assignments are withdrawn, and then checkpoints are left out. It
-    always fits without them, even with crashes of every task. The next leader then
-    restarts runs that have ended in the meantime from the beginning.
-    """
-    text = records.encode(job.record())
-    if fits_in_row(text):
-        return text
-    if job.withdraw_assignments():
-        text = records.encode(job.record(assignments=False))
-        if fits_in_row(text):
-            return text
-    return records.encode(job.record(checkpoints=False, assignments=False))
-
-
-def fits_in_row(text: str) -> bool:
-    """Return whether an encoded record fits into a row."""
-    return len(text.encode()) <= table.MAX_VALUE_BYTES
--- a/src/mangosail/scheduler/rounds.py
+++ b/src/mangosail/scheduler/rounds.py
@@ -30,6 +30,7 @@
     planning,
     preemption,
     progress,
+    record_space,
     relocation,
     routing,
     worker_speeds,
@@ -445,7 +446,7 @@
         # It has ended since the round began.
         return []
     tasks = [task for task in step_run.waiting() if task.not_before <= now]
-    return step_run.job.select_recordable(step_run, tasks)
+    return record_space.select_recordable(step_run, tasks)
 
 
 def begin_runs(step_run: progress.StepRun, placements: list[placing.Placement]) -> None:
@@ -497,7 +498,7 @@
 ) -> list[placing.Placement]:
     """Return the placements that fit into the job's record, and undo the others."""
     pairs = [(placement.task, placement.worker.name) for placement in placements]
-    count = step_run.job.count_recordable(pairs)
+    count = record_space.count_recordable(step_run.job, pairs)
     if step_run.step.gang and count < len(placements):
         count = 0
     for placement in placements[count:]:
--- a/tests/adapter/steps/narrow_uplinks_steps.py
+++ b/tests/adapter/steps/narrow_uplinks_steps.py
@@ -9,7 +9,7 @@
 
 from mangosail import clock as clocks
 from mangosail.platform import store
-from mangosail.scheduler import journal, keys, messages, progress, records
+from mangosail.scheduler import journal, keys, messages, progress, recording, records
 from mangosail.telemetry import counters
 
 BYTES = {"B": 1, "KB": 1000}
@@ -45,7 +45,7 @@
     )
     task = next(job.tasks())
     task.run = 1
-    task.checkpoint = "x" * (size - len(records.encode(job.record())))
+    task.checkpoint = "x" * (size - len(records.encode(recording.to_record(job))))
     return job
 
 
--- a/tests/scheduler/steps/assignments_steps.py
+++ b/tests/scheduler/steps/assignments_steps.py
@@ -12,6 +12,7 @@
     messages,
     options,
     progress,
+    recording,
     records,
     rounds,
 )
@@ -286,7 +287,7 @@
 def step_too_long(context):
     leader = context.history.leaders[-1].scheduler
     leader.journal.record(leader.jobs[JOB])
-    long = len(progress.encode_job(leader.jobs[JOB]))
+    long = len(recording.encode(leader.jobs[JOB]))
     with mock.patch.object(table, "MAX_VALUE_BYTES", long - 1):
         context.history.lead_on(2)
 
--- a/tests/scheduler/steps/crashes_steps.py
+++ b/tests/scheduler/steps/crashes_steps.py
@@ -4,7 +4,7 @@
 from tests.scheduler import fakes, lives
 
 from mangosail import codec
-from mangosail.scheduler import progress, records
+from mangosail.scheduler import progress, recording, records
 
 
 @given("{count:d} workers, away for {away:d} s after a crash")
@@ -166,7 +166,7 @@
     task.run = 2
     task.crashes = 3
     task.certain_crashes = 1
-    context.kept_record = records.encode(context.job.record())
+    context.kept_record = records.encode(recording.to_record(context.job))
 
 
 @when("it is read by the next leader")
--- a/tests/scheduler/steps/large_records_steps.py
+++ b/tests/scheduler/steps/large_records_steps.py
@@ -5,7 +5,7 @@
 from tests.scheduler import fakes
 
 from mangosail import resources
-from mangosail.scheduler import keys, progress, records, sizes
+from mangosail.scheduler import keys, progress, recording, records, sizes
 
 LARGE, SMALL = "00000000000000aa", "00000000000000bb"
 #: Number of workers, whose names have 40 characters, and the tasks that fit on each.
@@ -143,7 +143,7 @@
 
 @then("the encoded record takes less than {most:d} bytes")
 def step_small(context, most):
-    context.encoded = progress.encode_job(context.job)
+    context.encoded = recording.encode(context.job)
     assert len(context.encoded) < most, len(context.encoded)
 
 
--- a/tests/scheduler/steps/records_steps.py
+++ b/tests/scheduler/steps/records_steps.py
@@ -2,7 +2,7 @@
 from tests.scheduler import fakes
 
 from mangosail import codec
-from mangosail.scheduler import progress, records
+from mangosail.scheduler import progress, recording, records
 
 ID = "00000000000000aa"
 
@@ -34,7 +34,7 @@
 
 @when("its record is written and read by another leader")
 def read_again(context):
-    text = records.encode(context.job.record())
+    text = records.encode(recording.to_record(context.job))
     context.found = new_job(len(tasks_of(context.job)))
     context.found.restore(records.decode(text))
 
@@ -72,7 +72,7 @@
 
 @then("its record takes less than {most:d} bytes")
 def small(context, most):
-    text = records.encode(context.job.record())
+    text = records.encode(recording.to_record(context.job))
     assert len(text) < most, text
 
 
