Move the reading at a takeover to a module of its own

Reading until the store answers, and skipping rows that can't be decoded, stood three times in scheduler.py. loading.py has each once. The interval between checks after a rejected token has a name of its own; it was borrowed from these reads.

--- a/src/mangosail/scheduler/advice.py
+++ b/src/mangosail/scheduler/advice.py
@@ -109,7 +109,7 @@
         if not step_run.advice_stalled:
             step_run.advice_stalled = True
             self.counters.count("advice.no_candidates")
-            log.warning(
+            log.info(
                 "no worker to ask about", step=step_run.name, service=service,
                 refused=len(step_run.refused_workers),
             )  # fmt: skip
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -13,7 +13,6 @@
 import gevent.event
 import gevent.pool
 import logbook
-import result
 
 from mangosail import clock as clocks
 from mangosail import codec
@@ -31,6 +30,7 @@
     journal,
     keys,
     listing,
+    loading,
     messages,
     options,
     orders,
@@ -59,8 +59,8 @@
 #: Seconds from the takeover until the backlog is published: a large fleet is polled
 #: within two seconds.
 BACKLOG_DELAY_S = 2.5
-#: Seconds between attempts to load the state after the lease was acquired.
-READ_RETRY_INTERVAL_S = 0.1
+#: Minimum seconds between renewals of the lease because a worker rejected the token.
+FENCE_CHECK_INTERVAL_S = 0.1
 
 
 class Scheduler:
@@ -126,6 +126,7 @@
         )
         self.router = routing.Router(self.jobs, catalog)
         self.journal.changed_rows = self._changed_rows
+        self.loader = loading.Loader(rows, clock, counters)
         self.rounds = rounds.PlacementLoop(
             self.jobs,
             self.workers,
@@ -310,17 +311,17 @@
         # Workers come first: a job that was cancelled in the meantime stops its runs
         # as soon as it is read, for which their workers must be known.
         while not workers.read_once(0):
-            self.clock.sleep(READ_RETRY_INTERVAL_S)
-        self.stored_records = self._read_states()
-        rows = self._read_leader_rows()
+            self.clock.sleep(loading.RETRY_INTERVAL_S)
+        self.stored_records, unreadable = self.loader.read_records()
+        # It is unknown which of their tasks have run, so none may be started again.
+        self.ended_jobs |= unreadable
+        stored = self.loader.read_leader_rows()
+        self._restore_learned(stored.get(keys.LEARNED))
         while not jobs.read_once(0):
-            self.clock.sleep(READ_RETRY_INTERVAL_S)
+            self.clock.sleep(loading.RETRY_INTERVAL_S)
         self.stored_records = {}
         self.jobs_loaded = True
-        if keys.LEARNED not in rows:
-            log.info("no learned interference restored")
-        self._restore(rows.get(keys.LEARNED), self._restore_learned)
-        self._restore(rows.get(keys.ROUTES), self.router.restore)
+        self._restore_routes(stored.get(keys.ROUTES))
         self.listing.enforce_limit()
         log.info(
             "took over", jobs=len(self.jobs), workers=len(self.workers),
@@ -329,51 +330,19 @@
         )  # fmt: skip
         return workers, jobs
 
-    def _read_leader_rows(self) -> dict[str, table.Row]:
-        """Read the rows in which the earlier leader kept what it had learned."""
-        while True:
-            found = self.rows.read([keys.LEARNED, keys.ROUTES])
-            if isinstance(found, result.Ok):
-                return found.ok_value
-            self.clock.sleep(READ_RETRY_INTERVAL_S)
-
-    def _restore(
-        self, row: table.Row | None, restore: cabc.Callable[[str], None]
-    ) -> None:
-        """Restore state from a row, if there is one that can be decoded."""
+    def _restore_learned(self, row: table.Row | None) -> None:
+        """Restore learned interference, without which latencies would rise again."""
         if row is None:
+            log.info("no learned interference restored")
             return
-        try:
-            restore(row.value)
-        except codec.DecodeError as exc:
-            self._report_unreadable(row.key, exc)
+        snapshot = self.loader.decode(row.key, row.value, decode_snapshot)
+        if snapshot is not None:
+            self.model.restore(snapshot)
 
-    def _restore_learned(self, text: str) -> None:
-        """Restore learned interference, without which latencies would rise again."""
-        self.model.restore(codec.from_json(text, interference.ModelSnapshot))
-
-    def _read_states(self) -> dict[str, records.JobRecord]:
-        while True:
-            found = self.rows.read_all(keys.STATES)
-            if isinstance(found, result.Ok):
-                break
-            self.clock.sleep(READ_RETRY_INTERVAL_S)
-        states = {}
-        yielder = yielding.CooperativeYielder(self.clock)
-        for row in found.ok_value.rows:
-            yielder.yield_if_due()
-            job_id = keys.job_id(row.key)
-            try:
-                states[job_id] = records.decode(row.value)
-            except codec.DecodeError as exc:
-                # It is unknown which tasks have run, so none may be started again.
-                self.ended_jobs.add(job_id)
-                self._report_unreadable(row.key, exc)
-        return states
-
-    def _report_unreadable(self, key: str, error: codec.DecodeError) -> None:
-        self.counters.count("scheduler.row_unreadable")
-        log.error("row cannot be decoded", key=key, error=str(error))
+    def _restore_routes(self, row: table.Row | None) -> None:
+        """Restore the routes of jobs whose queues have moved or been removed."""
+        if row is not None:
+            self.loader.decode(row.key, row.value, self.router.restore)
 
     def _process_job_changes(self, changes: ports.Changes, whole: bool) -> None:
         """Process new jobs and cancellation requests."""
@@ -395,10 +364,8 @@
             or job_id in self.ended_jobs
         ):
             return
-        try:
-            job = codec.from_json(text, messages.Job)
-        except codec.DecodeError as exc:
-            self._report_unreadable(key, exc)
+        job = self.loader.decode(key, text, decode_job)
+        if job is None:
             return
         held = progress.JobProgress(job, key)
         record = self.stored_records.get(job.job_id)
@@ -603,5 +570,15 @@
             self.counters.count("scheduler.fenced")
             self.journal.renew_at = 0.0
             self.journal.write_requested.set()
-            self.clock.sleep(READ_RETRY_INTERVAL_S)
+            self.clock.sleep(FENCE_CHECK_INTERVAL_S)
             self.orders.fenced.clear()
+
+
+def decode_job(text: str) -> messages.Job:
+    """Decode a job's row, or raise `codec.DecodeError`."""
+    return codec.from_json(text, messages.Job)
+
+
+def decode_snapshot(text: str) -> interference.ModelSnapshot:
+    """Decode the row with learned interference, or raise `codec.DecodeError`."""
+    return codec.from_json(text, interference.ModelSnapshot)
