--- a/src/mangosail/scheduler/advice.py
+++ b/src/mangosail/scheduler/advice.py
@@ -75,7 +75,7 @@
     def usable_tickets(
         self, step_run: progress.StepRun, service: str, now: float
     ) -> dict[str, str]:
-        """Return the tickets that are valid now, by worker of the service in force.
+        """Return the tickets that are valid now, by worker of the service.
 
         If there are none, requests new ones.
         """
@@ -83,7 +83,7 @@
             usable = {
                 name: ticket
                 for name, ticket in step_run.tickets.items()
-                if self._is_worker_of(name, service)
+                if self._is_in_service(name, service)
             }
             if usable:
                 return usable
@@ -91,9 +91,12 @@
             self._request_if_possible(step_run, service, now)
         return {}
 
-    def _is_worker_of(self, name: str, service: str) -> bool:
+    def _is_in_service(self, name: str, service: str) -> bool:
+        """Return whether a worker is one of the service and stays for now."""
         worker = self.workers.get(name)
-        return worker is not None and worker.entry.service == service
+        if worker is None or worker.unlisted or worker.entry.draining:
+            return False
+        return worker.entry.service == service
 
     def _request_if_possible(
         self, step_run: progress.StepRun, service: str, now: float
--- a/tests/scheduler/moved_queues.feature
+++ b/tests/scheduler/moved_queues.feature
@@ -48,6 +48,12 @@
     And the workers of service A that run the second step leave, and another one comes
     Then the second step is done by workers of service A within 1 s
 
+  Scenario: Tickets of workers that drain do not hold up a step
+    # Guards against a wait until the tickets expire.
+    When the workers of service A that were approved drain, and another one comes
+    And the first step ends
+    Then the second step is done by workers of service A within 1 s
+
   Scenario: A rejected start shows that a queue that is gone needs advice
     # Guards against a job of an earlier build, whose row doesn't tell that, that is
     # rejected at the pace of the retries for as long as it lasts.
--- a/tests/scheduler/steps/moved_queues_steps.py
+++ b/tests/scheduler/steps/moved_queues_steps.py
@@ -175,6 +175,21 @@
     add_worker(context, "A2", "A")
 
 
+@when("the workers of service A that were approved drain, and another one comes")
+def step_workers_drain(context):
+    context.world.advisor.on_ask = lambda: drain(context, ("A0", "A1"))
+
+
+def drain(context, names):
+    """Let workers drain while advice on them is asked for; another one comes."""
+    context.world.advisor.on_ask = lambda: None
+    for name in names:
+        worker = context.world.calls.workers[name]
+        worker.entry = dataclasses.replace(worker.entry, draining=True)
+        context.world.list(worker)
+    add_worker(context, "A2", "A")
+
+
 @when("the first step ends")
 def step_first_ends(context):
     for worker in workers(context):
