Log by which configuration old answers were given, and how its reading went

An answer by 200 told neither the version nor the age of the configuration, a peer's answer not its version, and between two tries no line told how many had failed. Logged now: answers by a configuration confirmed over 1 s ago, the version of a peer's answer, the failures until a watch resumed, and bytes and seconds of each reading.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -188,5 +188,6 @@
         self.by_host = by_host
         self.by_name = {queue.name: queue for queue in catalog.queues}
         log.info(
-            "catalog in force", version=catalog.version, queues=len(catalog.queues)
-        )
+            "catalog in force", version=catalog.version, queues=len(catalog.queues),
+            bytes=self.watcher.longest_value_bytes, seconds=self.age(),
+        )  # fmt: skip
--- a/src/mangosail/intake/relaying.py
+++ b/src/mangosail/intake/relaying.py
@@ -163,7 +163,8 @@
         self.counters.count(f"relaying.{outcome}")
         log.info(
             "request forwarded", method=request.method, path=request.path,
-            peer=peer.name, outcome=outcome,
+            peer=peer.name, outcome=outcome, min_version=request.min_version,
+            version=done.ok_value.version if isinstance(done, result.Ok) else None,
         )  # fmt: skip
         return done
 
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -28,6 +28,9 @@
 PEER_REFRESH_TIMEOUT_S = relaying.ANSWER_TIMEOUT_S / 2
 #: Seconds after which the caller of a request has given up.
 CALLER_TIMEOUT_S = 3.0
+#: Age in seconds of the catalog from which on an answer by it is logged. A watch whose
+#: polls succeed confirms it more often.
+LOGGED_AGE_S = 1.0
 
 #: Handles a request about a job of a queue; the job id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
@@ -68,11 +71,22 @@
         """Answer a request, through a peer if the store is unreachable."""
         req.context.deadline = self.clock.elapsed() + CALLER_TIMEOUT_S
         self._answer(req, resp)
+        if not resp.context.get("away"):
+            self._log_answer(req, resp)
         if self.relay is None:
             resp.set_header("ETag", f'"{self.catalog.version}"')
         elif resp.context.get("away"):
             self._forward(self.relay, req, resp)
 
+    def _log_answer(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Log an answer by a catalog that was not confirmed recently."""
+        age = self.catalog.age()
+        if age is not None and age > LOGGED_AGE_S:
+            log.info(
+                "answered by an old catalog", method=req.method, path=req.path,
+                status=resp.status, version=self.catalog.version, age=age,
+            )  # fmt: skip
+
     def _forward(
         self, relay: relaying.Relay, req: falcon.Request, resp: falcon.Response
     ) -> None:
--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -96,8 +96,10 @@
         self.refresh_read: gevent.Greenlet | None = None
         #: True unless the latest request failed.
         self.reachable = True
-        #: Elapsed time of the first failure since the latest success.
+        #: Elapsed time of the first failure since the latest success, and the count of
+        #: failed reads before it.
         self.failing_since = 0.0
+        self.failures_before = 0
 
     def run(self) -> None:
         """Watch for ever."""
@@ -155,6 +157,7 @@
             self.counters.count("following.read_failed")
         if reason and self.reachable:
             self.failing_since = now
+            self.failures_before = self.failed_reads - 1
             log.warning(
                 "row watch interrupted", prefix=self.prefix, version=self.version,
                 reason=reason,
@@ -163,6 +166,7 @@
             log.info(
                 "row watch resumed", prefix=self.prefix, version=self.version,
                 seconds=round(now - self.failing_since, 3),
+                failures=self.failed_reads - self.failures_before,
             )  # fmt: skip
         self.reachable = not reason
 
@@ -192,6 +196,7 @@
             return self._read_all(sent_at, on_data)
         if isinstance(found.err_value, ports.TooLong):
             self.counters.count("following.read_whole")
+            log.info("changes too long; reading all rows", prefix=self.prefix)
             return self._read_all(sent_at, on_data)
         return found.err_value.reason
 
