Show that callers are answered by a configuration that may have been replaced

With the readings of the configuration failing in any of six ways while all else is served, an instance goes on answering counts, states and cancellations by the configuration before, for ever; a peer in the same state answers for it.

--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from falcon import testing
 from gevent import pywsgi
-from tests.standins import narrow
+from tests.standins import metadata, narrow
 
 from mangosail import clock as clocks
 from mangosail import resources
@@ -397,3 +397,102 @@
         return sum(worker.contacted for worker in context.scheduler.workers)
 
     wait_for(lambda: reported() == context.workers, seconds)
+
+
+def ask(context):
+    """Send one request of each kind for the queue q0; return method -> answer."""
+    context.asked = getattr(context, "asked", 0) + 1
+    client, new = context.client, f"/q0/{context.asked:016x}"
+    return {
+        "count": client.simulate_get("/q0/"),
+        "state": client.simulate_get(PATH),
+        "cancel": client.simulate_delete(PATH),
+        "submit": client.simulate_post(new, body=JOB),
+    }
+
+
+@when("its readings of the configuration stall after {count:d} KB")
+def step_readings_stall(context, count):
+    context.platform.stall_after = count * 1000
+
+
+@when("its readings of the configuration break after {count:d} KB")
+def step_readings_break(context, count):
+    context.platform.break_after = count * 1000
+
+
+@when("its readings of the configuration have no answer")
+def step_readings_silent(context):
+    context.platform.outages["op"] = "silent"
+
+
+@when("its readings of the configuration are reset")
+def step_readings_reset(context):
+    context.platform.outages["op"] = "reset"
+
+
+@when("its readings of the configuration are refused as {status:d}")
+def step_readings_refused(context, status):
+    names = {code: name for name, code in metadata.REFUSALS.items()}
+    context.platform.outages["op"] = names[status]
+
+
+@when("its readings of the configuration work again")
+def step_readings_work(context):
+    context.platform.outages.clear()
+    context.platform.stall_after = context.platform.break_after = None
+
+
+@when("the queue of the job is removed, one of {queues:d}")
+def step_removed(context, queues):
+    step_dropped(context, queues)
+
+
+@then("from {seconds:g} s on the instance answers nothing by the configuration before")
+def step_answers_nothing(context, seconds):
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        answers = {name: answer.status_code for name, answer in ask(context).items()}
+        assert set(answers.values()) == {503}, answers
+        gevent.sleep(0.05)
+
+
+@then("it tells within {seconds:g} s that the queue does not exist")
+def step_tells(context, seconds):
+    wait_for(lambda: context.client.simulate_get(PATH).status_code == 404, seconds)
+
+
+@then(
+    "from {seconds:g} s on a peer that asks for the number of waiting jobs is refused"
+)
+def step_peer_refused(context, seconds):
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+    request = relaying.Request("GET", HOST, "/q0/", b"", context.catalog.version)
+    found = peering.HttpPeers().send(context.peer_address, request)
+    assert found.ok_value.status == relaying.REFUSED_STATUS, found
+
+
+@given("the caller is told that its job is queued")
+def step_told_before(context):
+    step_told(context)
+
+
+@when("the store answers nothing any more")
+def step_cut_off(context):
+    context.platform.outages[metadata.ALL_TABLES] = "silent"
+    context.began_at = time.monotonic()
+
+
+@then("from {seconds:g} s on the caller is told that its job is queued")
+def step_still_told(context, seconds):
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+    step_told(context)
+
+
+@then("the number of waiting jobs is refused within {seconds:g} s")
+def step_count_refused(context, seconds):
+    asked_at = time.monotonic()
+    answer = context.client.simulate_get("/q0/")
+    assert answer.status_code == 503, (answer.status_code, answer.json)
+    assert time.monotonic() - asked_at < seconds
--- /dev/null
+++ b/tests/adapter/unconfirmed.feature
@@ -0,0 +1,48 @@
+Feature: No caller is answered by a configuration that may have been replaced
+
+  An instance goes by a configuration only as long as it was the newest one less than the
+  time ago within which changes must be in force. That nothing was heard of a newer one does
+  not show that there is none.
+
+  Scenario Outline: A removed queue is answered for no longer while readings <fail>
+    A caller asked for the number of waiting jobs 4 s after a change was acknowledged, and
+    was told it by the configuration before: its reading had failed, and until the next one
+    began to arrive nothing told the instance of a newer one, while the store went on giving
+    it all other rows. Jobs of a removed queue were shown and cancelled in the same way.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 2 s
+    When its readings of the configuration <fail>
+    And the queue of the job is removed, one of 1000
+    Then from 2.5 s on the instance answers nothing by the configuration before
+    When its readings of the configuration work again
+    Then it tells within 2 s that the queue does not exist
+
+    Examples:
+      | fail               |
+      | stall after 50 KB  |
+      | break after 50 KB  |
+      | have no answer     |
+      | are reset          |
+      | are refused as 503 |
+      | are refused as 429 |
+
+  Scenario: A peer does not answer by a configuration that it could not confirm either
+    An instance that could not read the configuration passed a caller on to a peer in the
+    same state. The peer had no older version than the instance, and so it answered.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And the instance serves requests forwarded by peers
+    And a configuration must be in force everywhere within 2 s
+    When its readings of the configuration are refused as 503
+    And the queue of the job is removed, one of 1000
+    Then from 2.5 s on a peer that asks for the number of waiting jobs is refused
+
+  Scenario: An instance that is cut off from the store tells what it remembers
+    A data centre is cut off. Whether the configuration has changed can't be known there, and
+    no instance in it can read a job; its callers are better served by the last known state
+    of their jobs than by refusals.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 2 s
+    And the caller is told that its job is queued
+    When the store answers nothing any more
+    Then from 2.5 s on the caller is told that its job is queued
+    And the number of waiting jobs is refused within 0.2 s
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -16,6 +16,12 @@
 MAX_ENTRIES = 100
 MAX_BYTES = 1_000_000
 MAX_VALUE_CHARS = 65_536
+#: Seconds after which a call that is never answered ends.
+SILENCE_S = 30
+#: Key of an outage of all tables.
+ALL_TABLES = "*"
+#: Statuses by which a table that is unavailable refuses calls.
+REFUSALS = {"busy": 503, "many": 429}
 #: Limits on one answer: rows, of `MAX_BYTES` together, and names of parts.
 MAX_ROWS = 500
 MAX_PARTS = 1000
@@ -35,9 +41,13 @@
         self.armed = {}
         #: Paths whose next call is carried out but not answered for 30 s.
         self.silent = set()
+        #: Tables that are unavailable, or `ALL_TABLES`, and how: "silent", "reset",
+        #: "busy" or "many". The platform's store may be down in part.
+        self.outages = {}
         self.calls = []
         app = falcon.App()
         app.add_sink(self.answer, prefix="/")
+        app.add_error_handler(ConnectionResetError, server.reraise)
         self.httpd = pywsgi.WSGIServer(
             (host, int(port)), app, log=None, error_log=None,
             handler_class=self.handler,
@@ -51,6 +61,14 @@
     def answer(self, req, resp, **_):
         body = self.body_of(req)
         self.calls.append((req.method, req.path, body, dict(req.headers)))
+        outage = self.outages.get(table_of(req, body)) or self.outages.get(ALL_TABLES)
+        if outage == "silent":
+            gevent.sleep(SILENCE_S)
+        if outage == "reset":
+            server.reset(req)
+        if outage in REFUSALS:
+            resp.status, resp.text = REFUSALS[outage], "{}"
+            return
         statuses = self.armed.get(req.path)
         if statuses:
             status, reply = statuses.pop(0)
@@ -58,7 +76,7 @@
             status, reply = self.serve(req, body)
         if req.path in self.silent:
             self.silent.discard(req.path)
-            gevent.sleep(30)
+            gevent.sleep(SILENCE_S)
         resp.status = status
         resp.text = json.dumps(reply)
 
@@ -138,6 +156,14 @@
         self.transact({"expected_revision": [], "puts": [put], "remove": []})
 
 
+def table_of(req, body):
+    """Return the table of a call, or None if it names none."""
+    if req.path != "/-/rows-tx":
+        return req.get_param("table")
+    entries = [entry for kind in json.loads(body).values() for entry in kind]
+    return entries[0]["table"] if entries else None
+
+
 def too_large(message, body):
     """Return the name of the limit that a transaction exceeds; empty if none."""
     if sum(len(entries) for entries in message.values()) > MAX_ENTRIES:
--- a/tests/standins/narrow.py
+++ b/tests/standins/narrow.py
@@ -30,6 +30,8 @@
         self.active_responses = 0
         #: Number of bytes after which an answer stalls; None if answers don't stall.
         self.stall_after = None
+        #: Number of bytes after which the connection of an answer is closed, if any.
+        self.break_after = None
         super().__init__()
 
     def answer(self, req, resp, **_):
@@ -47,6 +49,8 @@
             for first in range(0, len(data), CHUNK_BYTES):
                 if self.stall_after is not None and first >= self.stall_after:
                     gevent.sleep(30)
+                if self.break_after is not None and first >= self.break_after:
+                    return
                 chunk = data[first : first + CHUNK_BYTES]
                 self.sent += len(chunk)
                 self.free_at += len(chunk) / self.rate
