Go by a configuration only as long as it is known to be the newest one

Callers were told the number of waiting jobs of a queue, and the state of jobs, and had jobs cancelled, by a configuration that had been replaced longer ago than a change may take to be in force; a peer in the same state answered in the place of an instance (CONFIG).

Cause: Catalogs.superseded refused only while an answer was arriving. Between two tries, before the first byte of one, and for as long as tries failed, that nothing was heard counted as "nothing has changed", however long ago the store had last confirmed the configuration, while counts and states were read from the same store. Handing in was guarded by the age (stale), the rest was not.

Evidence: tests/adapter/unconfirmed.feature, 8 scenarios red each time on (readings that stall, break off, get no answer, are reset, or are refused with 503 or 429, while the rest of the store answers). Ruled out as the only cause: a peer's answer (the peer takes the same decision), a late answer of a request admitted in time (what is admitted within the limit can't break the bound: the last confirmation is younger than the limit then).

Now the age decides for every request, wherever it came from. Whoever is admitted goes by a configuration that was the newest one less than config_apply_ms before, and so by every version acknowledged earlier. An instance that the store doesn't answer at all still tells the last known state of a job. So that refusals end as soon as they truthfully can: after a long reading the watch asks again without waiting (red without: 0.5 s of refusals), and a caller's request asks itself where the last read went well.

Two setups of tests didn't hold: the fake instances of the relaying tests had a configuration that was never read (it counts as just read now), and the store that "gave no answer for 3 seconds" gave answers (it is silent now). No check is changed.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -19,6 +19,8 @@
 #: Seconds that a caller waits at most for a check whether a queue was just added.
 #: Callers time out after 3 s, and the rest of the request needs some of that time.
 REFRESH_TIMEOUT_S = 2.5
+#: Seconds that a caller waits at most for a confirmation of the catalog.
+CONFIRM_TIMEOUT_S = 0.3
 #: Seconds within which a change of the configuration must be in force, unless the
 #: platform specifies another limit.
 MAX_AGE_S = 2.0
@@ -108,15 +110,34 @@
 
         Any part of a response counts as a sign of life: a large configuration takes
         seconds to arrive on a slow link, and waiting for the complete response meant
-        that callers were refused meanwhile. An incomplete response is not waited for
-        longer than `max_age`, within which a change must be in force.
+        that callers were refused meanwhile.
         """
         fresh_at, heard_at = self.watcher.fresh_at, self.watcher.last_data_at
-        if fresh_at is None:
+        if fresh_at is None or not self.confirmed():
             return True
-        now = self.clock.elapsed()
         silent_since = max(fresh_at, heard_at or fresh_at)
-        return now - silent_since > STALE_AFTER_S or now - fresh_at > self.max_age
+        return self.clock.elapsed() - silent_since > STALE_AFTER_S
+
+    def confirmed(self) -> bool:
+        """Return whether this was the newest catalog less than `max_age` ago.
+
+        Nothing heard of a newer one since then does not show that there is none: reads
+        of the configuration may fail while the store answers all others, and callers
+        were served from queues that had been removed.
+        """
+        fresh_at = self.watcher.fresh_at
+        return fresh_at is not None and self.clock.elapsed() - fresh_at <= self.max_age
+
+    def confirm(self) -> bool:
+        """Return whether the catalog is confirmed, after asking the store if need be.
+
+        Callers do not wait for a store that fails, nor for a catalog that is arriving.
+        """
+        if self.confirmed():
+            return True
+        if not self.watcher.reachable or self.watcher.active_responses:
+            return False
+        return self.refresh(CONFIRM_TIMEOUT_S) and self.confirmed()
 
     def age(self) -> float | None:
         """Return the seconds since the last confirmation as newest; None before it."""
@@ -125,17 +146,6 @@
             return None
         return round(self.clock.elapsed() - fresh_at, 3)
 
-    def superseded(self) -> bool:
-        """Return whether a newer catalog has been arriving for longer than `max_age`.
-
-        By the current one, callers would be served from queues that were removed. An
-        instance without contact to the store does not know of a newer catalog.
-        """
-        fresh_at = self.watcher.fresh_at
-        if fresh_at is None or not self.watcher.active_responses:
-            return False
-        return self.clock.elapsed() - fresh_at > self.max_age
-
     def refresh(self, timeout: float = REFRESH_TIMEOUT_S) -> bool:
         """Read changes now and return whether that succeeded within `timeout`.
 
--- a/src/mangosail/intake/job_service.py
+++ b/src/mangosail/intake/job_service.py
@@ -230,6 +230,17 @@
         self.cached_states[job_id] = state
         return result.Ok(state)
 
+    def state_without_store(self, job_id: str) -> messages.State | None:
+        """Return the last known state of a job if the store does not answer.
+
+        None if no state of the job is known, or if the store answers.
+        """
+        known = self.cached_states.get(job_id)
+        if known is None or self.rows.read([keys.state(job_id)]).is_ok():
+            return None
+        self.counters.count("intake.state_from_memory")
+        return known
+
     def _read_state(
         self, job_id: str
     ) -> result.Result[messages.State, errors.UnknownJob | errors.Refused]:
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -32,6 +32,9 @@
 #: polls succeed confirms it more often.
 LOGGED_AGE_S = 1.0
 
+#: Methods that can be answered from the known state of a job.
+KNOWN_STATE_METHODS = frozenset({"GET", "DELETE"})
+
 #: Handles a request about a job of a queue; the job id may be empty.
 Method = cabc.Callable[[falcon.Request, falcon.Response, messages.Queue, str], None]
 
@@ -140,10 +143,12 @@
             self.refuse(resp, "no_catalog", RETRY_AFTER_S)
             return
         least = peering.parse_version(req.get_header(peering.MIN_VERSION_HEADER))
-        behind = self.catalog.invalidated or self.catalog.superseded()
-        if behind or self.catalog.version < least:
+        if self.catalog.invalidated or self.catalog.version < least:
             self.refuse(resp, "catalog_stale", RETRY_AFTER_S)
             return
+        if not self.catalog.confirm():
+            self._answer_unconfirmed(req, resp)
+            return
         queue = self._find_queue(req)
         if isinstance(queue, result.Err):
             self.refuse(resp, queue.err_value.reason, queue.err_value.retry_after)
@@ -161,6 +166,23 @@
         job_id = req.path[len(queue.ok_value.prefix) :]
         method(req, resp, queue.ok_value, job_id)
 
+    def _answer_unconfirmed(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer by a catalog that may have been replaced.
+
+        An instance that is cut off from the store may still tell what it knows of a
+        job. Anything else is refused, and forwarded to a peer.
+        """
+        queue = self.catalog.find(req.host, req.path)
+        if queue is not None and req.method in KNOWN_STATE_METHODS:
+            state = self.jobs.state_without_store(req.path[len(queue.prefix) :])
+            if state is not None and req.method == "GET":
+                resp.text = codec.to_json(wire.StatePage(state.value))
+                return
+            if state in messages.FINAL:
+                # Nothing is left to cancel.
+                return
+        self.refuse(resp, "catalog_stale", RETRY_AFTER_S)
+
     def _find_queue(
         self, req: falcon.Request
     ) -> result.Result[messages.Queue | None, errors.Refused]:
--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -107,14 +107,21 @@
             self.watch_once()
 
     def watch_once(self) -> None:
-        """Wait for changes once; after a failure, read without waiting.
+        """Wait for changes once; after a failure or a long read, do not wait.
 
         Without changes a long poll is answered only after its wait, so callers would be
-        refused for that time (0.5 s) although the store is reachable again.
+        refused for that time (0.5 s) although the store is reachable again, or although
+        the rows that have just arrived after a long time are the newest ones.
         """
-        if not self.read_once(self.wait if self.reachable else 0):
+        if not self.read_once(0 if self._is_behind() else self.wait):
             self.clock.sleep(RETRY_INTERVAL_S)
 
+    def _is_behind(self) -> bool:
+        """Return whether changes have been unknown for longer than polls take."""
+        if not self.reachable or self.fresh_at is None:
+            return True
+        return self.clock.elapsed() - self.fresh_at > 2 * self.wait
+
     def refresh(self, timeout: float) -> bool:
         """Read all changes up to now, and return whether that succeeded.
 
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -363,6 +363,7 @@
 
 @when("it has had no answer of the store for {seconds:d} seconds")
 def step_store_silent(context, seconds):
+    context.platform.outages[metadata.ALL_TABLES] = "silent"
     context.clock.now += seconds
 
 
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -496,3 +496,13 @@
     answer = context.client.simulate_get("/q0/")
     assert answer.status_code == 503, (answer.status_code, answer.json)
     assert time.monotonic() - asked_at < seconds
+
+
+@when("the instance applies it")
+def step_applied(context):
+    step_applies(context, 5.0)
+
+
+@then("it tells within {seconds:g} s how many jobs wait")
+def step_tells_count(context, seconds):
+    wait_for(lambda: context.client.simulate_get("/q0/").status_code == 200, seconds)
--- a/tests/adapter/unconfirmed.feature
+++ b/tests/adapter/unconfirmed.feature
@@ -46,3 +46,13 @@
     When the store answers nothing any more
     Then from 2.5 s on the caller is told that its job is queued
     And the number of waiting jobs is refused within 0.2 s
+
+  Scenario: An instance answers as soon as a large configuration has arrived
+    It took longer to arrive than a change may take to be in force, so whether it is still the
+    newest one has to be asked again. This request waited for the next change, for 0.5 s, in
+    which all callers were refused.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 1 s
+    When the configuration grows to 4000 queues
+    And the instance applies it
+    Then it tells within 0.3 s how many jobs wait
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -33,6 +33,8 @@
             self.rows, CONFIG, lambda text: catalogs_by_text[text], clock, stats
         )
         self.catalogs._install(catalog or catalog_of(1, "/q/"))
+        # As if it had just been read.
+        self.catalogs.watcher.fresh_at = clock.elapsed()
         jobs = job_service.JobService(self.rows, lambda: False, clock, stats)
         self.relay = relay
         self.app = ingress.Ingress(self.catalogs, jobs, clock, stats, relay).app
