Run a new job where its own configuration sends it if that is newer than the leader's

A job handed in after its queue had moved ran on the workers of the old service, if the leader had not read the change: for its route the leader took what it had read for the newest, though the job's row told of a newer one.

A job now tells the version of the configuration under which it was accepted (0 in rows of earlier builds, which skip the field). While the leader's own is older, the route of the hand-in holds; from then on the leader's, as before.

A second scenario bounds it: a configuration newer than the job's decides.

--- a/src/mangosail/platform/decoding.py
+++ b/src/mangosail/platform/decoding.py
@@ -17,9 +17,16 @@
 
 
 def decode_job(
-    body: bytes, job_id: str, queue: messages.Queue, wall: float
+    body: bytes,
+    job_id: str,
+    queue: messages.Queue,
+    wall: float,
+    catalog_version: int = 0,
 ) -> result.Result[messages.Job, errors.Invalid]:
-    """Return the job that a caller submits, or what is wrong with it."""
+    """Return the job that a caller submits, or what is wrong with it.
+
+    `catalog_version` is that of the configuration which has the queue.
+    """
     if len(job_id) != ID_DIGITS or not all(
         c in "0123456789abcdefABCDEF" for c in job_id
     ):
@@ -44,6 +51,7 @@
         first_due=found.first_run_ms / 1000 if found.repeat_count else 0.0,
         interval=found.interval_ms / 1000,
         needs_advice=queue.needs_advice,
+        catalog_version=catalog_version,
     )
     fault = sizes.rejection_reason(job)
     return result.Err(errors.Invalid(fault)) if fault else result.Ok(job)
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -163,6 +163,8 @@
             resp.status = falcon.HTTP_METHOD_NOT_ALLOWED
             resp.set_header("Allow", ", ".join(self.methods))
             return
+        # A newer one may be read while the body arrives.
+        req.context.catalog_version = self.catalog.version
         job_id = req.path[len(queue.ok_value.prefix) :]
         method(req, resp, queue.ok_value, job_id)
 
@@ -207,7 +209,13 @@
         if isinstance(body, result.Err):
             self._respond_invalid(resp, body.err_value)
             return
-        job = decoding.decode_job(body.ok_value, job_id, queue, self.clock.wall())
+        job = decoding.decode_job(
+            body.ok_value,
+            job_id,
+            queue,
+            self.clock.wall(),
+            req.context.catalog_version,
+        )
         if isinstance(job, result.Err):
             self._respond_invalid(resp, job.err_value)
             return
--- a/src/mangosail/scheduler/messages.py
+++ b/src/mangosail/scheduler/messages.py
@@ -64,6 +64,8 @@
     interval: float = 0.0
     #: Whether its queue needed advice at the hand-in.
     needs_advice: bool = False
+    #: Version of the configuration at the hand-in; 0 in rows of earlier builds.
+    catalog_version: int = 0
 
     @property
     def scheduled(self) -> bool:
--- a/src/mangosail/scheduler/routing.py
+++ b/src/mangosail/scheduler/routing.py
@@ -4,6 +4,9 @@
 work, or be removed. Then the last known route holds, and without one that of the
 hand-in. A route that differs from the latter is written to the store for the next
 leader, which may not have followed the configuration.
+
+The configuration that this instance has read may be older than the one under which a
+job was accepted. Then the route of the hand-in is the newer one.
 """
 
 import collections.abc as cabc
@@ -58,6 +61,11 @@
         if catalog is not self.current_catalog:
             self._install(catalog)
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0 if there is none."""
+        return self.current_catalog.version if self.current_catalog else 0
+
     def queue(self, name: str) -> messages.Queue | None:
         """Return a queue of the configuration in force; None if it has been removed.
 
@@ -71,6 +79,8 @@
         """Return the route of a job's tasks."""
         self.refresh()
         name = job.queue
+        if job.catalog_version > self.version:
+            return route_at_hand_in(job)
         return self.routes.get(name) or self.removed.get(name) or route_at_hand_in(job)
 
     def service_of(self, job: messages.Job) -> str:
--- a/tests/scheduler/moved_queues.feature
+++ b/tests/scheduler/moved_queues.feature
@@ -75,3 +75,15 @@
     Then the advice service was not asked, and one line tells why the step waits
     When a worker of service C comes
     Then the second step is done by workers of service C within 1 s
+
+  Scenario: A leader behind the configuration of a new job runs it where that one sends it
+    # Guards against new jobs that run at the service of an earlier configuration, as the
+    # leader has not read the one under which they were accepted.
+    When a job is handed in after the queue moved to service B, which the leader has not read
+    Then the new job is done by workers of service B within 1 s
+
+  Scenario: A leader runs a new job where a configuration after that of the job sends it
+    # Guards against leaders that go by the hand-in for longer than they are behind.
+    When a job is handed in after the queue moved to service B, which the leader has not read
+    And the leader reads that it moved back to service A
+    Then the new job is done by workers of service A within 1 s
--- a/tests/scheduler/steps/moved_queues_steps.py
+++ b/tests/scheduler/steps/moved_queues_steps.py
@@ -9,6 +9,7 @@
 from mangosail.scheduler import keys, messages
 
 JOB = "00000000000000aa"
+NEW_JOB = "00000000000000bb"
 FIRST_STEP, SECOND_STEP = f"{JOB}.0.0.", f"{JOB}.0.1."
 ROUND_S = 0.05
 SERVICES = ("A", "B", "C")
@@ -163,6 +164,29 @@
     take_over(context)
 
 
+@when(
+    "a job is handed in after the queue moved to service B, "
+    "which the leader has not read"
+)
+def step_handed_in_elsewhere(context):
+    version = next(context.versions)
+    facts = {"service": "B", "needs_advice": True, "catalog_version": version}
+    context.world.calls.advised.add(NEW_JOB)
+    job = fakes.job(NEW_JOB, fakes.step(3), **facts)
+    context.world.rows.put(keys.job(NEW_JOB), job)
+
+
+@when("the leader reads that it moved back to service A")
+def step_reads_moved_back(context):
+    configure(context, "A")
+
+
+@then("the new job is done by workers of service {service} within {seconds:g} s")
+def step_new_done(context, service, seconds):
+    lead_for(context, seconds)
+    assert_run_by(context, f"{NEW_JOB}.0.0.", service)
+
+
 @when("the workers of service A that run the second step leave, and another one comes")
 def step_workers_left(context):
     lead_for(context, 0.3)
