Answer by no older configuration than that of the jobs an instance runs as leader

A leader started jobs for queues of a configuration that it had not read, as their rows came by another watch than the configuration, and then answered its own callers by the one before: counts of queues that were removed, states, cancellations, hand-ins, all with success. For its callers the configuration went back.

What invalidates a configuration is now a version that is in force elsewhere, learned from the answer of a peer or from the row of a job: the instance refuses or passes on until it has that version, or a read sent later shows that there is none. Learning the same version again doesn't prolong it. An answer without a version counts as any newer one, as before.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -1,6 +1,7 @@
 """Local copy of the operator's configuration."""
 
 import collections.abc as cabc
+import sys
 
 import logbook
 
@@ -24,6 +25,8 @@
 #: Seconds within which a change of the configuration must be in force, unless the
 #: platform specifies another limit.
 MAX_AGE_S = 2.0
+#: Stands for a version that may be newer than any known one.
+UNKNOWN_VERSION = sys.maxsize
 
 
 class Catalogs:
@@ -56,7 +59,9 @@
         #: Seconds for which a catalog may be used after it was last confirmed as the
         #: newest, because a change must be in force by then.
         self.max_age = max_age
-        #: Elapsed time at which a peer last answered on behalf of this instance.
+        #: Newest version that may be in force elsewhere, and the elapsed time at which
+        #: this was last learned.
+        self.required_version = 0
         self.invalidated_at: float | None = None
         prefix = key[: key.rindex("/") + 1]
         self.watcher = row_watcher.RowWatcher(
@@ -74,18 +79,28 @@
         """Return the newest version that was read, or 0 before the first one."""
         return self.catalog.version if self.catalog else 0
 
-    def invalidate(self) -> None:
-        """Mark the current catalog as invalid until it has been read again.
+    def invalidate(self, version: int | None = None) -> None:
+        """Mark the catalog as invalid until a read shows whether it is the newest.
 
-        A peer that just answered a caller may have a newer catalog. Answering the
-        next caller by an older one would revert a change that is already in force.
+        `version` is one that is in force elsewhere: a peer answered a caller by it, or
+        it has the queue of an accepted job. Answering the next caller by an older one
+        would revert a change that is already in force. None stands for an answer that
+        does not tell; it may have been by any newer catalog.
         """
+        required = UNKNOWN_VERSION if version is None else version
+        known = self.required_version if self.invalidated else self.version
+        if required <= self.version or required <= known < UNKNOWN_VERSION:
+            return
+        self.required_version = max(required, known)
         self.invalidated_at = self.clock.elapsed()
 
     @property
     def invalidated(self) -> bool:
-        """Return whether a peer may have a newer catalog than this instance."""
-        if self.invalidated_at is None:
+        """Return whether a newer catalog than this one may be in force elsewhere.
+
+        A read that was sent since then has returned it if it exists.
+        """
+        if self.invalidated_at is None or self.version >= self.required_version:
             return False
         fresh_at = self.watcher.fresh_at
         return fresh_at is None or fresh_at <= self.invalidated_at
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -114,29 +114,17 @@
                 version=self.catalog.version, age=self.catalog.age(),
             )  # fmt: skip
             return
-        if self._may_be_behind(answer):
-            self.catalog.invalidate()
         resp.delete_header("Retry-After")
         if isinstance(answer, errors.Undecided):
+            self.catalog.invalidate()
             self._respond_error(resp, answer)
             return
+        self.catalog.invalidate(answer.version or None)
         resp.status = answer.status
         resp.text = answer.text
         if answer.refusal is not None:
             headers.set_retry_after(resp, answer.refusal.retry_after)
 
-    def _may_be_behind(self, answer: relaying.Answer | errors.Undecided) -> bool:
-        """Tell whether a peer may have answered from a newer configuration.
-
-        If each peer's answer invalidated the catalog, an instance would forward callers
-        for ever after its store is back, as they arrive more often than it can read the
-        catalog. With the peer's version or a newer one, it does not contradict what the
-        peer answered.
-        """
-        if isinstance(answer, errors.Undecided) or not answer.version:
-            return True
-        return answer.version > self.catalog.version
-
     def _answer(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Find the queue of a request, and answer it."""
         if self.catalog.current() is None:
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -201,6 +201,8 @@
         )
         # The store refuses this instance, so another one should go on leading.
         self.scheduler.on_handed_over = self.leadership.back_off
+        # Its jobs may be of a newer configuration than this instance has read.
+        self.scheduler.on_catalog_version = self.catalog.invalidate
         if self.stopping:
             # The shutdown began during the claim, when there was nothing to release.
             # Without this the next leader would have to wait until the lease times out.
--- a/src/mangosail/scheduler/scheduler.py
+++ b/src/mangosail/scheduler/scheduler.py
@@ -182,6 +182,8 @@
         self.given_up = gevent.event.Event()
         #: Called at that moment.
         self.on_handed_over: cabc.Callable[[], None] = lambda: None
+        #: Called with the version of the configuration under which a job was accepted.
+        self.on_catalog_version: cabc.Callable[[int], None] = lambda version: None
         self.greenlets = gevent.pool.Group()
         self.leading_since = clock.elapsed()
         #: True once all jobs have been read.
@@ -377,6 +379,7 @@
             return
         self.jobs[job.job_id] = held
         self.router.record_job(job)
+        self.on_catalog_version(job.catalog_version)
         self.counters.count("scheduler.jobs_taken")
         waited = round(self.clock.wall() - job.accepted_at, 3)
         log.info("job taken", job=job.job_id, queue=job.queue, waited=waited)
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -368,18 +368,22 @@
 
 @when("it leads")
 def step_leads(context):
-    rows = store.Store(context.platform.address)
+    catalog = decoding.decode_catalog(narrow.configuration(1, 1, HOST))
+    lead(context, store.Store(context.platform.address), lambda: catalog)
+
+
+def lead(context, rows, catalog):
+    """Let an instance lead, which goes by what `catalog` returns."""
     clock, counted = clocks.SystemClock(), counters.StatsdCounters(None, 0)
     leader = leadership.Leadership(rows, "a", clock, counted, random.Random(1))
     held = None
     while held is None:
         held = leader.check()
-    catalog = decoding.decode_catalog(narrow.configuration(1, 1, HOST))
     context.scheduler = scheduler.Scheduler(
         rows,
         workers.HttpWorkers(4096),
         held,
-        lambda: catalog,
+        catalog,
         entries.decode_entry,
         "servers//",
         120,
@@ -506,3 +510,18 @@
 @then("it tells within {seconds:g} s how many jobs wait")
 def step_tells_count(context, seconds):
     wait_for(lambda: context.client.simulate_get("/q0/").status_code == 200, seconds)
+
+
+@given("the instance leads")
+def step_instance_leads(context):
+    lead(context, context.store, context.catalog.current)
+    context.scheduler.on_catalog_version = context.catalog.invalidate
+
+
+@when("another instance accepts a job for a queue that was added")
+def step_accepted_elsewhere(context):
+    queue = messages.Queue("added", "other.example", "/added/", "pool", 0, 2, 3.0)
+    job = decoding.decode_job(
+        JOB.encode(), "5c0e7a21d94b36f9", queue, time.time(), context.version
+    ).ok_value
+    assert context.store.commit(job_service.store_transaction(job)).is_ok()
--- a/tests/adapter/unconfirmed.feature
+++ b/tests/adapter/unconfirmed.feature
@@ -56,3 +56,17 @@
     When the configuration grows to 4000 queues
     And the instance applies it
     Then it tells within 0.3 s how many jobs wait
+
+  Scenario: A leader that runs a job of a newer configuration no longer answers by its own
+    Callers saw that a change was in force, as a job for a queue that was added ran. The
+    instance that led had started it without having read the change, and went on answering
+    for queues that the change had removed: for its callers the configuration went back.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 10 s
+    And the instance leads
+    When its readings of the configuration are refused as 503
+    And the queue of the job is removed, one of 1000
+    And another instance accepts a job for a queue that was added
+    Then from 0.5 s on the instance answers nothing by the configuration before
+    When its readings of the configuration work again
+    Then it tells within 2 s that the queue does not exist
