Ask peers for the version that an instance knows to be in force

An instance that had run a job of a newer configuration than it had read refused its callers, and had a peer answer that had not read it either: the peer was asked for the instance's own version only. For callers the change was taken back. Peers are now asked for the version that is known to be in force, as long as it is doubted.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -105,6 +105,13 @@
         fresh_at = self.watcher.fresh_at
         return fresh_at is None or fresh_at <= self.invalidated_at
 
+    @property
+    def min_version(self) -> int:
+        """Return the lowest version by which a peer may answer for this instance."""
+        if not self.invalidated or self.required_version == UNKNOWN_VERSION:
+            return self.version
+        return self.required_version
+
     def current(self) -> messages.Catalog | None:
         """Return the newest catalog, or None before the first one was read."""
         return self.catalog
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -104,7 +104,7 @@
             req.host,
             req.path,
             body.ok_value,
-            self.catalog.version,
+            self.catalog.min_version,
             req.context.deadline,
         )
         answer = relay.forward(request)
--- a/tests/intake/relaying.feature
+++ b/tests/intake/relaying.feature
@@ -266,3 +266,12 @@
     When a caller is answered by an older configuration after another by a newer one
     And a caller asks how many jobs wait
     Then requests require at least the newer configuration
+
+  Scenario: A peer that is as far behind does not answer for an instance that knows it
+    # Guards against a change that is taken back for callers: the instance ran a job of a newer
+    # configuration than it had read, and had a peer answer that hadn't read it either.
+    Given an instance that the store refuses and a peer that it serves
+    When the instance runs a job of a newer configuration
+    And a caller asks how many jobs wait at the queue that was dropped
+    Then the caller is refused and told when to retry
+    And the peer was asked once
--- a/tests/intake/steps/relaying_steps.py
+++ b/tests/intake/steps/relaying_steps.py
@@ -126,6 +126,11 @@
     context.answer = context.instance.ask("GET", "/dropped/")
 
 
+@when("the instance runs a job of a newer configuration")
+def step_runs_newer(context):
+    context.instance.catalogs.invalidate(2)
+
+
 @when("the store serves the instance again")
 def step_serves_again(context):
     context.instance.rows.fault = ""
