Notice soon that the store is back, by what callers ask for

After an outage without a sign, an instance refused its callers until the request that its watch had sent during the outage was given up, up to 1.4 s later.

A caller whose instance can't confirm its configuration is still refused at once, and starts a read in the background: one for all callers, not more often than each 0.4 s, none while an answer is arriving; it replaces one that got no answer. So a narrow link carries no second copy.

--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -153,11 +153,13 @@
     def confirm(self) -> bool:
         """Return whether the catalog is confirmed, after asking the store if need be.
 
-        Callers do not wait for a store that fails, nor for a catalog that is arriving.
+        Callers do not wait for a store that fails, nor for a catalog that is arriving,
+        but what they ask for lets the instance notice soon that the store is back.
         """
         if self.confirmed():
             return True
         if not self.watcher.reachable or self.watcher.active_responses:
+            self.watcher.refresh_in_background()
             return False
         return self.refresh(CONFIRM_TIMEOUT_S) and self.confirmed()
 
--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -15,6 +15,8 @@
 
 #: Seconds before a failed read is repeated.
 RETRY_INTERVAL_S = 0.2
+#: Seconds without an answer after which a read in the background is replaced.
+UNANSWERED_S = 0.4
 #: Size of changes that is always accepted: 0.1 s on a slow link.
 MIN_CHANGES_LIMIT_BYTES = 65_536
 #: Seconds for which a long poll waits for changes. A connection that went silent is
@@ -94,6 +96,7 @@
         self.idle.set()
         #: The read that callers of `refresh` share.
         self.refresh_read: gevent.Greenlet | None = None
+        self.refresh_started_at = 0.0
         #: True unless the latest request failed.
         self.reachable = True
         #: Elapsed time of the first failure since the latest success, and the count of
@@ -140,11 +143,31 @@
             if self.active_responses:
                 self.idle.wait(left)
                 continue
-            if self.refresh_read is None or self.refresh_read.ready():
-                self.refresh_read = gevent.spawn(self.read_once, 0)
-            self.refresh_read.join(left)
+            read = self.refresh_read
+            if read is None or read.ready():
+                read = self._start_refresh()
+            read.join(left)
         return True
 
+    def refresh_in_background(self) -> None:
+        """Start a read unless an answer is arriving, or one was just started.
+
+        After an outage `run` may wait for seconds for the answer to a request that was
+        lost, and callers would be refused meanwhile. At most one read is under way for
+        callers; it replaces one that got no answer.
+        """
+        now = self.clock.elapsed()
+        if self.active_responses or now < self.refresh_started_at + UNANSWERED_S:
+            return
+        if self.refresh_read is not None:
+            self.refresh_read.kill(block=False)
+        self._start_refresh()
+
+    def _start_refresh(self) -> gevent.Greenlet:
+        self.refresh_started_at = self.clock.elapsed()
+        self.refresh_read = gevent.spawn(self.read_once, 0)
+        return self.refresh_read
+
     def read_once(self, wait: float) -> bool:
         """Read once, and return whether that succeeded."""
         self.reads_started += 1
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -525,3 +525,27 @@
         JOB.encode(), "5c0e7a21d94b36f9", queue, time.time(), context.version
     ).ok_value
     assert context.store.commit(job_service.store_transaction(job)).is_ok()
+
+
+@when("the store answers nothing for each of {outages}, and callers ask on")
+def step_outages(context, outages):
+    seconds = [float(number) for number in re.findall(r"[\d.]+", outages)]
+    context.returns = [answered_after(context, outage) for outage in seconds]
+
+
+def answered_after(context, outage):
+    """Return the seconds from the end of an outage until a caller was answered."""
+    context.platform.outages[metadata.ALL_TABLES] = "silent"
+    back_at = time.monotonic() + outage
+    while True:
+        if time.monotonic() >= back_at:
+            context.platform.outages.clear()
+        if context.client.simulate_get("/q0/").status_code == 200:
+            if time.monotonic() >= back_at:
+                return time.monotonic() - back_at
+        gevent.sleep(0.05)
+
+
+@then("callers were answered at most {seconds:g} s after its return each time")
+def step_returns(context, seconds):
+    assert max(context.returns) <= seconds, context.returns
--- a/tests/adapter/unconfirmed.feature
+++ b/tests/adapter/unconfirmed.feature
@@ -70,3 +70,11 @@
     Then from 0.5 s on the instance answers nothing by the configuration before
     When its readings of the configuration work again
     Then it tells within 2 s that the queue does not exist
+
+  Scenario: Callers are answered soon after an outage, not once a lost request is given up
+    The store was away without a sign. When it was back, an instance still waited for the
+    answer to a request that had been lost, for up to 1.3 s, and refused its callers meanwhile.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 2 s
+    When the store answers nothing for each of 2.6, 3.0 and 3.4 s, and callers ask on
+    Then callers were answered at most 0.6 s after its return each time
