Read a large configuration once, whoever else reads beside it

Once an answer of more than a chunk has begun to arrive, reads of the same rows without one are cancelled, and the watch sends none until it has arrived. A cancelled reading of all rows ends underneath as well, and chunks that come after a read has ended don't count.

--- a/src/mangosail/platform/store.py
+++ b/src/mangosail/platform/store.py
@@ -105,7 +105,12 @@
         """
         kind, _, shard = prefix.rstrip("/").partition("/")
         if shard or prefix.endswith("//"):
-            return self.readers.spawn(self._read_shard, kind, shard, on_data).get()
+            reader = self.readers.spawn(self._read_shard, kind, shard, on_data)
+            try:
+                return reader.get()
+            finally:
+                # If this read was cancelled, its answer would still fill the link.
+                reader.kill(block=False)
         return self._read_shards(kind, on_data)
 
     def _read_shards(
--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -29,21 +29,34 @@
 
     def __init__(self, watcher: "RowWatcher") -> None:
         self.watcher = watcher
-        self.started = False
+        self.greenlet = gevent.getcurrent()
+        #: Number of chunks that have arrived, up to 2.
+        self.chunks = 0
+        #: True once the read has ended, also if chunks still arrive.
+        self.ended = False
 
     def on_data(self) -> None:
         """Record that a chunk has arrived."""
+        if self.ended:
+            return
         self.watcher.last_data_at = self.watcher.clock.elapsed()
-        if not self.started:
-            self.started = True
+        if self.chunks == 2:
+            return
+        self.chunks += 1
+        if self.chunks == 1:
             self.watcher.active_responses += 1
             self.watcher.idle.clear()
+        else:
+            self.watcher.cancel_unanswered()
 
     def __enter__(self) -> "ResponseTracker":
+        self.watcher.trackers.append(self)
         return self
 
     def __exit__(self, *raised: object) -> None:
-        if not self.started:
+        self.ended = True
+        self.watcher.trackers.remove(self)
+        if not self.chunks:
             return
         self.watcher.active_responses -= 1
         if not self.watcher.active_responses:
@@ -90,11 +103,14 @@
         self.reads_started = 0
         self.latest_successful_read = 0
         self.failed_reads = 0
+        #: Reads under way.
+        self.trackers: list[ResponseTracker] = []
         #: Number of responses that are arriving, and an event that is set if none is.
         self.active_responses = 0
         self.idle = gevent.event.Event()
         self.idle.set()
-        #: The read that callers of `refresh` share.
+        #: The read of `run`, and the one that callers of `refresh` share.
+        self.watch_read: gevent.Greenlet | None = None
         self.refresh_read: gevent.Greenlet | None = None
         self.refresh_started_at = 0.0
         #: True unless the latest request failed.
@@ -116,9 +132,26 @@
         refused for that time (0.5 s) although the store is reachable again, or although
         the rows that have just arrived after a long time are the newest ones.
         """
-        if not self.read_once(0 if self._is_behind() else self.wait):
+        if self.active_responses:
+            # It has what this read would bring, and a second copy would slow it down.
+            self.idle.wait()
+            return
+        wait = 0 if self._is_behind() else self.wait
+        self.watch_read = gevent.spawn(self.read_once, wait)
+        try:
+            done = self.watch_read.get()
+        finally:
+            self.watch_read.kill(block=False)
+        if done is False:
             self.clock.sleep(RETRY_INTERVAL_S)
 
+    def cancel_unanswered(self) -> None:
+        """Cancel reads without an answer, as a long one has begun to arrive."""
+        for tracker in self.trackers:
+            if not tracker.chunks and tracker.greenlet is not None:
+                if tracker.greenlet in (self.watch_read, self.refresh_read):
+                    tracker.greenlet.kill(block=False)
+
     def _is_behind(self) -> bool:
         """Return whether changes have been unknown for longer than polls take."""
         if not self.reachable or self.fresh_at is None:
--- a/tests/adapter/steps/unconfirmed_steps.py
+++ b/tests/adapter/steps/unconfirmed_steps.py
@@ -170,3 +170,45 @@
 @then("callers were answered at most {seconds:g} s after its return each time")
 def step_returns(context, seconds):
     assert max(context.returns) <= seconds, context.returns
+
+
+@when(
+    "the configuration grows to {queues:d} queues during an outage of {seconds:g} s, "
+    "and callers ask on"
+)
+def step_grows_in_outage(context, queues, seconds):
+    context.platform.outages[metadata.ALL_TABLES] = "silent"
+    instances.configure(context, 2, queues)
+    context.platform.sent = 0
+    back_at = time.monotonic() + seconds
+    while time.monotonic() < back_at:
+        context.client.simulate_get("/q0/")
+        gevent.sleep(0.05)
+    context.platform.outages.clear()
+    context.asking = gevent.spawn(ask_on, context)
+    context.add_cleanup(context.asking.kill)
+
+
+def ask_on(context):
+    while True:
+        context.client.simulate_get("/q0/")
+        gevent.sleep(0.05)
+
+
+@when(
+    "the store answers nothing for each of {outages}, and callers ask on, "
+    "and its history is lost"
+)
+def step_outages_history(context, outages):
+    context.platform.armed["/-/rows-feed"] = [(410, {})] * 1000
+    context.platform.delays["/-/rows-get"] = 0.7
+    step_outages(context, outages)
+
+
+@then("no answer counts as arriving")
+def step_nothing_arrives(context):
+    context.platform.armed.clear()
+    gevent.sleep(2.0)
+    watcher = context.catalog.watcher
+    assert watcher.active_responses == 0, watcher.active_responses
+    assert watcher.idle.is_set()
--- a/tests/adapter/unconfirmed.feature
+++ b/tests/adapter/unconfirmed.feature
@@ -78,3 +78,28 @@
     And a configuration must be in force everywhere within 2 s
     When the store answers nothing for each of 2.6, 3.0 and 3.4 s, and callers ask on
     Then callers were answered at most 0.6 s after its return each time
+
+  Scenario Outline: A large configuration that grew during an outage is read once after it
+    After the outage, the watch and callers each had the configuration sent, and on a narrow
+    link both copies took twice as long, in which callers were refused.
+    Given an instance that reads 500 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 2 s
+    When the configuration grows to 4000 queues during an outage of <seconds> s, and callers ask on
+    Then the instance applies it within 5 s
+    And little more than one copy of the configuration was read
+
+    Examples:
+      | seconds |
+      | 2.4     |
+      | 2.8     |
+      | 3.2     |
+
+  Scenario: A read that is replaced before its answer comes leaves nothing behind
+    The store had dropped its history, and answered readings of all rows after 0.7 s. One that
+    had been replaced meanwhile still counted as arriving when its answer came, for ever: the
+    instance waited for it, and refused all callers from the next doubt on.
+    Given an instance that reads 1000 KB a second from the store, and an accepted job
+    And a configuration must be in force everywhere within 2 s
+    When the store answers nothing for each of 2.6 s, and callers ask on, and its history is lost
+    Then callers were answered at most 3 s after its return each time
+    And no answer counts as arriving
--- a/tests/scheduler/steps/following_steps.py
+++ b/tests/scheduler/steps/following_steps.py
@@ -48,7 +48,8 @@
 def down(context, down_at, back_at):
     context.rows.outage = (down_at, back_at)
     context.back_at = back_at
-    with logbook.TestHandler() as handler:
+    # Each read runs in a greenlet of its own.
+    with logbook.TestHandler().applicationbound() as handler:
         while context.clock.now < back_at + 2:
             context.watcher.watch_once()
     context.lines = handler.records
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -44,6 +44,8 @@
         #: Tables that are unavailable, or `ALL_TABLES`, and how: "silent", "reset",
         #: "busy" or "many". The platform's store may be down in part.
         self.outages = {}
+        #: Path -> seconds after which its calls are answered.
+        self.delays = {}
         self.calls = []
         app = falcon.App()
         app.add_sink(self.answer, prefix="/")
@@ -69,6 +71,7 @@
         if outage in REFUSALS:
             resp.status, resp.text = REFUSALS[outage], "{}"
             return
+        gevent.sleep(self.delays.get(req.path, 0))
         statuses = self.armed.get(req.path)
         if statuses:
             status, reply = statuses.pop(0)
