--- a/src/mangosail/scheduler/row_watcher.py
+++ b/src/mangosail/scheduler/row_watcher.py
@@ -19,6 +19,8 @@
 UNANSWERED_S = 0.4
 #: Size of changes that is always accepted: 0.1 s on a slow link.
 MIN_CHANGES_LIMIT_BYTES = 65_536
+#: Number of chunks from which on an answer counts as long.
+LONG_ANSWER_CHUNKS = 2
 #: Seconds for which a long poll waits for changes. A connection that went silent is
 #: detected after this and the client's own time-out.
 LONG_POLL_WAIT_S = 1.0
@@ -30,7 +32,7 @@
     def __init__(self, watcher: "RowWatcher") -> None:
         self.watcher = watcher
         self.greenlet = gevent.getcurrent()
-        #: Number of chunks that have arrived, up to 2.
+        #: Number of chunks that have arrived, up to `LONG_ANSWER_CHUNKS`.
         self.chunks = 0
         #: True once the read has ended, also if chunks still arrive.
         self.ended = False
@@ -40,13 +42,13 @@
         if self.ended:
             return
         self.watcher.last_data_at = self.watcher.clock.elapsed()
-        if self.chunks == 2:
+        if self.chunks == LONG_ANSWER_CHUNKS:
             return
         self.chunks += 1
         if self.chunks == 1:
             self.watcher.active_responses += 1
             self.watcher.idle.clear()
-        else:
+        elif self.chunks == LONG_ANSWER_CHUNKS:
             self.watcher.cancel_unanswered()
 
     def __enter__(self) -> "ResponseTracker":
@@ -147,10 +149,10 @@
 
     def cancel_unanswered(self) -> None:
         """Cancel reads without an answer, as a long one has begun to arrive."""
-        for tracker in self.trackers:
-            if not tracker.chunks and tracker.greenlet is not None:
-                if tracker.greenlet in (self.watch_read, self.refresh_read):
-                    tracker.greenlet.kill(block=False)
+        answered = {tracker.greenlet for tracker in self.trackers if tracker.chunks}
+        for read in (self.watch_read, self.refresh_read):
+            if read is not None and read not in answered:
+                read.kill(block=False)
 
     def _is_behind(self) -> bool:
         """Return whether changes have been unknown for longer than polls take."""
