--- a/tests/adapter/instances.py
+++ b/tests/adapter/instances.py
@@ -54,6 +54,22 @@
     context.size = len(json.dumps(context.platform.rows["op", "", "config"]))
 
 
+def drop_queue(context, queues):
+    """Replace the queue of the job by others, all of another host."""
+    configure(context, 2, queues, "other.example")
+    context.began_at = time.monotonic()
+
+
+def sleep_until(context, seconds):
+    """Sleep until `seconds` after what the scenario counts from."""
+    gevent.sleep(context.began_at + seconds - time.monotonic())
+
+
+def assert_told_queued(context):
+    answer = context.client.simulate_get(PATH)
+    assert answer.json == {"state": "queued"}, answer.json
+
+
 def follow(context):
     context.following = gevent.spawn(context.catalog.watcher.run)
     context.add_cleanup(context.following.kill)
--- a/tests/adapter/steps/narrow_links_steps.py
+++ b/tests/adapter/steps/narrow_links_steps.py
@@ -86,7 +86,7 @@
 
 @then("the instance refuses jobs from {seconds:g} s on until it applies it")
 def step_refuses(context, seconds):
-    gevent.sleep(context.began_at + seconds - time.monotonic())
+    instances.sleep_until(context, seconds)
     until = time.monotonic() + 1.0
     while time.monotonic() < until:
         assert not accepts(context)
@@ -144,8 +144,7 @@
 
 @then("the caller is told that its job is queued")
 def step_told(context):
-    answer = context.client.simulate_get(instances.PATH)
-    assert answer.json == {"state": "queued"}, answer.json
+    instances.assert_told_queued(context)
 
 
 @then("they have arrived completely")
@@ -227,14 +226,12 @@
 
 @when("the configuration grows to {queues:d} queues, without that of the job")
 def step_dropped(context, queues):
-    # All of its queues are of another host.
-    instances.configure(context, 2, queues, "other.example")
-    context.began_at = time.monotonic()
+    instances.drop_queue(context, queues)
 
 
 @then("from {seconds:g} s on the instance does not return how many jobs wait there")
 def step_count_not_returned(context, seconds):
-    gevent.sleep(context.began_at + seconds - time.monotonic())
+    instances.sleep_until(context, seconds)
     until = time.monotonic() + 1.0
     while time.monotonic() < until:
         answer = context.client.simulate_get("/q0/")
--- a/tests/adapter/steps/unconfirmed_steps.py
+++ b/tests/adapter/steps/unconfirmed_steps.py
@@ -57,14 +57,12 @@
 
 @when("the queue of the job is removed, one of {queues:d}")
 def step_removed(context, queues):
-    # All of the others are of another host.
-    instances.configure(context, 2, queues, "other.example")
-    context.began_at = time.monotonic()
+    instances.drop_queue(context, queues)
 
 
 @then("from {seconds:g} s on the instance answers nothing by the configuration before")
 def step_answers_nothing(context, seconds):
-    gevent.sleep(context.began_at + seconds - time.monotonic())
+    instances.sleep_until(context, seconds)
     until = time.monotonic() + 3.0
     while time.monotonic() < until:
         answers = {name: answer.status_code for name, answer in ask(context).items()}
@@ -83,7 +81,7 @@
     "from {seconds:g} s on a peer that asks for the number of waiting jobs is refused"
 )
 def step_peer_refused(context, seconds):
-    gevent.sleep(context.began_at + seconds - time.monotonic())
+    instances.sleep_until(context, seconds)
     request = relaying.Request(
         "GET", instances.HOST, "/q0/", b"", context.catalog.version
     )
@@ -91,14 +89,9 @@
     assert found.ok_value.status == relaying.REFUSED_STATUS, found
 
 
-def assert_told(context):
-    answer = context.client.simulate_get(instances.PATH)
-    assert answer.json == {"state": "queued"}, answer.json
-
-
 @given("the caller is told that its job is queued")
 def step_told_before(context):
-    assert_told(context)
+    instances.assert_told_queued(context)
 
 
 @when("the store answers nothing any more")
@@ -109,8 +102,8 @@
 
 @then("from {seconds:g} s on the caller is told that its job is queued")
 def step_still_told(context, seconds):
-    gevent.sleep(context.began_at + seconds - time.monotonic())
-    assert_told(context)
+    instances.sleep_until(context, seconds)
+    instances.assert_told_queued(context)
 
 
 @then("the number of waiting jobs is refused within {seconds:g} s")
--- a/tests/intake/machine.py
+++ b/tests/intake/machine.py
@@ -33,25 +33,18 @@
     return messages.Catalog(version, tuple(queues))
 
 
-class SlowView:
+class SlowView(fakes.View):
     """The store as one instance reaches it, whose readings take time or fail."""
 
     def __init__(self, rows, clock):
-        self.rows = rows
+        super().__init__(rows)
         self.clock = clock
         #: Seconds that a reading of the configuration takes, and whether it fails.
         self.seconds = 0.0
         self.fails = False
-        #: True while the store does not answer this instance at all.
-        self.cut = False
         #: Called while a reading is under way.
         self.meanwhile = None
 
-    def read(self, keys):
-        if self.cut:
-            return result.Err(store_errors.Unavailable("cut"))
-        return self.rows.read(keys)
-
     def read_all(self, *args, **facts):
         return self._deliver(self.rows.read_all(*args, **facts))
 
@@ -163,7 +156,7 @@
     @stateful.rule(name=st.sampled_from(NAMES), back=st.integers(0, 1))
     def ask_removed(self, name, back):
         """Ask for a queue that only versions up to a recent one have."""
-        number = max(len(self.acknowledged) - back, 1)
+        number = self.recent(back)
         instance, least = self.instances[name], self.least(name)
         status = self.ask(instance, f"/old-{number}/")
         if status == 200:
@@ -174,7 +167,7 @@
     @stateful.rule(name=st.sampled_from(NAMES), back=st.integers(0, 1))
     def ask_added(self, name, back):
         """Ask for a queue that only versions from a recent one on have."""
-        number = max(len(self.acknowledged) - back, 1)
+        number = self.recent(back)
         instance, least = self.instances[name], self.least(name)
         status = self.ask(instance, f"/new-{number}/")
         if status == 404:
@@ -185,11 +178,15 @@
     @stateful.rule(name=st.sampled_from(NAMES), back=st.integers(0, 1))
     def run_job(self, name, back):
         """Let an instance that leads start a job of a recent version."""
-        number = max(len(self.acknowledged) - back, 1)
+        number = self.recent(back)
         instance = self.instances[name]
         instance.catalog.invalidate(number)
         instance.seen = max(instance.seen, number)
 
+    def recent(self, back):
+        """Return the version `back` ones before the newest, or the first."""
+        return max(len(self.acknowledged) - back, 1)
+
     def ask(self, instance, path):
         status = instance.front.simulate_get(path).status_code
         self.answered[status] = self.answered.get(status, 0) + 1
