--- a/review/bed/bed.py
+++ b/review/bed/bed.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import tomllib
 
 import gevent
@@ -98,6 +99,10 @@
         self.workers = {}
         self.jobs = {}
         self.live = collections.defaultdict(list)
+        #: First run of each task whose end `done` was taken note of.
+        self.done_noted = {}
+        #: What broke the rule TWICE.
+        self.broken = []
         self.processes = {}
         self.fronts = {}
         self.settings = pathlib.Path(tempfile.mkdtemp(prefix="mangosail-review-"))
@@ -135,11 +140,30 @@
 
     # Workers and their runs.
 
-    def add_worker(self, cpu=32000, mem_mb=128000, labels=("a", "r1")):
+    def add_worker(self, cpu=32000, mem_mb=128000, labels=("a", "r1"), keeps=False):
+        """Add a worker; one that `keeps` its name tells when it was born."""
         name = f"i-{len(self.workers):02d}-{self.rand.getrandbits(32):08x}"
-        self.workers[name] = worker.Worker(self, name, cpu, mem_mb, list(labels))
+        born = int(time.time() * 1000) if keeps else None
+        self.workers[name] = worker.Worker(
+            self, name, cpu, mem_mb, list(labels), born=born
+        )
         return self.workers[name]
 
+    def start_again(self, name):
+        """Start a worker that has crashed under its name, at its address."""
+        before = self.workers[name]
+        self.workers[name] = worker.Worker(
+            self, name, before.cpu, before.mem_mb, before.labels,
+            int(before.address.rpartition(":")[2]), int(time.time() * 1000),
+        )  # fmt: skip
+        self.note("worker starts again", worker=name)
+
+    def deliver(self, name, path, body):
+        """Let a worker carry out an order that was held up on its way."""
+        if self.workers[name].up:
+            status, reply = self.workers[name].carry_out(path, body)
+            self.note("late order", worker=name, status=status, **reply, **body)
+
     def find(self, task):
         job = self.jobs[task.partition(".")[0]]
         return job, job.body["steps"][int(task.split(".")[2])]
@@ -149,6 +173,15 @@
             "start", task=run.task, run=run.number, worker=run.worker.name,
             token=order["fencing_token"],
         )  # fmt: skip
+        beside = [other for other in self.live[run.task] if other.worker.up]
+        if beside and not run.step.get("allow_duplicates"):
+            self.broken.append(f"TWICE: {told(run)} begins beside {told(beside[0])}")
+        done = self.done_noted.get(run.task)
+        if done is not None:
+            self.broken.append(
+                f"TWICE: {told(run)} begins {httpd.now() - done.ended_at:.2f} s after "
+                f"{told(done)} has ended done, which was taken note of"
+            )
         run.job.runs.append(run)
         self.live[run.task].append(run)
 
@@ -165,8 +198,10 @@
             return
 
     def record_seen(self, which, number):
-        if number > which.last_seen:
-            self.note("ends taken note of", worker=which.name, up_to=number)
+        for run in which.runs_ended[which.last_seen : number]:
+            self.note("end taken note of", task=run.task, run=run.number, how=run.how)
+            if run.how == "done" and which.lapsed_at <= run.ended_at:
+                self.done_noted.setdefault(run.task, run)
 
     def members(self, run):
         """Return the other members of a gang's run that are at work."""
@@ -320,6 +355,10 @@
         return state
 
 
+def told(run):
+    return f"run {run.number} of {run.task} on {run.worker.name}"
+
+
 def decode(answer):
     head, _, body = answer.partition(b"\r\n\r\n")
     words = head.split(b" ", 2)
--- a/review/bed/worker.py
+++ b/review/bed/worker.py
@@ -47,9 +47,13 @@
 
 
 class Worker:
-    """One life of a worker that rejects what does not fit."""
+    """One life of a worker that rejects what does not fit.
 
-    def __init__(self, bed, name, cpu, mem_mb, labels):
+    `born` is the Unix time of its start in milliseconds, for a deployment in which a
+    worker may start again under the name that it had; None for others.
+    """
+
+    def __init__(self, bed, name, cpu, mem_mb, labels, port=0, born=None):
         self.bed = bed
         self.name = name
         self.cpu, self.mem_mb, self.labels = cpu, mem_mb, labels
@@ -58,14 +62,21 @@
         self.deadline = 0
         self.running = {}
         self.ended = []
-        self.ends = 0
+        #: Runs by the number of their end, from 1 on.
+        self.runs_ended = []
+        #: Time at which a lease last ran out here.
+        self.lapsed_at = 0.0
         self.barred = {}
         self.end_listed = gevent.event.Event()
         #: Highest number of an end that was taken note of.
         self.last_seen = 0
         self.up = True
         self.silent = False
-        self.server = httpd.serve(self.answer)
+        self.born = born
+        #: Returns the seconds after which an order is carried out, without an answer;
+        #: None for an order that is answered at once.
+        self.delay_of = lambda path, body: None
+        self.server = httpd.serve(self.answer, port=port)
         self.address = f"127.0.0.1:{self.server.server_port}"
         self.register()
         gevent.spawn(self.run)
@@ -83,8 +94,18 @@
             "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0},
             "labels": self.labels,
         }
+        if self.born is not None:
+            entry["born"] = self.born
         self.bed.store.put("servers", self.name, entry)
 
+    def crash(self):
+        """End this life: everything that runs ends, and nothing is answered."""
+        self.bed.note("worker crashes", worker=self.name)
+        self.up = False
+        self.server.stop(timeout=0)
+        for run in list(self.running.values()):
+            self.end(run, "crashed")
+
     def clock(self):
         return FIRST_CLOCK_MS + int((httpd.now() - self.born_at) * 1000)
 
@@ -95,7 +116,15 @@
             raise httpd.NoAnswer
         if environ.get("HTTP_EXPECT_INSTANCE") != self.name:
             return 421, {"clock_ms": self.clock()}
+        delay = self.delay_of(path, body)
+        if delay is not None:
+            self.bed.note("order held up", worker=self.name, path=path, **body)
+            gevent.spawn_later(delay, self.bed.deliver, self.name, path, body)
+            gevent.sleep(NO_ANSWER_S)
+            raise httpd.NoAnswer
         status, reply = self.carry_out(path, body)
+        if not self.up:
+            raise httpd.NoAnswer
         return status, {**reply, "clock_ms": self.clock()}
 
     def carry_out(self, path, body):
@@ -166,15 +195,16 @@
             [run.task, run.number, "", run.percent, measured(run)]
             for run in self.running.values()
         ]
-        return 200, {"running": running, "ended": self.ended[:MAX_REPORTED_ENDS]}
+        report = {"running": running, "ended": self.ended[:MAX_REPORTED_ENDS]}
+        return 200, report if self.born is None else {**report, "born": self.born}
 
     def end(self, run, how):
         """End a run, and list its end."""
         del self.running[run.task]
         run.ended_at, run.how = httpd.now(), how
         self.barred[run.task] = max(self.barred.get(run.task, 0), run.number)
-        self.ends += 1
-        self.ended.append([self.ends, run.task, run.number, how, ""])
+        self.runs_ended.append(run)
+        self.ended.append([len(self.runs_ended), run.task, run.number, how, ""])
         self.end_listed.set()
         self.bed.record_end(run)
 
@@ -184,6 +214,8 @@
             gevent.sleep(STEP_S)
             passed, before = httpd.now() - before, httpd.now()
             lapsed = self.clock() > self.deadline
+            if lapsed:
+                self.lapsed_at = httpd.now()
             for run in list(self.running.values()):
                 if run.task in self.running:
                     self.advance(run, passed, lapsed)
