Review case 4: workers back under their ids at other addresses are lost

The leader keeps the first address of a worker's name, so a job that needs such workers never starts. It takes the place of a case of part one that review/1 shows already (a late start reaches the next life of its worker).

--- a/review/bed/bed.py
+++ b/review/bed/bed.py
@@ -45,6 +45,8 @@
     "checkpoint_s": 0.5,
     "restore_ms": 600,
 }
+#: Seconds without a heartbeat after which the entry of a worker is removed.
+ENTRY_EXPIRY_S = 3.3
 #: Seconds within which an instance must answer after its start.
 START_TIMEOUT_S = 20.0
 #: Time in which a client waits for an answer, in seconds.
@@ -99,10 +101,8 @@
         self.workers = {}
         self.jobs = {}
         self.live = collections.defaultdict(list)
-        #: First run of each task whose end `done` was taken note of.
-        self.done_noted = {}
-        #: What broke the rule TWICE.
-        self.broken = []
+        #: Called with each run that begins.
+        self.on_start = lambda run: None
         self.processes = {}
         self.fronts = {}
         self.settings = pathlib.Path(tempfile.mkdtemp(prefix="mangosail-review-"))
@@ -150,19 +150,25 @@
         return self.workers[name]
 
     def start_again(self, name):
-        """Start a worker that has crashed under its name, at its address."""
+        """Start a worker that has crashed under its name, at another address."""
         before = self.workers[name]
         self.workers[name] = worker.Worker(
             self, name, before.cpu, before.mem_mb, before.labels,
-            int(before.address.rpartition(":")[2]), int(time.time() * 1000),
+            born=int(time.time() * 1000),
         )  # fmt: skip
-        self.note("worker starts again", worker=name)
+        address = self.workers[name].address
+        self.note("worker starts again", worker=name, address=address)
 
-    def deliver(self, name, path, body):
-        """Let a worker carry out an order that was held up on its way."""
-        if self.workers[name].up:
-            status, reply = self.workers[name].carry_out(path, body)
-            self.note("late order", worker=name, status=status, **reply, **body)
+    def replace(self, name):
+        """Start another worker at the address of one that has crashed."""
+        before = self.workers[name]
+        after = f"i-{len(self.workers):02d}-{self.rand.getrandbits(32):08x}"
+        self.workers[after] = worker.Worker(
+            self, after, before.cpu, before.mem_mb, before.labels,
+            port=int(before.address.rpartition(":")[2]),
+        )  # fmt: skip
+        gevent.spawn_later(ENTRY_EXPIRY_S, self.store.remove, "servers", name)
+        self.note("worker replaced", worker=name, by=after)
 
     def find(self, task):
         job = self.jobs[task.partition(".")[0]]
@@ -173,17 +179,9 @@
             "start", task=run.task, run=run.number, worker=run.worker.name,
             token=order["fencing_token"],
         )  # fmt: skip
-        beside = [other for other in self.live[run.task] if other.worker.up]
-        if beside and not run.step.get("allow_duplicates"):
-            self.broken.append(f"TWICE: {told(run)} begins beside {told(beside[0])}")
-        done = self.done_noted.get(run.task)
-        if done is not None:
-            self.broken.append(
-                f"TWICE: {told(run)} begins {httpd.now() - done.ended_at:.2f} s after "
-                f"{told(done)} has ended done, which was taken note of"
-            )
         run.job.runs.append(run)
         self.live[run.task].append(run)
+        self.on_start(run)
 
     def record_end(self, run):
         self.note(
@@ -200,8 +198,6 @@
     def record_seen(self, which, number):
         for run in which.runs_ended[which.last_seen : number]:
             self.note("end taken note of", task=run.task, run=run.number, how=run.how)
-            if run.how == "done" and which.lapsed_at <= run.ended_at:
-                self.done_noted.setdefault(run.task, run)
 
     def members(self, run):
         """Return the other members of a gang's run that are at work."""
@@ -355,10 +351,6 @@
         return state
 
 
-def told(run):
-    return f"run {run.number} of {run.task} on {run.worker.name}"
-
-
 def decode(answer):
     head, _, body = answer.partition(b"\r\n\r\n")
     words = head.split(b" ", 2)
--- a/review/bed/worker.py
+++ b/review/bed/worker.py
@@ -53,7 +53,7 @@
     worker may start again under the name that it had; None for others.
     """
 
-    def __init__(self, bed, name, cpu, mem_mb, labels, port=0, born=None):
+    def __init__(self, bed, name, cpu, mem_mb, labels, born=None, port=0):
         self.bed = bed
         self.name = name
         self.cpu, self.mem_mb, self.labels = cpu, mem_mb, labels
@@ -64,8 +64,6 @@
         self.ended = []
         #: Runs by the number of their end, from 1 on.
         self.runs_ended = []
-        #: Time at which a lease last ran out here.
-        self.lapsed_at = 0.0
         self.barred = {}
         self.end_listed = gevent.event.Event()
         #: Highest number of an end that was taken note of.
@@ -73,9 +71,6 @@
         self.up = True
         self.silent = False
         self.born = born
-        #: Returns the seconds after which an order is carried out, without an answer;
-        #: None for an order that is answered at once.
-        self.delay_of = lambda path, body: None
         self.server = httpd.serve(self.answer, port=port)
         self.address = f"127.0.0.1:{self.server.server_port}"
         self.register()
@@ -116,14 +111,10 @@
             raise httpd.NoAnswer
         if environ.get("HTTP_EXPECT_INSTANCE") != self.name:
             return 421, {"clock_ms": self.clock()}
-        delay = self.delay_of(path, body)
-        if delay is not None:
-            self.bed.note("order held up", worker=self.name, path=path, **body)
-            gevent.spawn_later(delay, self.bed.deliver, self.name, path, body)
-            gevent.sleep(NO_ANSWER_S)
-            raise httpd.NoAnswer
         status, reply = self.carry_out(path, body)
-        if not self.up:
+        if self.silent:
+            gevent.sleep(NO_ANSWER_S)
+        if self.silent or not self.up:
             raise httpd.NoAnswer
         return status, {**reply, "clock_ms": self.clock()}
 
@@ -214,8 +205,6 @@
             gevent.sleep(STEP_S)
             passed, before = httpd.now() - before, httpd.now()
             lapsed = self.clock() > self.deadline
-            if lapsed:
-                self.lapsed_at = httpd.now()
             for run in list(self.running.values()):
                 if run.task in self.running:
                     self.advance(run, passed, lapsed)
