--- a/review/bed/worker.py
+++ b/review/bed/worker.py
@@ -99,7 +99,9 @@
         self.up = False
         self.server.stop(timeout=0)
         for run in list(self.running.values()):
-            self.end(run, "crashed")
+            # The end of a member of a gang ends the others.
+            if run.task in self.running:
+                self.end(run, "crashed")
 
     def clock(self):
         return FIRST_CLOCK_MS + int((httpd.now() - self.born_at) * 1000)
