Show by crowds of clients how an instance runs out of memory, time and descriptors

The crowds are real processes on loopback, beside one instance whose settings lower the machine's limits: 128 MB (192 for the product's own interface) and 4,100 or 300 descriptors. The bounds are these limits; bytes that were received and not read count as memory. Checked are that the process lives, that it stays within both, and that one ordinary request, or a job, is answered beside the crowd and after it. Nothing depends on how fast the machine is: the times in the steps only end what would otherwise never end.

The slice runs by itself, after all others, as its crowds would disturb their timing.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,9 @@
 """Runs the behave features of all slices and prints a summary.
 
 ``python -m tests.run [--jobs N] [slice ...]``. A slice is a folder of `tests` with
-feature files. Up to `N` slices run in parallel, the slowest first; the output of each
-is printed when it ends. Scenarios listed in KNOWN-RED.txt may fail and are printed.
+feature files. Up to `N` slices run in parallel, the slowest first, and those in
+`ALONE` after them, one at a time; the output of each is printed when it ends. Scenarios
+listed in KNOWN-RED.txt may fail and are printed.
 """
 
 import argparse
@@ -19,6 +20,9 @@
 #: The slowest slices in descending order; started last, they would prolong the run.
 SLOWEST = ("scheduler", "work", "jobs", "soak", "front", "ownership", "settings", "cli")
 
+#: Slices whose crowds of clients would disturb the timing of others.
+ALONE = ("clients",)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
@@ -91,6 +95,17 @@
     return SLOWEST.index(name) if name in SLOWEST else len(SLOWEST)
 
 
+def run_slices(names, jobs):
+    """Run the slices, and yield the verdict of each when it ends."""
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        running = [pool.submit(run_slice, name) for name in names if name not in ALONE]
+        for done in concurrent.futures.as_completed(running):
+            yield done.result()
+    for name in names:
+        if name in ALONE:
+            yield run_slice(name)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--jobs", type=int, default=1)
@@ -99,14 +114,11 @@
     red = known_red()
     passed, failed = [], []
     names = sorted(args.slices or slices(), key=start_order)
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        running = [pool.submit(run_slice, name) for name in names]
-        for done in concurrent.futures.as_completed(running):
-            verdict = done.result()
-            print(f"== {verdict.name} ({verdict.seconds:.0f} s)")
-            print(verdict.output, flush=True)
-            passed += verdict.passed
-            failed += verdict.failed
+    for verdict in run_slices(names, args.jobs):
+        print(f"== {verdict.name} ({verdict.seconds:.0f} s)")
+        print(verdict.output, flush=True)
+        passed += verdict.passed
+        failed += verdict.failed
     for name in failed:
         print(f"{'KNOWN RED' if name in red else 'FAILED'}: {red.get(name, name)}")
     unknown = [name for name in failed if name not in red]
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -37,6 +37,8 @@
         self.lease_ms = lease_ms
         #: Names of scheduler options that are switched off.
         self.disabled_options = ""
+        #: What the machine gives each instance, by the platform's names.
+        self.limits = {}
         #: True if every other worker keeps its name when it restarts.
         self.keep_names = keep_names
         self.relays = {}
@@ -88,6 +90,7 @@
             "internal_ports": [internal_port, internal_port],
             "bounds": {"status_s": 300, "grace_s": GRACE_S,
                        "hold_max_ms": self.lease_ms},
+            "limits": self.limits,
         }  # fmt: skip
         path = self.logs / f"{name}.json"
         path.write_text(json.dumps(settings))
