Bound what a request's head holds, and forget it when the request is over

Callers saw: nobody was answered any more, as clients outside the limits had ended the process for its memory. Others, inside the operator's limits, were refused 400 or 414.

Cause: a head was bounded by the library alone, 100 lines of 65 kB, and not by the operator's max_header_bytes, header_timeout_ms and idle_timeout_ms, of which the first was not decoded and the others used nowhere. A connection kept its last head while it was idle.

Ruled out: endless lines and empty lines, which were refused before; they stay as guards.

Why it holds: the reader gives the standard library's parser no more bytes, and no more time, than the operator allows; the parsed form is counted against a budget that all clients share; and it is given up after each request. Its limit on the number of lines is replaced by the limit in bytes.

--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -12,6 +12,7 @@
 
 from mangosail import clock as clocks
 from mangosail import codec, resources
+from mangosail import limits as request_limits
 from mangosail.front import description, messages, streams
 from mangosail.front import quotes as quote_service
 from mangosail.jobs import queue
@@ -24,6 +25,8 @@
 
 #: Retry-After in seconds for callers that arrive before the settings were read.
 RETRY_AFTER_S = 1
+#: Limits within which the server receives a request's head.
+REQUEST_LIMITS = request_limits.Limits(headers_timeout=5.0, idle_timeout=60.0)
 #: Size limit of a request body.
 MAX_BODY_BYTES = 1024 * 1024
 #: Levels to which a body may nest lists and objects. A body that is decoded at Python's
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,9 +1,16 @@
-"""The WSGI server: low latency for short answers, limits for slow or many callers."""
+"""The WSGI server: low latency for short answers, limits for slow or many callers.
+
+The head of a request is read as a whole, within its limits, before the application gets
+it; what it held is given up before the next one.
+"""
 
 import collections.abc as cabc
 import contextlib
+import errno
+import io
 import socket
 import ssl
+import sys
 import typing as t
 
 import gevent
@@ -12,26 +19,31 @@
 from gevent import pool, pywsgi
 
 from mangosail import codec
+from mangosail import limits as request_limits
+from mangosail.front import memory, reading, refusals
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("front")
 
-#: Seconds that a connection may be idle between requests, and that a write may take.
-IDLE_TIMEOUT_S = 60.0
-#: Seconds within which the request line and headers must have been received.
-HEADERS_TIMEOUT_S = 5.0
-#: Limits, in seconds and bytes, for reading and discarding the rest of an unread body.
-DISCARD_TIMEOUT_S = 2.0
-MAX_DISCARD_BYTES = 4 * 1024 * 1024
-#: Maximum number of open connections; further ones wait to be accepted.
-MAX_CONNECTIONS = 4096
 #: Maximum number of concurrent requests; further ones are refused immediately.
 MAX_REQUESTS = 512
 #: Retry-After in seconds for requests refused because of that limit.
-RETRY_AFTER_S = 1
+RETRY_AFTER_S = refusals.RETRY_AFTER_S
 #: Probe paths, which are exempt from the limit.
 PROBE_PATHS = ("/healthz", "/readyz")
 
+#: Maximum number of open connections; further ones wait to be accepted.
+MAX_CONNECTIONS = 4096
+#: Bytes for long requests.
+MAX_REQUEST_BYTES = 16 * 1024 * 1024
+#: Seconds within which a refusal must have been sent.
+REFUSAL_TIMEOUT_S = 1.0
+#: Limits, in seconds and bytes, for reading and discarding the rest of an unread body.
+DISCARD_TIMEOUT_S = 2.0
+MAX_DISCARD_BYTES = 4 * 1024 * 1024
+#: Headers of a connection without a request.
+NO_HEADERS = pywsgi.WSGIHandler.headers
+
 #: Seconds between checks for requests in flight.
 POLL_INTERVAL_S = 0.02
 #: Consecutive checks without a request in flight after which none is expected.
@@ -69,20 +81,11 @@
         self, start_response: cabc.Callable[..., t.Any]
     ) -> cabc.Iterable[bytes]:
         self.counters.count(f"front.refused.{OVERLOADED}")
-        refusal = {
-            "title": OVERLOADED,
-            "description": "too many requests in hand",
-            "outcome": "not_run",
-            "retry_after": RETRY_AFTER_S,
-        }
-        body = codec.to_json(refusal).encode()
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Retry-After", str(RETRY_AFTER_S)),
-        ]
-        start_response("503 Service Unavailable", headers)
-        return [body]
+        response = refusals.to_response(
+            refusals.Refused(refusals.Reason.OVERLOADED, "too many requests in hand")
+        )
+        start_response(response.status, list(response.headers))
+        return [response.body]
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -93,13 +96,20 @@
     answer on a keep-alive connection.
     """
 
-    def __init__(self, sock: t.Any, *args: t.Any, **kwargs: t.Any) -> None:
+    rfile: t.Any
+    # Set anew for each request, and forgotten after it.
+    environ: t.Any
+    requestline: t.Any
+    wsgi_input: t.Any
+
+    def __init__(self, sock: t.Any, address: t.Any, server: "Server") -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # Limits idle connections, and callers that never read their answer.
-        sock.settimeout(IDLE_TIMEOUT_S)
-        super().__init__(sock, *args, **kwargs)
-        #: True from the first line of a request to the end of its response.
+        super().__init__(sock, address, server)
+        #: True from the first byte of a request to the end of its response.
         self.busy = False
+        self.reservation = memory.Reservation(server.budget)
+        file = t.cast(io.BufferedReader, self.rfile)
+        self.rfile = reading.Reader(file, self.reservation)
 
     def handle(self) -> None:
         """Serve the requests of the connection one after the other."""
@@ -118,33 +128,97 @@
                 copy.shutdown(socket.SHUT_RD)
 
     def handle_one_request(self) -> t.Any:
-        """Serve one request, and mark the connection idle between requests."""
+        """Read one request, answer it, and forget it.
+
+        Returns True if another one may follow on the connection. What a request held
+        is given up before the next one: a connection kept a head of megabytes for as
+        long as it was idle.
+        """
         try:
-            return super().handle_one_request()
+            if not self._await_request():
+                return None
+            self._read_request()
+            self.socket.settimeout(self.server.limits("").idle_timeout)
+            self.handle_one_response()
+        except refusals.Refused as refused:
+            self._refuse(refused)
+            return None
+        except OSError:
+            # The connection was reset, or its caller does not read.
+            return None
         finally:
             self.busy = False
-
-    def read_request(self, raw_requestline: t.Any) -> t.Any:
-        """Read the headers, and refuse a caller that exceeds their timeout."""
+            self._forget()
+        return None if self.close_connection else True
+
+    def _await_request(self) -> bool:
+        """Wait for a request; False if none comes in time."""
+        limits = self.server.limits("")
+        # Reads have time limits of their own.
+        self.socket.settimeout(None)
+        with gevent.Timeout(limits.idle_timeout, False):
+            return self.rfile.await_request(limits.head_bytes)
+        self.server.recorder.closed("idle", self.client_address)
+        return False
+
+    def _read_request(self) -> None:
+        """Read the request's head, or raise `refusals.Refused`."""
         self.busy = True
-        with gevent.Timeout(HEADERS_TIMEOUT_S, SlowRequest("headers")):
-            return super().read_request(raw_requestline)
-
-    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
-        reason = "slow_headers" if isinstance(ex, SlowRequest) else "malformed"
-        status = "408 Request Timeout" if reason != "malformed" else "400 Bad Request"
-        self.server.counters.count(f"front.refused.{reason}")
-        refusal = {
-            "title": reason,
-            "description": "the request's headers",
-            "outcome": "not_run",
-        }
-        body = codec.to_json(refusal).encode()
-        head = (
-            f"HTTP/1.1 {status}\r\nConnection: close\r\n"
-            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
-        return status[:3], head.encode() + body
+        limits = self.server.limits("")
+        slow = refusals.Refused(refusals.Reason.SLOW_HEADERS, "the request's headers")
+        with gevent.Timeout(limits.headers_timeout, slow):
+            self._read_head(limits)
+        # Whoever reads the body has limits of its own.
+        self.rfile.allow(sys.maxsize, slow)
+
+    def _read_head(self, limits: request_limits.Limits) -> None:
+        self.response_length = 0
+        try:
+            line = reading.read_request_line(self.rfile, limits.head_bytes)
+            self.requestline = line.decode("latin-1")
+            self.read_request(self.requestline)
+        except (ValueError, LookupError) as exc:
+            # pywsgi raises both for a request line or a header that it can't read.
+            raise refusals.Refused(
+                refusals.Reason.MALFORMED, "the request's headers"
+            ) from exc
+        self.environ = self.get_environ()
+        self.application = self.server.application
+
+    def MessageClass(self, *_: t.Any) -> t.Any:
+        """Read the header lines; pywsgi calls this after the request line."""
+        return reading.read_headers(self.rfile, self.server.limits("").head_bytes)
+
+    def _refuse(self, refused: refusals.Refused) -> None:
+        """Send a refusal, after which the connection is closed."""
+        self.server.recorder.refused(refused, self.client_address)
+        try:
+            self.socket.settimeout(REFUSAL_TIMEOUT_S)
+            self.socket.sendall(refusals.to_response(refused).encode())
+        except OSError:
+            # The caller is gone, and with it who could read the refusal.
+            self.server.counters.count("front.refusal_unread")
+
+    def _forget(self) -> None:
+        """Give up everything that the request held."""
+        self.environ = self.requestline = self.path = None
+        self.wsgi_input = self.result = self.response_headers = None
+        self.headers = NO_HEADERS
+        self.reservation.release()
+
+    def get_environ(self) -> dict[str, t.Any]:
+        """Return the WSGI environment; the parsed headers are in it from here on."""
+        environ = super().get_environ()
+        self.headers = NO_HEADERS
+        return environ
+
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of the answer, and cut off a caller who does not read it."""
+        try:
+            super()._sendall(data)
+        except TimeoutError as exc:
+            self.server.recorder.closed("unread", self.client_address)
+            raise BrokenPipeError(errno.EPIPE, "the answer was not read") from exc
 
     def handle_error(self, kind: t.Any, error: t.Any, trace: t.Any) -> None:
         """Count an error that occurred while a response was being written."""
@@ -214,18 +288,21 @@
         body.content_length = 0
 
 
-class SlowRequest(ValueError):
-    """A part of a request was not received within its timeout."""
-
-
 class Server(pywsgi.WSGIServer):
-    """A WSGI server that tracks its connections, for graceful shutdown."""
+    """A WSGI server that bounds what its clients hold, and stops gracefully.
+
+    `port` names it in logs. `limits` returns those of a request for a path, which is
+    empty before it is known; `budget` is shared by all ports.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
         app: t.Any,
         counters: telemetry.Counters,
+        port: str,
+        limits: cabc.Callable[[str], request_limits.Limits],
+        budget: memory.Budget,
         **secured: t.Any,
     ) -> None:
         super().__init__(
@@ -238,7 +315,10 @@
             **secured,
         )
         self.counters = counters
+        self.limits = limits
+        self.budget = budget
         self.handlers: set[Handler] = set()
+        self.recorder = refusals.Recorder(port, counters)
 
     def busy(self) -> bool:
         """Return whether any request is being read or answered."""
@@ -289,13 +369,34 @@
             log.warning("drain deadline passed with requests in flight", count=count)
 
 
+def default_limits(path: str) -> request_limits.Limits:
+    """Return the limits on requests that operators have not changed."""
+    return request_limits.DEFAULT
+
+
 def create(
     app: t.Any,
     address: str,
     counters: telemetry.Counters,
     tls: ssl.SSLContext | None = None,
+    port: str = "front",
+    limits: cabc.Callable[[str], request_limits.Limits] = default_limits,
+    budget: memory.Budget | None = None,
 ) -> Server:
-    """Return a server for `app` on `address`, given as ``IP:port``."""
-    secured = {} if tls is None else {"ssl_context": tls}
-    host, _, port = address.rpartition(":")
-    return Server((host, int(port)), app, counters, **secured)
+    """Return a server for `app` on `address`, given as ``IP:port``.
+
+    ``create(app, "127.0.0.1:8080", counters, budget=memory.Budget(16_000_000))``
+    """
+    secured: dict[str, t.Any] = {}
+    if tls is not None:
+        secured = {"ssl_context": tls}
+    host, _, number = address.rpartition(":")
+    return Server(
+        (host, int(number)),
+        app,
+        counters,
+        port,
+        limits,
+        budget or memory.Budget(MAX_REQUEST_BYTES),
+        **secured,
+    )
--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -261,7 +261,11 @@
         )
         tls = self.keys.context if self.keys is not None else None
         httpd = server.create(
-            gate, self.process_settings.http_address, self.counters, tls
+            gate,
+            self.process_settings.http_address,
+            self.counters,
+            tls,
+            limits=lambda path: context.REQUEST_LIMITS,
         )
         drain = self._drain(httpd, peer_server)
         gevent.signal_handler(signal.SIGTERM, drain.run)
--- a/src/mangosail/intake/catalogs.py
+++ b/src/mangosail/intake/catalogs.py
@@ -6,6 +6,7 @@
 import logbook
 
 from mangosail import clock as clocks
+from mangosail import limits as request_limits
 from mangosail.scheduler import messages, ports, row_watcher
 from mangosail.telemetry import counters as telemetry
 
@@ -116,6 +117,10 @@
         """Return the newest catalog, or None before the first one was read."""
         return self.catalog
 
+    def limits(self) -> request_limits.Limits:
+        """Return the limits on requests in the newest catalog, or the default ones."""
+        return self.catalog.limits if self.catalog else request_limits.DEFAULT
+
     def find(self, host: str, path: str) -> messages.Queue | None:
         """Return the queue with the longest prefix that matches `path`, or None."""
         for queue in self.by_host.get(host, ()):
--- a/src/mangosail/platform/decoding.py
+++ b/src/mangosail/platform/decoding.py
@@ -3,6 +3,7 @@
 import result
 
 from mangosail import codec, resources
+from mangosail import limits as request_limits
 from mangosail.intake import errors
 from mangosail.platform import wire
 from mangosail.scheduler import messages, sizes
@@ -127,7 +128,8 @@
             messages.Service(service.name, service.admission_check)
             for service in found.services
         ),
-        limits=messages.Limits(
+        limits=request_limits.Limits(
+            head_bytes=found.limits.max_header_bytes,
             body_bytes=found.limits.max_body_bytes,
             headers_timeout=found.limits.header_timeout_ms / 1000,
             idle_timeout=found.limits.idle_timeout_ms / 1000,
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -248,9 +248,7 @@
         """Return the body, which is read once and then cached."""
         if "body" in req.context:
             return result.Ok(req.context.body)
-        catalog = self.catalog.current()
-        limits = catalog.limits if catalog else messages.Limits()
-        max_bytes = limits.body_bytes
+        max_bytes = self.catalog.limits().body_bytes
         if (req.content_length or 0) > max_bytes:
             return result.Err(errors.Invalid(f"body: more than {max_bytes} bytes"))
         with gevent.Timeout(BODY_TIMEOUT_S, False):
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -3,13 +3,15 @@
 import os
 import random
 import signal
+import typing as t
 
 import gevent
 import gevent.event
 import logbook
 
 from mangosail import clock as clocks
-from mangosail.front import server
+from mangosail import limits as request_limits
+from mangosail.front import memory, server
 from mangosail.intake import catalogs, job_service, overload, peers, relaying
 from mangosail.platform import (
     advisor,
@@ -126,6 +128,8 @@
                 peering.HANDOVER_PATH, peering.HandoverResource(successor)
             )
         self.workers = workers.HttpWorkers(settings.limits.max_fds)
+        #: What long requests of clients may hold, at all ports.
+        self.budget = memory.Budget(server.MAX_REQUEST_BYTES)
         self.advisor: advice.Advisor = advice.NoAdvisor()
         if settings.advice:
             self.advisor = advisor.HttpAdvisor(settings.advice)
@@ -141,25 +145,18 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         gevent.signal_handler(signal.SIGTERM, self.stop)
         gevent.spawn(self.catalog.watcher.run)
-        ready = server.create(
-            self.readiness.app, self.settings.listen_addrs.ready, self.counters
+        self._start_checks(
+            "ready", self.readiness.app, self.settings.listen_addrs.ready
         )
-        ready.start()
         self.limiter = server.RequestLimiter(self.ingress.app, self.counters)
-        front = server.create(
-            self.limiter, self.settings.listen_addrs.front, self.counters
-        )
+        front = self.create_front()
         self.fronts.append(front)
-        metrics = server.create(
-            exposition.Exposition(self.counters),
-            f"{self.settings.ip}:{METRICS_PORT}",
-            self.counters,
+        metrics_address = f"{self.settings.ip}:{METRICS_PORT}"
+        self._start_checks(
+            "metrics", exposition.Exposition(self.counters), metrics_address
         )
-        metrics.start()
         if self.settings.peer_address:
-            peer_front = server.create(
-                self.peer_ingress.app, self.settings.peer_address, self.counters
-            )
+            peer_front = self.create_peer_front(self.settings.peer_address)
             peer_front.start()
             self.fronts.append(peer_front)
             gevent.spawn(self.peers.run)
@@ -168,6 +165,34 @@
         front.serve_until(self.stopped)
         log.info("stopped")
 
+    def create_front(self) -> server.Server:
+        """Return the server for callers."""
+        return self._create_server(
+            "front", self.limiter, self.settings.listen_addrs.front
+        )
+
+    def create_peer_front(self, address: str) -> server.Server:
+        """Return the server for peers."""
+        return self._create_server("peers", self.peer_ingress.app, address)
+
+    def _limits(self, path: str) -> request_limits.Limits:
+        """Return the limits on a request, which are the operator's."""
+        return self.catalog.limits()
+
+    def _start_checks(self, port: str, app: t.Any, address: str) -> None:
+        """Serve the load balancer's checks, or readers of metrics."""
+        self._create_server(port, app, address).start()
+
+    def _create_server(self, port: str, app: t.Any, address: str) -> server.Server:
+        return server.create(
+            app,
+            address,
+            self.counters,
+            port=port,
+            limits=self._limits,
+            budget=self.budget,
+        )
+
     def _lead_forever(self) -> None:
         """Compete for the lease, and schedule whenever it is held."""
         while not self.stopping:
--- a/src/mangosail/platform/wire.py
+++ b/src/mangosail/platform/wire.py
@@ -149,6 +149,7 @@
 class Limits:
     """Limits on requests in the operator's configuration."""
 
+    max_header_bytes: int = 16384
     max_body_bytes: int = 262144
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
--- a/src/mangosail/scheduler/messages.py
+++ b/src/mangosail/scheduler/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from mangosail import limits as request_limits
 from mangosail import resources
 
 
@@ -207,17 +208,6 @@
     checks_admission: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """Limits on requests of callers."""
-
-    body_bytes: int = 262144
-    #: Seconds within which the headers of a request must arrive.
-    headers_timeout: float = 3.0
-    #: Seconds for which a connection may be idle between requests.
-    idle_timeout: float = 15.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Catalog:
     """One version of the operator's configuration."""
@@ -225,7 +215,7 @@
     version: int
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
-    limits: Limits = Limits()
+    limits: request_limits.Limits = request_limits.DEFAULT
 
 
 def step_name(job_id: str, occurrence: int, step: int) -> str:
--- a/tests/adapter/steps/stopping_steps.py
+++ b/tests/adapter/steps/stopping_steps.py
@@ -14,6 +14,9 @@
 @given("a process on the platform")
 def step_process(context):
     context.deployment = deployed.Deployment(seed=1)
+    # Longer than what is left of a stop for half a request.
+    limits = {"header_timeout_ms": 5000}
+    context.deployment.config = {**deployed.CONFIG, "limits": limits}
     context.add_cleanup(context.deployment.close)
     store = context.deployment.store
     context.deployment.start(
--- a/tests/style/steps/style_steps.py
+++ b/tests/style/steps/style_steps.py
@@ -13,7 +13,7 @@
 from tests.support import ports, sources, stage, teams
 
 from mangosail.dispatch import errors as dispatch_errors
-from mangosail.front import app, server
+from mangosail.front import app, refusals
 from mangosail.placement import errors
 from mangosail.platform import batching
 
@@ -78,7 +78,8 @@
 @then("it lists each title that the program can refuse with, and no other")
 def lists_titles(context):
     sent = {reason.value for reason in errors.Reason} | {batching.STORE_BUSY}
-    sent |= {server.OVERLOADED, *app.FALCON_REASONS.values()}
+    sent |= {reason.title for reason in refusals.Reason}
+    sent |= {*app.FALCON_REASONS.values()}
     kinds = t.get_args(dispatch_errors.DispatchError)
     sent |= {f"target_{kind.__name__.lower()}" for kind in kinds}
     for slice_name in SLICES_WITH_TITLES:
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -37,6 +37,8 @@
         self.lease_ms = lease_ms
         #: Names of scheduler options that are switched off.
         self.disabled_options = ""
+        #: The operator's configuration.
+        self.config = CONFIG
         #: What the machine gives each instance, by the platform's names.
         self.limits = {}
         #: True if every other worker keeps its name when it restarts.
@@ -62,7 +64,7 @@
 
     def configure(self):
         row = {"table": "op", "part": "", "key": "config",
-               "value": stage.encoded(CONFIG)}  # fmt: skip
+               "value": stage.encoded(self.config)}  # fmt: skip
         message = {"expected_revision": [], "puts": [row], "remove": []}
         stage.call(self.store, "POST", "/-/rows-tx", message)
 
