Read bodies before the application gets the request, within a budget for all

Callers saw: every ordinary request refused with 503 while clients left bodies open, or a process ended for its memory; and a job in a chunked body refused with 400.

Cause: the application read bodies, so that those which never came were among the requests that it may have at a time; their sum had no bound. A chunked body has no Content-Length, without which Falcon's stream is empty.

Why it holds: a request counts as one only once it is complete, and what incomplete ones hold is taken from the budget for all clients, or refused. Ruled out: a reservation by Content-Length, which clients could claim without sending a byte.

--- a/src/mangosail/front/context.py
+++ b/src/mangosail/front/context.py
@@ -8,7 +8,6 @@
 import typing as t
 
 import falcon
-import gevent
 
 from mangosail import clock as clocks
 from mangosail import codec, resources
@@ -25,17 +24,18 @@
 
 #: Retry-After in seconds for callers that arrive before the settings were read.
 RETRY_AFTER_S = 1
-#: Limits within which the server receives a request's head.
-REQUEST_LIMITS = request_limits.Limits(headers_timeout=5.0, idle_timeout=60.0)
-#: Size limit of a request body.
-MAX_BODY_BYTES = 1024 * 1024
+#: Limits within which the server receives a request.
+REQUEST_LIMITS = request_limits.Limits(
+    body_bytes=1024 * 1024,
+    headers_timeout=5.0,
+    body_timeout=5.0,
+    idle_timeout=60.0,
+)
 #: Levels to which a body may nest lists and objects. A body that is decoded at Python's
 #: own limit can't be encoded or read again where a few more calls are in progress.
 MAX_BODY_LEVELS = 500
 #: Upper bound in seconds for the Request-Timeout that a caller may set.
 MAX_TIMEOUT_S = 3600.0
-#: Seconds within which the whole body must have been received.
-BODY_TIMEOUT_S = 5.0
 #: A request id becomes part of task ids and row keys, so it excludes their separators.
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 
@@ -82,7 +82,7 @@
 
     def read_body(self, req: falcon.Request) -> t.Any:
         """Return the decoded JSON body, or refuse the request."""
-        data = self._read_body_bytes(req)
+        data = req.bounded_stream.read()
         if not data:
             return None
         media_type = (req.content_type or falcon.MEDIA_JSON).partition(";")[0]
@@ -139,23 +139,6 @@
             deadline=self.deadline(req, declared.deadline_seconds),
         )
 
-    def _read_body_bytes(self, req: falcon.Request) -> bytes:
-        """Return the whole body, chunked or not, within the size and time limits."""
-        if (req.content_length or 0) > MAX_BODY_BYTES:
-            raise body_too_large()
-        try:
-            with gevent.Timeout(BODY_TIMEOUT_S):
-                data = req.env["wsgi.input"].read(MAX_BODY_BYTES + 1)
-        except gevent.Timeout as exc:
-            raise falcon.HTTPError(408, title="slow_body") from exc
-        except OSError as exc:
-            raise falcon.HTTPBadRequest(
-                title="malformed", description="the body ended early"
-            ) from exc
-        if len(data) > MAX_BODY_BYTES:
-            raise body_too_large()
-        return data
-
 
 def is_too_deep(data: bytes, body: t.Any) -> bool:
     """Return whether `body`, decoded from `data`, has too many levels.
@@ -166,13 +149,6 @@
     return brackets > MAX_BODY_LEVELS and codec.is_nested_deeper(body, MAX_BODY_LEVELS)
 
 
-def body_too_large() -> falcon.HTTPError:
-    """Return the error for a body that exceeds the size limit."""
-    return falcon.HTTPContentTooLarge(
-        title="oversized", description=f"the body: at most {MAX_BODY_BYTES} bytes"
-    )
-
-
 def request_id_of(req: falcon.Request) -> str:
     """Return the caller's request id, or a random one if there is none."""
     text = req.get_header("Request-Id")
--- a/src/mangosail/front/reading.py
+++ b/src/mangosail/front/reading.py
@@ -18,6 +18,9 @@
 LINE_BYTES = 400
 #: Copies of a head's text that are held while it is parsed.
 HEAD_COPIES = 2
+#: Bytes that a chunked body may take for each byte of its content: as many as chunks
+#: of one byte take, with two bytes to spare.
+ENCODED_BYTES_PER_BYTE = 8
 
 
 class Reader:
@@ -71,6 +74,7 @@
         if size == 1:
             # pywsgi reads the frame of each chunk byte by byte.
             self._spend(1)
+            self.reservation.grow(1)
             return self.file.read(1)
         pieces = []
         while size > 0:
@@ -78,6 +82,7 @@
             if not data:
                 break
             self._spend(len(data))
+            self.reservation.grow(len(data))
             pieces.append(data)
             size -= len(data)
         return b"".join(pieces)
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -1,7 +1,8 @@
 """The WSGI server: low latency for short answers, limits for slow or many callers.
 
-The head of a request is read as a whole, within its limits, before the application gets
-it; what it held is given up before the next one.
+A request is read as a whole, within its limits, before the application gets it. So
+clients that never complete one hold a connection, but none of the application's
+requests.
 """
 
 import collections.abc as cabc
@@ -10,7 +11,6 @@
 import io
 import socket
 import ssl
-import sys
 import typing as t
 
 import gevent
@@ -38,9 +38,8 @@
 MAX_REQUEST_BYTES = 16 * 1024 * 1024
 #: Seconds within which a refusal must have been sent.
 REFUSAL_TIMEOUT_S = 1.0
-#: Limits, in seconds and bytes, for reading and discarding the rest of an unread body.
-DISCARD_TIMEOUT_S = 2.0
-MAX_DISCARD_BYTES = 4 * 1024 * 1024
+#: Memory that the application may use for each byte of a body.
+DECODED_BYTES_PER_BYTE = 4
 #: Headers of a connection without a request.
 NO_HEADERS = pywsgi.WSGIHandler.headers
 
@@ -128,7 +127,7 @@
                 copy.shutdown(socket.SHUT_RD)
 
     def handle_one_request(self) -> t.Any:
-        """Read one request, answer it, and forget it.
+        """Read one request as a whole, answer it, and forget it.
 
         Returns True if another one may follow on the connection. What a request held
         is given up before the next one: a connection kept a head of megabytes for as
@@ -162,14 +161,16 @@
         return False
 
     def _read_request(self) -> None:
-        """Read the request's head, or raise `refusals.Refused`."""
+        """Read the request with its body, or raise `refusals.Refused`."""
         self.busy = True
         limits = self.server.limits("")
         slow = refusals.Refused(refusals.Reason.SLOW_HEADERS, "the request's headers")
         with gevent.Timeout(limits.headers_timeout, slow):
             self._read_head(limits)
-        # Whoever reads the body has limits of its own.
-        self.rfile.allow(sys.maxsize, slow)
+        limits = self.server.limits(self.environ["PATH_INFO"])
+        slow = refusals.Refused(refusals.Reason.SLOW_BODY, "the request's body")
+        with gevent.Timeout(limits.body_timeout, slow):
+            self._read_body(limits)
 
     def _read_head(self, limits: request_limits.Limits) -> None:
         self.response_length = 0
@@ -189,6 +190,37 @@
         """Read the header lines; pywsgi calls this after the request line."""
         return reading.read_headers(self.rfile, self.server.limits("").head_bytes)
 
+    def _read_body(self, limits: request_limits.Limits) -> None:
+        """Let the application read the body from memory, chunked or not."""
+        environ = self.environ
+        if self.content_length is None and not self.wsgi_input.chunked_input:
+            environ["wsgi.input"] = io.BytesIO()
+            return
+        data = self._receive_body(limits)
+        environ["wsgi.input"] = io.BytesIO(data)
+        environ["CONTENT_LENGTH"] = str(len(data))
+        environ.pop("HTTP_TRANSFER_ENCODING", None)
+
+    def _receive_body(self, limits: request_limits.Limits) -> bytes:
+        oversized = refusals.Refused(
+            refusals.Reason.OVERSIZED, f"the body: at most {limits.body_bytes} bytes"
+        )
+        if (self.content_length or 0) > limits.body_bytes:
+            raise oversized
+        encoded = limits.body_bytes * reading.ENCODED_BYTES_PER_BYTE
+        self.rfile.allow(encoded + limits.head_bytes, oversized)
+        try:
+            data = self.wsgi_input.read(limits.body_bytes + 1)
+        except (OSError, ValueError) as exc:
+            raise refusals.Refused(
+                refusals.Reason.MALFORMED, "the body ended early"
+            ) from exc
+        if len(data) > limits.body_bytes:
+            raise oversized
+        # The application decodes it, and may wait for others with what it decoded.
+        self.reservation.grow(len(data) * DECODED_BYTES_PER_BYTE)
+        return data
+
     def _refuse(self, refused: refusals.Refused) -> None:
         """Send a refusal, after which the connection is closed."""
         self.server.recorder.refused(refused, self.client_address)
@@ -260,33 +292,6 @@
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
-    def run_application(self) -> None:
-        """Respond, then discard the rest of a body that was not read.
-
-        pywsgi would read the rest without any limit, so that a caller with a slow or
-        endless body could occupy the connection.
-        """
-        try:
-            super().run_application()
-        finally:
-            self._discard()
-
-    def _discard(self) -> None:
-        body = self.wsgi_input
-        left = MAX_DISCARD_BYTES
-        with gevent.Timeout(DISCARD_TIMEOUT_S, False):
-            while left > 0:
-                try:
-                    data = body.read(min(left, 65536))
-                except OSError:
-                    break
-                if not data:
-                    return
-                left -= len(data)
-        self.close_connection = True
-        body.chunked_input = False
-        body.content_length = 0
-
 
 class Server(pywsgi.WSGIServer):
     """A WSGI server that bounds what its clients hold, and stops gracefully.
--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -4,7 +4,6 @@
 import typing as t
 
 import falcon
-import gevent
 import logbook
 import result
 
@@ -18,8 +17,6 @@
 
 log = logbook.Logger("ingress")
 
-#: Timeout for receiving the body of a request, in seconds.
-BODY_TIMEOUT_S = 3.0
 #: Seconds after which a caller should retry at an instance without a current catalog.
 RETRY_AFTER_S = 0.5
 
@@ -94,16 +91,11 @@
         self, relay: relaying.Relay, req: falcon.Request, resp: falcon.Response
     ) -> None:
         """Replace the refusal by a peer's answer, if a peer gives one."""
-        body = self._read_body(req)
-        if isinstance(body, result.Err):
-            resp.delete_header("Retry-After")
-            self._respond_invalid(resp, body.err_value)
-            return
         request = relaying.Request(
             req.method,
             req.host,
             req.path,
-            body.ok_value,
+            read_body(req),
             self.catalog.min_version,
             req.context.deadline,
         )
@@ -193,12 +185,8 @@
         job_id: str,
     ) -> None:
         """Accept a job."""
-        body = self._read_body(req)
-        if isinstance(body, result.Err):
-            self._respond_invalid(resp, body.err_value)
-            return
         job = decoding.decode_job(
-            body.ok_value,
+            read_body(req),
             job_id,
             queue,
             self.clock.wall(),
@@ -244,21 +232,6 @@
         if isinstance(done, result.Err):
             self._respond_error(resp, done.err_value)
 
-    def _read_body(self, req: falcon.Request) -> result.Result[bytes, errors.Invalid]:
-        """Return the body, which is read once and then cached."""
-        if "body" in req.context:
-            return result.Ok(req.context.body)
-        max_bytes = self.catalog.limits().body_bytes
-        if (req.content_length or 0) > max_bytes:
-            return result.Err(errors.Invalid(f"body: more than {max_bytes} bytes"))
-        with gevent.Timeout(BODY_TIMEOUT_S, False):
-            data = req.bounded_stream.read(max_bytes + 1)
-            if len(data) > max_bytes:
-                return result.Err(errors.Invalid(f"body: more than {max_bytes} bytes"))
-            req.context.body = data
-            return result.Ok(data)
-        return result.Err(errors.Invalid("body: did not come in time"))
-
     def _respond_invalid(self, resp: falcon.Response, invalid: errors.Invalid) -> None:
         self.counters.count("ingress.refused.invalid")
         resp.status = falcon.HTTP_BAD_REQUEST
@@ -298,6 +271,13 @@
         raise falcon.HTTPBadGateway from ex
 
 
+def read_body(req: falcon.Request) -> bytes:
+    """Return the body, which the server has received as a whole; cached."""
+    if "body" not in req.context:
+        req.context.body = req.bounded_stream.read()
+    return req.context.body
+
+
 class Readiness:
     """Answers the load balancer's checks; `app` is its WSGI application."""
 
--- a/src/mangosail/platform/peering.py
+++ b/src/mangosail/platform/peering.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 import falcon
-import gevent
 import result
 
 from mangosail import codec
@@ -119,9 +118,7 @@
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Claim the lease, or say why not."""
-        body = b""
-        with gevent.Timeout(handover.ANSWER_TIMEOUT_S, False):
-            body = req.bounded_stream.read(MAX_HANDOVER_BYTES)
+        body = req.bounded_stream.read(MAX_HANDOVER_BYTES)
         try:
             request = codec.from_json(body, handover.Request)
         except codec.DecodeError as exc:
--- a/src/mangosail/platform/process.py
+++ b/src/mangosail/platform/process.py
@@ -1,5 +1,6 @@
 """A process on the platform: connects the components and serves until stopped."""
 
+import dataclasses
 import os
 import random
 import signal
@@ -177,7 +178,11 @@
 
     def _limits(self, path: str) -> request_limits.Limits:
         """Return the limits on a request, which are the operator's."""
-        return self.catalog.limits()
+        limits = self.catalog.limits()
+        if path != peering.HANDOVER_PATH:
+            return limits
+        # The peer that asks does not wait for longer.
+        return dataclasses.replace(limits, body_timeout=handover.ANSWER_TIMEOUT_S)
 
     def _start_checks(self, port: str, app: t.Any, address: str) -> None:
         """Serve the load balancer's checks, or readers of metrics."""
--- a/tests/clients/limits.feature
+++ b/tests/clients/limits.feature
@@ -18,6 +18,11 @@
       | a query of 12000 bytes       |
       | an empty line before it      |
       | a pipelined second request   |
+      | a chunked job                |
+      | a chunked job and a trailer  |
+      | a job in chunks of one byte  |
+      | a job of 262144 bytes        |
+      | a job after 100 Continue     |
 
   Scenario: A connection that is silent for longer than the operator allows is closed
     Guards against connections that occupy places for as long as their clients like.
