Give each connection its turn, so that none keeps the processor

Callers saw: no answer at all for as long as one client sent, and jobs that nobody started, as the lease was not renewed either.

Cause: a read that finds bytes ready does not switch to another greenlet, so a client that always has some kept the only thread, and no time limit fired.

Why it holds: turns are given one in each pass of the event loop, before each request and after each larger piece of input, so that between any two of them all other input is looked for. Ruled out: a plain switch, after which the loop runs up to fifty ready greenlets first.

Measured: an ordinary request is answered, and a job completed, beside all of these crowds. Beside three more, added as guards: requests with as many header lines as fit, requests for jobs that the store must be asked for, and clients that connect, ask and leave at once.

--- a/src/mangosail/front/reading.py
+++ b/src/mangosail/front/reading.py
@@ -1,7 +1,7 @@
 """Reads requests from a connection, within limits on bytes, lines and time.
 
 The parsers are those of the standard library and of pywsgi. They are given no more than
-the limits allow.
+the limits allow, and their reads let others have their turn.
 """
 
 import email.parser
@@ -10,10 +10,15 @@
 
 from gevent import pywsgi
 
-from mangosail.front import memory, refusals
+from mangosail.front import memory, refusals, turns
 
 #: Bytes that are read from a connection at a time.
 PIECE_BYTES = 16 * 1024
+#: Reads, and bytes, after which a connection waits for its next turn.
+READS_PER_TURN = 1000
+BYTES_PER_TURN = 64 * 1024
+#: Header lines that are parsed without waiting for a turn.
+LINES_PER_TURN = 50
 #: Memory of a parsed header line in bytes, besides its text.
 LINE_BYTES = 400
 #: Copies of a head's text that are held while it is parsed.
@@ -27,14 +32,21 @@
     """A connection's input, as the file that pywsgi reads from."""
 
     def __init__(
-        self, file: io.BufferedReader, reservation: memory.Reservation
+        self,
+        file: io.BufferedReader,
+        reservation: memory.Reservation,
+        port_turns: turns.Turns,
     ) -> None:
         self.file = file
         self.reservation = reservation
+        self.turns = port_turns
         #: Bytes that may still be read of the current part of a request.
         self.allowed = 0
         #: Raised if more than that arrives.
         self.excess = refusals.Refused(refusals.Reason.MALFORMED, "the request")
+        #: Reads and bytes since the last turn.
+        self.reads = 0
+        self.bytes = 0
 
     @property
     def closed(self) -> bool:
@@ -95,10 +107,19 @@
         return line
 
     def _spend(self, count: int) -> None:
-        """Count bytes that were read."""
+        """Count bytes that were read, and wait for a turn if they were many."""
         self.allowed -= count
         if self.allowed < 0:
             raise self.excess
+        self.reads += 1
+        self.bytes += count
+        if self.reads >= READS_PER_TURN or self.bytes >= BYTES_PER_TURN:
+            self.take_turn()
+
+    def take_turn(self) -> None:
+        """Let others have their turn."""
+        self.reads = self.bytes = 0
+        self.turns.wait()
 
 
 def read_request_line(reader: Reader, max_bytes: int) -> bytes:
@@ -132,6 +153,8 @@
             break
         reader.reservation.grow(HEAD_COPIES * len(line) + LINE_BYTES)
         lines.append(line)
+    if len(lines) > LINES_PER_TURN:
+        reader.take_turn()
     return parse_headers(b"".join(lines))
 
 
--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -20,7 +20,7 @@
 
 from mangosail import codec
 from mangosail import limits as request_limits
-from mangosail.front import memory, reading, refusals
+from mangosail.front import memory, reading, refusals, turns
 from mangosail.telemetry import counters as telemetry
 
 log = logbook.Logger("front")
@@ -108,7 +108,7 @@
         self.busy = False
         self.reservation = memory.Reservation(server.budget)
         file = t.cast(io.BufferedReader, self.rfile)
-        self.rfile = reading.Reader(file, self.reservation)
+        self.rfile = reading.Reader(file, self.reservation, server.turns)
 
     def handle(self) -> None:
         """Serve the requests of the connection one after the other."""
@@ -137,7 +137,7 @@
             if not self._await_request():
                 return None
             self._read_request()
-            self.socket.settimeout(self.server.limits("").idle_timeout)
+            self._start_work()
             self.handle_one_response()
         except refusals.Refused as refused:
             self._refuse(refused)
@@ -221,6 +221,11 @@
         self.reservation.grow(len(data) * DECODED_BYTES_PER_BYTE)
         return data
 
+    def _start_work(self) -> None:
+        """Wait for a turn."""
+        self.rfile.take_turn()
+        self.socket.settimeout(self.server.limits("").idle_timeout)
+
     def _refuse(self, refused: refusals.Refused) -> None:
         """Send a refusal, after which the connection is closed."""
         self.server.recorder.refused(refused, self.client_address)
@@ -323,6 +328,7 @@
         self.limits = limits
         self.budget = budget
         self.handlers: set[Handler] = set()
+        self.turns = turns.Turns()
         self.recorder = refusals.Recorder(port, counters)
 
     def busy(self) -> bool:
--- a/tests/clients/clients.feature
+++ b/tests/clients/clients.feature
@@ -37,11 +37,14 @@
     And the instance lives, and stayed within its memory and descriptors
 
     Examples:
-      | crowd                | count |
-      | endless-trailers     | 1     |
-      | endless-small-chunks | 1     |
-      | endless-small-chunks | 20    |
-      | pipelined-requests   | 60    |
+      | crowd                  | count |
+      | endless-trailers       | 1     |
+      | endless-small-chunks   | 1     |
+      | endless-small-chunks   | 20    |
+      | pipelined-requests     | 60    |
+      | pipelined-large-heads  | 60    |
+      | pipelined-unknown-jobs | 60    |
+      | hasty                  | 60    |
 
   Scenario Outline: An instance keeps descriptors beside <count> clients with <crowd> at <port>
     Guards against connections of clients that take all descriptors: no caller is
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -10,6 +10,8 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import itertools  # noqa: E402
+import random  # noqa: E402
 import socket  # noqa: E402
 import ssl  # noqa: E402
 
@@ -143,6 +145,31 @@
     client.repeat(REQUEST * 100)
 
 
+def pipelined_large_heads(client):
+    """The same, with as many header lines as the limit allows."""
+    gevent.spawn(read_all, client.sock)
+    client.repeat(START + SHORT_LINES + b"\r\n")
+
+
+def pipelined_unknown_jobs(client):
+    """The same, each for another job that the store has to be asked for."""
+    gevent.spawn(read_all, client.sock)
+    for number in itertools.count():
+        path = f"{PATH}{random.getrandbits(32):08x}{number:08x}"
+        client.send(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        client.placed.set()
+        gevent.sleep(0)
+
+
+def hasty(client):
+    """Send a request, close without reading the answer, and connect again at once."""
+    while True:
+        client.send(REQUEST)
+        client.placed.set()
+        client.sock.close()
+        client.connect()
+
+
 def unread_answers(client):
     client.repeat(REQUEST * 1_000)
 
@@ -175,7 +202,8 @@
         endless_header_lines, endless_header_line, endless_request_line,
         endless_empty_lines, slow_empty_lines, short_lines_without_a_body,
         bodies_left_open, chunked_bodies_left_open, endless_trailers,
-        endless_small_chunks, pipelined_requests, unread_answers, half_a_handshake,
+        endless_small_chunks, pipelined_requests, pipelined_large_heads,
+        pipelined_unknown_jobs, hasty, unread_answers, half_a_handshake,
     )
 }  # fmt: skip
 
