Let refused clients read why before their connection is closed

Callers saw: a connection reset, where they should have read 413, 414 or 431, so that they sent the same again.

Cause: the server closed the connection with unread bytes, and the kernel resets those.

Evidence, red on: six of six refusals of requests with 400,000 bytes or more ended in ECONNRESET or EPIPE at a client whose send buffer holds 8 kB.

Measured: all thirteen are told their status, are counted, and leave a line in the log.

--- a/src/mangosail/front/server.py
+++ b/src/mangosail/front/server.py
@@ -44,8 +44,11 @@
 #: has read is memory of the machine, and by default grows to megabytes.
 RECEIVE_BUFFER_BYTES = 16 * 1024
 SEND_BUFFER_BYTES = 32 * 1024
-#: Seconds within which a refusal must have been sent.
-REFUSAL_TIMEOUT_S = 1.0
+#: Limits, in seconds and bytes, for discarding what a refused client still sends. If
+#: its connection were closed at once, it would be reset and the refusal lost.
+LINGER_TIMEOUT_S = 1.0
+MAX_LINGER_BYTES = 1024 * 1024
+LINGER_PIECE_BYTES = 16 * 1024
 #: Memory that the application may use for each byte of a body.
 DECODED_BYTES_PER_BYTE = 4
 #: Headers of a connection without a request.
@@ -234,19 +237,34 @@
             raise no_place()
 
     def _refuse(self, refused: refusals.Refused) -> None:
-        """Send a refusal, after which the connection is closed."""
+        """Send a refusal, and wait for the client to read it."""
         if self.place.evicted:
             # Its input was shut down, so it reads as ended, whatever was sent.
             refused = no_place()
         self.server.recorder.refused(refused, self.client_address)
         self.server.places.move(self.place, places.State.LINGERING)
         try:
-            self.socket.settimeout(REFUSAL_TIMEOUT_S)
+            self.socket.settimeout(LINGER_TIMEOUT_S)
             self.socket.sendall(refusals.to_response(refused).encode())
+            if not self.place.evicted:
+                self._linger()
         except OSError:
             # The caller is gone, and with it who could read the refusal.
             self.server.counters.count("front.refusal_unread")
 
+    def _linger(self) -> None:
+        """Discard what the client still sends, until it has closed or a limit."""
+        self.place.shut_down(socket.SHUT_WR)
+        left = MAX_LINGER_BYTES
+        with gevent.Timeout(LINGER_TIMEOUT_S, False):
+            while left > 0:
+                # Of the TCP connection: nothing is decrypted any more.
+                data = gevent.socket.socket.recv(self.socket, LINGER_PIECE_BYTES)
+                if not data:
+                    return
+                left -= len(data)
+                self.server.turns.wait()
+
     def _forget(self) -> None:
         """Give up everything that the request held."""
         self.environ = self.requestline = self.path = None
--- a/tests/clients/limits.feature
+++ b/tests/clients/limits.feature
@@ -24,6 +24,29 @@
       | a job of 262144 bytes        |
       | a job after 100 Continue     |
 
+  Scenario Outline: A client outside the limits is told so, with <what>
+    Guards against a refusal that never arrives: a connection that is closed with unread
+    bytes is reset, and its client reads an error in place of the answer.
+    When a request is sent with <what>
+    Then it is answered <status> with the title "<title>"
+    And the refusal is counted, and in the log
+
+    Examples:
+      | what                      | status | title             |
+      | a header of 400000 bytes  | 431    | large_head        |
+      | 5000 header lines         | 431    | large_head        |
+      | a query of 400000 bytes   | 414    | long_request_line |
+      | a job of 500000 bytes     | 413    | oversized         |
+      | a chunked job of 500000 bytes | 413 | oversized        |
+      | headers that never end    | 408    | slow_headers      |
+      | a body that never ends    | 408    | slow_body         |
+      | a request line of one word | 400   | malformed         |
+      | a version of one digit    | 400    | malformed         |
+      | a header line of one word | 400    | malformed         |
+      | a chunk of no number      | 400    | malformed         |
+      | half a head, then its end | 400    | malformed         |
+      | 400000 bytes of empty lines | 400  | malformed         |
+
   Scenario: A connection that is silent for longer than the operator allows is closed
     Guards against connections that occupy places for as long as their clients like.
     When a client connects, and sends nothing
--- a/tests/clients/steps/limits_steps.py
+++ b/tests/clients/steps/limits_steps.py
@@ -18,6 +18,7 @@
 #: Seconds after which a refusal counts as never sent.
 GIVE_UP_S = 30.0
 METRICS_PORT = 9464
+SEND_BUFFER_BYTES = 8192
 SEED = 72
 #: Pieces of which random requests are made.
 PIECES = (
@@ -148,7 +149,9 @@
 @when("a request is sent with {what}")
 def send(context, what):
     with connect(context) as connection, connection.makefile("rb") as file:
-        # Everything is sent before the answer is read, whatever was refused.
+        # Everything is sent before the answer is read, whatever was refused, and most
+        # of it only once the instance has read what came before.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         connection.sendall(REQUESTS[what])
         context.answer = read_answer(file)
 
