Bound the connections at the gRPC port for peers

Callers saw: no answer from the product's own interface while anybody held connections to the port for peers.

Cause: gRPC accepts any number of connections, and gives each handshake two minutes.

Why it holds: the library's own limits, set to the share of the machine that peers have and to 5 s. What remains: it refuses newcomers, so such clients can keep peers out meanwhile; the port is for an internal network.

--- a/src/mangosail/instance.py
+++ b/src/mangosail/instance.py
@@ -251,20 +251,21 @@
         """Serve until the process is stopped."""
         # Keep a reference: without one the server would be garbage collected and would
         # stop listening.
+        machine = capacity.of_machine(
+            self.process_settings.memory_mb, self.process_settings.max_fds
+        )
         peer_server = rpc.serve(
             self._rpc_handlers(),
             self.process_settings.peer_address,
             self.keys,
             self.peers.by_name,
+            machine.peers,
         )
         self._start_tasks()
         gate = server.RequestLimiter(
             app.create(self.front, self.administration), self.counters
         )
         tls = self.keys.context if self.keys is not None else None
-        machine = capacity.of_machine(
-            self.process_settings.memory_mb, self.process_settings.max_fds
-        )
         httpd = server.create(
             gate,
             self.process_settings.http_address,
--- a/src/mangosail/membership/rpc.py
+++ b/src/mangosail/membership/rpc.py
@@ -16,6 +16,10 @@
 SERVICE = "mangosail.Peer"
 #: Maximum number of peers' requests served concurrently.
 SERVER_THREADS = 64
+#: Maximum number of connections of peers, unless the caller sets another.
+MAX_CONNECTIONS = 256
+#: Milliseconds within which a connection's handshake must be done.
+HANDSHAKE_TIMEOUT_MS = 5000
 #: Backoff in milliseconds before reconnecting to a lost peer: initial and maximum.
 RECONNECT_INITIAL_MS = 100
 RECONNECT_MAX_MS = 1000
@@ -68,13 +72,19 @@
     address: str,
     store: keys.KeyStore | None = None,
     known: cabc.Container[str] = (),
+    max_connections: int = MAX_CONNECTIONS,
 ) -> grpc.Server:
     """Start a server on `address` that answers peers' calls with `handlers`.
 
     With keys in `store`, callers must authenticate as one of the `known` instances.
     """
     pool = concurrent.futures.ThreadPoolExecutor(max_workers=SERVER_THREADS)
-    server = grpc.server(pool, options=(("grpc.so_reuseport", 0),))
+    options = (
+        ("grpc.so_reuseport", 0),
+        ("grpc.max_allowed_incoming_connections", max_connections),
+        ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    )
+    server = grpc.server(pool, options=options)
     methods = {
         method.name: grpc.unary_unary_rpc_method_handler(
             _unary_handler(method.handler, None if store is None else known),
--- a/tests/clients/clients.feature
+++ b/tests/clients/clients.feature
@@ -78,6 +78,13 @@
       | long-heads-completed in TLS  | 30    |
       | pipelined-requests in TLS    | 30    |
 
+  Scenario: The product's own interface stands clients at the port for its peers
+    That port is served by another library.
+    Given an instance of the product with 192 MB of memory and 300 descriptors, over TLS
+    When 400 clients come with "silent" to the port for its peers
+    Then it answers an ordinary request while they stay, and afterwards
+    And the instance lives, and stayed within its memory and descriptors
+
   Scenario: An instance stops as planned beside clients that never end a request
     Guards against a stop that waits for such clients until the process is killed.
     Given an instance with 128 MB of memory and 300 descriptors
