Cut off long texts of clients in log lines

Callers would see: a process ended for its memory, if the reader of its log stands still while clients send long paths that are refused.

Cause: the buffer of the log is bounded in lines, and a path may have 16,000 characters since the operator's limit is in force.

Evidence: 4,000 lines with such a path held 64 MB; the test is red on the commit before.

Why it holds: each text is cut off after 500 characters, so the buffer is bounded in bytes.

Measured: the same lines hold less than 4 MB.

--- a/src/mangosail/telemetry/logs.py
+++ b/src/mangosail/telemetry/logs.py
@@ -29,6 +29,8 @@
 #: Lines of one event that are logged in a second; further ones are only counted. It
 #: is above the 240 task starts a second that one instance has to log.
 MAX_LINES_PER_SECOND = 400
+#: Longest text of one field; clients choose some of them, such as paths.
+MAX_FIELD_CHARS = 500
 #: Seconds between flushes.
 FLUSH_INTERVAL_S = 0.2
 #: Largest number of bytes written by one system call. Up to this size a write to a
@@ -125,12 +127,22 @@
         "event": record.message,
     }
     fields.update(record.extra)
-    fields.update(record.kwargs)
+    fields.update({name: shorten(value) for name, value in record.kwargs.items()})
     if record.exc_info:
         fields["exception"] = record.formatted_exception
     return msgspec.json.encode(fields, enc_hook=str).decode()
 
 
+def shorten(value: t.Any) -> t.Any:
+    """Return a field's value, cut off if it is a text that is too long.
+
+    The buffer is bounded in lines: full of lines with long paths it took 64 MB.
+    """
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARS:
+        return value[:MAX_FIELD_CHARS] + "..."
+    return value
+
+
 def setup(
     instance: str,
     data_centre: str,
--- a/tests/telemetry/steps/telemetry_steps.py
+++ b/tests/telemetry/steps/telemetry_steps.py
@@ -169,6 +169,22 @@
     context.took = time.monotonic() - began
 
 
+@when("{count:d} lines with a path of {length:d} characters are logged")
+def long_lines(context, count, length):
+    with context.handler.applicationbound():
+        for number in range(count):
+            path = "/" + "a" * length
+            # Of many events, as lines of one are bounded for each second.
+            logbook.Logger("x").info(f"event {number % 50}", path=path)
+
+
+@then("the buffer holds less than {megabytes:d} MB")
+def buffer_small(context, megabytes):
+    held = sum(len(line) for line in context.handler.lines)
+    assert len(context.handler.lines) == 4000
+    assert held < megabytes * 1_000_000, held
+
+
 @when("the reader resumes")
 def reader_goes_on(context):
     context.taking = True
--- a/tests/telemetry/telemetry.feature
+++ b/tests/telemetry/telemetry.feature
@@ -42,6 +42,13 @@
     When the reader resumes
     Then the lines dropped are counted, and with those written make 20000
 
+  Scenario: A buffer full of lines with long texts of clients stays small
+    Guards against a log whose lines are as long as the paths that clients send: a buffer
+    bounded in lines alone took 64 MB for them.
+    Given a stalled reader of the log
+    When 4000 lines with a path of 16000 characters are logged
+    Then the buffer holds less than 4 MB
+
   Scenario: The metrics address serves counters and times
     Given a process that has counted and timed
     Then the metrics address shows 3 refusals and 3 times
