--- a/tests/clients/steps/limits_steps.py
+++ b/tests/clients/steps/limits_steps.py
@@ -6,7 +6,7 @@
 import time
 
 from behave import given, then, when
-from tests.support import deployed, stage
+from tests.support import deployed, raw_http, stage
 
 INSTANCE = "instance-0"
 JOB_PATH = deployed.PREFIX + "5c0e7a21d94b36f8"
@@ -107,17 +107,6 @@
     return socket.create_connection((host, int(port)), timeout=GIVE_UP_S)
 
 
-def read_answer(file):
-    """Return the status and body of the next answer."""
-    status = int(file.readline().split()[1])
-    length = 0
-    while line := file.readline().strip():
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
-    return status, file.read(length)
-
-
 @when("a request is sent with a job after 100 Continue")
 def send_after_continue(context):
     with connect(context) as connection, connection.makefile("rb") as file:
@@ -127,7 +116,7 @@
         assert file.readline() == b"HTTP/1.1 100 Continue\r\n"
         file.readline()
         connection.sendall(JOB)
-        context.answer = read_answer(file)
+        context.answer = raw_http.read_answer(file)
 
 
 @when("a request is sent with half a head, then its end")
@@ -135,15 +124,15 @@
     with connect(context) as connection, connection.makefile("rb") as file:
         connection.sendall(START + b"X-A: a")
         connection.shutdown(socket.SHUT_WR)
-        context.answer = read_answer(file)
+        context.answer = raw_http.read_answer(file)
 
 
 @when("a request is sent with a pipelined second request")
 def send_two(context):
     with connect(context) as connection, connection.makefile("rb") as file:
         connection.sendall(REQUESTS["a pipelined second request"])
-        assert read_answer(file)[0] == 200
-        context.answer = read_answer(file)
+        assert raw_http.read_answer(file)[0] == 200
+        context.answer = raw_http.read_answer(file)
 
 
 @when("a request is sent with {what}")
@@ -153,7 +142,7 @@
         # of it only once the instance has read what came before.
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         connection.sendall(REQUESTS[what])
-        context.answer = read_answer(file)
+        context.answer = raw_http.read_answer(file)
 
 
 @then("it is answered 200")
--- a/tests/front/steps/front_steps.py
+++ b/tests/front/steps/front_steps.py
@@ -11,7 +11,7 @@
 
 from behave import given, then, when
 from falcon import testing
-from tests.support import stage, teams
+from tests.support import raw_http, stage, teams
 
 from mangosail.front import app, server
 from mangosail.telemetry import counters
@@ -68,18 +68,6 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def read_answer(connection):
-    """Return the status and body of one raw response."""
-    file = connection.makefile("rb")
-    status = int(file.readline().split()[1])
-    length = 0
-    while line := file.readline().strip():
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
-    return status, file.read(length)
-
-
 def connect(context):
     host, _, port = context.stage.instances["shymkent-0"].rpartition(":")
     return socket.create_connection((host, int(port)), timeout=10)
@@ -90,7 +78,7 @@
     context.before = context.stage.counters("shymkent-0", TOKEN)
     with connect(context) as connection:
         connection.sendall(raw_request(INVALID_REQUESTS[bad]))
-        context.answer = read_answer(connection)
+        context.answer = raw_http.read_answer(connection.makefile("rb"))
 
 
 @then('it is refused {status:d} "{title}" as JSON, and counted')
@@ -161,7 +149,7 @@
     for connection in context.slow:
         with connection:
             connection.settimeout(max(ends - time.monotonic(), 0.01))
-            assert read_answer(connection)[0] == status
+            assert raw_http.read_answer(connection.makefile("rb"))[0] == status
 
 
 def read_watch(address, subject, after, events):
