Close a connection that has to leave without waiting to send its refusal

Such a connection had a second to send 503 to a client that does not read, and kept its descriptor meanwhile; 16 of them held up all newcomers, with a loop that looked for input without a pause. It now sends what the kernel takes at once.

--- a/src/mangosail/front/handler.py
+++ b/src/mangosail/front/handler.py
@@ -100,7 +100,7 @@
             if not has_begun and self.place.evicted:
                 self.server.recorder.closed("evicted", self.client_address)
             return has_begun
-        self.server.recorder.closed("idle", self.client_address)
+        self.server.recorder.counters.count("front.closed.idle")
         return False
 
     def _read_request(self) -> None:
@@ -183,7 +183,8 @@
         self.server.recorder.refused(refused, self.client_address)
         self.server.places.move(self.place, places.State.LINGERING)
         try:
-            self.socket.settimeout(LINGER_TIMEOUT_S)
+            # A connection that has to leave keeps its descriptor for no longer.
+            self.socket.settimeout(0.0 if self.place.evicted else LINGER_TIMEOUT_S)
             self.socket.sendall(refusals.to_response(refused).encode())
             if not self.place.evicted:
                 self._linger()
