Give up what a refused request holds before its client is waited for

Callers would see: 503 for want of memory, for up to a second after clients were refused who do not close, as what was read of their requests was still held.

Cause: the refusal was sent, and the client waited for, before the request was forgotten; the exception's traceback held what was read of it, too.

Measured: nothing of the budget is taken then.

--- a/src/mangosail/front/handler.py
+++ b/src/mangosail/front/handler.py
@@ -76,15 +76,17 @@
             self._read_request()
             self._start_work()
             self.handle_one_response()
-        except refusals.Refused as refused:
-            self._refuse(refused)
-            return None
+            return None if self.close_connection else True
+        except refusals.Refused as exc:
+            # Not `exc` itself: its traceback holds what was read.
+            refused = refusals.Refused(exc.reason, exc.description)
         except OSError:
             # The connection was reset, or its caller does not read.
             return None
         finally:
             self._forget()
-        return None if self.close_connection else True
+        self._refuse(refused)
+        return None
 
     def _await_request(self) -> bool:
         """Wait for a request; False if none comes in time."""
--- a/tests/clients/capacity.feature
+++ b/tests/clients/capacity.feature
@@ -32,3 +32,10 @@
     When 20 others come, one after the other
     Then all of the newcomers are refused, 16 of them at a time
     And none that works had to leave
+
+  Scenario: A refused client holds no memory while it is waited for
+    Guards against refusals that take the memory for others: what was read of a request
+    stayed until its client had read why.
+    Given a server with a budget of 1000000 bytes for long requests
+    When a client sends 200000 bytes in chunks, then a chunk of no number, and stays
+    Then it is told 400, and lingers, with nothing of the budget taken
--- a/tests/clients/steps/capacity_steps.py
+++ b/tests/clients/steps/capacity_steps.py
@@ -2,10 +2,13 @@
 
 import socket
 
+import gevent.socket
 from behave import given, then, when
+from tests.support import ports, raw_http
 
-from mangosail.front import capacity, places
+from mangosail.front import capacity, memory, places, server
 from mangosail.platform import workers as platform_workers
+from mangosail.telemetry import counters
 
 
 @given("a machine of {memory:d} MB and {descriptors:d} descriptors")
@@ -100,3 +103,33 @@
     assert all(place.evicted for place in context.held) is False
     working = list(context.places.working)
     assert working and not any(place.evicted for place in working), working
+
+
+@given("a server with a budget of {count:d} bytes for long requests")
+def start_server(context, count):
+    context.budget = memory.Budget(count)
+    context.port = ports.free_port()
+    context.server = server.create(
+        lambda environ, start_response: [],
+        f"127.0.0.1:{context.port}",
+        counters.StatsdCounters(None, 0),
+        budget=context.budget,
+    )
+    context.server.start()
+    context.add_cleanup(context.server.stop, timeout=0)
+
+
+@when("a client sends {count:d} bytes in chunks, then a chunk of no number, and stays")
+def send_broken(context, count):
+    client = gevent.socket.create_connection(("127.0.0.1", context.port), timeout=10)
+    context.add_cleanup(client.close)
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    client.sendall(head + b"%x\r\n" % count + b" " * count + b"\r\nhello\r\n")
+    context.answer = raw_http.read_answer(client.makefile("rb"))
+
+
+@then("it is told {status:d}, and lingers, with nothing of the budget taken")
+def lingers(context, status):
+    assert context.answer[0] == status, context.answer
+    assert len(context.server.places.lingering) == 1
+    assert context.budget.used == 0, context.budget.used
