Count a header line against the budget while it arrives

Callers saw, where the operator allows heads of 2 MB: no answer in 60 s beside 600 clients that leave a line of 1 MB open, on an instance with 128 MB.

Cause: a line was counted against the budget of all clients once it was complete, so lines that never end were bounded for each connection alone.

--- a/src/mangosail/front/reading.py
+++ b/src/mangosail/front/reading.py
@@ -101,10 +101,19 @@
 
     def readline(self, size: int = -1) -> bytes:
         """Return the next line, at most as long as what is allowed."""
-        longest = self.allowed + 1
-        line = self.file.readline(longest if size < 0 else min(size, longest))
-        self._spend(len(line))
-        return line
+        left = self.allowed + 1
+        if size >= 0:
+            left = min(size, left)
+        pieces = []
+        while left > 0:
+            piece = self.file.readline(min(left, PIECE_BYTES))
+            self._spend(len(piece))
+            self.reservation.grow(len(piece))
+            pieces.append(piece)
+            left -= len(piece)
+            if not piece or piece.endswith(b"\n"):
+                break
+        return b"".join(pieces)
 
     def _spend(self, count: int) -> None:
         """Count bytes that were read, and wait for a turn if they were many."""
--- a/tests/clients/clients.feature
+++ b/tests/clients/clients.feature
@@ -27,6 +27,14 @@
       | chunked-bodies-left-open   | 600   |
       | unread-answers             | 60    |
 
+  Scenario: An instance stays within its memory where the operator allows long heads
+    Guards against memory that is only counted once a line is complete.
+    Given an instance with 128 MB of memory and 4100 descriptors
+    And its operator allows 2000000 bytes of headers
+    When 600 clients come with "long-line-left-open"
+    Then an ordinary request is answered while they stay, and afterwards
+    And the instance lives, and stayed within its memory and descriptors
+
   Scenario Outline: An instance answers others beside <count> clients with <crowd>
     Guards against a client that always has bytes ready, and so keeps the only thread:
     nobody else is answered, no timeout fires and the lease lapses.
--- a/tests/clients/steps/clients_steps.py
+++ b/tests/clients/steps/clients_steps.py
@@ -47,6 +47,21 @@
     stage.wait_until(lambda: ordinary_request(context), what="instance")
 
 
+@given("its operator allows {count:d} bytes of headers")
+def allow_long_heads(context, count):
+    limits = {"max_header_bytes": count}
+    context.stage.config = {**deployed.CONFIG, "version": 2, "limits": limits}
+    context.stage.configure()
+    log = context.stage.logs / f"{INSTANCE}.log"
+    stage.wait_until(
+        lambda: (
+            '"event":"catalog in force"' in log.read_text()
+            and '"version":2' in log.read_text()
+        ),
+        what="the configuration in force",
+    )
+
+
 @given(
     "an instance of the product with {memory:d} MB of memory and {descriptors:d} "
     "descriptors, over TLS"
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -112,6 +112,11 @@
     client.repeat(b"\r\n" * 50, DRIP_S)
 
 
+def long_line_left_open(client):
+    client.send(START + b"X-A: " + b"a" * 1_000_000)
+    client.hold()
+
+
 def short_lines_without_a_body(client):
     client.send(POST + b"Content-Length: 100\r\n" + SHORT_LINES + b"\r\n")
     client.hold()
@@ -201,8 +206,9 @@
     for kind in (
         silent, dripped_request_line, long_heads_left_open, long_heads_completed,
         endless_header_lines, endless_header_line, endless_request_line,
-        endless_empty_lines, slow_empty_lines, short_lines_without_a_body,
-        bodies_left_open, chunked_bodies_left_open, endless_trailers,
+        endless_empty_lines, slow_empty_lines, long_line_left_open,
+        short_lines_without_a_body, bodies_left_open, chunked_bodies_left_open,
+        endless_trailers,
         endless_small_chunks, pipelined_requests, pipelined_large_heads,
         pipelined_unknown_jobs, hasty, unread_answers, half_a_handshake,
     )
