Check the size of a body once more where a job is taken in

Callers would see: a job that is larger than the operator allows, passed on to a peer by an instance whose limit was lowered after its server had read the body.

--- a/src/mangosail/platform/ingress.py
+++ b/src/mangosail/platform/ingress.py
@@ -91,11 +91,16 @@
         self, relay: relaying.Relay, req: falcon.Request, resp: falcon.Response
     ) -> None:
         """Replace the refusal by a peer's answer, if a peer gives one."""
+        body = self._read_body(req)
+        if isinstance(body, result.Err):
+            resp.delete_header("Retry-After")
+            self._respond_invalid(resp, body.err_value)
+            return
         request = relaying.Request(
             req.method,
             req.host,
             req.path,
-            read_body(req),
+            body.ok_value,
             self.catalog.min_version,
             req.context.deadline,
         )
@@ -185,8 +190,12 @@
         job_id: str,
     ) -> None:
         """Accept a job."""
+        body = self._read_body(req)
+        if isinstance(body, result.Err):
+            self._respond_invalid(resp, body.err_value)
+            return
         job = decoding.decode_job(
-            read_body(req),
+            body.ok_value,
             job_id,
             queue,
             self.clock.wall(),
@@ -232,6 +241,16 @@
         if isinstance(done, result.Err):
             self._respond_error(resp, done.err_value)
 
+    def _read_body(self, req: falcon.Request) -> result.Result[bytes, errors.Invalid]:
+        """Return the body, which the server has received as a whole; cached."""
+        if "body" not in req.context:
+            max_bytes = self.catalog.limits().body_bytes
+            # The limit may be lower than when the server read the body.
+            if (req.content_length or 0) > max_bytes:
+                return result.Err(errors.Invalid(f"body: more than {max_bytes} bytes"))
+            req.context.body = req.bounded_stream.read()
+        return result.Ok(req.context.body)
+
     def _respond_invalid(self, resp: falcon.Response, invalid: errors.Invalid) -> None:
         self.counters.count("ingress.refused.invalid")
         resp.status = falcon.HTTP_BAD_REQUEST
@@ -271,13 +290,6 @@
         raise falcon.HTTPBadGateway from ex
 
 
-def read_body(req: falcon.Request) -> bytes:
-    """Return the body, which the server has received as a whole; cached."""
-    if "body" not in req.context:
-        req.context.body = req.bounded_stream.read()
-    return req.context.body
-
-
 class Readiness:
     """Answers the load balancer's checks; `app` is its WSGI application."""
 
