--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -48,6 +48,15 @@
 NAME_KEEPING_DURATIONS_S = {"resize_worker": (6.0, 12.0)}
 #: Additional kinds of faults in runs with long leases, where all options are on.
 LONG_LEASE_DURATIONS_S = {"refuse_leader": (1.0, 4.0)}
+#: Additional kinds of faults in runs beside clients that don't behave.
+CROWD_DURATIONS_S = {"crowd": (3.0, 8.0)}
+#: How such clients may behave, and how many come at a time.
+CROWDS = (
+    "silent", "dripped-request-line", "long-heads-completed", "bodies-left-open",
+    "endless-trailers", "endless-small-chunks", "pipelined-requests", "unread-answers",
+    "pipelined-unknown-jobs", "hasty",
+)  # fmt: skip
+CROWD_SIZE = 40
 #: Longest lease in such runs, in milliseconds.
 LONG_LEASE_MS = 10_000
 #: Exit status of a worker that a task crashed, and the delay until its restart.
@@ -76,6 +85,10 @@
                 stage.call(self.deployment.store, "POST", "/faults", faults)
                 time.sleep(fault.seconds if faults else 0)
             return
+        if fault.kind == "crowd":
+            # Beside whatever else befalls the instance.
+            self.crowd(fault.target, fault.seconds, fault.at)
+            return
         if fault.target == "leader":
             self.refuse_leader(fault.seconds)
             return
@@ -104,6 +117,16 @@
             self.deployment.kill(name)
         self.deployment.restart(name)
 
+    def crowd(self, name, seconds, at):
+        """Let clients that don't behave come to an instance."""
+        kind = CROWDS[int(at * 1000) % len(CROWDS)]
+        address = self.deployment.fronts[name]
+        command = ["-m", "tests.standins.crowd", kind, str(CROWD_SIZE), address]
+        process = self.deployment.start(f"crowd-{name}-{at:.3f}", *command)
+        time.sleep(seconds)
+        process.kill()
+        process.wait()
+
     def freeze(self, name, seconds):
         self.deployment.freeze(name)
         time.sleep(seconds)
@@ -167,20 +190,23 @@
     settle=SETTLE_TIME_S,
     crashing=False,
     long_leases=False,
+    crowds=False,
 ):
     """Execute a run, and return its verdicts and the folder with all logs.
 
     With `crashing`, tasks crash workers, some workers keep their names across restarts,
     and capacity changes. With `long_leases`, all options are on, and the store refuses
-    the leader alone at times.
+    the leader alone at times. With `crowds`, clients that don't behave come at times.
     """
     lease_ms = {"lease_ms": LONG_LEASE_MS} if long_leases else {}
     deployment = deployed.Deployment(seed, crashing, **lease_ms)
     faults = Faults(deployment)
     try:
         deployment.start_all()
-        added = (NAME_KEEPING_DURATIONS_S if crashing else {}) | (
-            LONG_LEASE_DURATIONS_S if long_leases else {}
+        added = (
+            (NAME_KEEPING_DURATIONS_S if crashing else {})
+            | (LONG_LEASE_DURATIONS_S if long_leases else {})
+            | (CROWD_DURATIONS_S if crowds else {})
         )
         table = table_of(DURATIONS_S | added)
         # As often as all else that befalls workers.
@@ -229,6 +255,9 @@
     parser.add_argument(
         "--long-leases", action="store_true", help="all options on, leader refused"
     )
+    parser.add_argument(
+        "--crowds", action="store_true", help="clients that don't behave"
+    )
     args = parser.parse_args()
     seed = args.seed or random.SystemRandom().randrange(1, 1_000_000)
     print(f"seed {seed}, {args.minutes:g} minutes", flush=True)
@@ -238,6 +267,7 @@
         args.gap,
         crashing=args.lives,
         long_leases=args.long_leases,
+        crowds=args.crowds,
     )
     print(f"seed {seed}, logs in {folder}")
     print(oracle.table_of(verdicts))
