--- a/review/bed-3/bed.py
+++ b/review/bed-3/bed.py
@@ -10,7 +10,6 @@
 import os
 import pathlib
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -70,7 +69,7 @@
 class Bed:
     """All processes of one run."""
 
-    def __init__(self, folder, attempts=3):
+    def __init__(self, folder, attempts=3, advice=None):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         self.lines = open(pathlib.Path(folder) / "record.txt", "w")
@@ -78,6 +77,9 @@
         self.processes = {}
         self.fronts = {}
         self.attempts = attempts
+        #: What the queue's route tells of its advice, and the service's address.
+        self.advice = advice
+        self.advisor = None
         self.store = free_address()
         self.note(f"begin, TROUBLE={int(self.trouble)}")
 
@@ -105,11 +107,6 @@
         )
         return self.processes[name]
 
-    def kill(self, name, how=signal.SIGKILL):
-        process = self.processes[name]
-        process.send_signal(how)
-        process.wait()
-
     def start_store(self):
         self.start("store", "-m", "tests.standins.store", "--address", self.store)
         self.wait(lambda: call(self.store, "GET", "/dump")[0] == 200, "store")
@@ -124,11 +121,20 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         }  # fmt: skip
+        if self.advice:
+            config["routes"][0]["advice"] = self.advice
         value = base64.b64encode(json.dumps(config).encode()).decode()
         row = {"table": "op", "part": "", "key": "config", "value": value}
         call(self.store, "POST", "/-/rows-tx",
              {"expected_revision": [], "puts": [row], "remove": []})  # fmt: skip
 
+    def start_advisor(self):
+        """Start the advice service, as slow as the route tells."""
+        self.advisor = free_address()
+        options = [f"--{k.replace('_', '-')}={v}" for k, v in self.advice.items()]
+        self.start("advisor", "review/bed-3/advisor.py", "--address", self.advisor,
+                   *options)  # fmt: skip
+
     def start_worker(self, name, address, keep_name=True, cores=16):
         """Start a worker, which registers itself at the store under its id."""
         named = ("--name", name) if keep_name else ()
@@ -154,7 +160,7 @@
             "contracts": ["base", "drain", "config", "cost", "recover", "sched",
                           "platform", "advice", "upkeep", "sharing"],
             "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
-            "bounds": BOUNDS, "orders": "call", "advice": None,
+            "bounds": BOUNDS, "orders": "call", "advice": self.advisor,
             "platform": {"address": self.store, "form": "table", "writes_per_s": 1200,
                          "reads_per_s": 6000, "tx_ms": 5.0, "appends_per_s": 200,
                          "row_bytes": 65536, "across": False, "history_s": 20},
@@ -188,19 +194,6 @@
         headers = {"Host": HOST, "Deadline-Ms": "3000"}
         return call(self.fronts[instance], method, PREFIX + job, body, headers)
 
-    def submit(self, job, spec, count, cpu=1000, **fields):
-        """Hand a job in until it is accepted, as clients do."""
-        step = {"count": count, "cpu": cpu, "mem_mb": 256, "estimate_ms": 500, **fields}
-        body = {"spec": spec, "steps": [step]}
-        for attempt in range(5):
-            instance = list(self.fronts)[attempt % len(self.fronts)]
-            status, _ = self.ask(instance, "POST", job, body)
-            self.note(f"client: POST {job} to {instance}: {status}")
-            if status == 200:
-                return
-            time.sleep(0.5)
-        raise CannotRun(f"job {job} was not accepted")
-
     def state(self, job):
         """Return the state of a job as the first instance that answers shows it."""
         for instance in self.fronts:
@@ -211,19 +204,6 @@
                 return "unknown"
         return "no answer"
 
-    def await_end(self, job, seconds):
-        """Return the state of a job once it is final, or after `seconds`."""
-        deadline = time.monotonic() + seconds
-        while True:
-            state = self.state(job)
-            if state in ("completed", "failed", "cancelled"):
-                break
-            if time.monotonic() > deadline:
-                break
-            time.sleep(0.25)
-        self.note(f"client: GET {job}: {state}")
-        return state
-
     def lease(self):
         """Return the lease as the store holds it."""
         rows = json.loads(call(self.store, "GET", "/dump")[1])
@@ -232,12 +212,6 @@
                 return json.loads(value)
         return {"holder": "", "token": 0}
 
-    def entries(self):
-        """Return the workers that the store lists: id, address, start."""
-        rows = json.loads(call(self.store, "GET", "/dump")[1])
-        found = [(key, json.loads(v)) for kind, *_, key, v in rows if kind == "servers"]
-        return [(key, entry["address"], entry.get("born")) for key, entry in found]
-
     def runs(self):
         """Return what the workers have noted, in order of time."""
         facts = [
